--- /dev/null
+++ b/document.go
@@ -0,0 +1,79 @@
+package gooseberrymast
+
+import "time"
+
+// Document is what operators write for one environment. It names no addresses.
+type Document struct {
+	// Zones lists the availability zones, each name once.
+	Zones []string `toml:"zones"`
+	// Services are keyed by name.
+	Services map[string]Service `toml:"services"`
+}
+
+// Service is one service of a document.
+type Service struct {
+	// Zones are the availability zones that may hold backend servers; empty
+	// means all of the document's.
+	Zones []string `toml:"zones"`
+	// Limits bound the service's work.
+	Limits Limits `toml:"limits"`
+	// Streams lists path prefixes of requests that stay open.
+	Streams []string `toml:"streams"`
+	// Idempotent lists path prefixes of requests that may run twice.
+	Idempotent []string `toml:"idempotent"`
+	// Drain rules a backend server's departure.
+	Drain Drain `toml:"drain"`
+	// CrossZone allows requests and flows to leave their availability zone
+	// once their own has no capacity: "never" or "when-full".
+	CrossZone string `toml:"cross-zone"`
+}
+
+// Limits bound the work of one service. Zero fields take Defaults.
+type Limits struct {
+	// Connections is the number of streams that one backend server may hold.
+	Connections int `toml:"connections"`
+	// Slots is the number of requests that one backend server runs at once.
+	Slots int `toml:"slots"`
+	// Queue is the number of requests that may wait at one agent.
+	Queue int `toml:"queue"`
+	// CallerRate is the number of requests a second of one caller over the
+	// whole service; zero is no limit.
+	CallerRate float64 `toml:"caller-rate"`
+	// CallerBurst is the number of requests a caller may send at once.
+	CallerBurst int `toml:"caller-burst"`
+	// Deadline stands in where a request has none.
+	Deadline Duration `toml:"deadline"`
+	// MaxDeadline caps the deadline that a caller may ask for.
+	MaxDeadline Duration `toml:"max-deadline"`
+	// RetryBudget is the share of requests that may be retries, 0 to 1.
+	RetryBudget float64 `toml:"retry-budget"`
+	// SlowStart is the time over which a cold backend server's share grows.
+	SlowStart Duration `toml:"slow-start"`
+	// MaxEjected is the share of a service's backend servers that may be
+	// ejected at once, 0 to 1.
+	MaxEjected float64 `toml:"max-ejected"`
+}
+
+// Drain rules a backend server's departure.
+type Drain struct {
+	// Grace is the time after which a leaving backend server gets no new work.
+	Grace Duration `toml:"grace"`
+	// MaxWait bounds the wait for open streams; zero waits for all of them.
+	MaxWait Duration `toml:"max-wait"`
+}
+
+// The default limits of a service.
+const (
+	DefaultConnections = 2000
+	DefaultSlots       = 4
+	DefaultQueue       = 32
+	DefaultCallerBurst = 20
+	DefaultDeadline    = 10 * time.Second
+	DefaultMaxDeadline = 10 * time.Minute
+	DefaultRetryBudget = 0.1
+	DefaultSlowStart   = 10 * time.Second
+	DefaultMaxEjected  = 0.3
+	DefaultDrainGrace  = 3 * time.Second
+	CrossZoneNever     = "never"
+	CrossZoneWhenFull  = "when-full"
+)
--- /dev/null
+++ b/identity.go
@@ -0,0 +1,45 @@
+package gooseberrymast
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServiceTag is the number by which packets and records name a service.
+// The zero tag names no service.
+type ServiceTag uint16
+
+// TagOf derives the tag of a service from its name. Document.Validate refuses
+// two services whose names give one tag.
+func TagOf(service string) ServiceTag {
+	sum := xxhash.Sum64String(service)
+	tag := ServiceTag(sum ^ sum>>16 ^ sum>>32 ^ sum>>48)
+	if tag == 0 {
+		return 1
+	}
+	return tag
+}
+
+// Incarnation counts the lives of one address: a restarted process takes a
+// higher one than the process that held the address before. Zero is unset.
+type Incarnation uint32
+
+// Identity names one life of one process.
+type Identity struct {
+	// Address is the IPv4 address and UDP port that receives forwarded packets.
+	Address netip.AddrPort
+	// Incarnation is above zero in every identity that is announced.
+	Incarnation Incarnation
+}
+
+// String gives the identity as address#incarnation.
+func (i Identity) String() string {
+	return fmt.Sprintf("%s#%d", i.Address, i.Incarnation)
+}
+
+// IsZero reports whether the identity names nobody.
+func (i Identity) IsZero() bool {
+	return !i.Address.IsValid() && i.Incarnation == 0
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,47 @@
+package gooseberrymast
+
+import (
+	"context"
+	"errors"
+)
+
+// The errors of a Store. ErrStoreUnknown means that a write may have taken
+// effect: the writer reads the object and looks for its own write id.
+var (
+	ErrStoreConflict    = errors.New("the object's version is not the expected one")
+	ErrStoreNotFound    = errors.New("no such object")
+	ErrStoreUnavailable = errors.New("the store is unavailable")
+	ErrStoreUnknown     = errors.New("the write's outcome is unknown")
+)
+
+// Object is one value in the platform's store.
+type Object struct {
+	// Key is slash-separated and unique in the store.
+	Key string
+	// Version is set by the store and rises with each write of the key.
+	Version uint64
+	// WriteID was chosen by the writer of this version.
+	WriteID string
+	// Value is at most MaxObjectBytes long.
+	Value []byte
+}
+
+// MaxObjectBytes is the largest value that the store takes, in bytes.
+const MaxObjectBytes = 1 << 20
+
+// Store is the platform's object API.
+type Store interface {
+	// Get reads one object, or fails with ErrStoreNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// List reads the objects whose keys start with prefix, sorted by key.
+	List(ctx context.Context, prefix string) ([]Object, error)
+	// Put writes the object when the stored version equals expected (zero:
+	// the key is absent) and gives the new version. It fails with
+	// ErrStoreConflict, or with ErrStoreUnknown when the answer was lost.
+	Put(ctx context.Context, object Object, expected uint64) (uint64, error)
+	// Delete removes the key when its version equals expected.
+	Delete(ctx context.Context, key string, expected uint64) error
+	// Watch waits for one version above after and gives the object, or
+	// fails when the context ends. A waiting watch counts as a call.
+	Watch(ctx context.Context, key string, after uint64) (Object, error)
+}
