Derive the fleet's keys by epoch and purpose

Cause: connection ids, forwarding headers, tickets and peer sessions each need a key, and a rotation must leave open flows alone. Change: protocol/keyer reads a key file with epochs and derives one key a purpose by HKDF. Conclusion: a key file lists every accepted epoch and names the current one, so a new key is first accepted everywhere and then used.

--- /dev/null
+++ b/protocol/keyer/keyer.go
@@ -0,0 +1,139 @@
+// Package keyer holds the fleet's secret keys by epoch and derives from them
+// one key for each purpose.
+package keyer
+
+import (
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// SecretBytes is the length of a secret, in bytes.
+const SecretBytes = 32
+
+// Epoch numbers the keys of one rotation after the other.
+type Epoch uint8
+
+// Purpose separates the keys that are derived from one secret.
+type Purpose string
+
+// The purposes of derived keys.
+const (
+	PurposeConnectionID   Purpose = "connection-id"
+	PurposeHeader         Purpose = "header"
+	PurposeTicket         Purpose = "ticket"
+	PurposePeer           Purpose = "peer"
+	PurposeRetryToken     Purpose = "retry-token"
+	PurposeStatelessReset Purpose = "stateless-reset"
+)
+
+// The errors of a key file.
+var (
+	ErrNoKeys       = errors.New("no keys")
+	ErrUnknownEpoch = errors.New("unknown key epoch")
+)
+
+// Key is one secret of the fleet.
+type Key struct {
+	// Epoch is unique in a key file.
+	Epoch Epoch `toml:"epoch"`
+	// Secret is SecretBytes long, written in hexadecimal.
+	Secret string `toml:"secret"`
+}
+
+// Keys is the content of a key file. Every key listed is accepted; new
+// connection ids, headers and tickets use the current one.
+type Keys struct {
+	// Current is the epoch of one of Keys.
+	Current Epoch `toml:"current"`
+	// Keys are listed in any order.
+	Keys []Key `toml:"keys"`
+}
+
+// Load reads a key file in TOML.
+func Load(file string) (*Keys, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("keyer.Load: %w", err)
+	}
+	keys, err := Parse(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("keyer.Load %s: %w", file, err)
+	}
+	return keys, nil
+}
+
+// Parse decodes and validates the text of a key file.
+func Parse(text string) (*Keys, error) {
+	var keys Keys
+	meta, err := toml.Decode(text, &keys)
+	if err != nil {
+		return nil, fmt.Errorf("keyer.Parse: %w", err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("keyer.Parse: unknown key %q", unknown[0].String())
+	}
+	if err := keys.validate(); err != nil {
+		return nil, fmt.Errorf("keyer.Parse: %w", err)
+	}
+	return &keys, nil
+}
+
+// Random makes a single key of epoch 1.
+func Random() *Keys {
+	secret := make([]byte, SecretBytes)
+	rand.Read(secret)
+	return &Keys{Current: 1, Keys: []Key{{Epoch: 1, Secret: hex.EncodeToString(secret)}}}
+}
+
+// Epochs lists the accepted epochs.
+func (k *Keys) Epochs() []Epoch {
+	epochs := make([]Epoch, 0, len(k.Keys))
+	for _, key := range k.Keys {
+		epochs = append(epochs, key.Epoch)
+	}
+	return epochs
+}
+
+// Derive gives the key of an epoch for a purpose, SecretBytes long.
+func (k *Keys) Derive(epoch Epoch, purpose Purpose) ([]byte, error) {
+	for _, key := range k.Keys {
+		if key.Epoch != epoch {
+			continue
+		}
+		secret, err := hex.DecodeString(key.Secret)
+		if err != nil {
+			return nil, fmt.Errorf("Keys.Derive epoch %d: %w", epoch, err)
+		}
+		return hkdf.Key(sha256.New, secret, nil, "gooseberrymast "+string(purpose), SecretBytes)
+	}
+	return nil, fmt.Errorf("Keys.Derive epoch %d: %w", epoch, ErrUnknownEpoch)
+}
+
+func (k *Keys) validate() error {
+	if len(k.Keys) == 0 {
+		return ErrNoKeys
+	}
+	seen := map[Epoch]bool{}
+	var faults []error
+	for _, key := range k.Keys {
+		if seen[key.Epoch] {
+			faults = append(faults, fmt.Errorf("epoch %d is listed twice", key.Epoch))
+		}
+		seen[key.Epoch] = true
+		secret, err := hex.DecodeString(key.Secret)
+		if err != nil || len(secret) != SecretBytes {
+			faults = append(faults, fmt.Errorf("secret of epoch %d: want %d bytes in hexadecimal", key.Epoch, SecretBytes))
+		}
+	}
+	if !seen[k.Current] {
+		faults = append(faults, fmt.Errorf("current epoch %d: %w", k.Current, ErrUnknownEpoch))
+	}
+	return errors.Join(faults...)
+}
