--- /dev/null
+++ b/protocol/framer/framer.go
@@ -0,0 +1,99 @@
+package framer
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"fmt"
+	"sync/atomic"
+
+	"gooseberrymast/protocol/keyer"
+)
+
+// keyBytes selects AES-128.
+const keyBytes = 16
+
+// Framer adds headers to payloads and verifies them. It may be used from any
+// goroutine. The zero value opens nothing and must not seal.
+type Framer struct {
+	keys atomic.Pointer[authenticators]
+}
+
+// authenticators are the ciphers of one key file.
+type authenticators struct {
+	current keyer.Epoch
+	byEpoch [256]cipher.AEAD
+}
+
+// New makes a framer from the fleet's keys.
+func New(keys *keyer.Keys) (*Framer, error) {
+	framer := &Framer{}
+	if err := framer.SetKeys(keys); err != nil {
+		return nil, err
+	}
+	return framer, nil
+}
+
+// SetKeys replaces the keys. Headers of every listed epoch are accepted; new
+// ones are sealed under the current epoch.
+func (f *Framer) SetKeys(keys *keyer.Keys) error {
+	next := &authenticators{current: keys.Current}
+	for _, epoch := range keys.Epochs() {
+		aead, err := authenticator(keys, epoch)
+		if err != nil {
+			return fmt.Errorf("Framer.SetKeys epoch %d: %w", epoch, err)
+		}
+		next.byEpoch[epoch] = aead
+	}
+	if next.byEpoch[next.current] == nil {
+		return fmt.Errorf("Framer.SetKeys epoch %d: %w", next.current, keyer.ErrUnknownEpoch)
+	}
+	f.keys.Store(next)
+	return nil
+}
+
+// Seal writes the header into the buffer so that it ends where the payload
+// begins, at payloadAt, and gives the whole frame. The buffer needs MaxBytes
+// before the payload. It sets the header's epoch and allocates nothing.
+func (f *Framer) Seal(header *Header, buffer []byte, payloadAt int) ([]byte, error) {
+	if payloadAt < header.Bytes() {
+		return nil, FaultOversized
+	}
+	keys := f.keys.Load()
+	header.Epoch = keys.current
+	frame := buffer[payloadAt-header.Bytes():]
+	header.encode(frame)
+	keys.byEpoch[keys.current].Seal(frame[:0], frame[nonceAt:nonceEnd], nil, frame[macBytes:])
+	return frame, nil
+}
+
+// Open verifies a frame, fills the header from it and gives the payload, which
+// is part of the frame. The error is a Fault. It allocates nothing. Replays
+// are the matter of Windows.
+func (f *Framer) Open(frame []byte, header *Header) ([]byte, error) {
+	if err := check(frame); err != nil {
+		return nil, err
+	}
+	keys := f.keys.Load()
+	epoch := keyer.Epoch(frame[epochAt])
+	if keys == nil || keys.byEpoch[epoch] == nil {
+		return nil, FaultUnknownEpoch
+	}
+	_, err := keys.byEpoch[epoch].Open(nil, frame[nonceAt:nonceEnd], frame[:macBytes], frame[macBytes:])
+	if err != nil {
+		return nil, FaultForged
+	}
+	header.decode(frame)
+	return frame[header.Bytes():], nil
+}
+
+func authenticator(keys *keyer.Keys, epoch keyer.Epoch) (cipher.AEAD, error) {
+	key, err := keys.Derive(epoch, keyer.PurposeHeader)
+	if err != nil {
+		return nil, err
+	}
+	block, err := aes.NewCipher(key[:keyBytes])
+	if err != nil {
+		return nil, err
+	}
+	return cipher.NewGCMWithNonceSize(block, nonceEnd-nonceAt)
+}
--- /dev/null
+++ b/protocol/framer/header.go
@@ -0,0 +1,282 @@
+// Package framer puts an authenticated header before the datagrams that
+// balancers and agents send one another.
+//
+// The header has MinBytes for a packet with no candidate and IdentityBytes
+// more for each candidate, at most MaxBytes:
+//
+//	 0 MAC (16): AES-128-GMAC over all that follows, payload included
+//	16 version (1)
+//	17 kind (1)
+//	18 key epoch (1)
+//	19 hop (4 bits), number of takers (2 bits), number of homes (2 bits)
+//	20 service tag (2)
+//	22 index of the service address (2)
+//	24 sender (8), stripe (2), counter (6): the MAC's nonce
+//	40 target (10): IPv4 address, port, incarnation
+//	50 caller (6): IPv4 address and port
+//	56 balancer (6)
+//	62 id of the balancer's life (8)
+//	70 candidates (10 each)
+//
+// With QUIC datagrams of 1,200 bytes the largest UDP payload is 1,310 bytes,
+// well under what an Ethernet frame holds. IPv6 would add 12 bytes to each of
+// the three addresses and to each candidate, 84 bytes at most; the version
+// byte leaves room for that layout.
+package framer
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/keyer"
+)
+
+// Version is the header's first and only layout.
+const Version = 1
+
+// Sizes of a header and of the datagrams it is put before.
+const (
+	macBytes     = 16
+	addressBytes = 6
+	// IdentityBytes is the size of one candidate.
+	IdentityBytes = 10
+	// MinBytes is the size of a header without candidates.
+	MinBytes = 70
+	// MaxBytes is the size of a header with all candidates.
+	MaxBytes = MinBytes + (MaxTakers+MaxHomes)*IdentityBytes
+	// MaxPayload is the largest QUIC datagram that is carried: with the
+	// largest header it fills an IPv4 packet of 1,500 bytes.
+	MaxPayload = 1500 - 28 - MaxBytes
+	// MaxFrame is the largest frame.
+	MaxFrame = MaxPayload + MaxBytes
+)
+
+// The number of candidates that a header can carry.
+const (
+	MaxTakers = 2
+	MaxHomes  = 2
+)
+
+// Offsets in the header.
+const (
+	versionAt  = 16
+	kindAt     = 17
+	epochAt    = 18
+	countsAt   = 19
+	serviceAt  = 20
+	indexAt    = 22
+	nonceAt    = 24
+	stripeAt   = 32
+	counterAt  = 34
+	nonceEnd   = 40
+	toAt       = 40
+	callerAt   = 50
+	balancerAt = 56
+	lifeAt     = 62
+)
+
+// Kind tells the frames apart.
+type Kind uint8
+
+// The kinds of frames.
+const (
+	// KindFlow carries a packet of an established flow to its agent.
+	KindFlow Kind = iota + 1
+	// KindOpening carries a packet that may open a flow.
+	KindOpening
+	// KindAnswer carries an agent's packet to the balancer.
+	KindAnswer
+)
+
+// MaxHop is the number of times that agents may pass a packet on.
+const MaxHop = 2
+
+// Fault says why a frame is dropped.
+type Fault string
+
+// The faults of a frame.
+const (
+	FaultTruncated    Fault = "truncated"
+	FaultOversized    Fault = "oversized"
+	FaultBadVersion   Fault = "bad-version"
+	FaultBadKind      Fault = "bad-kind"
+	FaultUnknownEpoch Fault = "unknown-epoch"
+	FaultForged       Fault = "forged"
+	FaultReplayed     Fault = "replayed"
+	FaultWrongService Fault = "wrong-service"
+	FaultWrongTarget  Fault = "wrong-target"
+)
+
+// Error makes a fault an error.
+func (f Fault) Error() string {
+	return "frame: " + string(f)
+}
+
+// Header is the content of a frame's header.
+type Header struct {
+	// Kind is one of the three kinds.
+	Kind Kind
+	// Epoch is set by Seal.
+	Epoch keyer.Epoch
+	// Hop counts the agents that passed the packet on, at most MaxHop.
+	Hop uint8
+	// Service is the service that the caller addressed.
+	Service gooseberrymast.ServiceTag
+	// Index numbers the balancer's service address; the agent's answers
+	// repeat it.
+	Index uint16
+	// Origin names the sender and the place of the frame in its sequence.
+	Origin Origin
+	// To is the process that the frame is sent to. Answers to a balancer name
+	// no incarnation; Life stands in.
+	To gooseberrymast.Identity
+	// Caller is the caller's address.
+	Caller netip.AddrPort
+	// Balancer is the address that answers are sent to.
+	Balancer netip.AddrPort
+	// Life is the id of the balancer's sender, which answers must repeat, so
+	// that a balancer that took over the address refuses old answers.
+	Life uint64
+	// Takers are the agents that may take the flow, in order. Unused ones
+	// are zero and come last.
+	Takers [MaxTakers]gooseberrymast.Identity
+	// Homes are the agents that remember who took the flow: by the table in
+	// force, then by the table before it when that names another agent.
+	Homes [MaxHomes]gooseberrymast.Identity
+}
+
+// Origin names one frame of one sender. No two frames of the fleet have equal
+// origins.
+type Origin struct {
+	// Sender is drawn at random for each life of a process.
+	Sender uint64
+	// Stripe separates the sender's sequences.
+	Stripe uint16
+	// Counter rises by one with each frame of the stripe; 48 bits are used.
+	Counter uint64
+}
+
+// Bytes gives the size of the header.
+func (h *Header) Bytes() int {
+	return MinBytes + IdentityBytes*(count(&h.Takers)+count(&h.Homes))
+}
+
+func count(ids *[2]gooseberrymast.Identity) int {
+	switch {
+	case ids[0].IsZero():
+		return 0
+	case ids[1].IsZero():
+		return 1
+	}
+	return 2
+}
+
+// check finds the faults that need no key.
+func check(frame []byte) error {
+	if len(frame) < MinBytes {
+		return FaultTruncated
+	}
+	if len(frame) > MaxFrame {
+		return FaultOversized
+	}
+	if frame[versionAt] != Version {
+		return FaultBadVersion
+	}
+	kind := Kind(frame[kindAt])
+	if kind < KindFlow || kind > KindAnswer {
+		return FaultBadKind
+	}
+	takers, homes := split(frame[countsAt])
+	if takers > MaxTakers || homes > MaxHomes {
+		return FaultOversized
+	}
+	if len(frame) < MinBytes+IdentityBytes*(takers+homes) {
+		return FaultTruncated
+	}
+	return nil
+}
+
+func split(counts byte) (takers, homes int) {
+	return int(counts >> 2 & 3), int(counts & 3)
+}
+
+func (h *Header) encode(frame []byte) {
+	takers, homes := count(&h.Takers), count(&h.Homes)
+	frame[versionAt] = Version
+	frame[kindAt] = byte(h.Kind)
+	frame[epochAt] = byte(h.Epoch)
+	frame[countsAt] = h.Hop<<4 | byte(takers<<2) | byte(homes)
+	binary.BigEndian.PutUint16(frame[serviceAt:], uint16(h.Service))
+	binary.BigEndian.PutUint16(frame[indexAt:], h.Index)
+	binary.BigEndian.PutUint64(frame[nonceAt:], h.Origin.Sender)
+	binary.BigEndian.PutUint64(frame[stripeAt:], uint64(h.Origin.Stripe)<<48|h.Origin.Counter)
+	putIdentity(frame[toAt:], h.To)
+	putAddress(frame[callerAt:], h.Caller)
+	putAddress(frame[balancerAt:], h.Balancer)
+	binary.BigEndian.PutUint64(frame[lifeAt:], h.Life)
+	rest := frame[MinBytes:]
+	for i := range takers {
+		rest = putIdentity(rest, h.Takers[i])
+	}
+	for i := range homes {
+		rest = putIdentity(rest, h.Homes[i])
+	}
+}
+
+func (h *Header) decode(frame []byte) {
+	takers, homes := split(frame[countsAt])
+	sequence := binary.BigEndian.Uint64(frame[stripeAt:])
+	to, _ := getIdentity(frame[toAt:])
+	*h = Header{
+		Kind:    Kind(frame[kindAt]),
+		Epoch:   keyer.Epoch(frame[epochAt]),
+		Hop:     frame[countsAt] >> 4,
+		Service: gooseberrymast.ServiceTag(binary.BigEndian.Uint16(frame[serviceAt:])),
+		Index:   binary.BigEndian.Uint16(frame[indexAt:]),
+		Origin: Origin{
+			Sender:  binary.BigEndian.Uint64(frame[nonceAt:]),
+			Stripe:  uint16(sequence >> 48),
+			Counter: sequence & maxCounter,
+		},
+		To:       to,
+		Caller:   getAddress(frame[callerAt:]),
+		Balancer: getAddress(frame[balancerAt:]),
+		Life:     binary.BigEndian.Uint64(frame[lifeAt:]),
+	}
+	rest := frame[MinBytes:]
+	for i := range takers {
+		h.Takers[i], rest = getIdentity(rest)
+	}
+	for i := range homes {
+		h.Homes[i], rest = getIdentity(rest)
+	}
+}
+
+func putAddress(buffer []byte, address netip.AddrPort) {
+	if !address.IsValid() {
+		clear(buffer[:addressBytes])
+		return
+	}
+	ip := address.Addr().Unmap().As4()
+	copy(buffer, ip[:])
+	binary.BigEndian.PutUint16(buffer[4:], address.Port())
+}
+
+func getAddress(buffer []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(buffer)), binary.BigEndian.Uint16(buffer[4:]))
+}
+
+func putIdentity(buffer []byte, id gooseberrymast.Identity) []byte {
+	putAddress(buffer, id.Address)
+	binary.BigEndian.PutUint32(buffer[addressBytes:], uint32(id.Incarnation))
+	return buffer[IdentityBytes:]
+}
+
+func getIdentity(buffer []byte) (gooseberrymast.Identity, []byte) {
+	id := gooseberrymast.Identity{
+		Address:     getAddress(buffer),
+		Incarnation: gooseberrymast.Incarnation(binary.BigEndian.Uint32(buffer[addressBytes:])),
+	}
+	return id, buffer[IdentityBytes:]
+}
