Forward packets between callers and agents

Cause: there was no data path.

After: a stream over QUIC echoes 400 messages while each of three balancers is replaced by one with an empty table, and 30 flows open through any balancer.

Conclusion: the whole path runs on loopback.

--- /dev/null
+++ b/transport/forwarder/counters.go
@@ -0,0 +1,99 @@
+package forwarder
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Drop numbers the reasons for which the balancer drops a packet.
+type Drop uint8
+
+// The reasons of a drop.
+const (
+	// DropTruncated is a datagram or a frame that ends too early.
+	DropTruncated Drop = iota
+	// DropOversized is one that is too large to be carried.
+	DropOversized
+	// DropNotQUIC is a caller's datagram that can't be a QUIC packet.
+	DropNotQUIC
+	// DropTooSmall is an Initial packet in a datagram that isn't padded.
+	DropTooSmall
+	// DropNotOpening is a packet with no token that can't open a flow.
+	DropNotOpening
+	// DropUnknownEpoch is an id or a frame under a key that isn't known.
+	DropUnknownEpoch
+	// DropWrongService is a packet of another service's flow, or an answer
+	// for another service than that of the address it names.
+	DropWrongService
+	// DropNoMember is a new flow of a service that has no backend server.
+	DropNoMember
+	// DropBadVersion is a frame of another layout.
+	DropBadVersion
+	// DropForged is a frame whose MAC is wrong.
+	DropForged
+	// DropReplayed is a frame that was seen before, or is too late to tell.
+	DropReplayed
+	// DropWrongTarget is a frame for another balancer or an earlier life.
+	DropWrongTarget
+	// DropSend is a packet that the host refused to send.
+	DropSend
+
+	drops
+)
+
+var dropNames = [drops]string{
+	"truncated", "oversized", "not-quic", "too-small", "not-opening", "unknown-epoch", "wrong-service",
+	"no-member", "bad-version", "forged", "replayed", "wrong-target", "send-refused",
+}
+
+// String gives the reason in kebab case.
+func (d Drop) String() string {
+	return dropNames[d]
+}
+
+// Counters count a balancer's packets. They are a prometheus.Collector. The
+// zero value works.
+type Counters struct {
+	// Established counts callers' packets forwarded by their connection id.
+	Established atomic.Uint64
+	// Opening counts callers' packets forwarded by rendezvous.
+	Opening atomic.Uint64
+	// Answers counts agents' packets sent to callers.
+	Answers atomic.Uint64
+
+	dropped [drops]atomic.Uint64
+}
+
+var (
+	packetsDesc = prometheus.NewDesc("gooseberrymast_balancer_packets_total", "Packets forwarded, by kind.", []string{"kind"}, nil)
+	dropsDesc   = prometheus.NewDesc("gooseberrymast_balancer_drops_total", "Packets dropped, by reason.", []string{"reason"}, nil)
+)
+
+// Dropped gives the number of packets dropped for a reason.
+func (c *Counters) Dropped(reason Drop) uint64 {
+	return c.dropped[reason].Load()
+}
+
+// Describe implements prometheus.Collector.
+func (c *Counters) Describe(out chan<- *prometheus.Desc) {
+	out <- packetsDesc
+	out <- dropsDesc
+}
+
+// Collect implements prometheus.Collector.
+func (c *Counters) Collect(out chan<- prometheus.Metric) {
+	counter := func(desc *prometheus.Desc, value uint64, label string) {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), label)
+	}
+	counter(packetsDesc, c.Established.Load(), "established")
+	counter(packetsDesc, c.Opening.Load(), "opening")
+	counter(packetsDesc, c.Answers.Load(), "answer")
+	for reason := range drops {
+		counter(dropsDesc, c.Dropped(reason), reason.String())
+	}
+}
+
+func (c *Counters) drop(reason Drop) {
+	c.dropped[reason].Add(1)
+}
--- /dev/null
+++ b/transport/receiver/callers.go
@@ -0,0 +1,211 @@
+package receiver
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Bounds of the memory of callers.
+const (
+	callerShards = 16
+	// DefaultMaxCallers is the number of callers that are remembered.
+	DefaultMaxCallers = 1 << 16
+	// CallerLife is how long a silent caller is remembered. It is well above
+	// the idle timeout of a flow.
+	CallerLife = 3 * time.Minute
+	// alternateAfter is the silence of a caller after which its answers take
+	// turns through the balancers that delivered last, as the newest of them
+	// may be gone.
+	alternateAfter = 300 * time.Millisecond
+	// paths is the number of balancers remembered for each caller.
+	paths = 3
+)
+
+// path leads back to a caller through one balancer.
+type path struct {
+	balancer netip.AddrPort
+	life     uint64
+	index    uint16
+}
+
+// caller is what is remembered of one caller's address.
+type caller struct {
+	address *net.UDPAddr
+	heard   time.Time
+	paths   [paths]path // the newest first, zero ones last
+	turn    uint8
+	opening uint64 // key of the flow that the caller is opening, or zero
+}
+
+// callers remembers, by caller's address, the balancers that last delivered.
+// It is sharded, each shard under its own lock. The zero value works.
+type callers struct {
+	max    int
+	shards [callerShards]callerShard
+}
+
+type callerShard struct {
+	mu       sync.Mutex
+	byKey    map[uint64]*caller
+	lastScan time.Time
+}
+
+// heard notes that a balancer delivered a packet and gives the caller's
+// address as a net.Addr, which is made once for each caller.
+func (c *callers) heard(address netip.AddrPort, via path, now time.Time) *net.UDPAddr {
+	key := callerKey(address)
+	shard := c.shard(key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	known := shard.byKey[key]
+	if known == nil {
+		known = &caller{address: net.UDPAddrFromAddrPort(address)}
+		shard.add(key, known, c.limit(), now)
+	}
+	known.heard = now
+	known.turn = 0
+	known.prefer(via)
+	return known.address
+}
+
+// back gives the path for an answer. It reports whether that is another than
+// the newest, and whether the caller is known at all.
+func (c *callers) back(address netip.AddrPort, now time.Time) (via path, alternate, ok bool) {
+	key := callerKey(address)
+	shard := c.shard(key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	known := shard.byKey[key]
+	if known == nil {
+		return path{}, false, false
+	}
+	if now.Sub(known.heard) <= alternateAfter {
+		return known.paths[0], false, true
+	}
+	turn := known.turn
+	known.turn++
+	if int(known.turn) == paths || known.paths[known.turn] == (path{}) {
+		known.turn = 0
+	}
+	return known.paths[turn], turn > 0, true
+}
+
+// open notes that a caller opens a flow.
+func (c *callers) open(address netip.AddrPort, key uint64) {
+	c.swapOpening(address, key)
+}
+
+// opened gives the key of the flow that the caller was opening, once.
+func (c *callers) opened(address netip.AddrPort) uint64 {
+	return c.swapOpening(address, 0)
+}
+
+func (c *callers) swapOpening(address netip.AddrPort, next uint64) uint64 {
+	key := callerKey(address)
+	shard := c.shard(key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	known := shard.byKey[key]
+	if known == nil {
+		return 0
+	}
+	before := known.opening
+	known.opening = next
+	return before
+}
+
+// expire forgets the callers that have been silent for CallerLife.
+func (c *callers) expire(now time.Time) {
+	for i := range c.shards {
+		shard := &c.shards[i]
+		shard.mu.Lock()
+		shard.forgetSilent(now)
+		shard.mu.Unlock()
+	}
+}
+
+// count gives the number of callers that are remembered.
+func (c *callers) count() int {
+	n := 0
+	for i := range c.shards {
+		shard := &c.shards[i]
+		shard.mu.Lock()
+		n += len(shard.byKey)
+		shard.mu.Unlock()
+	}
+	return n
+}
+
+func (c *callers) limit() int {
+	if c.max == 0 {
+		return DefaultMaxCallers / callerShards
+	}
+	return max(1, c.max/callerShards)
+}
+
+func (c *callers) shard(key uint64) *callerShard {
+	return &c.shards[key*0x9e3779b97f4a7c15>>60]
+}
+
+// add makes room, if need be, at the cost of a caller of whom just one packet
+// came, as of a flood from invented addresses, and else of any.
+func (s *callerShard) add(key uint64, known *caller, limit int, now time.Time) {
+	if s.byKey == nil {
+		s.byKey = map[uint64]*caller{}
+	}
+	if len(s.byKey) >= limit && now.Sub(s.lastScan) > time.Second {
+		s.forgetSilent(now)
+	}
+	if len(s.byKey) >= limit {
+		delete(s.byKey, s.victim())
+	}
+	s.byKey[key] = known
+}
+
+// victim looks at a few callers for one that never got beyond opening a flow.
+func (s *callerShard) victim() uint64 {
+	const looks = 8
+	var last uint64
+	n := 0
+	for key, known := range s.byKey {
+		last = key
+		n++
+		if known.opening != 0 || n == looks {
+			break
+		}
+	}
+	return last
+}
+
+func (s *callerShard) forgetSilent(now time.Time) {
+	s.lastScan = now
+	for key, known := range s.byKey {
+		if now.Sub(known.heard) > CallerLife {
+			delete(s.byKey, key)
+		}
+	}
+}
+
+// prefer moves a path to the front.
+func (c *caller) prefer(via path) {
+	if c.paths[0] == via {
+		return
+	}
+	before := c.paths[0]
+	c.paths[0] = via
+	for i := 1; i < paths; i++ {
+		before, c.paths[i] = c.paths[i], before
+		if before == via || before == (path{}) {
+			return
+		}
+	}
+}
+
+// callerKey packs an IPv4 address and port.
+func callerKey(address netip.AddrPort) uint64 {
+	ip := address.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(ip[:]))<<16 | uint64(address.Port())
+}
--- /dev/null
+++ b/transport/receiver/read.go
@@ -0,0 +1,203 @@
+package receiver
+
+import (
+	"errors"
+	"net"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/opener"
+	"gooseberrymast/protocol/framer"
+	"gooseberrymast/protocol/parser"
+	"gooseberrymast/protocol/sealer"
+)
+
+// ReadFrom waits for a packet that is the agent's to handle, and gives it with
+// the caller's address.
+func (r *Receiver) ReadFrom(payload []byte) (int, net.Addr, error) {
+	for {
+		if r.next == r.filled {
+			n, err := r.conn.Read(r.batch)
+			r.next, r.filled = 0, n
+			if err != nil {
+				return 0, nil, err
+			}
+		}
+		frame, _ := r.batch.Datagram(r.next)
+		r.next++
+		packet, ok := r.accept(frame)
+		if !ok {
+			continue
+		}
+		return copy(payload, packet), r.heard(), nil
+	}
+}
+
+// accept verifies a frame and decides about the packet in it. It reports
+// whether the packet is for the agent's own QUIC stack.
+func (r *Receiver) accept(frame []byte) ([]byte, bool) {
+	payload, err := r.verify(frame)
+	if err != nil {
+		r.Counters.drop(dropOf(err))
+		return nil, false
+	}
+	packet, err := parser.Parse(payload, sealer.Bytes)
+	if err != nil {
+		r.Counters.drop(DropNotQUIC)
+		return nil, false
+	}
+	if r.header.Kind == framer.KindOpening {
+		return payload, r.open(payload, &packet)
+	}
+	if reason, ok := r.isOwn(&packet); !ok {
+		r.Counters.drop(reason)
+		return nil, false
+	}
+	return payload, true
+}
+
+// verify checks what holds for every frame.
+func (r *Receiver) verify(frame []byte) ([]byte, error) {
+	header := &r.header
+	payload, err := r.framer.Open(frame, header)
+	if err != nil {
+		return nil, err
+	}
+	if header.Kind == framer.KindAnswer || header.To.Address != r.self.Address {
+		return nil, framer.FaultWrongTarget
+	}
+	if header.Service != r.service {
+		return nil, framer.FaultWrongService
+	}
+	if !r.windows.Accept(header.Origin, r.config.Timer.Now()) {
+		return nil, framer.FaultReplayed
+	}
+	return payload, nil
+}
+
+// isOwn checks that the connection id was made for this service by this life
+// of the agent. Packets of an earlier life pass if they have a short header:
+// QUIC knows no flow for them and tells the caller so by a stateless reset.
+func (r *Receiver) isOwn(packet *parser.Packet) (Drop, bool) {
+	id, service, err := r.sealer.Open(packet.ID)
+	switch {
+	case err != nil:
+		return DropUnknownEpoch, false
+	case service != r.service:
+		return DropWrongService, false
+	case id == r.self:
+		r.Counters.Established.Add(1)
+		r.complete(packet)
+		return 0, true
+	case id.Address != r.self.Address:
+		return DropWrongTarget, false
+	case id.Incarnation < r.self.Incarnation && !packet.Long:
+		r.Counters.Stale.Add(1)
+		return 0, true
+	}
+	return DropWrongIncarnation, false
+}
+
+// complete notes a finished handshake: the caller sends with a short header.
+func (r *Receiver) complete(packet *parser.Packet) {
+	if packet.Long {
+		return
+	}
+	if key := r.callers.opened(r.header.Caller); key != 0 {
+		r.completeOpening(key)
+	}
+}
+
+func (r *Receiver) completeOpening(key uint64) {
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.Complete(key)
+}
+
+// open lets the opener decide about a packet that may open a flow.
+func (r *Receiver) open(payload []byte, packet *parser.Packet) bool {
+	if r.header.To.Incarnation != r.self.Incarnation {
+		r.Counters.drop(DropWrongIncarnation)
+		return false
+	}
+	first := opener.Packet{
+		Key:    xxhash.Sum64(packet.ID),
+		Hop:    r.header.Hop,
+		Takers: r.header.Takers,
+		Homes:  r.header.Homes,
+	}
+	decision := r.decide(&first)
+	switch decision.Verdict {
+	case opener.VerdictTake:
+		r.Counters.Opening.Add(1)
+		r.heard()
+		r.callers.open(r.header.Caller, first.Key)
+		return true
+	case opener.VerdictPass:
+		r.pass(payload, decision.Peer)
+	case opener.VerdictDrop:
+		r.Counters.drop(openerDrops[decision.Reason])
+	}
+	return false
+}
+
+func (r *Receiver) decide(first *opener.Packet) opener.Decision {
+	busy := r.leaving.Load() || (r.config.FlowBound != nil && r.config.FlowBound())
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	return r.opener.FirstPacket(first, busy, r.config.Timer.Now())
+}
+
+// pass sends a first packet on to another agent. The caller's answers will go
+// through the same balancer.
+func (r *Receiver) pass(payload []byte, peer gooseberrymast.Identity) {
+	buffer := r.buffers.Get().(*[writeBytes]byte)
+	defer r.buffers.Put(buffer)
+	n := copy(buffer[framer.MaxBytes:], payload)
+	header := r.header
+	header.Hop++
+	header.To = peer
+	header.Origin = r.sender.Next(peer.Address)
+	frame, err := r.framer.Seal(&header, buffer[:framer.MaxBytes+n], framer.MaxBytes)
+	if err != nil {
+		r.Counters.drop(DropOversized)
+		return
+	}
+	if r.send(frame, peer.Address) {
+		r.Counters.Passed.Add(1)
+	}
+}
+
+// heard remembers the balancer that delivered the last frame.
+func (r *Receiver) heard() *net.UDPAddr {
+	via := path{balancer: r.header.Balancer, life: r.header.Life, index: r.header.Index}
+	return r.callers.heard(r.header.Caller, via, r.config.Timer.Now())
+}
+
+// dropOf gives the counter of a typed error.
+func dropOf(err error) Drop {
+	var fault framer.Fault
+	if errors.As(err, &fault) {
+		return frameDrops[fault]
+	}
+	return DropNotQUIC
+}
+
+var frameDrops = map[framer.Fault]Drop{
+	framer.FaultTruncated:    DropTruncated,
+	framer.FaultOversized:    DropOversized,
+	framer.FaultBadVersion:   DropBadVersion,
+	framer.FaultBadKind:      DropBadVersion,
+	framer.FaultUnknownEpoch: DropUnknownEpoch,
+	framer.FaultForged:       DropForged,
+	framer.FaultReplayed:     DropReplayed,
+	framer.FaultWrongService: DropWrongService,
+	framer.FaultWrongTarget:  DropWrongTarget,
+}
+
+var openerDrops = map[opener.Reason]Drop{
+	opener.ReasonNotNamed: DropNotNamed,
+	opener.ReasonHalfOpen: DropHalfOpen,
+	opener.ReasonHops:     DropHops,
+}
--- /dev/null
+++ b/transport/receiver/receiver.go
@@ -0,0 +1,287 @@
+// Package receiver is the agent's data path: a net.PacketConn for quic-go that
+// is fed with the datagrams that balancers forward, and that sends the answers
+// back through them.
+//
+// Each frame is verified, and its service and incarnation are checked again. A
+// packet that may open a flow goes through package opener, which may pass it
+// on to another agent. For each caller the receiver remembers the balancers
+// that last delivered; answers go back through the newest.
+package receiver
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"golang.org/x/time/rate"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/opener"
+	"gooseberrymast/protocol/framer"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/sealer"
+	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/batcher"
+)
+
+const (
+	// batchDatagrams is the number of datagrams read by one call.
+	batchDatagrams = 16
+	// expireEvery is how often silent callers are looked for.
+	expireEvery = 30 * time.Second
+)
+
+// Config sets up a Receiver.
+type Config struct {
+	// Identity is the agent's. Port 0 takes a free port.
+	Identity gooseberrymast.Identity
+	// Service is the name of the agent's service.
+	Service string
+	// Keys are the fleet's keys.
+	Keys *keyer.Keys
+	// Timer is the timer service; nil takes timer.System.
+	Timer gooseberrymast.Timer
+	// FlowBound reports that the agent would rather not take a new flow: it
+	// is cold beyond its share or holds as many as it should. Such a flow is
+	// passed to the second candidate, if there is one. It is called from the
+	// reading goroutine and must not block; nil never refuses.
+	FlowBound func() bool
+	// MaxCallers bounds the callers that are remembered; zero takes
+	// DefaultMaxCallers.
+	MaxCallers int
+	// MaxHalfOpen bounds the handshakes that aren't complete; zero takes
+	// opener.DefaultMaxHalfOpen.
+	MaxHalfOpen int
+	// RetryRate is the number of new handshakes a second above which callers
+	// must prove their address by a Retry. Zero takes DefaultRetryRate; a
+	// negative rate asks for every one.
+	RetryRate float64
+}
+
+// Receiver is the data path of one agent. It implements net.PacketConn; only
+// one goroutine may read, as quic-go does.
+type Receiver struct {
+	// Counters may be registered with Prometheus.
+	Counters Counters
+
+	config  Config
+	self    gooseberrymast.Identity
+	service gooseberrymast.ServiceTag
+	conn    *batcher.Conn
+	sealer  *sealer.Sealer
+	framer  *framer.Framer
+	sender  *framer.Sender
+	windows framer.Windows
+	callers callers
+	rate    *rate.Limiter
+	nonce   atomic.Uint32
+	leaving atomic.Bool
+	buffers sync.Pool // of *[writeBytes]byte
+	cancel  func()
+
+	openerMu sync.Mutex
+	opener   opener.Opener
+
+	// The rest belongs to the reading goroutine.
+	batch  *batcher.Batch
+	next   int
+	filled int
+	header framer.Header
+}
+
+// writeBytes is the size of a buffer for one frame.
+const writeBytes = framer.MaxFrame
+
+// New opens the agent's UDP socket.
+func New(config Config) (*Receiver, error) {
+	if config.Timer == nil {
+		config.Timer = timer.System{}
+	}
+	rec := &Receiver{config: config, service: gooseberrymast.TagOf(config.Service), sender: framer.NewSender()}
+	var err error
+	if rec.sealer, err = sealer.New(config.Keys); err != nil {
+		return nil, fmt.Errorf("receiver.New: %w", err)
+	}
+	if rec.framer, err = framer.New(config.Keys); err != nil {
+		return nil, fmt.Errorf("receiver.New: %w", err)
+	}
+	conns, err := batcher.Listen(config.Identity.Address, 1)
+	if err != nil {
+		return nil, fmt.Errorf("receiver.New: %w", err)
+	}
+	rec.conn = conns[0]
+	rec.self = gooseberrymast.Identity{Address: rec.conn.Address(), Incarnation: config.Identity.Incarnation}
+	rec.opener = opener.Opener{Self: rec.self, MaxHalfOpen: config.MaxHalfOpen}
+	rec.callers.max = config.MaxCallers
+	rec.rate = newLimiter(config.RetryRate)
+	rec.nonce.Store(randomNonce())
+	rec.buffers.New = func() any { return new([writeBytes]byte) }
+	rec.batch = batcher.NewReadBatch(batchDatagrams, 0, framer.MaxFrame+1)
+	rec.cancel = config.Timer.Every(expireEvery, rec.expire)
+	return rec, nil
+}
+
+// Identity gives the agent's identity with the port that is bound.
+func (r *Receiver) Identity() gooseberrymast.Identity {
+	return r.self
+}
+
+// Leaving makes the agent pass new flows on. Those that it holds stay.
+func (r *Receiver) Leaving() {
+	r.leaving.Store(true)
+}
+
+// SetKeys replaces the fleet's keys with flows open.
+func (r *Receiver) SetKeys(keys *keyer.Keys) error {
+	if err := r.sealer.SetKeys(keys); err != nil {
+		return fmt.Errorf("Receiver.SetKeys: %w", err)
+	}
+	if err := r.framer.SetKeys(keys); err != nil {
+		return fmt.Errorf("Receiver.SetKeys: %w", err)
+	}
+	return nil
+}
+
+// Callers gives the number of callers' addresses that are remembered.
+func (r *Receiver) Callers() int {
+	return r.callers.count()
+}
+
+// HalfOpen gives the number of handshakes that aren't known to be complete.
+func (r *Receiver) HalfOpen() int {
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	return r.opener.HalfOpen()
+}
+
+// ConnectionIDLen implements quic.ConnectionIDGenerator.
+func (r *Receiver) ConnectionIDLen() int {
+	return sealer.Bytes
+}
+
+// GenerateConnectionID implements quic.ConnectionIDGenerator.
+func (r *Receiver) GenerateConnectionID() (quic.ConnectionID, error) {
+	cid := r.sealer.Seal(r.self, r.service, r.nonce.Add(1))
+	return quic.ConnectionIDFromBytes(cid[:]), nil
+}
+
+// WriteTo sends an answer to a caller through a balancer. An answer that can't
+// be sent is lost, as datagrams are, and counted.
+func (r *Receiver) WriteTo(payload []byte, to net.Addr) (int, error) {
+	udp, ok := to.(*net.UDPAddr)
+	if !ok {
+		return 0, fmt.Errorf("Receiver.WriteTo %s: want a UDP address", to)
+	}
+	if len(payload) > framer.MaxPayload {
+		r.Counters.drop(DropOversized)
+		return 0, fmt.Errorf("Receiver.WriteTo %s: %w", to, framer.FaultOversized)
+	}
+	address := plain(udp.AddrPort())
+	via, alternate, known := r.callers.back(address, r.config.Timer.Now())
+	if !known {
+		r.Counters.drop(DropUnknownCaller)
+		return len(payload), nil
+	}
+	if alternate {
+		r.Counters.Alternated.Add(1)
+	}
+	r.answer(payload, address, via)
+	return len(payload), nil
+}
+
+func (r *Receiver) answer(payload []byte, to netip.AddrPort, via path) {
+	buffer := r.buffers.Get().(*[writeBytes]byte)
+	defer r.buffers.Put(buffer)
+	n := copy(buffer[framer.MinBytes:], payload)
+	header := framer.Header{
+		Kind:     framer.KindAnswer,
+		Service:  r.service,
+		Index:    via.index,
+		Origin:   r.sender.Next(via.balancer),
+		To:       gooseberrymast.Identity{Address: via.balancer},
+		Caller:   to,
+		Balancer: via.balancer,
+		Life:     via.life,
+	}
+	frame, err := r.framer.Seal(&header, buffer[:framer.MinBytes+n], framer.MinBytes)
+	if err != nil {
+		r.Counters.drop(DropOversized)
+		return
+	}
+	if r.send(frame, via.balancer) {
+		r.Counters.Answers.Add(1)
+	}
+}
+
+func (r *Receiver) send(frame []byte, to netip.AddrPort) bool {
+	if _, err := r.conn.UDP.WriteToUDPAddrPort(frame, to); err != nil {
+		r.Counters.drop(DropSend)
+		return false
+	}
+	return true
+}
+
+// Close closes the socket.
+func (r *Receiver) Close() error {
+	r.cancel()
+	return r.conn.UDP.Close()
+}
+
+// LocalAddr gives the agent's UDP address.
+func (r *Receiver) LocalAddr() net.Addr {
+	return r.conn.UDP.LocalAddr()
+}
+
+// SetDeadline implements net.PacketConn.
+func (r *Receiver) SetDeadline(t time.Time) error {
+	return r.conn.UDP.SetDeadline(t)
+}
+
+// SetReadDeadline implements net.PacketConn.
+func (r *Receiver) SetReadDeadline(t time.Time) error {
+	return r.conn.UDP.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.PacketConn.
+func (r *Receiver) SetWriteDeadline(t time.Time) error {
+	return r.conn.UDP.SetWriteDeadline(t)
+}
+
+// SetReadBuffer lets quic-go size the socket's buffer.
+func (r *Receiver) SetReadBuffer(bytes int) error {
+	return r.conn.UDP.SetReadBuffer(bytes)
+}
+
+// SetWriteBuffer lets quic-go size the socket's buffer.
+func (r *Receiver) SetWriteBuffer(bytes int) error {
+	return r.conn.UDP.SetWriteBuffer(bytes)
+}
+
+// SyscallConn lets quic-go see the size that the host grants the buffers.
+func (r *Receiver) SyscallConn() (syscall.RawConn, error) {
+	return r.conn.UDP.SyscallConn()
+}
+
+func (r *Receiver) expire(now time.Time) {
+	r.callers.expire(now)
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.Expire(now)
+}
+
+func plain(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
+func randomNonce() uint32 {
+	var start [4]byte
+	rand.Read(start[:])
+	return binary.BigEndian.Uint32(start[:])
+}
