--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -1,23 +1,33 @@
 // Package opener decides, at an agent, who takes a new flow.
 //
 // Nearly every handshake begins with two or more datagrams that carry an id of
-// the caller's choice, and each may come through another balancer with another
-// table. They must meet at one agent. Each such packet names up to two takers
-// and up to two homes. It is sent to the first home. A home that knows nothing
-// of the flow passes the packet to the second home if there is one, or else to
-// the first taker, and remembers to whom. What a home remembers goes before
-// what the packet says. The taker takes the flow, or passes it to the second
-// taker while it is leaving, cold or over its bound, and remembers that. A
-// packet is passed on at most MaxHop times.
+// the caller's choice, and each may come through another balancer, of another
+// zone and with another table. They must meet at one agent. Each such packet
+// names up to two takers and up to two homes, and is sent to the first home.
 //
-// The packets of one flow meet when any two balancers that handle them agree
-// on the first home, or one balancer's first home is the other's second home,
-// and that home lives. Balancers keep as the table before the one of at least
-// a propagation time ago, so this covers tables whose age differs by less than
-// that and between which the flow's home moved once. It does not cover a home
-// that moved twice within that time, a home that one balancer holds for
-// suspect while another still sends to it, or a home that died between two
-// packets: there the caller's retransmissions start the handshake again.
+//   - A home that knows nothing of the flow asks the second home, if there is
+//     one, by passing the packet to it.
+//   - The last home passes the packet to the first taker.
+//   - A taker takes the flow. While it is leaving, cold or over its bound it
+//     passes the packet to the second taker instead, if a hop is left, and
+//     tells the homes.
+//
+// Each agent remembers, for the life of a handshake, where it passed a flow,
+// and this goes before what a later packet says. A packet is passed on at most
+// MaxHop times.
+//
+// The packets of one flow meet if any two of the balancers that send them name
+// the same first home, or the first home of one is the second home of the
+// other, and that home lives. A home doesn't depend on the balancer's zone.
+// Balancers take for the second home's table one that is at least a
+// propagation time old, so this covers tables whose age differs by less than
+// that and between which the flow's home moved once.
+//
+// It does not cover a home that moved twice within that time, one that some
+// balancers hold for suspect while others still send to it, or one that died
+// or forgot the flow between two packets. There the handshake may start at two
+// agents; the caller goes on with the one that answers it first, or fails the
+// handshake by its timeout.
 package opener
 
 import (
@@ -55,7 +65,7 @@
 
 // The reasons of a drop.
 const (
-	// ReasonNotNamed is a packet that names this agent nowhere.
+	// ReasonNotNamed is a packet whose first home is another agent.
 	ReasonNotNamed Reason = "not-named"
 	// ReasonHalfOpen is a flow above the bound of open handshakes.
 	ReasonHalfOpen Reason = "half-open-limit"
@@ -69,6 +79,9 @@
 	Key uint64
 	// Hop counts how often the packet was passed on.
 	Hop uint8
+	// Given is set when the packet was passed on to be taken, and clear when
+	// a home is asked.
+	Given bool
 	// Takers and Homes are the balancer's candidates, zero ones last.
 	Takers, Homes [2]gooseberrymast.Identity
 }
@@ -78,6 +91,11 @@
 	Verdict Verdict
 	// Peer is set for VerdictPass and is never the agent itself.
 	Peer gooseberrymast.Identity
+	// Given is what the packet that is passed on must say.
+	Given bool
+	// Tell lists homes to be told that Peer takes the flow in the agent's
+	// place; see Moved. Unused ones are zero.
+	Tell [2]gooseberrymast.Identity
 	// Reason is set for VerdictDrop.
 	Reason Reason
 }
@@ -101,11 +119,14 @@
 	halfOpen int
 }
 
-// flow is what is remembered of one opening. The peer is the agent itself when
-// it took the flow.
+// flow is what is remembered of one opening.
 type flow struct {
-	peer     gooseberrymast.Identity
-	since    time.Time
+	// peer is the agent itself when it took the flow.
+	peer  gooseberrymast.Identity
+	since time.Time
+	// asked is set while peer is a home that was asked: it may yet give the
+	// flow to this agent.
+	asked    bool
 	halfOpen bool
 }
 
@@ -113,17 +134,31 @@
 // not take a new flow: it is leaving, cold or over its bound.
 func (o *Opener) FirstPacket(packet *Packet, busy bool, now time.Time) Decision {
 	o.Expire(now)
-	if known, ok := o.flows[packet.Key]; ok {
-		return o.follow(known, packet, now)
-	}
-	next := o.next(packet, busy || o.halfOpen >= o.maxHalfOpen())
-	if next.IsZero() {
+	home := o.isHome(packet)
+	known, ok := o.flows[packet.Key]
+	switch {
+	case ok && known.peer == o.Self:
+		return Decision{Verdict: VerdictTake}
+	case ok && (home || !known.asked):
+		return follow(known, packet)
+	case home:
+		return o.arbitrate(packet, busy, now)
+	case packet.Hop == 0:
 		return Decision{Verdict: VerdictDrop, Reason: ReasonNotNamed}
 	}
-	if next != o.Self {
-		return o.pass(packet, next, now)
+	return o.takeOrPass(packet, busy, now)
+}
+
+// Moved notes that the agent to which a flow was passed, before, has passed it
+// on to another, after.
+func (o *Opener) Moved(key uint64, before, after gooseberrymast.Identity) {
+	known, ok := o.flows[key]
+	if !ok || known.peer != before {
+		return
 	}
-	return o.take(packet.Key, now)
+	known.peer = after
+	known.asked = false
+	o.flows[key] = known
 }
 
 // Complete notes that the flow's handshake is complete or holds no memory, so
@@ -159,66 +194,66 @@
 	}
 }
 
-// follow sends a packet where the flow's earlier packets went. A packet that
-// comes back after its last hop has nobody else to take it.
-func (o *Opener) follow(known flow, packet *Packet, now time.Time) Decision {
-	if known.peer == o.Self {
-		return Decision{Verdict: VerdictTake}
-	}
-	if packet.Hop < MaxHop {
-		return Decision{Verdict: VerdictPass, Peer: known.peer}
+// isHome reports whether the packet came to be told who takes its flow.
+func (o *Opener) isHome(packet *Packet) bool {
+	if packet.Hop == 0 {
+		return packet.Homes[0] == o.Self
 	}
-	if o.isTaker(packet) {
-		return o.take(packet.Key, now)
-	}
-	return Decision{Verdict: VerdictDrop, Reason: ReasonHops}
+	return !packet.Given
 }
 
-// next names who should get a packet of an unknown flow.
-func (o *Opener) next(packet *Packet, busy bool) gooseberrymast.Identity {
+// follow sends a packet where the flow's earlier packets went.
+func follow(known flow, packet *Packet) Decision {
 	if packet.Hop >= MaxHop {
-		return o.Self
+		return Decision{Verdict: VerdictDrop, Reason: ReasonHops}
 	}
-	if packet.Hop == 0 && packet.Homes[0] == o.Self && !packet.Homes[1].IsZero() {
-		return packet.Homes[1]
+	return Decision{Verdict: VerdictPass, Peer: known.peer, Given: !known.asked}
+}
+
+// arbitrate is a home's decision about an unknown flow.
+func (o *Opener) arbitrate(packet *Packet, busy bool, now time.Time) Decision {
+	if packet.Hop == 0 && !packet.Homes[1].IsZero() {
+		return o.pass(packet, flow{peer: packet.Homes[1], since: now, asked: true})
 	}
 	if packet.Takers[0] == o.Self {
-		return o.first(packet, busy)
+		return o.takeOrPass(packet, busy, now)
 	}
-	if packet.Takers[1] == o.Self && packet.Hop > 0 {
-		return o.Self
-	}
-	if packet.Hop == 0 && packet.Homes[0] != o.Self {
-		return gooseberrymast.Identity{}
-	}
-	return packet.Takers[0]
+	return o.pass(packet, flow{peer: packet.Takers[0], since: now})
 }
 
-// first names who should get a packet that came to its first taker.
-func (o *Opener) first(packet *Packet, busy bool) gooseberrymast.Identity {
-	if busy && !packet.Takers[1].IsZero() {
-		return packet.Takers[1]
+// takeOrPass is the decision of an agent that a flow was given to.
+func (o *Opener) takeOrPass(packet *Packet, busy bool, now time.Time) Decision {
+	full := o.halfOpen >= o.maxHalfOpen()
+	other := packet.Takers[1]
+	if (busy || full) && packet.Hop < MaxHop && packet.Takers[0] == o.Self && !other.IsZero() {
+		decision := o.pass(packet, flow{peer: other, since: now})
+		decision.Tell = o.others(packet)
+		return decision
+	}
+	if full {
+		return Decision{Verdict: VerdictDrop, Reason: ReasonHalfOpen}
 	}
-	return o.Self
+	o.halfOpen++
+	o.remember(packet.Key, flow{peer: o.Self, since: now, halfOpen: true})
+	return Decision{Verdict: VerdictTake}
 }
 
-func (o *Opener) isTaker(packet *Packet) bool {
-	return packet.Takers[0] == o.Self || packet.Takers[1] == o.Self
+// others gives the homes of a packet but for the agent itself.
+func (o *Opener) others(packet *Packet) [2]gooseberrymast.Identity {
+	homes := packet.Homes
+	for i := range homes {
+		if homes[i] == o.Self {
+			homes[i] = gooseberrymast.Identity{}
+		}
+	}
+	return homes
 }
 
-func (o *Opener) pass(packet *Packet, peer gooseberrymast.Identity, now time.Time) Decision {
+func (o *Opener) pass(packet *Packet, to flow) Decision {
 	asserter.Holds(packet.Hop < MaxHop, "opener-hop-limit", "flow %x passed on at hop %d", packet.Key, packet.Hop)
-	o.remember(packet.Key, flow{peer: peer, since: now})
-	return Decision{Verdict: VerdictPass, Peer: peer}
-}
-
-func (o *Opener) take(key uint64, now time.Time) Decision {
-	if o.halfOpen >= o.maxHalfOpen() {
-		return Decision{Verdict: VerdictDrop, Reason: ReasonHalfOpen}
-	}
-	o.halfOpen++
-	o.remember(key, flow{peer: o.Self, since: now, halfOpen: true})
-	return Decision{Verdict: VerdictTake}
+	asserter.Holds(to.peer != o.Self, "opener-passes-to-others", "flow %x passed by %s to itself", packet.Key, o.Self)
+	o.remember(packet.Key, to)
+	return Decision{Verdict: VerdictPass, Peer: to.peer, Given: !to.asked}
 }
 
 func (o *Opener) life() time.Duration {
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -109,7 +109,6 @@
 	members := query.Current.Members(query.Service)
 	lenient := noneRoutable(members)
 	local := best(members, query, lenient, true)
-	route.Opening = true
 	route.Takers = local.ids
 	if local.ids[1].IsZero() && query.CrossZone != gooseberrymast.CrossZoneNever {
 		fill(&route.Takers, best(members, query, lenient, false).ids)
@@ -117,6 +116,7 @@
 	if route.Takers[0].IsZero() {
 		return RefusalNoMember
 	}
+	route.Opening = true
 	route.Homes[0] = best(members, query, lenient, false).ids[0]
 	previous := query.Previous.Members(query.Service)
 	before := best(previous, query, noneRoutable(previous), false).ids[0]
--- a/protocol/framer/header.go
+++ b/protocol/framer/header.go
@@ -8,7 +8,7 @@
 //	16 version (1)
 //	17 kind (1)
 //	18 key epoch (1)
-//	19 hop (4 bits), number of takers (2 bits), number of homes (2 bits)
+//	19 hop (3 bits), given (1 bit), number of takers (2), number of homes (2)
 //	20 service tag (2)
 //	22 index of the service address (2)
 //	24 sender (8), stripe (2), counter (6): the MAC's nonce
@@ -76,6 +76,12 @@
 	lifeAt     = 62
 )
 
+// Bits of the byte at countsAt.
+const (
+	hopShift = 5
+	givenBit = 1 << 4
+)
+
 // Kind tells the frames apart.
 type Kind uint8
 
@@ -87,10 +93,13 @@
 	KindOpening
 	// KindAnswer carries an agent's packet to the balancer.
 	KindAnswer
+	// KindMoved tells a home that the flow whose key is the payload was
+	// passed on by Takers[1] to Takers[0].
+	KindMoved
 )
 
-// MaxHop is the number of times that agents may pass a packet on.
-const MaxHop = 2
+// KeyBytes is the size of the payload of KindMoved.
+const KeyBytes = 8
 
 // Fault says why a frame is dropped.
 type Fault string
@@ -119,8 +128,11 @@
 	Kind Kind
 	// Epoch is set by Seal.
 	Epoch keyer.Epoch
-	// Hop counts the agents that passed the packet on, at most MaxHop.
+	// Hop counts the agents that passed the packet on, at most 7.
 	Hop uint8
+	// Given is set when an agent passed the packet on to be taken, and clear
+	// when it asks a home.
+	Given bool
 	// Service is the service that the caller addressed.
 	Service gooseberrymast.ServiceTag
 	// Index numbers the balancer's service address; the agent's answers
@@ -184,7 +196,7 @@
 		return FaultBadVersion
 	}
 	kind := Kind(frame[kindAt])
-	if kind < KindFlow || kind > KindAnswer {
+	if kind < KindFlow || kind > KindMoved {
 		return FaultBadKind
 	}
 	takers, homes := split(frame[countsAt])
@@ -206,7 +218,10 @@
 	frame[versionAt] = Version
 	frame[kindAt] = byte(h.Kind)
 	frame[epochAt] = byte(h.Epoch)
-	frame[countsAt] = h.Hop<<4 | byte(takers<<2) | byte(homes)
+	frame[countsAt] = h.Hop<<hopShift | byte(takers<<2) | byte(homes)
+	if h.Given {
+		frame[countsAt] |= givenBit
+	}
 	binary.BigEndian.PutUint16(frame[serviceAt:], uint16(h.Service))
 	binary.BigEndian.PutUint16(frame[indexAt:], h.Index)
 	binary.BigEndian.PutUint64(frame[nonceAt:], h.Origin.Sender)
@@ -231,7 +246,8 @@
 	*h = Header{
 		Kind:    Kind(frame[kindAt]),
 		Epoch:   keyer.Epoch(frame[epochAt]),
-		Hop:     frame[countsAt] >> 4,
+		Hop:     frame[countsAt] >> hopShift,
+		Given:   frame[countsAt]&givenBit != 0,
 		Service: gooseberrymast.ServiceTag(binary.BigEndian.Uint16(frame[serviceAt:])),
 		Index:   binary.BigEndian.Uint16(frame[indexAt:]),
 		Origin: Origin{
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"encoding/binary"
 	"errors"
 	"net"
 
@@ -42,6 +43,14 @@
 		r.Counters.drop(dropOf(err))
 		return nil, false
 	}
+	if r.header.Kind != framer.KindFlow && r.header.To != r.self {
+		r.Counters.drop(DropWrongIncarnation)
+		return nil, false
+	}
+	if r.header.Kind == framer.KindMoved {
+		r.moved(payload)
+		return nil, false
+	}
 	packet, err := parser.Parse(payload, sealer.Bytes)
 	if err != nil {
 		r.Counters.drop(DropNotQUIC)
@@ -117,13 +126,10 @@
 
 // open lets the opener decide about a packet that may open a flow.
 func (r *Receiver) open(payload []byte, packet *parser.Packet) bool {
-	if r.header.To.Incarnation != r.self.Incarnation {
-		r.Counters.drop(DropWrongIncarnation)
-		return false
-	}
 	first := opener.Packet{
 		Key:    xxhash.Sum64(packet.ID),
 		Hop:    r.header.Hop,
+		Given:  r.header.Given,
 		Takers: r.header.Takers,
 		Homes:  r.header.Homes,
 	}
@@ -135,7 +141,8 @@
 		r.callers.open(r.header.Caller, first.Key)
 		return true
 	case opener.VerdictPass:
-		r.pass(payload, decision.Peer)
+		r.pass(payload, &decision)
+		r.tell(first.Key, &decision)
 	case opener.VerdictDrop:
 		r.Counters.drop(openerDrops[decision.Reason])
 	}
@@ -149,26 +156,45 @@
 	return r.opener.FirstPacket(first, busy, r.config.Timer.Now())
 }
 
-// pass sends a first packet on to another agent. The caller's answers will go
-// through the same balancer.
-func (r *Receiver) pass(payload []byte, peer gooseberrymast.Identity) {
-	buffer := r.buffers.Get().(*[writeBytes]byte)
-	defer r.buffers.Put(buffer)
-	n := copy(buffer[framer.MaxBytes:], payload)
+// pass sends a first packet on to another agent. The answers will go through
+// the same balancer.
+func (r *Receiver) pass(payload []byte, decision *opener.Decision) {
 	header := r.header
 	header.Hop++
-	header.To = peer
-	header.Origin = r.sender.Next(peer.Address)
-	frame, err := r.framer.Seal(&header, buffer[:framer.MaxBytes+n], framer.MaxBytes)
-	if err != nil {
-		r.Counters.drop(DropOversized)
-		return
-	}
-	if r.send(frame, peer.Address) {
+	header.Given = decision.Given
+	if r.sendFrame(&header, decision.Peer, payload) {
 		r.Counters.Passed.Add(1)
 	}
 }
 
+// tell lets the homes of a flow know that it was passed on.
+func (r *Receiver) tell(key uint64, decision *opener.Decision) {
+	for _, home := range decision.Tell {
+		if home.IsZero() {
+			continue
+		}
+		header := framer.Header{
+			Kind:    framer.KindMoved,
+			Service: r.service,
+			Takers:  [2]gooseberrymast.Identity{decision.Peer, r.self},
+		}
+		var payload [framer.KeyBytes]byte
+		binary.BigEndian.PutUint64(payload[:], key)
+		r.sendFrame(&header, home, payload[:])
+	}
+}
+
+// moved notes that an agent passed a flow on to another.
+func (r *Receiver) moved(payload []byte) {
+	if len(payload) != framer.KeyBytes {
+		r.Counters.drop(DropTruncated)
+		return
+	}
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.Moved(binary.BigEndian.Uint64(payload), r.header.Takers[1], r.header.Takers[0])
+}
+
 // heard remembers the balancer that delivered the last frame.
 func (r *Receiver) heard() *net.UDPAddr {
 	via := path{balancer: r.header.Balancer, life: r.header.Life, index: r.header.Index}
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -197,31 +197,32 @@
 }
 
 func (r *Receiver) answer(payload []byte, to netip.AddrPort, via path) {
-	buffer := r.buffers.Get().(*[writeBytes]byte)
-	defer r.buffers.Put(buffer)
-	n := copy(buffer[framer.MinBytes:], payload)
 	header := framer.Header{
 		Kind:     framer.KindAnswer,
 		Service:  r.service,
 		Index:    via.index,
-		Origin:   r.sender.Next(via.balancer),
-		To:       gooseberrymast.Identity{Address: via.balancer},
 		Caller:   to,
 		Balancer: via.balancer,
 		Life:     via.life,
 	}
-	frame, err := r.framer.Seal(&header, buffer[:framer.MinBytes+n], framer.MinBytes)
-	if err != nil {
-		r.Counters.drop(DropOversized)
-		return
-	}
-	if r.send(frame, via.balancer) {
+	if r.sendFrame(&header, gooseberrymast.Identity{Address: via.balancer}, payload) {
 		r.Counters.Answers.Add(1)
 	}
 }
 
-func (r *Receiver) send(frame []byte, to netip.AddrPort) bool {
-	if _, err := r.conn.UDP.WriteToUDPAddrPort(frame, to); err != nil {
+// sendFrame puts a header before a copy of the payload and sends it.
+func (r *Receiver) sendFrame(header *framer.Header, to gooseberrymast.Identity, payload []byte) bool {
+	buffer := r.buffers.Get().(*[writeBytes]byte)
+	defer r.buffers.Put(buffer)
+	n := copy(buffer[framer.MaxBytes:], payload)
+	header.To = to
+	header.Origin = r.sender.Next(to.Address)
+	frame, err := r.framer.Seal(header, buffer[:framer.MaxBytes+n], framer.MaxBytes)
+	if err != nil {
+		r.Counters.drop(DropOversized)
+		return false
+	}
+	if _, err := r.conn.UDP.WriteToUDPAddrPort(frame, to.Address); err != nil {
 		r.Counters.drop(DropSend)
 		return false
 	}
