--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -107,21 +107,22 @@
 
 func open(query *Query, route *Route) error {
 	members := query.Current.Members(query.Service)
-	lenient := noneRoutable(members)
-	local := best(members, query, lenient, true)
+	local, all := rank(members, query)
 	route.Takers = local.ids
 	if local.ids[1].IsZero() && query.CrossZone != gooseberrymast.CrossZoneNever {
-		fill(&route.Takers, best(members, query, lenient, false).ids)
+		fill(&route.Takers, all.ids)
 	}
 	if route.Takers[0].IsZero() {
 		return RefusalNoMember
 	}
 	route.Opening = true
-	route.Homes[0] = best(members, query, lenient, false).ids[0]
-	previous := query.Previous.Members(query.Service)
-	before := best(previous, query, noneRoutable(previous), false).ids[0]
-	if before != route.Homes[0] && answers(members, before) {
-		route.Homes[1] = before
+	route.Homes[0] = all.ids[0]
+	if query.Previous == query.Current {
+		return nil
+	}
+	_, before := rank(query.Previous.Members(query.Service), query)
+	if before.ids[0] != route.Homes[0] && answers(members, before.ids[0]) {
+		route.Homes[1] = before.ids[0]
 	}
 	return nil
 }
@@ -183,19 +184,22 @@
 	}
 }
 
-func best(members []gooseberrymast.Member, query *Query, lenient, local bool) ranking {
-	var top ranking
+// rank gives the members with the highest scores in the query's zone and in
+// all zones.
+func rank(members []gooseberrymast.Member, query *Query) (local, all ranking) {
+	lenient := noneRoutable(members)
 	for i := range members {
 		member := &members[i]
 		if !member.Routable() && !(lenient && member.State == gooseberrymast.StateReady) {
 			continue
 		}
-		if local && query.Zone != "" && member.Zone != query.Zone {
-			continue
+		points := score(query.Key, member)
+		all.add(member.Identity, points)
+		if query.Zone == "" || member.Zone == query.Zone {
+			local.add(member.Identity, points)
 		}
-		top.add(member.Identity, score(query.Key, member))
 	}
-	return top
+	return local, all
 }
 
 // score is the member's weight over an exponential variable drawn by the hash
--- /dev/null
+++ b/transport/forwarder/forwarder_test.go
@@ -0,0 +1,287 @@
+package forwarder
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/framer"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/sealer"
+)
+
+const (
+	ledger   = "ledger"
+	receipts = "receipts"
+)
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	caller   = netip.MustParseAddrPort("192.0.2.7:5555")
+	agent    = gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:9"), Incarnation: 3}
+	keys     = keyer.Random()
+)
+
+func newForwarder(t testing.TB) *Forwarder {
+	t.Helper()
+	fwd, err := New(Config{
+		Services: []ServiceAddress{{loopback, ledger}, {loopback, receipts}},
+		Forward:  loopback,
+		Keys:     keys,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fwd.Close)
+	return fwd
+}
+
+func tableOf(service string, ids ...gooseberrymast.Identity) *gooseberrymast.Table {
+	tag := gooseberrymast.TagOf(service)
+	table := &gooseberrymast.Table{Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{}}
+	for _, id := range ids {
+		table.Services[tag] = append(table.Services[tag], gooseberrymast.Member{
+			Record: gooseberrymast.Record{Identity: id, State: gooseberrymast.StateReady, Service: tag},
+		})
+	}
+	return table
+}
+
+// short makes a packet of an established flow.
+func short(t testing.TB, service string) []byte {
+	t.Helper()
+	seal, err := sealer.New(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cid := seal.Seal(agent, gooseberrymast.TagOf(service), 1)
+	packet := make([]byte, 1200)
+	packet[0] = 0x40
+	copy(packet[1:], cid[:])
+	return packet
+}
+
+// long makes a packet with a long header and an id of the caller's choice.
+func long(first byte, id []byte) []byte {
+	packet := make([]byte, 1200)
+	copy(packet, []byte{first, 0, 0, 0, 1, byte(len(id))})
+	copy(packet[6:], id)
+	return packet
+}
+
+func withHeadroom(datagram []byte) []byte {
+	return append(make([]byte, framer.MaxBytes), datagram...)
+}
+
+func TestInboundDrops(t *testing.T) {
+	foreignEpoch := short(t, ledger)
+	foreignEpoch[1]++
+	random := short(t, ledger)
+	random[5]++
+	tests := []struct {
+		name     string
+		datagram []byte
+		want     Drop
+	}{
+		{"empty", nil, DropTruncated},
+		{"cut", short(t, ledger)[:10], DropTruncated},
+		{"oversized", make([]byte, framer.MaxPayload+1), DropOversized},
+		{"not QUIC", make([]byte, 100), DropNotQUIC},
+		{"small Initial", long(0xc0, make([]byte, 8))[:1000], DropTooSmall},
+		{"Handshake with the caller's id", long(0xe0, make([]byte, 8)), DropNotOpening},
+		{"id too short to open a flow", long(0xc0, make([]byte, 7)), DropNotOpening},
+		{"unknown epoch", foreignEpoch, DropUnknownEpoch},
+		{"another service's flow", short(t, receipts), DropWrongService},
+		{"new flow of a service with no member", long(0xc0, make([]byte, 8)), DropNoMember},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fwd := newForwarder(t)
+			frame := newInbound(fwd, 0).forward(withHeadroom(test.datagram), caller)
+			is.True(frame == nil)
+			is.Equal(fwd.Counters.Dropped(test.want), uint64(1))
+		})
+	}
+	t.Run("random id", func(t *testing.T) {
+		is := is.New(t)
+		fwd := newForwarder(t)
+		is.True(newInbound(fwd, 0).forward(withHeadroom(random), caller) == nil)
+	})
+}
+
+func TestInboundFrames(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	in := newInbound(fwd, 0)
+	open, err := framer.New(keys)
+	is.NoErr(err)
+	var header framer.Header
+
+	packet := short(t, ledger) // there is no table at all
+	payload, err := open.Open(in.forward(withHeadroom(packet), caller), &header)
+	is.NoErr(err)
+	is.Equal(payload, packet)
+	is.Equal(header.Kind, framer.KindFlow)
+	is.Equal(header.To, agent)
+	is.Equal(header.Caller, caller)
+	is.Equal(header.Service, gooseberrymast.TagOf(ledger))
+	is.Equal(header.Balancer, fwd.ForwardAddress())
+
+	fwd.SetTable(tableOf(ledger, agent))
+	_, err = open.Open(in.forward(withHeadroom(long(0xc0, make([]byte, 8))), caller), &header)
+	is.NoErr(err)
+	is.Equal(header.Kind, framer.KindOpening)
+	is.Equal(header.To, agent)
+	is.Equal(header.Takers[0], agent)
+	is.Equal(header.Homes[0], agent)
+}
+
+// answer makes an agent's frame for a balancer.
+func answer(t testing.TB, fwd *Forwarder, sender *framer.Sender, edit func(header *framer.Header)) []byte {
+	t.Helper()
+	header := framer.Header{
+		Kind:     framer.KindAnswer,
+		Service:  gooseberrymast.TagOf(ledger),
+		Origin:   sender.Next(fwd.forward),
+		To:       gooseberrymast.Identity{Address: fwd.forward},
+		Caller:   caller,
+		Balancer: fwd.forward,
+		Life:     fwd.sender.ID,
+	}
+	if edit != nil {
+		edit(&header)
+	}
+	seal, err := framer.New(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame, err := seal.Seal(&header, withHeadroom([]byte("answer")), framer.MaxBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
+
+func TestOutboundDrops(t *testing.T) {
+	tests := []struct {
+		name string
+		edit func(header *framer.Header)
+		cut  int
+		want Drop
+	}{
+		{"truncated", nil, 20, DropTruncated},
+		{"oversized", nil, -framer.MaxFrame, DropOversized},
+		{"forged", nil, 1, DropForged},
+		{"for an earlier life", func(h *framer.Header) { h.Life++ }, 0, DropWrongTarget},
+		{"for another balancer", func(h *framer.Header) { h.To = agent }, 0, DropWrongTarget},
+		{"not an answer", func(h *framer.Header) { h.Kind = framer.KindFlow }, 0, DropWrongTarget},
+		{"of another service", func(h *framer.Header) { h.Index = 1 }, 0, DropWrongService},
+		{"for no address", func(h *framer.Header) { h.Index = 2 }, 0, DropWrongService},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fwd := newForwarder(t)
+			frame := answer(t, fwd, framer.NewSender(), test.edit)
+			if test.cut < 0 {
+				frame = append(frame, make([]byte, -test.cut)...)
+			} else {
+				frame = frame[:len(frame)-test.cut]
+			}
+			var header framer.Header
+			_, err := fwd.open(frame, &header)
+			is.True(err != nil)
+			is.Equal(dropOf(err), test.want)
+		})
+	}
+}
+
+func TestReplayedAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	frame := answer(t, fwd, framer.NewSender(), nil)
+	var header framer.Header
+	payload, err := fwd.open(frame, &header)
+	is.NoErr(err)
+	is.True(bytes.Equal(payload, []byte("answer")))
+	_, err = fwd.open(frame, &header)
+	is.Equal(dropOf(err), DropReplayed)
+}
+
+// The table before the one in force is kept for one to two periods.
+func TestPreviousTableAges(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	first, second, third := tableOf(ledger), tableOf(ledger), tableOf(ledger)
+	fwd.SetTable(first)
+	fwd.age()
+	fwd.age()
+	is.True(fwd.view.Load().previous == first)
+	fwd.SetTable(second)
+	fwd.SetTable(third)
+	is.True(fwd.view.Load().previous == first) // a quick succession doesn't push it out
+	fwd.age()
+	is.True(fwd.view.Load().previous == first)
+	fwd.age()
+	is.True(fwd.view.Load().previous == third)
+}
+
+func TestDocumentKeepsFlowsInTheirZone(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	fwd.SetDocument(&gooseberrymast.Document{Services: map[string]gooseberrymast.Service{
+		ledger: {CrossZone: gooseberrymast.CrossZoneNever},
+	}})
+	fwd.config.Zone = "cairo-a"
+	fwd.SetTable(tableOf(ledger, agent)) // the agent is in no zone
+	is.True(newInbound(fwd, 0).forward(withHeadroom(long(0xc0, make([]byte, 8))), caller) == nil)
+	is.Equal(fwd.Counters.Dropped(DropNoMember), uint64(1))
+}
+
+func TestCountersCollect(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	fwd.Counters.drop(DropForged)
+	registry := prometheus.NewRegistry()
+	is.NoErr(registry.Register(&fwd.Counters))
+	n, err := testutil.GatherAndCount(registry)
+	is.NoErr(err)
+	is.Equal(n, 3+int(drops))
+}
+
+func TestAddressInUse(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	_, err := New(Config{Services: []ServiceAddress{{fwd.ServiceAddress(0), ledger}}, Forward: loopback, Keys: keys})
+	is.True(err != nil)
+}
+
+func TestRoutingAllocatesNothing(t *testing.T) {
+	tests := []struct {
+		name     string
+		datagram []byte
+	}{
+		{"established", short(t, ledger)},
+		{"opening", long(0xc0, make([]byte, 8))},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fwd := newForwarder(t)
+			fwd.SetTable(tableOf(ledger, agent))
+			in := newInbound(fwd, 0)
+			buffer := withHeadroom(test.datagram)
+			is.Equal(testing.AllocsPerRun(1000, func() {
+				if in.forward(buffer, caller) == nil {
+					t.Fatal("dropped")
+				}
+			}), 0.0)
+		})
+	}
+}
--- a/transport/forwarder/inbound.go
+++ b/transport/forwarder/inbound.go
@@ -19,6 +19,8 @@
 type inbound struct {
 	fwd    *Forwarder
 	index  int
+	read   *batcher.Batch
+	write  *batcher.Batch
 	query  router.Query
 	route  router.Route
 	header framer.Header
@@ -27,24 +29,39 @@
 // serve reads one service socket until it is closed.
 func (f *Forwarder) serve(index, shard int) error {
 	conn := f.services[index][min(shard, len(f.services[index])-1)]
-	in := inbound{fwd: f, index: index}
-	read := batcher.NewReadBatch(f.config.Batch, framer.MaxBytes, framer.MaxPayload+1)
-	write := batcher.NewWriteBatch(f.config.Batch)
+	in := newInbound(f, index)
 	for {
-		n, err := conn.Read(read)
-		if err != nil {
+		if err := in.step(conn, f.forwards[shard]); err != nil {
 			return fmt.Errorf("forwarder service address %s: %w", conn.Address(), err)
 		}
-		write.Clear()
-		for i := range n {
-			_, caller := read.Datagram(i)
-			frame := in.forward(read.Buffer(i), caller)
-			if frame != nil {
-				write.Add(frame, in.header.To.Address)
-			}
+	}
+}
+
+func newInbound(fwd *Forwarder, index int) *inbound {
+	return &inbound{
+		fwd:   fwd,
+		index: index,
+		read:  batcher.NewReadBatch(fwd.config.Batch, framer.MaxBytes, framer.MaxPayload+1),
+		write: batcher.NewWriteBatch(fwd.config.Batch),
+	}
+}
+
+// step forwards the packets of one read.
+func (in *inbound) step(from, to *batcher.Conn) error {
+	n, err := from.Read(in.read)
+	if err != nil {
+		return err
+	}
+	in.write.Clear()
+	for i := range n {
+		_, caller := in.read.Datagram(i)
+		frame := in.forward(in.read.Buffer(i), caller)
+		if frame != nil {
+			in.write.Add(frame, in.header.To.Address)
 		}
-		f.send(f.forwards[shard], write)
 	}
+	in.fwd.send(to, in.write)
+	return nil
 }
 
 // send writes a batch and counts what the host refused.
--- a/transport/forwarder/outbound.go
+++ b/transport/forwarder/outbound.go
@@ -7,43 +7,68 @@
 	"gooseberrymast/transport/batcher"
 )
 
-// answer reads one forwarding socket until it is closed and sends the agents'
-// packets to their callers, each from the service address it belongs to.
+// outbound sends the answers that come to one forwarding socket to their
+// callers, each from the service address it belongs to.
+type outbound struct {
+	fwd    *Forwarder
+	shard  int
+	read   *batcher.Batch
+	write  *batcher.Batch
+	header framer.Header
+}
+
+// answer reads one forwarding socket until it is closed.
 func (f *Forwarder) answer(shard int, conn *batcher.Conn) error {
-	read := batcher.NewReadBatch(f.config.Batch, 0, framer.MaxFrame+1)
-	write := batcher.NewWriteBatch(f.config.Batch)
-	var header framer.Header
+	out := newOutbound(f, shard)
 	for {
-		n, err := conn.Read(read)
-		if err != nil {
+		if err := out.step(conn); err != nil {
 			return fmt.Errorf("forwarder forwarding address %s: %w", f.forward, err)
 		}
-		index := uint16(0)
-		for i := range n {
-			frame, _ := read.Datagram(i)
-			payload, err := f.open(frame, &header)
-			if err != nil {
-				f.Counters.drop(dropOf(err))
-				continue
-			}
-			if header.Index != index {
-				f.sendAnswers(index, shard, write)
-				index = header.Index
-			}
-			write.Add(payload, header.Caller)
+	}
+}
+
+func newOutbound(fwd *Forwarder, shard int) *outbound {
+	return &outbound{
+		fwd:   fwd,
+		shard: shard,
+		read:  batcher.NewReadBatch(fwd.config.Batch, 0, framer.MaxFrame+1),
+		write: batcher.NewWriteBatch(fwd.config.Batch),
+	}
+}
+
+// step sends the answers of one read.
+func (out *outbound) step(from *batcher.Conn) error {
+	n, err := from.Read(out.read)
+	if err != nil {
+		return err
+	}
+	index := uint16(0)
+	for i := range n {
+		frame, _ := out.read.Datagram(i)
+		payload, err := out.fwd.open(frame, &out.header)
+		if err != nil {
+			out.fwd.Counters.drop(dropOf(err))
+			continue
+		}
+		if out.header.Index != index {
+			out.flush(index)
+			index = out.header.Index
 		}
-		f.sendAnswers(index, shard, write)
+		out.write.Add(payload, out.header.Caller)
 	}
+	out.flush(index)
+	return nil
 }
 
-func (f *Forwarder) sendAnswers(index uint16, shard int, write *batcher.Batch) {
-	if write.Len() == 0 {
+// flush sends the answers for one service address.
+func (out *outbound) flush(index uint16) {
+	if out.write.Len() == 0 {
 		return
 	}
-	conns := f.services[index]
-	f.Counters.Answers.Add(uint64(write.Len()))
-	f.send(conns[min(shard, len(conns)-1)], write)
-	write.Clear()
+	conns := out.fwd.services[index]
+	out.fwd.Counters.Answers.Add(uint64(out.write.Len()))
+	out.fwd.send(conns[min(out.shard, len(conns)-1)], out.write)
+	out.write.Clear()
 }
 
 // open verifies an agent's frame and gives the packet for the caller.
