Let the second taker know that the first declined a flow

Cause: with a busy agent the second taker can itself be the flow's home, which had passed the packet on; it took the returning packet for one passed on too often and dropped it, so the caller had to retransmit.

Change: a packet that was declined says so and is taken. End-to-end tests over quic-go: a bad network, a leaving agent, an agent at its bound, Retry, a key rotation, a restarted agent's stateless reset, and garbage.

--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -82,6 +82,9 @@
 	// Given is set when the packet was passed on to be taken, and clear when
 	// a home is asked.
 	Given bool
+	// Declined is set when the first taker passed the flow on: the agent that
+	// gets it must take it.
+	Declined bool
 	// Takers and Homes are the balancer's candidates, zero ones last.
 	Takers, Homes [2]gooseberrymast.Identity
 }
@@ -91,8 +94,8 @@
 	Verdict Verdict
 	// Peer is set for VerdictPass and is never the agent itself.
 	Peer gooseberrymast.Identity
-	// Given is what the packet that is passed on must say.
-	Given bool
+	// Given and Declined are what the packet that is passed on must say.
+	Given, Declined bool
 	// Tell lists homes to be told that Peer takes the flow in the agent's
 	// place; see Moved. Unused ones are zero.
 	Tell [2]gooseberrymast.Identity
@@ -100,6 +103,11 @@
 	Reason Reason
 }
 
+// decision passes a packet to where the flow went.
+func (f flow) decision() Decision {
+	return Decision{Verdict: VerdictPass, Peer: f.peer, Given: !f.asked, Declined: f.declined}
+}
+
 // Opener is the state machine of one agent. Its fields may be set before the
 // first event. It is not safe for concurrent use.
 type Opener struct {
@@ -126,7 +134,9 @@
 	since time.Time
 	// asked is set while peer is a home that was asked: it may yet give the
 	// flow to this agent.
-	asked    bool
+	asked bool
+	// declined is set while peer is the second taker, in this agent's place.
+	declined bool
 	halfOpen bool
 }
 
@@ -139,6 +149,8 @@
 	switch {
 	case ok && known.peer == o.Self:
 		return Decision{Verdict: VerdictTake}
+	case packet.Declined:
+		return o.take(packet.Key, now)
 	case ok && (home || !known.asked):
 		return follow(known, packet)
 	case home:
@@ -207,7 +219,7 @@
 	if packet.Hop >= MaxHop {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonHops}
 	}
-	return Decision{Verdict: VerdictPass, Peer: known.peer, Given: !known.asked}
+	return known.decision()
 }
 
 // arbitrate is a home's decision about an unknown flow.
@@ -226,15 +238,19 @@
 	full := o.halfOpen >= o.maxHalfOpen()
 	other := packet.Takers[1]
 	if (busy || full) && packet.Hop < MaxHop && packet.Takers[0] == o.Self && !other.IsZero() {
-		decision := o.pass(packet, flow{peer: other, since: now})
+		decision := o.pass(packet, flow{peer: other, since: now, declined: true})
 		decision.Tell = o.others(packet)
 		return decision
 	}
-	if full {
+	return o.take(packet.Key, now)
+}
+
+func (o *Opener) take(key uint64, now time.Time) Decision {
+	if o.halfOpen >= o.maxHalfOpen() {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonHalfOpen}
 	}
 	o.halfOpen++
-	o.remember(packet.Key, flow{peer: o.Self, since: now, halfOpen: true})
+	o.remember(key, flow{peer: o.Self, since: now, halfOpen: true})
 	return Decision{Verdict: VerdictTake}
 }
 
@@ -253,7 +269,7 @@
 	asserter.Holds(packet.Hop < MaxHop, "opener-hop-limit", "flow %x passed on at hop %d", packet.Key, packet.Hop)
 	asserter.Holds(to.peer != o.Self, "opener-passes-to-others", "flow %x passed by %s to itself", packet.Key, o.Self)
 	o.remember(packet.Key, to)
-	return Decision{Verdict: VerdictPass, Peer: to.peer, Given: !to.asked}
+	return to.decision()
 }
 
 func (o *Opener) life() time.Duration {
--- a/coordination/opener/opener_test.go
+++ b/coordination/opener/opener_test.go
@@ -137,6 +137,7 @@
 	next.to = decision.Peer
 	next.packet.Hop++
 	next.packet.Given = decision.Given
+	next.packet.Declined = decision.Declined
 	r.network = append(r.network, next)
 }
 
--- a/protocol/framer/framer_test.go
+++ b/protocol/framer/framer_test.go
@@ -23,6 +23,7 @@
 		Kind:     KindOpening,
 		Hop:      1,
 		Given:    true,
+		Declined: true,
 		Service:  77,
 		Index:    2,
 		Origin:   Origin{Sender: 1 << 60, Stripe: 5, Counter: 9},
--- a/protocol/framer/header.go
+++ b/protocol/framer/header.go
@@ -8,7 +8,7 @@
 //	16 version (1)
 //	17 kind (1)
 //	18 key epoch (1)
-//	19 hop (3 bits), given (1 bit), number of takers (2), number of homes (2)
+//	19 hop (2 bits), given, declined, number of takers (2 bits), of homes (2 bits)
 //	20 service tag (2)
 //	22 index of the service address (2)
 //	24 sender (8), stripe (2), counter (6): the MAC's nonce
@@ -78,8 +78,9 @@
 
 // Bits of the byte at countsAt.
 const (
-	hopShift = 5
-	givenBit = 1 << 4
+	hopShift    = 6
+	givenBit    = 1 << 5
+	declinedBit = 1 << 4
 )
 
 // Kind tells the frames apart.
@@ -128,11 +129,13 @@
 	Kind Kind
 	// Epoch is set by Seal.
 	Epoch keyer.Epoch
-	// Hop counts the agents that passed the packet on, at most 7.
+	// Hop counts the agents that passed the packet on, at most 3.
 	Hop uint8
 	// Given is set when an agent passed the packet on to be taken, and clear
 	// when it asks a home.
 	Given bool
+	// Declined is set when the first taker passed the packet on to the second.
+	Declined bool
 	// Service is the service that the caller addressed.
 	Service gooseberrymast.ServiceTag
 	// Index numbers the balancer's service address; the agent's answers
@@ -222,6 +225,9 @@
 	if h.Given {
 		frame[countsAt] |= givenBit
 	}
+	if h.Declined {
+		frame[countsAt] |= declinedBit
+	}
 	binary.BigEndian.PutUint16(frame[serviceAt:], uint16(h.Service))
 	binary.BigEndian.PutUint16(frame[indexAt:], h.Index)
 	binary.BigEndian.PutUint64(frame[nonceAt:], h.Origin.Sender)
@@ -244,12 +250,13 @@
 	sequence := binary.BigEndian.Uint64(frame[stripeAt:])
 	to, _ := getIdentity(frame[toAt:])
 	*h = Header{
-		Kind:    Kind(frame[kindAt]),
-		Epoch:   keyer.Epoch(frame[epochAt]),
-		Hop:     frame[countsAt] >> hopShift,
-		Given:   frame[countsAt]&givenBit != 0,
-		Service: gooseberrymast.ServiceTag(binary.BigEndian.Uint16(frame[serviceAt:])),
-		Index:   binary.BigEndian.Uint16(frame[indexAt:]),
+		Kind:     Kind(frame[kindAt]),
+		Epoch:    keyer.Epoch(frame[epochAt]),
+		Hop:      frame[countsAt] >> hopShift,
+		Given:    frame[countsAt]&givenBit != 0,
+		Declined: frame[countsAt]&declinedBit != 0,
+		Service:  gooseberrymast.ServiceTag(binary.BigEndian.Uint16(frame[serviceAt:])),
+		Index:    binary.BigEndian.Uint16(frame[indexAt:]),
 		Origin: Origin{
 			Sender:  binary.BigEndian.Uint64(frame[nonceAt:]),
 			Stripe:  uint16(sequence >> 48),
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -2,16 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"encoding/binary"
+	"errors"
 	"fmt"
-	"io"
-	"math/big"
-	"net/netip"
+	"net"
 	"testing"
 	"time"
 
@@ -21,200 +14,191 @@
 	"gooseberrymast"
 	"gooseberrymast/protocol/keyer"
 	"gooseberrymast/standin/fabric"
-	"gooseberrymast/transport/forwarder"
 	"gooseberrymast/transport/receiver"
 )
 
-const (
-	service      = "ledger"
-	otherService = "receipts"
-	protocolName = "echo"
-	testTimeout  = 30 * time.Second
-)
-
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
-
-// bench is a fabric with balancers and agents behind it, all on loopback.
-type bench struct {
-	t       *testing.T
-	ctx     context.Context
-	keys    *keyer.Keys
-	fabric  *fabric.Fabric
-	table   *gooseberrymast.Table
-	agents  []*agent
-	current map[string]*forwarder.Forwarder
-}
-
-// agent is a receiver under a QUIC server that echoes.
-type agent struct {
-	receiver *receiver.Receiver
-	listener *quic.Listener
+// A stream goes on while every balancer is replaced by one with an empty table.
+func TestStreamSurvivesReplacedBalancers(t *testing.T) {
+	b := newBench(t, 3, 3, nil)
+	conn := b.dial()
+	echo(t, conn, 400, func(i int) {
+		if i%100 == 50 && i < 350 {
+			b.startBalancer(fmt.Sprint("balancer-", i/100), nil)
+		}
+	})
 }
 
-func newBench(t *testing.T, agents, balancers int, configure func(i int, config *receiver.Config)) *bench {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	t.Cleanup(cancel)
-	b := &bench{t: t, ctx: ctx, keys: keyer.Random(), current: map[string]*forwarder.Forwarder{}}
-	is := is.New(t)
-	fab, err := fabric.New(fabric.Config{Services: []netip.AddrPort{loopback, loopback}, Seed: 1})
-	is.NoErr(err)
-	t.Cleanup(fab.Close)
-	b.fabric = fab
-	b.table = &gooseberrymast.Table{Version: 1, Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{}}
-	for i := range agents {
-		b.startAgent(i, service, configure)
+// Flows open while the two datagrams of a ClientHello come through different
+// balancers, and all agents get some.
+func TestFlowsOpenThroughAnyBalancer(t *testing.T) {
+	b := newBench(t, 3, 3, nil)
+	for range 30 {
+		echo(t, b.dial(), 1, func(int) {})
 	}
-	for i := range balancers {
-		b.startBalancer(fmt.Sprint("balancer-", i), b.table)
+	is := is.New(t)
+	for _, a := range b.agents {
+		is.True(a.receiver.Counters.Opening.Load() > 0) // the agent took a flow
 	}
-	return b
 }
 
-func (b *bench) startAgent(i int, name string, configure func(i int, config *receiver.Config)) *agent {
-	is := is.New(b.t)
-	config := receiver.Config{
-		Identity:  gooseberrymast.Identity{Address: loopback, Incarnation: 7},
-		Service:   name,
-		Keys:      b.keys,
-		RetryRate: 1e6,
-	}
-	if configure != nil {
-		configure(i, &config)
+// opened gives the number of first packets that the agents took.
+func (b *bench) opened() uint64 {
+	n := uint64(0)
+	for _, a := range b.agents {
+		n += a.receiver.Counters.Opening.Load()
 	}
-	rec, err := receiver.New(config)
-	is.NoErr(err)
-	transport, err := rec.Transport()
-	is.NoErr(err)
-	listener, err := transport.Listen(serverTLS(b.t), rec.QUICConfig())
-	is.NoErr(err)
-	a := &agent{receiver: rec, listener: listener}
-	b.t.Cleanup(func() {
-		transport.Close()
-		rec.Close()
-	})
-	go a.serve(b.ctx)
-	b.agents = append(b.agents, a)
-	tag := gooseberrymast.TagOf(name)
-	b.table.Services[tag] = append(b.table.Services[tag], gooseberrymast.Member{Record: gooseberrymast.Record{
-		Identity: rec.Identity(), State: gooseberrymast.StateReady, Service: tag, Role: gooseberrymast.RoleAgent,
-	}})
-	return a
+	return n
 }
 
-// startBalancer replaces the balancer of that name.
-func (b *bench) startBalancer(name string, table *gooseberrymast.Table) *forwarder.Forwarder {
-	is := is.New(b.t)
-	fwd, err := forwarder.New(forwarder.Config{
-		Services: []forwarder.ServiceAddress{
-			{Address: loopback, Service: service},
-			{Address: loopback, Service: otherService},
-		},
-		Forward: loopback,
-		Keys:    b.keys,
-	})
-	is.NoErr(err)
-	fwd.SetTable(table)
-	done := make(chan error, 1)
-	go func() { done <- fwd.Run(b.ctx) }()
-	b.fabric.Add(fabric.Balancer{
-		Name:     name,
-		Services: []netip.AddrPort{fwd.ServiceAddress(0), fwd.ServiceAddress(1)},
+// A stream goes on through loss, delay, reordering and duplication, while
+// balancers are replaced.
+func TestStreamSurvivesABadNetwork(t *testing.T) {
+	b := newBench(t, 3, 3, nil)
+	b.fabric.SetFaults(fabric.Faults{
+		Drop: 0.03, Duplicate: 0.05, Delay: time.Millisecond, Reorder: 0.1, ReorderBy: 3 * time.Millisecond,
 	})
-	if old := b.current[name]; old != nil {
-		old.Close()
-	}
-	b.current[name] = fwd
-	b.t.Cleanup(func() {
-		fwd.Close()
-		is.NoErr(<-done)
+	conn := b.dial()
+	echo(t, conn, 150, func(i int) {
+		if i%50 == 25 {
+			b.startBalancer(fmt.Sprint("balancer-", i/50), nil)
+		}
 	})
-	return fwd
-}
-
-func (b *bench) dial() *quic.Conn {
-	is := is.New(b.t)
-	conn, err := quic.DialAddr(b.ctx, b.fabric.ServiceAddress(0).String(), clientTLS(), &quic.Config{KeepAlivePeriod: time.Second})
-	is.NoErr(err)
-	b.t.Cleanup(func() { conn.CloseWithError(0, "") })
-	return conn
+	is := is.New(t)
+	counts := b.fabric.Counts()
+	is.True(counts.Dropped > 0)
+	is.True(counts.Reordered > 0)
+	is.True(counts.Duplicated > 0)
 }
 
-func (a *agent) serve(ctx context.Context) {
-	for {
-		conn, err := a.listener.Accept(ctx)
-		if err != nil {
-			return
-		}
-		go func() {
-			for {
-				stream, err := conn.AcceptStream(ctx)
-				if err != nil {
-					return
-				}
-				go func() {
-					io.Copy(stream, stream)
-					stream.Close()
-				}()
-			}
-		}()
+// An agent that leaves passes new flows on, and keeps those that it holds.
+func TestLeavingAgentKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 3, nil)
+	var conns []*quic.Conn
+	for range 8 {
+		conns = append(conns, b.dial())
+	}
+	left := b.agents[0].receiver
+	left.Leaving()
+	before := left.Counters.Opening.Load()
+	is.True(before > 0)
+	for range 8 {
+		echo(t, b.dial(), 1, func(int) {})
 	}
+	for _, conn := range conns {
+		echo(t, conn, 5, func(int) {})
+	}
+	is.True(left.Counters.Passed.Load() > 0)
+	is.Equal(left.Counters.Opening.Load(), before) // it took no new flow
 }
 
-// echo sends numbered messages over one stream and checks that each comes back.
-func echo(t *testing.T, conn *quic.Conn, messages int, each func(i int)) {
+// Flows pass on from agents that are at their bound.
+func TestBoundedAgentPassesFlowsOn(t *testing.T) {
 	is := is.New(t)
-	stream, err := conn.OpenStreamSync(t.Context())
-	is.NoErr(err)
-	defer stream.Close()
-	var sent, got [8]byte
-	for i := range messages {
-		each(i)
-		binary.BigEndian.PutUint64(sent[:], uint64(i)+1)
-		_, err := stream.Write(sent[:])
-		is.NoErr(err)
-		_, err = io.ReadFull(stream, got[:])
-		is.NoErr(err)
-		is.Equal(got, sent)
+	b := newBench(t, 2, 3, func(i int, config *receiver.Config) {
+		config.FlowBound = func() bool { return i == 0 }
+	})
+	for range 10 {
+		echo(t, b.dial(), 1, func(int) {})
 	}
+	is.Equal(b.agents[0].receiver.Counters.Opening.Load(), uint64(0))
+	is.True(b.agents[1].receiver.Counters.Opening.Load() >= 10)
 }
 
-func serverTLS(t *testing.T) *tls.Config {
+// Callers prove their address by a Retry, which comes back to the same agent.
+func TestRetry(t *testing.T) {
 	is := is.New(t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.NoErr(err)
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	is.NoErr(err)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{certificate}, PrivateKey: key}},
-		NextProtos:   []string{protocolName},
+	b := newBench(t, 3, 3, func(_ int, config *receiver.Config) { config.RetryRate = -1 })
+	for range 5 {
+		echo(t, b.dial(), 1, func(int) {})
 	}
+	retries, halfOpen := uint64(0), 0
+	for _, a := range b.agents {
+		retries += a.receiver.Counters.Retries.Load()
+		halfOpen += a.receiver.HalfOpen()
+	}
+	is.True(retries >= 5)
+	is.Equal(halfOpen, 0)
 }
 
-func clientTLS() *tls.Config {
-	return &tls.Config{InsecureSkipVerify: true, NextProtos: []string{protocolName}}
-}
-
-// A stream goes on while every balancer is replaced by one with an empty table.
-func TestStreamSurvivesReplacedBalancers(t *testing.T) {
-	b := newBench(t, 3, 3, nil)
+// The fleet's key is rotated in three steps with a flow open.
+func TestKeysRotateUnderAnOpenFlow(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 2, nil)
 	conn := b.dial()
-	echo(t, conn, 400, func(i int) {
-		if i%100 == 50 && i < 350 {
-			b.startBalancer(fmt.Sprint("balancer-", i/100), nil)
+	next := keyer.Random().Keys[0]
+	next.Epoch = 2
+	both := &keyer.Keys{Current: 1, Keys: append([]keyer.Key{next}, b.keys.Keys...)}
+	switched := &keyer.Keys{Current: 2, Keys: both.Keys}
+	steps := []*keyer.Keys{both, switched}
+	echo(t, conn, 60, func(i int) {
+		if i%20 != 10 || i/20 >= len(steps) {
+			return
+		}
+		for _, fwd := range b.current {
+			is.NoErr(fwd.SetKeys(steps[i/20]))
+		}
+		for _, a := range b.agents {
+			is.NoErr(a.receiver.SetKeys(steps[i/20]))
 		}
 	})
+	echo(t, b.dial(), 1, func(int) {})
 }
 
-// Flows open while the two datagrams of a ClientHello come through different
-// balancers, and all agents get some.
-func TestFlowsOpenThroughAnyBalancer(t *testing.T) {
-	b := newBench(t, 3, 3, nil)
-	for range 30 {
-		echo(t, b.dial(), 1, func(int) {})
+// A restarted agent tells the callers of its earlier life that their flow is
+// gone, by a stateless reset.
+func TestRestartedAgentResetsStaleFlows(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 2, nil)
+	conn := b.dial()
+	echo(t, conn, 1, func(int) {})
+	old := b.agents[0].receiver
+	address := old.Identity().Address
+	b.agents[0].transport.Conn.Close()
+	tag := gooseberrymast.TagOf(service)
+	b.table.Services[tag] = nil
+	restarted := b.startAgent(0, service, func(_ int, config *receiver.Config) {
+		config.Identity = gooseberrymast.Identity{Address: address, Incarnation: 8}
+	})
+	stream, err := conn.OpenStream()
+	is.NoErr(err)
+	_, err = stream.Write([]byte("anyone there"))
+	is.NoErr(err)
+	select {
+	case <-conn.Context().Done():
+	case <-b.ctx.Done():
+		t.Fatal("the flow was not reset")
 	}
+	var reset *quic.StatelessResetError
+	is.True(errors.As(context.Cause(conn.Context()), &reset))
+	is.True(restarted.receiver.Counters.Stale.Load() > 0)
+}
+
+// Random datagrams to a service, to a balancer's forwarding address and to an
+// agent are dropped and counted, and flows go on.
+func TestGarbageIsDropped(t *testing.T) {
 	is := is.New(t)
-	for _, a := range b.agents {
-		is.True(a.receiver.Counters.Opening.Load() > 0) // the agent took a flow
+	b := newBench(t, 2, 2, nil)
+	conn := b.dial()
+	garbage, err := net.ListenUDP("udp4", nil)
+	is.NoErr(err)
+	defer garbage.Close()
+	fwd := b.startBalancer("balancer-0", b.table)
+	targets := []net.Addr{
+		net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0)),
+		net.UDPAddrFromAddrPort(fwd.ForwardAddress()),
+		b.agents[0].receiver.LocalAddr(),
 	}
+	opened := b.opened()
+	echo(t, conn, 50, func(i int) {
+		for _, target := range targets {
+			_, err := garbage.WriteTo(make([]byte, i*40), target)
+			is.NoErr(err)
+		}
+	})
+	is.Equal(b.opened(), opened)
+	agentCounters := &b.agents[0].receiver.Counters
+	is.True(agentCounters.Dropped(receiver.DropTruncated) > 0)
+	is.True(agentCounters.Dropped(receiver.DropBadVersion) > 0)
+	is.True(agentCounters.Dropped(receiver.DropOversized) > 0)
 }
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -127,11 +127,12 @@
 // open lets the opener decide about a packet that may open a flow.
 func (r *Receiver) open(payload []byte, packet *parser.Packet) bool {
 	first := opener.Packet{
-		Key:    xxhash.Sum64(packet.ID),
-		Hop:    r.header.Hop,
-		Given:  r.header.Given,
-		Takers: r.header.Takers,
-		Homes:  r.header.Homes,
+		Key:      xxhash.Sum64(packet.ID),
+		Hop:      r.header.Hop,
+		Given:    r.header.Given,
+		Declined: r.header.Declined,
+		Takers:   r.header.Takers,
+		Homes:    r.header.Homes,
 	}
 	decision := r.decide(&first)
 	switch decision.Verdict {
@@ -141,8 +142,8 @@
 		r.callers.open(r.header.Caller, first.Key)
 		return true
 	case opener.VerdictPass:
-		r.pass(payload, &decision)
 		r.tell(first.Key, &decision)
+		r.pass(payload, &decision)
 	case opener.VerdictDrop:
 		r.Counters.drop(openerDrops[decision.Reason])
 	}
@@ -162,6 +163,7 @@
 	header := r.header
 	header.Hop++
 	header.Given = decision.Given
+	header.Declined = decision.Declined
 	if r.sendFrame(&header, decision.Peer, payload) {
 		r.Counters.Passed.Add(1)
 	}
--- /dev/null
+++ b/transport/receiver/setup_test.go
@@ -0,0 +1,204 @@
+package receiver_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/big"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/standin/fabric"
+	"gooseberrymast/transport/forwarder"
+	"gooseberrymast/transport/receiver"
+)
+
+const (
+	service      = "ledger"
+	otherService = "receipts"
+	protocolName = "echo"
+	testTimeout  = 30 * time.Second
+)
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	zones    = []string{"cairo-a", "cairo-b", "cairo-c"}
+)
+
+// bench is a fabric with balancers and agents behind it, all on loopback.
+type bench struct {
+	t       *testing.T
+	ctx     context.Context
+	keys    *keyer.Keys
+	fabric  *fabric.Fabric
+	table   *gooseberrymast.Table
+	agents  []*agent
+	current map[string]*forwarder.Forwarder
+	started int
+}
+
+// agent is a receiver under a QUIC server that echoes.
+type agent struct {
+	receiver  *receiver.Receiver
+	transport *quic.Transport
+	listener  *quic.Listener
+}
+
+func newBench(t *testing.T, agents, balancers int, configure func(i int, config *receiver.Config)) *bench {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	b := &bench{t: t, ctx: ctx, keys: keyer.Random(), current: map[string]*forwarder.Forwarder{}}
+	is := is.New(t)
+	fab, err := fabric.New(fabric.Config{Services: []netip.AddrPort{loopback, loopback}, Seed: 1})
+	is.NoErr(err)
+	t.Cleanup(fab.Close)
+	b.fabric = fab
+	b.table = &gooseberrymast.Table{Version: 1, Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{}}
+	for i := range agents {
+		b.startAgent(i, service, configure)
+	}
+	for i := range balancers {
+		b.startBalancer(fmt.Sprint("balancer-", i), b.table)
+	}
+	return b
+}
+
+func (b *bench) startAgent(i int, name string, configure func(i int, config *receiver.Config)) *agent {
+	is := is.New(b.t)
+	config := receiver.Config{
+		Identity:  gooseberrymast.Identity{Address: loopback, Incarnation: 7},
+		Service:   name,
+		Keys:      b.keys,
+		RetryRate: 1e6,
+	}
+	if configure != nil {
+		configure(i, &config)
+	}
+	rec, err := receiver.New(config)
+	is.NoErr(err)
+	transport, err := rec.Transport()
+	is.NoErr(err)
+	listener, err := transport.Listen(serverTLS(b.t), rec.QUICConfig())
+	is.NoErr(err)
+	a := &agent{receiver: rec, transport: transport, listener: listener}
+	b.t.Cleanup(func() {
+		transport.Close()
+		rec.Close()
+	})
+	go a.serve(b.ctx)
+	b.agents = append(b.agents, a)
+	tag := gooseberrymast.TagOf(name)
+	zone := zones[i%len(zones)]
+	b.table.Services[tag] = append(b.table.Services[tag], gooseberrymast.Member{Record: gooseberrymast.Record{
+		Identity: rec.Identity(), State: gooseberrymast.StateReady, Service: tag, Role: gooseberrymast.RoleAgent, Zone: zone,
+	}})
+	return a
+}
+
+// startBalancer replaces the balancer of that name.
+func (b *bench) startBalancer(name string, table *gooseberrymast.Table) *forwarder.Forwarder {
+	is := is.New(b.t)
+	b.started++
+	fwd, err := forwarder.New(forwarder.Config{
+		Zone: zones[b.started%len(zones)],
+		Services: []forwarder.ServiceAddress{
+			{Address: loopback, Service: service},
+			{Address: loopback, Service: otherService},
+		},
+		Forward: loopback,
+		Keys:    b.keys,
+	})
+	is.NoErr(err)
+	fwd.SetTable(table)
+	done := make(chan error, 1)
+	go func() { done <- fwd.Run(b.ctx) }()
+	b.fabric.Add(fabric.Balancer{
+		Name:     name,
+		Services: []netip.AddrPort{fwd.ServiceAddress(0), fwd.ServiceAddress(1)},
+	})
+	if old := b.current[name]; old != nil {
+		old.Close()
+	}
+	b.current[name] = fwd
+	b.t.Cleanup(func() {
+		fwd.Close()
+		is.NoErr(<-done)
+	})
+	return fwd
+}
+
+func (b *bench) dial() *quic.Conn {
+	is := is.New(b.t)
+	conn, err := quic.DialAddr(b.ctx, b.fabric.ServiceAddress(0).String(), clientTLS(), &quic.Config{KeepAlivePeriod: time.Second})
+	is.NoErr(err)
+	b.t.Cleanup(func() { conn.CloseWithError(0, "") })
+	return conn
+}
+
+func (a *agent) serve(ctx context.Context) {
+	for {
+		conn, err := a.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go func() {
+			for {
+				stream, err := conn.AcceptStream(ctx)
+				if err != nil {
+					return
+				}
+				go func() {
+					io.Copy(stream, stream)
+					stream.Close()
+				}()
+			}
+		}()
+	}
+}
+
+// echo sends numbered messages over one stream and checks that each comes back.
+func echo(t *testing.T, conn *quic.Conn, messages int, each func(i int)) {
+	is := is.New(t)
+	stream, err := conn.OpenStreamSync(t.Context())
+	is.NoErr(err)
+	defer stream.Close()
+	var sent, got [8]byte
+	for i := range messages {
+		each(i)
+		binary.BigEndian.PutUint64(sent[:], uint64(i)+1)
+		_, err := stream.Write(sent[:])
+		is.NoErr(err)
+		_, err = io.ReadFull(stream, got[:])
+		is.NoErr(err)
+		is.Equal(got, sent)
+	}
+}
+
+func serverTLS(t *testing.T) *tls.Config {
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{certificate}, PrivateKey: key}},
+		NextProtos:   []string{protocolName},
+	}
+}
+
+func clientTLS() *tls.Config {
+	return &tls.Config{InsecureSkipVerify: true, NextProtos: []string{protocolName}}
+}
