Publish a new table in the end-to-end tests

Change: the tests publish a new table in place of the old one.

Conclusion: the fault was the test's; tables stay immutable.

--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -155,8 +155,6 @@
 	old := b.agents[0].receiver
 	address := old.Identity().Address
 	b.agents[0].transport.Conn.Close()
-	tag := gooseberrymast.TagOf(service)
-	b.table.Services[tag] = nil
 	restarted := b.startAgent(0, service, func(_ int, config *receiver.Config) {
 		config.Identity = gooseberrymast.Identity{Address: address, Incarnation: 8}
 	})
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"math/big"
 	"net/netip"
 	"testing"
@@ -99,14 +100,28 @@
 	})
 	go a.serve(b.ctx)
 	b.agents = append(b.agents, a)
-	tag := gooseberrymast.TagOf(name)
-	zone := zones[i%len(zones)]
-	b.table.Services[tag] = append(b.table.Services[tag], gooseberrymast.Member{Record: gooseberrymast.Record{
-		Identity: rec.Identity(), State: gooseberrymast.StateReady, Service: tag, Role: gooseberrymast.RoleAgent, Zone: zone,
+	b.announce(name, gooseberrymast.Member{Record: gooseberrymast.Record{
+		Identity: rec.Identity(), State: gooseberrymast.StateReady, Role: gooseberrymast.RoleAgent,
+		Service: gooseberrymast.TagOf(name), Zone: zones[i%len(zones)],
 	}})
 	return a
 }
 
+// announce puts a member into a new table, in place of one at its address. The
+// balancers that run keep the old one.
+func (b *bench) announce(name string, member gooseberrymast.Member) {
+	tag := gooseberrymast.TagOf(name)
+	next := &gooseberrymast.Table{Version: b.table.Version + 1, Services: maps.Clone(b.table.Services)}
+	next.Services[tag] = nil
+	for _, other := range b.table.Services[tag] {
+		if other.Identity.Address != member.Identity.Address {
+			next.Services[tag] = append(next.Services[tag], other)
+		}
+	}
+	next.Services[tag] = append(next.Services[tag], member)
+	b.table = next
+}
+
 // startBalancer replaces the balancer of that name.
 func (b *bench) startBalancer(name string, table *gooseberrymast.Table) *forwarder.Forwarder {
 	is := is.New(b.t)
