--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -190,7 +190,8 @@
 	lenient := noneRoutable(members)
 	for i := range members {
 		member := &members[i]
-		if !member.Routable() && !(lenient && member.State == gooseberrymast.StateReady) {
+		willing := member.Routable() || lenient && member.State == gooseberrymast.StateReady
+		if !willing {
 			continue
 		}
 		points := score(query.Key, member)
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -157,10 +157,10 @@
 	f.mu.Lock()
 	f.closed = true
 	for _, conn := range f.services {
-		conn.Close()
+		_ = conn.Close()
 	}
 	for _, conn := range f.callers {
-		conn.Close()
+		_ = conn.Close()
 	}
 	f.mu.Unlock()
 	f.readers.Wait()
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
 
--- a/transport/batcher/batcher.go
+++ b/transport/batcher/batcher.go
@@ -66,7 +66,7 @@
 // Close closes sockets. Reads that wait on them return net.ErrClosed.
 func Close(conns []*Conn) {
 	for _, conn := range conns {
-		conn.UDP.Close()
+		_ = conn.UDP.Close()
 	}
 }
 
--- a/transport/forwarder/bench_test.go
+++ b/transport/forwarder/bench_test.go
@@ -56,10 +56,10 @@
 }
 
 // fill puts a batch of datagrams before the path.
-func (p *benchPath) fill(b *testing.B, make func() []byte, to netip.AddrPort) {
+func (p *benchPath) fill(b *testing.B, next func() []byte, to netip.AddrPort) {
 	p.datagrams.Clear()
 	for range DefaultBatch {
-		p.datagrams.Add(make(), to)
+		p.datagrams.Add(next(), to)
 	}
 	if p.source.Write(p.datagrams) != DefaultBatch {
 		b.Fatal("the source could not send")
@@ -67,12 +67,12 @@
 }
 
 // run steps the path and reports the time and the packets a second of a core.
-func (p *benchPath) run(b *testing.B, make func() []byte, step func() error) {
+func (p *benchPath) run(b *testing.B, next func() []byte, step func() error) {
 	var spent time.Duration
 	packets := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		p.fill(b, make, p.in.Address())
+		p.fill(b, next, p.in.Address())
 		start := time.Now()
 		if err := step(); err != nil {
 			b.Fatal(err)
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -206,10 +206,11 @@
 	var all []error
 	for range loops {
 		err := <-faults
-		if err != nil && !(f.closing.Load() && errors.Is(err, net.ErrClosed)) {
-			all = append(all, err)
-			f.Close()
+		if f.closing.Load() && errors.Is(err, net.ErrClosed) {
+			continue
 		}
+		all = append(all, err)
+		f.Close()
 	}
 	return errors.Join(all...)
 }
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -154,7 +154,7 @@
 	echo(t, conn, 1, func(int) {})
 	old := b.agents[0].receiver
 	address := old.Identity().Address
-	b.agents[0].transport.Conn.Close()
+	is.NoErr(old.Close())
 	restarted := b.startAgent(0, service, func(_ int, config *receiver.Config) {
 		config.Identity = gooseberrymast.Identity{Address: address, Incarnation: 8}
 	})
@@ -180,7 +180,7 @@
 	conn := b.dial()
 	garbage, err := net.ListenUDP("udp4", nil)
 	is.NoErr(err)
-	defer garbage.Close()
+	defer func() { _ = garbage.Close() }()
 	fwd := b.startBalancer("balancer-0", b.table)
 	targets := []net.Addr{
 		net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0)),
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { rec.Close() })
+	t.Cleanup(func() { _ = rec.Close() })
 	return rec
 }
 
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -95,8 +95,8 @@
 	is.NoErr(err)
 	a := &agent{receiver: rec, transport: transport, listener: listener}
 	b.t.Cleanup(func() {
-		transport.Close()
-		rec.Close()
+		_ = transport.Close()
+		_ = rec.Close()
 	})
 	go a.serve(b.ctx)
 	b.agents = append(b.agents, a)
@@ -158,7 +158,7 @@
 	is := is.New(b.t)
 	conn, err := quic.DialAddr(b.ctx, b.fabric.ServiceAddress(0).String(), clientTLS(), &quic.Config{KeepAlivePeriod: time.Second})
 	is.NoErr(err)
-	b.t.Cleanup(func() { conn.CloseWithError(0, "") })
+	b.t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
 	return conn
 }
 
@@ -175,8 +175,8 @@
 					return
 				}
 				go func() {
-					io.Copy(stream, stream)
-					stream.Close()
+					_, _ = io.Copy(stream, stream)
+					_ = stream.Close()
 				}()
 			}
 		}()
@@ -188,7 +188,7 @@
 	is := is.New(t)
 	stream, err := conn.OpenStreamSync(t.Context())
 	is.NoErr(err)
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	var sent, got [8]byte
 	for i := range messages {
 		each(i)
