Prove that pushes outlive the balancer that last delivered

Cause: a server that sends on an idle flow sends through the balancer that last delivered, which may be gone; nothing showed that it gets through.

Change: an end-to-end test where the caller has nothing to send, its balancer is closed and no other delivers; and one where a flow's packets come to another service's address.

--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"gooseberrymast"
 	"gooseberrymast/protocol/keyer"
 	"gooseberrymast/standin/fabric"
+	"gooseberrymast/transport/forwarder"
 	"gooseberrymast/transport/receiver"
 )
 
@@ -200,3 +203,52 @@
 	is.True(agentCounters.Dropped(receiver.DropBadVersion) > 0)
 	is.True(agentCounters.Dropped(receiver.DropOversized) > 0)
 }
+
+// Packets of a flow that come to another service's address are refused and
+// counted, and never reach an agent of that service.
+func TestFlowNeverReachesAnotherService(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 2, nil)
+	receipts := b.startAgent(0, otherService, nil)
+	for _, fwd := range b.current {
+		fwd.SetTable(b.table)
+	}
+	conn := b.dial()
+	swapped := b.current["balancer-0"]
+	b.fabric.Add(fabric.Balancer{
+		Name:     "balancer-0",
+		Services: []netip.AddrPort{swapped.ServiceAddress(1), swapped.ServiceAddress(0)},
+	})
+	echo(t, conn, 40, func(int) {})
+	is.True(swapped.Counters.Dropped(forwarder.DropWrongService) > 0)
+	is.Equal(receipts.receiver.Counters.Established.Load(), uint64(0))
+	is.Equal(receipts.receiver.Counters.Opening.Load(), uint64(0))
+}
+
+// What a server sends on its own accord goes on when the balancer that last
+// delivered the caller's packets is gone, and the caller has nothing to send.
+func TestPushSurvivesADeadBalancer(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 3, nil)
+	conn := b.dialWith(nil) // the caller sends nothing unless it has to
+	echo(t, conn, 30, func(int) {}) // all three balancers have delivered by now
+	stream, err := conn.OpenStream()
+	is.NoErr(err)
+	defer func() { _ = stream.Close() }()
+	_, err = stream.Write([]byte(pushRequest))
+	is.NoErr(err)
+	b.onlyThrough("balancer-0")
+	message := make([]byte, len(pushMessage))
+	for i := range pushes {
+		_, err := io.ReadFull(stream, message)
+		is.NoErr(err)
+		switch i {
+		case 1:
+			b.onlyThrough() // no packet of the caller names another balancer
+			b.current["balancer-0"].Close()
+		case 2:
+			b.onlyThrough("balancer-1", "balancer-2")
+		}
+	}
+	is.True(b.agents[0].receiver.Counters.Alternated.Load() > 0)
+}
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -31,6 +31,12 @@
 	otherService = "receipts"
 	protocolName = "echo"
 	testTimeout  = 30 * time.Second
+
+	// A stream that begins with pushRequest gets pushes messages.
+	pushRequest  = "pushes!!"
+	pushMessage  = "message"
+	pushes       = 6
+	pushInterval = 400 * time.Millisecond
 )
 
 var (
@@ -122,6 +128,20 @@
 	b.table = next
 }
 
+// onlyThrough leaves just the named balancers behind the fabric.
+func (b *bench) onlyThrough(names ...string) {
+	for name := range b.current {
+		b.fabric.Remove(name)
+	}
+	for _, name := range names {
+		fwd := b.current[name]
+		b.fabric.Add(fabric.Balancer{
+			Name:     name,
+			Services: []netip.AddrPort{fwd.ServiceAddress(0), fwd.ServiceAddress(1)},
+		})
+	}
+}
+
 // startBalancer replaces the balancer of that name.
 func (b *bench) startBalancer(name string, table *gooseberrymast.Table) *forwarder.Forwarder {
 	is := is.New(b.t)
@@ -155,8 +175,12 @@
 }
 
 func (b *bench) dial() *quic.Conn {
+	return b.dialWith(&quic.Config{KeepAlivePeriod: time.Second})
+}
+
+func (b *bench) dialWith(config *quic.Config) *quic.Conn {
 	is := is.New(b.t)
-	conn, err := quic.DialAddr(b.ctx, b.fabric.ServiceAddress(0).String(), clientTLS(), &quic.Config{KeepAlivePeriod: time.Second})
+	conn, err := quic.DialAddr(b.ctx, b.fabric.ServiceAddress(0).String(), clientTLS(), config)
 	is.NoErr(err)
 	b.t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
 	return conn
@@ -174,15 +198,32 @@
 				if err != nil {
 					return
 				}
-				go func() {
-					_, _ = io.Copy(stream, stream)
-					_ = stream.Close()
-				}()
+				go answer(stream)
 			}
 		}()
 	}
 }
 
+// answer echoes, or sends messages of its own accord when that is asked for.
+func answer(stream *quic.Stream) {
+	defer func() { _ = stream.Close() }()
+	first := make([]byte, len(pushRequest))
+	if _, err := io.ReadFull(stream, first); err != nil {
+		return
+	}
+	if string(first) != pushRequest {
+		_, _ = stream.Write(first)
+		_, _ = io.Copy(stream, stream)
+		return
+	}
+	for range pushes {
+		time.Sleep(pushInterval)
+		if _, err := io.WriteString(stream, pushMessage); err != nil {
+			return
+		}
+	}
+}
+
 // echo sends numbered messages over one stream and checks that each comes back.
 func echo(t *testing.T, conn *quic.Conn, messages int, each func(i int)) {
 	is := is.New(t)
