Authenticate sessions between processes from the fleet key

Cause: agents hand requests over and every process exchanges membership; both need a connection that an outsider can neither open nor read.

Change: transport/linker runs TLS 1.3 over TCP.

--- /dev/null
+++ b/transport/linker/linker.go
@@ -0,0 +1,110 @@
+// Package linker keeps authenticated sessions between the processes of the
+// fleet: TLS 1.3 over TCP with both sides proving that they hold the fleet key,
+// and yamux streams on top. The first byte of a stream names its kind.
+package linker
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/phuslu/log"
+
+	"gooseberrymast/protocol/keyer"
+)
+
+// Kind names what a stream carries. It is the first byte of each stream.
+type Kind uint8
+
+// The kinds of streams.
+const (
+	// KindHandOver carries one request, question or ticket between agents.
+	KindHandOver Kind = 1
+	// KindControl carries membership and configuration.
+	KindControl Kind = 2
+)
+
+// String gives the kind in kebab case.
+func (k Kind) String() string {
+	switch k {
+	case KindHandOver:
+		return "hand-over"
+	case KindControl:
+		return "control"
+	}
+	return fmt.Sprintf("kind-%d", uint8(k))
+}
+
+// KeySource gives the keys in force. It is called for each handshake, so that
+// reloaded keys are used without a restart; open sessions are kept.
+type KeySource func() *keyer.Keys
+
+// Fixed is a KeySource that always gives the same keys.
+func Fixed(keys *keyer.Keys) KeySource {
+	return func() *keyer.Keys { return keys }
+}
+
+// The time limits of a session.
+const (
+	// HandshakeTimeout bounds connecting, the TLS handshake and the wait for
+	// the kind of a new stream.
+	HandshakeTimeout = 5 * time.Second
+	// KeepAliveInterval is the period of the pings on a session.
+	KeepAliveInterval = 15 * time.Second
+	// WriteTimeout is the time without progress after which a session is
+	// considered broken.
+	WriteTimeout = 5 * time.Second
+	// StreamOpenTimeout is the time within which a peer must accept a stream.
+	StreamOpenTimeout = 10 * time.Second
+)
+
+// The errors of sessions.
+var (
+	// ErrUnauthenticated means that the peer does not hold the fleet key.
+	ErrUnauthenticated = errors.New("the peer does not hold an accepted key")
+	// ErrBackoff means that the last dial failed a moment ago and no new
+	// one was tried.
+	ErrBackoff = errors.New("waiting before the next dial")
+	// ErrClosed means that the pool or listener was closed.
+	ErrClosed = errors.New("closed")
+	// ErrTooLarge means that a message is longer than MaxMessageBytes.
+	ErrTooLarge = errors.New("the message is too large")
+)
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.KeepAliveInterval = KeepAliveInterval
+	config.ConnectionWriteTimeout = WriteTimeout
+	config.StreamOpenTimeout = StreamOpenTimeout
+	config.LogOutput = nil
+	config.Logger = quietLogger{}
+	return config
+}
+
+// quietLogger sends yamux's log lines to the debug level.
+type quietLogger struct{}
+
+func (quietLogger) Print(args ...any) {
+	log.Debug().Msg(fmt.Sprint(args...))
+}
+
+func (quietLogger) Printf(format string, args ...any) {
+	log.Debug().Msgf(format, args...)
+}
+
+func (quietLogger) Println(args ...any) {
+	log.Debug().Msg(fmt.Sprint(args...))
+}
+
+// readKind takes the first byte of an accepted stream.
+func readKind(stream *yamux.Stream) (Kind, error) {
+	stream.SetReadDeadline(time.Now().Add(HandshakeTimeout))
+	defer stream.SetReadDeadline(time.Time{})
+	var kind [1]byte
+	if _, err := io.ReadFull(stream, kind[:]); err != nil {
+		return 0, err
+	}
+	return Kind(kind[0]), nil
+}
--- /dev/null
+++ b/transport/linker/session.go
@@ -0,0 +1,163 @@
+package linker
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// Stream is one stream of a session. Closing it closes this side's direction;
+// reads still give what the peer sent before it closed.
+type Stream struct {
+	*yamux.Stream
+	// Kind was named by the side that opened the stream.
+	Kind Kind
+	// Peer is the TCP address of the other side.
+	Peer netip.AddrPort
+}
+
+// Session is one authenticated connection to a peer. Both sides may open and
+// accept streams.
+type Session struct {
+	// Peer is the TCP address of the other side; for an accepted session its
+	// port is the ephemeral one.
+	Peer netip.AddrPort
+
+	mux *yamux.Session
+}
+
+// Dial connects to the process that listens at the address.
+func Dial(ctx context.Context, address netip.AddrPort, keys KeySource) (*Session, error) {
+	config, err := tlsConfig(keys())
+	if err != nil {
+		return nil, fmt.Errorf("linker.Dial %s: keys: %w", address, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
+	defer cancel()
+	dialer := net.Dialer{}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("linker.Dial %s: connect: %w", address, err)
+	}
+	secure := tls.Client(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("linker.Dial %s: handshake: %w", address, err)
+	}
+	mux, err := yamux.Client(secure, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("linker.Dial %s: session: %w", address, err)
+	}
+	return &Session{Peer: address, mux: mux}, nil
+}
+
+// accept runs the server's side of a handshake.
+func accept(ctx context.Context, conn net.Conn, keys KeySource) (*Session, error) {
+	peer := remoteOf(conn)
+	config, err := tlsConfig(keys())
+	if err != nil {
+		return nil, fmt.Errorf("linker.accept %s: keys: %w", peer, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
+	defer cancel()
+	secure := tls.Server(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, fmt.Errorf("linker.accept %s: handshake: %w", peer, err)
+	}
+	mux, err := yamux.Server(secure, sessionConfig())
+	if err != nil {
+		return nil, fmt.Errorf("linker.accept %s: session: %w", peer, err)
+	}
+	return &Session{Peer: peer, mux: mux}, nil
+}
+
+// OpenStream opens a stream of a kind.
+func (s *Session) OpenStream(kind Kind) (*Stream, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("Session.OpenStream %s %s: open: %w", kind, s.Peer, err)
+	}
+	stream.SetWriteDeadline(time.Now().Add(HandshakeTimeout))
+	if _, err := stream.Write([]byte{byte(kind)}); err != nil {
+		stream.Close()
+		return nil, fmt.Errorf("Session.OpenStream %s %s: kind: %w", kind, s.Peer, err)
+	}
+	stream.SetWriteDeadline(time.Time{})
+	return &Stream{Stream: stream, Kind: kind, Peer: s.Peer}, nil
+}
+
+// Accept waits for a stream that the peer opens.
+func (s *Session) Accept(ctx context.Context) (*Stream, error) {
+	stream, err := s.mux.AcceptStreamWithContext(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("Session.Accept %s: %w", s.Peer, err)
+	}
+	kind, err := readKind(stream)
+	if err != nil {
+		stream.Close()
+		return nil, fmt.Errorf("Session.Accept %s: kind: %w", s.Peer, err)
+	}
+	return &Stream{Stream: stream, Kind: kind, Peer: s.Peer}, nil
+}
+
+// Serve accepts the peer's streams and gives each to the handler of its kind,
+// until the session ends.
+func (s *Session) Serve(ctx context.Context, handlers *Handlers) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		stream, err := s.mux.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return
+		}
+		go s.serveStream(ctx, handlers, stream)
+	}
+}
+
+func (s *Session) serveStream(ctx context.Context, handlers *Handlers, accepted *yamux.Stream) {
+	defer accepted.Close()
+	kind, err := readKind(accepted)
+	if err != nil {
+		return
+	}
+	handler := handlers.find(kind)
+	if handler == nil {
+		return
+	}
+	handler(ctx, s.Peer, &Stream{Stream: accepted, Kind: kind, Peer: s.Peer})
+}
+
+// Streams gives the number of open streams.
+func (s *Session) Streams() int {
+	return s.mux.NumStreams()
+}
+
+// Closed reports whether the session has ended.
+func (s *Session) Closed() bool {
+	return s.mux.IsClosed()
+}
+
+// Done is closed when the session ends.
+func (s *Session) Done() <-chan struct{} {
+	return s.mux.CloseChan()
+}
+
+// Close ends the session and its streams.
+func (s *Session) Close() error {
+	return s.mux.Close()
+}
+
+func remoteOf(conn net.Conn) netip.AddrPort {
+	address, ok := conn.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	whole := address.AddrPort()
+	return netip.AddrPortFrom(whole.Addr().Unmap(), whole.Port())
+}
