--- a/document.go
+++ b/document.go
@@ -28,7 +28,8 @@
 	CrossZone string `toml:"cross-zone"`
 }
 
-// Limits bound the work of one service. Zero fields take Defaults.
+// Limits bound the work of one service. A key that a text leaves out takes its
+// default; a zero that a text states is kept, and means none.
 type Limits struct {
 	// Connections is the number of streams that one backend server may hold.
 	Connections int `toml:"connections"`
