Say when Finish is called, and add the reason server-shed

Cause: the contract of Dispatcher left open whether Finish follows ActionCancel, what becomes of a backend server's own failure, and when NextTick is asked again. Conclusion: additive, no signature changed.

--- a/refusal.go
+++ b/refusal.go
@@ -18,6 +18,7 @@
 	ReasonInProgressLimit  Reason = "in-progress-limit"
 	ReasonServerLeaving    Reason = "server-leaving"
 	ReasonServerUnhealthy  Reason = "server-unhealthy"
+	ReasonServerShed       Reason = "server-shed"
 	ReasonServerBroke      Reason = "server-broke"
 	ReasonPeerBroke        Reason = "peer-broke"
 	ReasonRetryBudget      Reason = "retry-budget"
--- a/work.go
+++ b/work.go
@@ -116,7 +116,11 @@
 	// Arrive takes a request from a caller's flow or a peer's hand-over.
 	Arrive(now time.Time, work Work) []Action
 	// Finish reports how ActionRun or ActionHandOver ended. The refusal is
-	// the peer's for ResultRefused and zero otherwise.
+	// the peer's for ResultRefused and zero otherwise. Finish follows every
+	// such action exactly once, also after ActionCancel: until then the slot
+	// counts as held. When no action comes back for the request, the answer
+	// of the attempt is the caller's: after ResultFailed that is the backend
+	// server's own failure.
 	Finish(now time.Time, id WorkID, result Result, refusal Refusal) []Action
 	// Answered reports the reply to ActionAsk: known is false when the peer
 	// gave no answer, ran tells whether the request ran or may still run.
@@ -128,7 +132,8 @@
 	Cancel(now time.Time, id WorkID) []Action
 	// Tick lets time pass: queues, deadlines and budgets.
 	Tick(now time.Time) []Action
-	// NextTick gives the time at which Tick has something to do, or zero.
+	// NextTick gives the time at which Tick has something to do, or zero. It
+	// is asked again after each of the other methods.
 	NextTick() time.Time
 	// Configure puts the limits of a revision in force.
 	Configure(now time.Time, revision uint64, service Service) []Action
