--- /dev/null
+++ b/state/recorder/identifier.go
@@ -0,0 +1,24 @@
+package recorder
+
+import (
+	"encoding/base32"
+	"encoding/binary"
+
+	"gooseberrymast"
+)
+
+// identifiers are written in lower case without the letters i, l, o and u,
+// which are easily misread.
+var identifiers = base32.NewEncoding("0123456789abcdefghjkmnpqrstvwxyz").WithPadding(base32.NoPadding)
+
+// Identifier names the n-th refusal of one life of one agent, uniquely in the
+// fleet.
+func Identifier(agent gooseberrymast.Identity, n uint64) string {
+	address := agent.Address.Addr().As4()
+	raw := make([]byte, 0, 20)
+	raw = append(raw, address[:]...)
+	raw = binary.BigEndian.AppendUint16(raw, agent.Address.Port())
+	raw = binary.AppendUvarint(raw, uint64(agent.Incarnation))
+	raw = binary.AppendUvarint(raw, n)
+	return identifiers.EncodeToString(raw)
+}
