Decide on requests: a first dispatcher with all its parts

Cause: the agent needs the deciding code to be wired. Change: coordination/dispatcher implements gooseberrymast.Dispatcher with admission, queue, hand-over, retries, ejection, tickets, asking after broken hand-overs, a local caller rate and the drain, each in a package of its own.

--- /dev/null
+++ b/coordination/admitter/admitter.go
@@ -0,0 +1,177 @@
+// Package admitter decides when a request may take one of a backend server's
+// slots, how many may wait for one, and which can't be answered in time.
+package admitter
+
+import (
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/state/asserter"
+)
+
+// The constants of admission.
+const (
+	// ShedPause is how long a backend server that shed with nothing else
+	// running is left alone.
+	ShedPause = 50 * time.Millisecond
+	// ShedRecovery is the time after which a bound that was lowered because
+	// the backend server shed rises by one.
+	ShedRecovery = 500 * time.Millisecond
+)
+
+// Order is the order in which waiting requests take slots.
+type Order uint8
+
+// The orders of a queue.
+const (
+	// OrderDeadline starts the request with the nearest deadline first.
+	OrderDeadline Order = iota
+	// OrderArrival starts the oldest request first.
+	OrderArrival
+	// OrderNewest starts the newest request first.
+	OrderNewest
+)
+
+// Entry is a request that wants a slot.
+type Entry struct {
+	ID gooseberrymast.WorkID
+	// Arrived is when the request came to this agent.
+	Arrived time.Time
+	// Deadline is never zero.
+	Deadline time.Time
+	// Mean is the expected service time.
+	Mean time.Duration
+	// Safe is a service time that few such requests exceed.
+	Safe time.Duration
+	// Known is set when Mean was measured for the request's own path.
+	Known bool
+	// Long is set when the request is expected to be a straggler.
+	Long bool
+}
+
+// Admitter holds the slots and the queue of one backend server. The zero value
+// admits nothing until Slots is set.
+type Admitter struct {
+	// Slots is the number of requests that the backend server may run.
+	Slots int
+	// Queue is the number of requests that may wait; below zero is no bound.
+	Queue int
+	// SlowStart is the time over which the bound rises to Slots from Started.
+	SlowStart time.Duration
+	// Started is when the backend server began to take work.
+	Started time.Time
+	// LongAfter is the running time from which on a request counts as long.
+	LongAfter time.Duration
+	// Typical is the service time of most requests.
+	Typical time.Duration
+	// Order is the queue's order.
+	Order Order
+	// KeepDoomed leaves requests that can't meet their deadline in the queue
+	// until the deadline has passed.
+	KeepDoomed bool
+	// MixLong lets long requests take any slot.
+	MixLong bool
+
+	running map[gooseberrymast.WorkID]run
+	waiting []Entry
+	// shedBound is the bound that shedding left, or zero for none.
+	shedBound int
+	shedAt    time.Time
+	pausedTil time.Time
+}
+
+// run is a request that holds a slot.
+type run struct {
+	started time.Time
+	long    bool
+}
+
+// Bound gives the number of requests that the backend server may run now.
+func (a *Admitter) Bound(now time.Time) int {
+	if now.Before(a.pausedTil) {
+		return 0
+	}
+	bound := a.Slots
+	if age := now.Sub(a.Started); a.SlowStart > 0 && age < a.SlowStart {
+		bound = 1 + int(float64(a.Slots-1)*float64(age)/float64(a.SlowStart))
+	}
+	if a.shedBound > 0 {
+		recovered := int(now.Sub(a.shedAt) / ShedRecovery)
+		bound = min(bound, a.shedBound+recovered)
+	}
+	return bound
+}
+
+// Free gives the number of slots that are neither held nor waited for.
+func (a *Admitter) Free(now time.Time) int {
+	return max(0, a.Bound(now)-len(a.running)-len(a.waiting))
+}
+
+// Running gives the number of slots held.
+func (a *Admitter) Running() int {
+	return len(a.running)
+}
+
+// Waiting gives the number of requests in the queue.
+func (a *Admitter) Waiting() int {
+	return len(a.waiting)
+}
+
+// CanStart reports whether the request may take a slot now, leaving aside the
+// requests that wait.
+func (a *Admitter) CanStart(now time.Time, entry Entry) bool {
+	bound := a.Bound(now)
+	if len(a.running) >= bound {
+		return false
+	}
+	if a.MixLong {
+		return true
+	}
+	long := a.longRunning(now)
+	if entry.Long {
+		return long+1 < bound || (bound == 1 && !a.shortWaiting())
+	}
+	// The slot that is kept from long requests goes to none of unknown length.
+	return long+1 < bound || entry.Known || long == 0
+}
+
+// Start takes a slot.
+func (a *Admitter) Start(now time.Time, entry Entry) {
+	if a.running == nil {
+		a.running = map[gooseberrymast.WorkID]run{}
+	}
+	a.running[entry.ID] = run{started: now, long: entry.Long}
+	asserter.Holds(len(a.running) <= a.Slots, "slots-not-exceeded", "%d running in %d slots", len(a.running), a.Slots)
+}
+
+// Stop frees a slot and gives the time for which it was held.
+func (a *Admitter) Stop(now time.Time, id gooseberrymast.WorkID) time.Duration {
+	held, ok := a.running[id]
+	asserter.Holds(ok, "stopped-request-held-a-slot", "request %d", id)
+	delete(a.running, id)
+	return now.Sub(held.started)
+}
+
+// Shed lowers the bound after the backend server refused a request for its load.
+func (a *Admitter) Shed(now time.Time) {
+	a.shedBound = max(1, min(a.Bound(now), len(a.running)))
+	a.shedAt = now
+	if len(a.running) == 0 {
+		a.pausedTil = now.Add(ShedPause)
+	}
+}
+
+// Resume restarts the slow start, after an ejection.
+func (a *Admitter) Resume(now time.Time) {
+	a.Started = now
+}
+
+func (a *Admitter) longRunning(now time.Time) int {
+	long := 0
+	for _, held := range a.running {
+		if held.long || (a.LongAfter > 0 && now.Sub(held.started) > a.LongAfter) {
+			long++
+		}
+	}
+	return long
+}
--- /dev/null
+++ b/coordination/dispatcher/dispatcher_test.go
@@ -0,0 +1,81 @@
+package dispatcher
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	here  = agentAt(1)
+)
+
+// agentAt gives the identity of the n-th agent.
+func agentAt(n byte) gooseberrymast.Identity {
+	return gooseberrymast.Identity{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000), Incarnation: 1}
+}
+
+func at(offset time.Duration) time.Time {
+	return epoch.Add(offset)
+}
+
+// limits gives a warm service with its defaults.
+func limits() gooseberrymast.Service {
+	return gooseberrymast.Service{
+		Limits: gooseberrymast.Limits{
+			Connections: 10, Slots: 2, Queue: 2, RetryBudget: 0.1, MaxEjected: 0.3,
+			Deadline: gooseberrymast.Duration(time.Second), MaxDeadline: gooseberrymast.Duration(time.Minute),
+		},
+		Drain:     gooseberrymast.Drain{Grace: gooseberrymast.Duration(3 * time.Second)},
+		CrossZone: gooseberrymast.CrossZoneWhenFull,
+	}
+}
+
+// ready gives a configured dispatcher with the given number of peers in its zone.
+func ready(service gooseberrymast.Service, peers byte) *Dispatcher {
+	d := New(Config{Self: here, Service: "ledger", Zone: "cairo-a", Seed: 1})
+	d.Configure(epoch, 1, service)
+	var members []gooseberrymast.Member
+	for n := byte(2); n < 2+peers; n++ {
+		members = append(members, gooseberrymast.Member{Record: gooseberrymast.Record{
+			Identity: agentAt(n), State: gooseberrymast.StateReady, Zone: "cairo-a",
+		}})
+	}
+	d.Peers(epoch, members)
+	return d
+}
+
+func request1(id gooseberrymast.WorkID) gooseberrymast.Work {
+	return gooseberrymast.Work{ID: id, Origin: here, OriginID: id, Path: "/loans", Deadline: at(time.Second), Replayable: true}
+}
+
+func kinds(actions []gooseberrymast.Action) []gooseberrymast.ActionKind {
+	var all []gooseberrymast.ActionKind
+	for _, action := range actions {
+		all = append(all, action.Kind)
+	}
+	return all
+}
+
+func TestRunsQueuesAndRefuses(t *testing.T) {
+	is := is.New(t)
+	d := ready(limits(), 0)
+	for id := gooseberrymast.WorkID(1); id <= 2; id++ {
+		is.Equal(kinds(d.Arrive(epoch, request1(id))), []gooseberrymast.ActionKind{gooseberrymast.ActionRun})
+	}
+	is.Equal(len(d.Arrive(epoch, request1(3))), 0)
+	is.Equal(len(d.Arrive(epoch, request1(4))), 0)
+	refused := d.Arrive(epoch, request1(5))
+	is.Equal(refused[0].Refusal.Sentence(),
+		"ledger refused the request: its queue is full (queue is 2), under revision 1 at 10.0.0.1:7000. The request was not run.")
+	next := d.Finish(at(time.Millisecond), 1, gooseberrymast.ResultAnswered, gooseberrymast.Refusal{})
+	is.Equal(next[0].Work, gooseberrymast.WorkID(3)) // the first that waited takes the slot
+	late := d.Tick(at(time.Second))
+	is.Equal(late[0].Refusal.Reason, gooseberrymast.ReasonDeadlinePassed)
+	is.Equal(late[0].Refusal.Ran, gooseberrymast.RanNo)
+}
--- /dev/null
+++ b/coordination/dispatcher/tick.go
@@ -0,0 +1,164 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/admitter"
+)
+
+// pumpInterval is how often waiting requests look for peers with room when
+// nothing else happens.
+const pumpInterval = 50 * time.Millisecond
+
+// Tick lets time pass.
+func (d *Dispatcher) Tick(now time.Time) []gooseberrymast.Action {
+	d.expirePending(now)
+	d.pump(now)
+	return d.take()
+}
+
+// NextTick gives the time at which Tick has something to do, or zero.
+func (d *Dispatcher) NextTick() time.Time {
+	if d.stirred {
+		return d.now
+	}
+	var next time.Time
+	for _, r := range d.pending {
+		next = earlier(next, r.work.Deadline)
+	}
+	if d.admitter.Waiting() == 0 {
+		return next
+	}
+	next = earlier(next, d.admitter.NextDoomed())
+	if d.drainer.Leaving() {
+		next = earlier(next, d.drainer.GraceEnd())
+	}
+	return earlier(next, d.nextPump)
+}
+
+// Leave stops new work at the agent's own backend server for good. Requests
+// that wait are handed over; those that no peer can take may start until the
+// grace is over.
+func (d *Dispatcher) Leave(now time.Time) []gooseberrymast.Action {
+	if d.drainer.Leaving() {
+		return d.take()
+	}
+	d.drainer.Leave(now)
+	d.pump(now)
+	return d.take()
+}
+
+// pump moves the requests that wait: it refuses those that can't be answered
+// in time, fills free slots and hands over to peers with room.
+func (d *Dispatcher) pump(now time.Time) {
+	d.now = now
+	d.stirred = false
+	if d.admitter.Waiting() == 0 {
+		return
+	}
+	d.refuseDoomed(now)
+	if d.drainer.Leaving() {
+		d.clearQueue(now)
+	} else if d.selfEjected() && !d.config.Policy.NoHandOver {
+		d.clearQueue(now)
+	}
+	d.startWaiting(now)
+	d.spread(now)
+	d.nextPump = now.Add(pumpInterval)
+}
+
+func (d *Dispatcher) refuseDoomed(now time.Time) {
+	for {
+		entry, ok := d.admitter.Doomed(now)
+		if !ok {
+			return
+		}
+		reason := gooseberrymast.ReasonDeadlineTooClose
+		if !now.Before(entry.Deadline) {
+			reason = gooseberrymast.ReasonDeadlinePassed
+		}
+		d.refuse(now, d.requests[entry.ID], cause{reason: reason})
+	}
+}
+
+// clearQueue moves requests away from a backend server that is leaving or
+// ejected. Within the grace of a leaving one, those stay that nobody takes.
+func (d *Dispatcher) clearQueue(now time.Time) {
+	mayStay := d.drainer.Leaving() && d.drainer.MayStart(now)
+	for {
+		entry, ok := d.admitter.First(func(entry admitter.Entry) bool {
+			r := d.requests[entry.ID]
+			return !mayStay || (r.own && d.placer.Any(now, d.need(now, r)))
+		})
+		if !ok {
+			return
+		}
+		d.admitter.Remove(entry.ID)
+		d.placeElsewhere(now, d.requests[entry.ID])
+	}
+}
+
+func (d *Dispatcher) startWaiting(now time.Time) {
+	if !d.drainer.MayStart(now) {
+		return
+	}
+	for {
+		entry, ok := d.admitter.Next(now)
+		if !ok {
+			return
+		}
+		d.run(now, d.requests[entry.ID])
+	}
+}
+
+// spread hands waiting requests over to peers with room.
+func (d *Dispatcher) spread(now time.Time) {
+	if d.config.Policy.NoHandOver {
+		return
+	}
+	for d.spreadOne(now) {
+	}
+}
+
+func (d *Dispatcher) spreadOne(now time.Time) bool {
+	entry, ok := d.admitter.First(func(entry admitter.Entry) bool { return d.requests[entry.ID].own })
+	if !ok {
+		return false
+	}
+	r := d.requests[entry.ID]
+	peer, ok := d.placer.Choose(now, d.need(now, r))
+	if !ok {
+		return false
+	}
+	d.admitter.Remove(entry.ID)
+	d.handOver(now, r, peer)
+	return true
+}
+
+// expirePending refuses the requests whose deadline passed while an issuer or
+// a peer was asked.
+func (d *Dispatcher) expirePending(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(d.pending)) {
+		r := d.pending[id]
+		if now.Before(r.work.Deadline) {
+			continue
+		}
+		if r.stage == stageSpending {
+			d.refuseIssuerGone(now, r)
+			continue
+		}
+		r.given = true
+		d.refuse(now, r, cause{reason: gooseberrymast.ReasonDeadlinePassed})
+	}
+}
+
+// earlier gives the earlier of two times, of which zero is none.
+func earlier(one, other time.Time) time.Time {
+	if one.IsZero() || (!other.IsZero() && other.Before(one)) {
+		return other
+	}
+	return one
+}
