Write an identity as text in JSON

The status lists identities; without a text form they came out as Go's field names, against the kebab-case rule. Now: "10.0.0.1:7000#3", empty when zero.

--- a/identity.go
+++ b/identity.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -43,3 +45,30 @@
 func (i Identity) IsZero() bool {
 	return !i.Address.IsValid() && i.Incarnation == 0
 }
+
+// MarshalText writes the form of String; the zero identity is empty.
+func (i Identity) MarshalText() ([]byte, error) {
+	if i.IsZero() {
+		return nil, nil
+	}
+	return []byte(i.String()), nil
+}
+
+// UnmarshalText reads the form that MarshalText writes.
+func (i *Identity) UnmarshalText(text []byte) error {
+	*i = Identity{}
+	if len(text) == 0 {
+		return nil
+	}
+	address, incarnation, _ := strings.Cut(string(text), "#")
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("Identity.UnmarshalText: %w", err)
+	}
+	number, err := strconv.ParseUint(incarnation, 10, 32)
+	if err != nil {
+		return fmt.Errorf("Identity.UnmarshalText: incarnation: %w", err)
+	}
+	*i = Identity{Address: parsed, Incarnation: Incarnation(number)}
+	return nil
+}
