--- /dev/null
+++ b/agent_status.go
@@ -0,0 +1,29 @@
+package gooseberrymast
+
+import "time"
+
+// AgentStatus is what one agent knows of itself.
+type AgentStatus struct {
+	// Instance is the agent.
+	Instance Identity `json:"instance"`
+	// Time is when the agent answered, by its own clock.
+	Time time.Time `json:"time"`
+	// Environment, Service and Zone come from the agent's settings.
+	Environment string `json:"environment"`
+	Service     string `json:"service"`
+	Zone        string `json:"zone"`
+	// Revision is the revision that the agent has in force, or zero.
+	Revision uint64 `json:"revision"`
+	// State is the announced state in kebab case.
+	State string `json:"state"`
+	// Healthy tells whether the backend server's last health check passed.
+	Healthy bool `json:"healthy"`
+	// Flows counts the callers' connections that are open at the agent.
+	Flows int `json:"flows"`
+	// Streams counts the open streams; a drain waits for them.
+	Streams int `json:"streams"`
+	// Running counts the requests that the backend server runs.
+	Running int `json:"running"`
+	// Queued counts the requests that wait.
+	Queued int `json:"queued"`
+}
--- /dev/null
+++ b/transport/operator/client.go
@@ -0,0 +1,91 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"gooseberrymast"
+)
+
+// MaxAnswerBytes bounds what a client reads of one answer.
+const MaxAnswerBytes = 64 << 20
+
+// maxErrorBytes bounds what a client repeats of an error's text.
+const maxErrorBytes = 512
+
+// Timeout bounds one call of a client.
+const Timeout = 10 * time.Second
+
+// ErrNotFound means that the process keeps no such thing.
+var ErrNotFound = errors.New("not found")
+
+// Client reads from the operators' address of one process.
+type Client struct {
+	// Address is the process's operators' address.
+	Address netip.AddrPort
+}
+
+// Status reads the status of a balancer.
+func (c Client) Status(ctx context.Context) (gooseberrymast.Status, error) {
+	var status gooseberrymast.Status
+	err := c.get(ctx, PathStatus, &status)
+	return status, err
+}
+
+// AgentStatus reads the status of an agent.
+func (c Client) AgentStatus(ctx context.Context) (gooseberrymast.AgentStatus, error) {
+	var status gooseberrymast.AgentStatus
+	err := c.get(ctx, PathStatus, &status)
+	return status, err
+}
+
+// Refusal reads a refusal from the agent that refused. It fails with
+// ErrNotFound when the agent keeps it no longer.
+func (c Client) Refusal(ctx context.Context, id string) (RefusalReport, error) {
+	var report RefusalReport
+	err := c.get(ctx, PathRefusals+url.PathEscape(id), &report)
+	return report, err
+}
+
+// direct never goes through a proxy of the operator's environment.
+var direct = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (c Client) get(ctx context.Context, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	target := "http://" + c.Address.String() + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return fmt.Errorf("Client.get %s: %w", target, err)
+	}
+	response, err := direct.Do(request)
+	if err != nil {
+		return fmt.Errorf("Client.get: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("Client.get %s: %w", target, answerError(response))
+	}
+	body := io.LimitReader(response.Body, MaxAnswerBytes)
+	if err := json.NewDecoder(body).Decode(into); err != nil {
+		return fmt.Errorf("Client.get %s: decode the answer: %w", target, err)
+	}
+	return nil
+}
+
+func answerError(response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	reason := strings.Join(strings.Fields(string(text)), " ")
+	if response.StatusCode == http.StatusNotFound {
+		return fmt.Errorf("%w: %s", ErrNotFound, reason)
+	}
+	return fmt.Errorf("answered %s: %s", response.Status, reason)
+}
