Decide what became of an apply from the store's answers alone

An apply races other operators over a store that loses answers, gives old versions and lets writes land late. The state machine writes conditionally on the version it read, copies the revision it follows to the history first, and reads its own write id back after a lost answer. A write whose answer was lost is written again under the same expected version: only so can a late copy be kept from landing after "not applied" was said.

A document with the bytes of the newest revision is written again: a stale read may have shown an old revision with these bytes.

--- /dev/null
+++ b/coordination/applier/applier.go
@@ -0,0 +1,261 @@
+// Package applier decides how one document becomes an environment's next
+// revision, over a store whose answers may be lost, late or stale.
+//
+// A revision is written conditionally on the version of the one it follows.
+// Before that, the followed revision is copied to the history, so that its
+// write can be found there once it is no longer the newest.
+package applier
+
+import (
+	"bytes"
+	"errors"
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/state/asserter"
+)
+
+// The retries of store calls.
+const (
+	// DefaultAttempts bounds the calls that bring nothing new.
+	DefaultAttempts = 8
+	// MinDelay and MaxDelay bound the wait before a call is repeated.
+	MinDelay = 100 * time.Millisecond
+	MaxDelay = 2 * time.Second
+)
+
+// ErrStale means that the store kept giving an older version than it had given
+// before.
+var ErrStale = errors.New("the store gave only old versions")
+
+// StepKind tells what to do next.
+type StepKind uint8
+
+// The kinds of steps.
+const (
+	// StepReadDocument reads the object at DocumentKey.
+	StepReadDocument StepKind = iota + 1
+	// StepReadHistory reads the object at HistoryKey of Number.
+	StepReadHistory
+	// StepWriteDocument puts Revision at DocumentKey, expecting Expected.
+	StepWriteDocument
+	// StepWriteHistory puts Revision at its HistoryKey, expecting none there.
+	StepWriteHistory
+	// StepDone ends the run with Report.
+	StepDone
+)
+
+// Step is one instruction to the driver of the store.
+type Step struct {
+	Kind StepKind
+	// Delay is the wait before the step.
+	Delay time.Duration
+	// Number is set for StepReadHistory.
+	Number uint64
+	// Revision is set for the writing steps.
+	Revision gooseberrymast.Revision
+	// Expected is the version that StepWriteDocument expects.
+	Expected uint64
+	// Report is set for StepDone.
+	Report Report
+}
+
+// Result is the store's answer to a step. A write must have been sent at most
+// once for one step.
+type Result struct {
+	// Revision is what was read; zero with an error.
+	Revision gooseberrymast.Revision
+	// Version is the version that was read; zero with an error.
+	Version uint64
+	// Err wraps one of the errors of gooseberrymast.Store. Any other error
+	// of a write means that its outcome is unknown.
+	Err error
+}
+
+// Applier is the state machine of one apply. Its exported fields are set
+// before Start. Each WriteID is used by one Applier only.
+type Applier struct {
+	// Environment is the environment's name.
+	Environment string
+	// Text is the document, byte for byte.
+	Text []byte
+	// Author is the operator.
+	Author string
+	// WriteID is unique to this apply.
+	WriteID string
+	// Time is when the apply began.
+	Time time.Time
+	// Conditional is set when the operator names the revision that was seen.
+	Conditional bool
+	// Seen is the revision that the operator saw; used when Conditional.
+	Seen uint64
+	// Attempts bounds the calls that bring nothing new; zero is
+	// DefaultAttempts.
+	Attempts int
+
+	stage stage
+	// base is the revision to follow, read at baseVersion.
+	base        gooseberrymast.Revision
+	baseVersion uint64
+	// unsure is set once the outcome of a write was lost.
+	unsure bool
+	// conflicted is set once the store said that base is no longer newest.
+	conflicted bool
+	// newest is the last revision that was read back.
+	newest gooseberrymast.Revision
+	// fruitless counts the calls that brought nothing new.
+	fruitless int
+	lastErr   error
+}
+
+type stage uint8
+
+const (
+	stageReading stage = iota
+	stageSavingBase
+	stageWriting
+	stageReadingBack
+	stageReadingHistory
+	stageSavingOwn
+	stageDone
+)
+
+// Start gives the first step.
+func (a *Applier) Start() Step {
+	a.stage = stageReading
+	return Step{Kind: StepReadDocument}
+}
+
+// Advance takes the answer to the last step and gives the next.
+func (a *Applier) Advance(result Result) Step {
+	switch a.stage {
+	case stageReading:
+		return a.read(result)
+	case stageSavingBase:
+		return a.savedBase(result)
+	case stageWriting:
+		return a.wrote(result)
+	case stageReadingBack:
+		return a.readBack(result)
+	case stageReadingHistory:
+		return a.readHistory(result)
+	case stageSavingOwn:
+		return a.finish(Report{Outcome: OutcomeApplied, HistoryPending: failed(result.Err)})
+	default:
+		return a.finish(Report{Outcome: OutcomeUnknown, Err: result.Err})
+	}
+}
+
+// Abandon ends the run before its time, for example when the operator
+// interrupts it. A write that is under way counts as unknown.
+func (a *Applier) Abandon(err error) Step {
+	a.lastErr = err
+	if a.stage == stageSavingOwn {
+		return a.finish(Report{Outcome: OutcomeApplied, HistoryPending: true})
+	}
+	if a.stage == stageWriting {
+		a.unsure = true
+	}
+	return a.giveUp()
+}
+
+func (a *Applier) read(result Result) Step {
+	if result.Err != nil && !errors.Is(result.Err, gooseberrymast.ErrStoreNotFound) {
+		return a.again(result.Err, Step{Kind: StepReadDocument})
+	}
+	a.base, a.baseVersion = result.Revision, result.Version
+	if a.Conditional && a.base.Number != a.Seen {
+		return a.finish(Report{Outcome: OutcomeLost, Winner: a.base, Newest: a.base})
+	}
+	if a.base.Number == 0 {
+		return a.write(0)
+	}
+	a.stage = stageSavingBase
+	return Step{Kind: StepWriteHistory, Revision: a.base}
+}
+
+func (a *Applier) savedBase(result Result) Step {
+	if failed(result.Err) {
+		return a.again(result.Err, Step{Kind: StepWriteHistory, Revision: a.base})
+	}
+	return a.write(0)
+}
+
+func (a *Applier) write(delay time.Duration) Step {
+	a.stage = stageWriting
+	revision := a.revision()
+	asserter.Holds(revision.Number == a.base.Number+1, "revision-only-rises",
+		"%s: revision %d would follow %d", a.Environment, revision.Number, a.base.Number)
+	return Step{Kind: StepWriteDocument, Delay: delay, Revision: revision, Expected: a.baseVersion}
+}
+
+func (a *Applier) wrote(result Result) Step {
+	switch {
+	case result.Err == nil:
+		return a.saveOwn()
+	case errors.Is(result.Err, gooseberrymast.ErrStoreConflict):
+		a.conflicted = true
+		a.stage = stageReadingBack
+		return Step{Kind: StepReadDocument}
+	case !errors.Is(result.Err, gooseberrymast.ErrStoreUnavailable):
+		a.unsure = true
+	}
+	a.stage = stageReadingBack
+	return a.again(result.Err, Step{Kind: StepReadDocument})
+}
+
+func (a *Applier) saveOwn() Step {
+	a.stage = stageSavingOwn
+	return Step{Kind: StepWriteHistory, Revision: a.revision()}
+}
+
+func (a *Applier) revision() gooseberrymast.Revision {
+	return gooseberrymast.Revision{
+		Number:      a.base.Number + 1,
+		Environment: a.Environment,
+		WriteID:     a.WriteID,
+		Author:      a.Author,
+		Time:        a.Time,
+		Text:        a.Text,
+	}
+}
+
+// again repeats a step after a delay, or gives up.
+func (a *Applier) again(err error, step Step) Step {
+	a.lastErr = err
+	a.fruitless++
+	attempts := a.Attempts
+	if attempts <= 0 {
+		attempts = DefaultAttempts
+	}
+	if a.fruitless >= attempts {
+		return a.giveUp()
+	}
+	step.Delay = min(MinDelay<<min(a.fruitless-1, 10), MaxDelay)
+	return step
+}
+
+// giveUp reports what is certain without another call.
+func (a *Applier) giveUp() Step {
+	report := Report{Outcome: OutcomeNotApplied, Newest: a.newest, Err: a.lastErr}
+	switch {
+	case a.unsure:
+		report.Outcome = OutcomeUnknown
+	case a.conflicted:
+		report.Outcome = OutcomeLost
+	}
+	return a.finish(report)
+}
+
+func (a *Applier) finish(report Report) Step {
+	a.stage = stageDone
+	report.Revision = a.revision()
+	report.SameText = a.base.Number > 0 && bytes.Equal(a.base.Text, a.Text)
+	return Step{Kind: StepDone, Report: report}
+}
+
+// failed reports whether a copy to the history may be missing. A conflict
+// means that another process has copied the revision already.
+func failed(err error) bool {
+	return err != nil && !errors.Is(err, gooseberrymast.ErrStoreConflict)
+}
