Rename the reader of QUIC headers to inspector

Cause: two packages were named protocol/parser: the reader of documents and the reader of QUIC headers. Change: the latter is protocol/inspector. Conclusion: each name has one meaning.

--- a/protocol/parser/parser.go
+++ b/protocol/inspector/parser.go
@@ -1,8 +1,8 @@
-// Package parser reads from a QUIC datagram what a balancer needs: the
+// Package inspector reads from a QUIC datagram what a balancer needs: the
 // destination connection id and whether the packet can open a flow. It goes no
 // further than the version-independent properties of RFC 8999, but for the
 // packet types of the versions 1 and 2.
-package parser
+package inspector
 
 import "encoding/binary"
 
--- a/transport/forwarder/inbound.go
+++ b/transport/forwarder/inbound.go
@@ -9,7 +9,7 @@
 
 	"gooseberrymast/coordination/router"
 	"gooseberrymast/protocol/framer"
-	"gooseberrymast/protocol/parser"
+	"gooseberrymast/protocol/inspector"
 	"gooseberrymast/protocol/sealer"
 	"gooseberrymast/transport/batcher"
 )
@@ -61,7 +61,7 @@
 		in.fwd.Counters.drop(DropOversized)
 		return nil
 	}
-	packet, err := parser.Parse(datagram, sealer.Bytes)
+	packet, err := inspector.Parse(datagram, sealer.Bytes)
 	if err != nil {
 		in.fwd.Counters.drop(dropOf(err))
 		return nil
@@ -74,7 +74,7 @@
 }
 
 // choose fills the route of a packet or says why there is none.
-func (in *inbound) choose(packet *parser.Packet) (Drop, bool) {
+func (in *inbound) choose(packet *inspector.Packet) (Drop, bool) {
 	now := in.fwd.view.Load()
 	query := &in.query
 	*query = router.Query{
@@ -130,7 +130,7 @@
 // dropOf gives the counter of a typed error.
 func dropOf(err error) Drop {
 	var (
-		packet parser.Fault
+		packet inspector.Fault
 		id     sealer.Fault
 		frame  framer.Fault
 		route  router.Refusal
@@ -148,10 +148,10 @@
 	return DropNotQUIC
 }
 
-var packetDrops = map[parser.Fault]Drop{
-	parser.FaultTruncated: DropTruncated,
-	parser.FaultNotQUIC:   DropNotQUIC,
-	parser.FaultTooSmall:  DropTooSmall,
+var packetDrops = map[inspector.Fault]Drop{
+	inspector.FaultTruncated: DropTruncated,
+	inspector.FaultNotQUIC:   DropNotQUIC,
+	inspector.FaultTooSmall:  DropTooSmall,
 }
 
 var idDrops = map[sealer.Fault]Drop{
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -9,7 +9,7 @@
 	"gooseberrymast"
 	"gooseberrymast/coordination/opener"
 	"gooseberrymast/protocol/framer"
-	"gooseberrymast/protocol/parser"
+	"gooseberrymast/protocol/inspector"
 	"gooseberrymast/protocol/sealer"
 )
 
@@ -42,7 +42,7 @@
 		r.Counters.drop(dropOf(err))
 		return nil, false
 	}
-	packet, err := parser.Parse(payload, sealer.Bytes)
+	packet, err := inspector.Parse(payload, sealer.Bytes)
 	if err != nil {
 		r.Counters.drop(DropNotQUIC)
 		return nil, false
@@ -79,7 +79,7 @@
 // isOwn checks that the connection id was made for this service by this life
 // of the agent. Packets of an earlier life pass if they have a short header:
 // QUIC knows no flow for them and tells the caller so by a stateless reset.
-func (r *Receiver) isOwn(packet *parser.Packet) (Drop, bool) {
+func (r *Receiver) isOwn(packet *inspector.Packet) (Drop, bool) {
 	id, service, err := r.sealer.Open(packet.ID)
 	switch {
 	case err != nil:
@@ -100,7 +100,7 @@
 }
 
 // complete notes a finished handshake: the caller sends with a short header.
-func (r *Receiver) complete(packet *parser.Packet) {
+func (r *Receiver) complete(packet *inspector.Packet) {
 	if packet.Long {
 		return
 	}
@@ -116,7 +116,7 @@
 }
 
 // open lets the opener decide about a packet that may open a flow.
-func (r *Receiver) open(payload []byte, packet *parser.Packet) bool {
+func (r *Receiver) open(payload []byte, packet *inspector.Packet) bool {
 	if r.header.To.Incarnation != r.self.Incarnation {
 		r.Counters.drop(DropWrongIncarnation)
 		return false
