--- /dev/null
+++ b/coordination/adopter/adopter.go
@@ -0,0 +1,139 @@
+// Package adopter decides which revision of the document is in force at one
+// process. The revision only rises.
+package adopter
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/messenger"
+	"gooseberrymast/state/asserter"
+)
+
+// The errors of Unpack.
+var (
+	// ErrNoBase means that the text was compressed against a revision that
+	// isn't in force here. The sender is asked for the whole text.
+	ErrNoBase = errors.New("the text is compressed against another revision")
+	// ErrBadSum means that the text doesn't have the announced hash.
+	ErrBadSum = errors.New("the text differs from its hash")
+	// ErrEnvironment means that the revision belongs to another environment.
+	ErrEnvironment = errors.New("the revision is of another environment")
+)
+
+// Adopter holds the revision in force.
+type Adopter struct {
+	// Environment is the only one whose revisions are taken.
+	Environment string
+	// Parse decodes and checks a document. It must be set.
+	Parse func(text []byte) (gooseberrymast.Document, error)
+	// Current is the revision in force; its number is zero before any.
+	Current gooseberrymast.Revision
+	// Document is the parsed text of Current.
+	Document gooseberrymast.Document
+	// Newest is the highest number that was offered, never below Current's.
+	Newest uint64
+	// Fault says why Newest isn't in force, or is empty.
+	Fault string
+
+	previous gooseberrymast.Revision
+	// highest is Current's number as the invariant checks it.
+	highest uint64
+}
+
+// Offer takes a revision from the store or a peer and reports whether it came
+// into force. One that isn't above Current is ignored.
+func (a *Adopter) Offer(revision gooseberrymast.Revision) (bool, error) {
+	if revision.Environment != a.Environment {
+		return false, fmt.Errorf("Adopter.Offer revision %d of %q: %w", revision.Number, revision.Environment, ErrEnvironment)
+	}
+	if revision.Number <= a.Current.Number {
+		a.checkSame(revision)
+		return false, nil
+	}
+	a.Newest = max(a.Newest, revision.Number)
+	document, err := a.Parse(revision.Text)
+	if err != nil {
+		a.Fault = fmt.Sprintf("revision %d: %v", revision.Number, err)
+		return false, fmt.Errorf("Adopter.Offer revision %d: %w", revision.Number, err)
+	}
+	a.previous = a.Current
+	a.Current = revision
+	a.Document = document
+	if a.Newest == revision.Number {
+		a.Fault = ""
+	}
+	asserter.Holds(revision.Number > a.highest, "revision-only-rises", "revision %d came into force after %d", revision.Number, a.highest)
+	a.highest = revision.Number
+	return true, nil
+}
+
+// checkSame asserts that one number names one text.
+func (a *Adopter) checkSame(revision gooseberrymast.Revision) {
+	if revision.Number != a.Current.Number {
+		return
+	}
+	asserter.Holds(string(revision.Text) == string(a.Current.Text), "one-text-for-each-revision",
+		"revision %d of write %s differs from that of write %s", revision.Number, revision.WriteID, a.Current.WriteID)
+}
+
+// Pack prepares the revision in force for a peer that has another one. It
+// gives nil before any revision is in force.
+func (a *Adopter) Pack(peer uint64) *messenger.Revision {
+	if a.Current.Number == 0 {
+		return nil
+	}
+	message := &messenger.Revision{
+		Number:      a.Current.Number,
+		Environment: a.Current.Environment,
+		WriteID:     a.Current.WriteID,
+		Author:      a.Current.Author,
+		Time:        a.Current.Time,
+		Sum:         xxhash.Sum64(a.Current.Text),
+	}
+	var base []byte
+	if peer != 0 && peer == a.previous.Number {
+		message.Base = peer
+		base = a.previous.Text
+	}
+	message.Packed = compress(base, a.Current.Text)
+	return message
+}
+
+// Unpack gives the revision that a peer packed.
+func (a *Adopter) Unpack(message *messenger.Revision) (gooseberrymast.Revision, error) {
+	base, found := a.text(message.Base)
+	if !found {
+		return gooseberrymast.Revision{}, fmt.Errorf("Adopter.Unpack revision %d on %d: %w", message.Number, message.Base, ErrNoBase)
+	}
+	text, err := expand(base, message.Packed)
+	if err != nil {
+		return gooseberrymast.Revision{}, fmt.Errorf("Adopter.Unpack revision %d: %w", message.Number, err)
+	}
+	if xxhash.Sum64(text) != message.Sum {
+		return gooseberrymast.Revision{}, fmt.Errorf("Adopter.Unpack revision %d: %w", message.Number, ErrBadSum)
+	}
+	return gooseberrymast.Revision{
+		Number:      message.Number,
+		Environment: message.Environment,
+		WriteID:     message.WriteID,
+		Author:      message.Author,
+		Time:        message.Time,
+		Text:        text,
+	}, nil
+}
+
+func (a *Adopter) text(number uint64) ([]byte, bool) {
+	switch number {
+	case 0:
+		return nil, true
+	case a.Current.Number:
+		return a.Current.Text, true
+	case a.previous.Number:
+		return a.previous.Text, true
+	}
+	return nil, false
+}
