--- a/coordination/applier/applier_test.go
+++ b/coordination/applier/applier_test.go
@@ -47,6 +47,7 @@
 		{"race lost, stale read first", []applier.Result{read(base, 9), ok, conflict, read(base, 9), read(theirs, 10)}, applier.OutcomeLost, "theirs"},
 		{"race lost, winner unreadable", []applier.Result{read(base, 9), ok, conflict, down, down, down}, applier.OutcomeLost, ""},
 		{"answer lost, applied", []applier.Result{read(base, 9), ok, lost, read(ours, 10), ok}, applier.OutcomeApplied, ""},
+		{"answer lost, older version read", []applier.Result{read(base, 9), ok, lost, read(revisionOf(3, "older", "x"), 8), read(ours, 10), ok}, applier.OutcomeApplied, ""},
 		{"answer lost, written again", []applier.Result{read(base, 9), ok, lost, read(base, 9), ok, ok}, applier.OutcomeApplied, ""},
 		{"answer lost, late copy lands first", []applier.Result{read(base, 9), ok, lost, read(base, 9), conflict, read(ours, 10), ok}, applier.OutcomeApplied, ""},
 		{"answer lost, another won", []applier.Result{read(base, 9), ok, lost, read(theirs, 10)}, applier.OutcomeLost, "theirs"},
