Let a refused hand-over say that the request may have run

Cause: a peer whose backend server failed refuses too, and only its refusal knows the outcome; asking again would tell no more.

Change: ResultRefused carries the peer's refusal whatever it says of the run.

Conclusion: the dispatcher already treats both cases.

--- a/work.go
+++ b/work.go
@@ -89,7 +89,8 @@
 	ResultBroken
 	// ResultTorn: the answer broke after its beginning was passed on.
 	ResultTorn
-	// ResultRefused: the peer refused the hand-over; its refusal says RanNo.
+	// ResultRefused: the peer refused the hand-over; its refusal says whether
+	// the request can have run there.
 	ResultRefused
 	// ResultTimedOut: the deadline passed during the attempt.
 	ResultTimedOut
