Serve requests from the caller to the backend server and back

Cause: the whole path needs its request side: flows that end at the agent, runs at the backend server, hand-overs between agents, tickets and refusals.

Change: transport/terminator serves HTTP/3, transport/driver performs the dispatcher's actions under one lock, transport/executor runs requests over HTTP/1.1 or h2c, transport/hander speaks protobuf frames over linker streams, protocol/encoder writes tickets, refusals and header fields, caller is the Go client and standin/backend the stand-in server.

--- /dev/null
+++ b/standin/backend/serve.go
@@ -0,0 +1,182 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ServeHTTP treats one request.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderInstance, b.Name)
+	if id := r.Header.Get(HeaderRequestID); id != "" {
+		w.Header().Set(HeaderRequestID, id)
+	}
+	switch r.URL.Path {
+	case PathHealth:
+		b.serveHealth(w)
+		return
+	case PathLoad:
+		b.serveLoad(w)
+		return
+	}
+	mode := b.modeOf(r)
+	switch mode {
+	case ModeRefuse:
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	case ModeShed:
+		b.shed(w)
+		return
+	}
+	stream := r.URL.Path == PathPush || r.URL.Path == PathConverse
+	if !b.begin(r.Header.Get(HeaderRequestID), stream) {
+		b.shed(w)
+		return
+	}
+	defer b.end(stream)
+	b.run(w, r, mode)
+}
+
+func (b *Backend) run(w http.ResponseWriter, r *http.Request, mode Mode) {
+	switch mode {
+	case ModeHang:
+		// The server notices a lost caller only once the body was read.
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		b.countCancelled()
+		return
+	case ModeCrash:
+		panic(http.ErrAbortHandler)
+	case ModeFail:
+		http.Error(w, "failed", http.StatusServiceUnavailable)
+		return
+	case ModeTear:
+		tear(w)
+	}
+	switch r.URL.Path {
+	case PathPush:
+		b.servePush(w, r)
+	case PathConverse:
+		b.serveConverse(w, r)
+	default:
+		b.serveUnary(w, r)
+	}
+}
+
+// tear sends a part of an answer and breaks the connection.
+func tear(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "100")
+	w.Write([]byte("a part of the answer"))
+	http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// heldBytes is the part of a unary request's body that is read before the
+// service time starts.
+const heldBytes = 64 << 10
+
+// serveUnary waits for the service time and echoes the body and its trailers.
+func (b *Backend) serveUnary(w http.ResponseWriter, r *http.Request) {
+	http.NewResponseController(w).EnableFullDuplex()
+	start, err := io.ReadAll(io.LimitReader(r.Body, heldBytes))
+	if err != nil || !wait(r.Context(), b.serviceTime(r)) {
+		b.countCancelled()
+		return
+	}
+	if r.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	w.Write(start)
+	if _, err := io.Copy(w, r.Body); err != nil {
+		b.countCancelled()
+		return
+	}
+	for name, values := range r.Trailer {
+		w.Header()[http.TrailerPrefix+name] = values
+	}
+}
+
+// servePush sends numbered lines.
+func (b *Backend) servePush(w http.ResponseWriter, r *http.Request) {
+	count, _ := strconv.Atoi(r.URL.Query().Get("count"))
+	controller := http.NewResponseController(w)
+	controller.Flush()
+	for line := 0; count == 0 || line < count; line++ {
+		if line > 0 && !wait(r.Context(), b.push()) {
+			b.countCancelled()
+			return
+		}
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			b.countCancelled()
+			return
+		}
+		controller.Flush()
+	}
+}
+
+// serveConverse sends each piece back as it comes.
+func (b *Backend) serveConverse(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	controller.EnableFullDuplex()
+	controller.Flush()
+	piece := make([]byte, 4<<10)
+	for {
+		n, err := r.Body.Read(piece)
+		if n > 0 {
+			w.Write(piece[:n])
+			controller.Flush()
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			b.countCancelled()
+			return
+		}
+	}
+}
+
+func (b *Backend) shed(w http.ResponseWriter) {
+	b.countShed()
+	w.Header().Set(headerNotRun, "true")
+	http.Error(w, "overloaded", http.StatusServiceUnavailable)
+}
+
+func (b *Backend) modeOf(r *http.Request) Mode {
+	if mode := r.Header.Get(HeaderMode); mode != "" {
+		return Mode(mode)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mode
+}
+
+func (b *Backend) serviceTime(r *http.Request) time.Duration {
+	work := b.Work
+	if asked, err := time.ParseDuration(r.Header.Get(HeaderWork)); err == nil {
+		work = asked
+	}
+	if b.ColdFactor > 0 && time.Since(b.begun) < b.ColdFor {
+		return time.Duration(float64(work) * b.ColdFactor)
+	}
+	return work
+}
+
+// wait lets the time pass and reports whether the context lasted.
+func wait(ctx context.Context, length time.Duration) bool {
+	if length <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/transport/terminator/rig_test.go
@@ -0,0 +1,245 @@
+package terminator_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"gooseberrymast"
+	"gooseberrymast/caller"
+	"gooseberrymast/coordination/dispatcher"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/standin/backend"
+	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/driver"
+	"gooseberrymast/transport/executor"
+	"gooseberrymast/transport/hander"
+	"gooseberrymast/transport/linker"
+	"gooseberrymast/transport/terminator"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// service is one service in one process: agents with their stand-ins.
+type service struct {
+	t      *testing.T
+	keys   *keyer.Keys
+	tls    *tls.Config
+	roots  *x509.CertPool
+	limits gooseberrymast.Service
+	http2  bool
+
+	mu     sync.Mutex
+	agents []*agent
+}
+
+// agent is one agent and its backend server.
+type agent struct {
+	self       gooseberrymast.Identity
+	control    netip.AddrPort
+	backend    *backend.Backend
+	dispatcher *dispatcher.Dispatcher
+	driver     *driver.Driver
+	terminator *terminator.Terminator
+	listener   *linker.Listener
+	transport  *quic.Transport
+}
+
+const serviceName = "ledger"
+
+func newService(t *testing.T, agents int, change func(*gooseberrymast.Service)) *service {
+	t.Helper()
+	var document gooseberrymast.Service
+	document.Streams = []string{backend.PathPush, backend.PathConverse}
+	document.Idempotent = []string{"/idempotent"}
+	document.Drain.Grace = gooseberrymast.Duration(time.Second)
+	document.Limits.SlowStart = gooseberrymast.Duration(time.Nanosecond)
+	document.CrossZone = gooseberrymast.CrossZoneWhenFull
+	document.Defaults()
+	if change != nil {
+		change(&document)
+	}
+	s := &service{t: t, keys: keyer.Random(), limits: document}
+	s.tls, s.roots = certificate(t)
+	for range agents {
+		s.start(newBackend())
+	}
+	return s
+}
+
+// start adds an agent in front of a stand-in.
+func (s *service) start(server *backend.Backend) *agent {
+	s.t.Helper()
+	is := is.New(s.t)
+	address, err := server.Start(loopback)
+	is.NoErr(err)
+	s.t.Cleanup(func() { server.Close() })
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	is.NoErr(err)
+	listener, err := linker.Listen(loopback, linker.Fixed(s.keys))
+	is.NoErr(err)
+	a := &agent{
+		self:      gooseberrymast.Identity{Address: socket.LocalAddr().(*net.UDPAddr).AddrPort(), Incarnation: 1},
+		control:   listener.Address(),
+		backend:   server,
+		listener:  listener,
+		transport: &quic.Transport{Conn: socket},
+	}
+	s.assemble(a, address)
+	go listener.Serve(context.Background())
+	go a.terminator.Serve()
+	s.t.Cleanup(func() {
+		a.terminator.Close()
+		a.transport.Close()
+		a.driver.Peers.Pool.Close()
+		listener.Close()
+		socket.Close()
+	})
+	s.mu.Lock()
+	s.agents = append(s.agents, a)
+	s.mu.Unlock()
+	s.introduce()
+	return a
+}
+
+func (s *service) assemble(a *agent, address netip.AddrPort) {
+	a.dispatcher = dispatcher.New(dispatcher.Config{Self: a.self, Service: serviceName, Zone: "cairo-a", Seed: 1})
+	a.driver = &driver.Driver{
+		Self:       a.self,
+		Dispatcher: a.dispatcher,
+		Timer:      timer.System{},
+		Executor:   &executor.Executor{Address: address, HTTP2: s.http2},
+		Refuse:     a.dispatcher.Refuse,
+	}
+	a.driver.Peers = &hander.Client{
+		Self:    a.self,
+		Service: gooseberrymast.TagOf(serviceName),
+		Pool:    &linker.Pool{Keys: linker.Fixed(s.keys)},
+		Locate:  s.locate,
+		OnLoad:  a.driver.PeerLoad,
+	}
+	server := &hander.Server{Self: a.self, Service: gooseberrymast.TagOf(serviceName), Local: a.driver, Timer: timer.System{}}
+	a.listener.Handle(linker.KindHandOver, server.Handle)
+	a.terminator = &terminator.Terminator{
+		Transport: a.transport,
+		TLS:       s.tls,
+		Driver:    a.driver,
+		Tag:       gooseberrymast.TagOf(serviceName),
+		Keys:      linker.Fixed(s.keys),
+		Document:  func() gooseberrymast.Service { return s.limits },
+		Timer:     timer.System{},
+	}
+	a.driver.Configure(1, s.limits)
+}
+
+// introduce tells every agent of the others.
+func (s *service) introduce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.agents {
+		var members []gooseberrymast.Member
+		for _, other := range s.agents {
+			members = append(members, gooseberrymast.Member{Record: gooseberrymast.Record{
+				Identity: other.self, Control: other.control, State: gooseberrymast.StateReady,
+				Service: gooseberrymast.TagOf(serviceName), Zone: "cairo-a",
+			}})
+		}
+		a.driver.Members(members)
+	}
+}
+
+func (s *service) locate(peer gooseberrymast.Identity) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := slices.IndexFunc(s.agents, func(a *agent) bool { return a.self == peer })
+	if at < 0 {
+		return netip.AddrPort{}, false
+	}
+	return s.agents[at].control, true
+}
+
+// caller makes a client whose flows go to the given agents in turn.
+func (s *service) caller(agents ...*agent) *caller.Client {
+	client := &caller.Client{TLS: &tls.Config{RootCAs: s.roots, MinVersion: tls.VersionTLS13}}
+	for _, a := range agents {
+		client.Addresses = append(client.Addresses, a.self.Address)
+	}
+	s.t.Cleanup(func() { client.Close() })
+	return client
+}
+
+// ran gives the runs of a request over all stand-ins.
+func (s *service) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, a := range s.agents {
+		total += a.backend.Counts().Ran[id]
+	}
+	return total
+}
+
+// request makes a request with an id for the stand-ins' counts.
+func request(ctx context.Context, method, path, id, body string) *http.Request {
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "https://"+serviceName+".example"+path, reader)
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set(backend.HeaderRequestID, id)
+	return r
+}
+
+// text reads an answer to its end.
+func text(response *http.Response) (string, error) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func certificate(t *testing.T) (*tls.Config, *x509.CertPool) {
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: serviceName},
+		DNSNames:     []string{serviceName + ".example"},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	is.NoErr(err)
+	leaf, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	roots := x509.NewCertPool()
+	roots.AddCert(leaf)
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+	}, roots
+}
+
+func newBackend() *backend.Backend {
+	return &backend.Backend{Push: 5 * time.Millisecond}
+}
