Run the whole path: callers, fabric, balancers, agents, backend servers

Cause: the layers stood side by side and nothing ran from end to end. Change: assembler puts an agent and a balancer together; trier runs a deployment on loopback under traffic; the command try shows the report.

--- /dev/null
+++ b/assembler/agent.go
@@ -0,0 +1,288 @@
+// Package assembler puts the layers together into the two processes, the agent
+// and the balancer.
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/quic-go/quic-go"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/dispatcher"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/transport/driver"
+	"gooseberrymast/transport/executor"
+	"gooseberrymast/transport/hander"
+	"gooseberrymast/transport/linker"
+	"gooseberrymast/transport/receiver"
+	"gooseberrymast/transport/terminator"
+)
+
+// AgentConfig is what an agent is made of.
+type AgentConfig struct {
+	// Settings are validated, with their defaults set. Port 0 takes a free port.
+	Settings gooseberrymast.AgentSettings
+	// Incarnation is higher than that of any process that had the address before.
+	Incarnation gooseberrymast.Incarnation
+	// Keys are the fleet's keys at the start.
+	Keys *keyer.Keys
+	// Certificate gives the certificate for callers.
+	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
+	// Timer is the timer service.
+	Timer gooseberrymast.Timer
+	// Seed feeds the random choices.
+	Seed uint64
+	// Policy is zero but for baselines.
+	Policy dispatcher.Policy
+	// Registry takes the metrics; nil makes one.
+	Registry *prometheus.Registry
+}
+
+// Agent is one agent process without its control side.
+type Agent struct {
+	// Registry holds the agent's metrics.
+	Registry *prometheus.Registry
+
+	config     AgentConfig
+	tag        gooseberrymast.ServiceTag
+	keys       atomic.Pointer[keyer.Keys]
+	service    atomic.Pointer[gooseberrymast.Service]
+	table      atomic.Pointer[gooseberrymast.Table]
+	receiver   *receiver.Receiver
+	transport  *quic.Transport
+	listener   *linker.Listener
+	pool       *linker.Pool
+	dispatcher *dispatcher.Dispatcher
+	driver     *driver.Driver
+	terminator *terminator.Terminator
+	leave      sync.Once
+}
+
+// NewAgent opens the agent's sockets.
+func NewAgent(config AgentConfig) (*Agent, error) {
+	a := &Agent{config: config, Registry: config.Registry}
+	if a.Registry == nil {
+		a.Registry = prometheus.NewRegistry()
+	}
+	a.tag = gooseberrymast.TagOf(config.Settings.Service)
+	a.keys.Store(config.Keys)
+	if err := a.open(); err != nil {
+		a.closeSockets()
+		return nil, fmt.Errorf("assembler.NewAgent: %w", err)
+	}
+	a.assemble()
+	return a, nil
+}
+
+func (a *Agent) open() error {
+	settings := a.config.Settings
+	var err error
+	a.receiver, err = receiver.New(receiver.Config{
+		Identity:  gooseberrymast.Identity{Address: settings.Address, Incarnation: a.config.Incarnation},
+		Service:   settings.Service,
+		Keys:      a.config.Keys,
+		Timer:     a.config.Timer,
+		FlowBound: a.atFlowBound,
+	})
+	if err != nil {
+		return err
+	}
+	if a.transport, err = a.receiver.Transport(); err != nil {
+		return err
+	}
+	a.listener, err = linker.Listen(settings.ControlAddress, a.keys.Load)
+	return err
+}
+
+func (a *Agent) assemble() {
+	settings := a.config.Settings
+	self := a.receiver.Identity()
+	a.dispatcher = dispatcher.New(dispatcher.Config{
+		Self:    self,
+		Service: settings.Service,
+		Zone:    settings.Zone,
+		Seed:    a.config.Seed,
+		Policy:  a.config.Policy,
+	})
+	a.pool = &linker.Pool{Keys: a.keys.Load, Timer: a.config.Timer}
+	a.driver = &driver.Driver{
+		Self:       self,
+		Dispatcher: a.dispatcher,
+		Timer:      a.config.Timer,
+		Executor: &executor.Executor{
+			Address: settings.Backend.Address,
+			HTTP2:   settings.Backend.Protocol == gooseberrymast.ProtocolH2C,
+		},
+		Refuse:  a.dispatcher.Refuse,
+		Metrics: driver.NewMetrics(a.Registry),
+	}
+	a.driver.Peers = &hander.Client{
+		Self:    self,
+		Service: a.tag,
+		Pool:    a.pool,
+		Locate:  a.locate,
+		OnLoad:  a.driver.PeerLoad,
+	}
+	server := &hander.Server{
+		Self:    self,
+		Service: a.tag,
+		Local:   a.driver,
+		Timer:   a.config.Timer,
+		Metrics: hander.NewMetrics(a.Registry),
+	}
+	a.listener.Handle(linker.KindHandOver, server.Handle)
+	a.terminator = &terminator.Terminator{
+		Transport: a.transport,
+		TLS:       &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: a.config.Certificate},
+		QUIC:      a.quicConfig(),
+		Driver:    a.driver,
+		Tag:       a.tag,
+		Keys:      a.keys.Load,
+		Document:  a.document,
+		Timer:     a.config.Timer,
+	}
+}
+
+// quicConfig joins the packet side's settings with those of the flows.
+func (a *Agent) quicConfig() *quic.Config {
+	config := terminator.QUICConfig()
+	packets := a.receiver.QUICConfig()
+	config.HandshakeIdleTimeout = packets.HandshakeIdleTimeout
+	config.MaxIdleTimeout = packets.MaxIdleTimeout
+	config.KeepAlivePeriod = packets.KeepAlivePeriod
+	config.InitialPacketSize = packets.InitialPacketSize
+	config.DisablePathMTUDiscovery = packets.DisablePathMTUDiscovery
+	return config
+}
+
+// Identity is the agent's own.
+func (a *Agent) Identity() gooseberrymast.Identity {
+	return a.receiver.Identity()
+}
+
+// Control is the TCP address for sessions between processes.
+func (a *Agent) Control() netip.AddrPort {
+	return a.listener.Address()
+}
+
+// Listener takes the handlers of other kinds of streams.
+func (a *Agent) Listener() *linker.Listener {
+	return a.listener
+}
+
+// Driver gives the agent's load and takes what is polled.
+func (a *Agent) Driver() *driver.Driver {
+	return a.driver
+}
+
+// Dispatcher gives the refusals and the state of the drain.
+func (a *Agent) Dispatcher() *dispatcher.Dispatcher {
+	return a.dispatcher
+}
+
+// SetTable puts a snapshot of the members in force.
+func (a *Agent) SetTable(table *gooseberrymast.Table) {
+	a.table.Store(table)
+	a.driver.Members(table.Members(a.tag))
+}
+
+// SetDocument puts a revision in force.
+func (a *Agent) SetDocument(revision uint64, document *gooseberrymast.Document) {
+	service, ok := document.Services[a.config.Settings.Service]
+	if !ok {
+		return
+	}
+	a.service.Store(&service)
+	a.driver.Configure(revision, service)
+}
+
+// SetKeys puts a changed key file in force.
+func (a *Agent) SetKeys(keys *keyer.Keys) error {
+	a.keys.Store(keys)
+	return a.receiver.SetKeys(keys)
+}
+
+// Run serves until Close, or until the last request after Leave has ended.
+func (a *Agent) Run(ctx context.Context) error {
+	go a.listener.Serve(ctx)
+	return a.terminator.Serve()
+}
+
+// Leave stops new work at the agent's backend server. Open flows and what is in
+// progress go on.
+func (a *Agent) Leave() {
+	a.leave.Do(func() {
+		a.receiver.Leaving()
+		a.driver.Leave()
+	})
+}
+
+// Shutdown waits until the requests in progress have ended and moves the
+// callers on. The end of the context cuts what is left.
+func (a *Agent) Shutdown(ctx context.Context) error {
+	a.Leave()
+	if err := a.terminator.Shutdown(ctx); err != nil {
+		return fmt.Errorf("Agent.Shutdown %s: %w", a.Identity(), err)
+	}
+	return nil
+}
+
+// Close cuts every flow and closes the sockets.
+func (a *Agent) Close() error {
+	err := a.terminator.Close()
+	a.closeSockets()
+	return err
+}
+
+func (a *Agent) closeSockets() {
+	var errs []error
+	if a.transport != nil {
+		errs = append(errs, a.transport.Close())
+	}
+	if a.receiver != nil {
+		errs = append(errs, a.receiver.Close())
+	}
+	if a.pool != nil {
+		errs = append(errs, a.pool.Close())
+	}
+	if a.listener != nil {
+		errs = append(errs, a.listener.Close())
+	}
+	_ = errors.Join(errs...)
+}
+
+// document gives the service's part of the document in force.
+func (a *Agent) document() gooseberrymast.Service {
+	if service := a.service.Load(); service != nil {
+		return *service
+	}
+	var unset gooseberrymast.Service
+	unset.Defaults()
+	return unset
+}
+
+// atFlowBound reports whether the agent would rather pass a new flow on.
+func (a *Agent) atFlowBound() bool {
+	service := a.service.Load()
+	if service == nil {
+		return true
+	}
+	return int(a.driver.Load().Streams) >= service.Limits.Connections
+}
+
+// locate gives the control address of another agent of the service.
+func (a *Agent) locate(peer gooseberrymast.Identity) (netip.AddrPort, bool) {
+	for _, member := range a.table.Load().Members(a.tag) {
+		if member.Identity == peer {
+			return member.Control, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- a/cmd/gooseberrymast/main.go
+++ b/cmd/gooseberrymast/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -43,7 +44,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 	}
--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -28,6 +28,7 @@
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
 		newCheck(),
+		newTry(),
 		newVersion(),
 	)
 	return root
--- /dev/null
+++ b/cmd/gooseberrymast/try.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"gooseberrymast/trier"
+)
+
+const tryHelp = `Run a whole system on loopback in this one process: callers, a fabric that hands
+any packet to any balancer, balancers, agents and stand-in backend servers. Send
+traffic while the scenario changes the system, then report what callers were told
+and what the backend servers really ran.
+
+Nothing is needed beforehand and nothing is left behind. The exit code is 1 when
+an invariant broke.`
+
+// errBroken means that a trial broke an invariant.
+var errBroken = errors.New("the trial broke an invariant")
+
+type tryFlags struct {
+	deployment string
+	scenario   string
+	seconds    int
+	seed       uint64
+	json       bool
+	baseline   bool
+}
+
+func newTry() *cobra.Command {
+	var flags tryFlags
+	command := &cobra.Command{
+		Use:   "try",
+		Short: "Run a whole system on loopback under traffic and changes",
+		Long:  tryHelp,
+		Args:  invalidArgs(cobra.NoArgs),
+		RunE:  func(command *cobra.Command, _ []string) error { return runTry(command, flags) },
+	}
+	set := command.Flags()
+	set.StringVar(&flags.deployment, "deployment", "nilebridge", "the sizes to run: nilebridge or magnolia")
+	set.StringVar(&flags.scenario, "scenario", trier.DefaultScenario, "one of "+strings.Join(trier.ScenarioNames(), ", "))
+	set.IntVar(&flags.seconds, "seconds", 20, "how long traffic is sent")
+	set.Uint64Var(&flags.seed, "seed", 1, "the seed of traffic and faults")
+	set.BoolVar(&flags.json, "json", false, "end with one JSON object on the last line")
+	set.BoolVar(&flags.baseline, "baseline", false, "run the plain policy: no hand-over, an unbounded queue, retries without a budget")
+	return command
+}
+
+func runTry(command *cobra.Command, flags tryFlags) error {
+	deployment, err := trier.DeploymentByName(flags.deployment)
+	if err != nil {
+		return invalidError{err}
+	}
+	if flags.seconds < 1 {
+		return invalidError{fmt.Errorf("--seconds %d: want 1 or more", flags.seconds)}
+	}
+	log.DefaultLogger.Level = log.WarnLevel
+	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	report, err := trier.Run(ctx, trier.Options{
+		Deployment: deployment,
+		Scenario:   flags.scenario,
+		Length:     time.Duration(flags.seconds) * time.Second,
+		Seed:       flags.seed,
+		Baseline:   flags.baseline,
+		Progress:   command.ErrOrStderr(),
+	})
+	if err != nil {
+		return err
+	}
+	return showReport(command, report, flags.json)
+}
+
+func showReport(command *cobra.Command, report *trier.Report, asJSON bool) error {
+	write := report.WriteTable
+	if asJSON {
+		write = report.WriteJSON
+	}
+	if err := write(command.OutOrStdout()); err != nil {
+		return err
+	}
+	broken := report.Broken()
+	if len(broken) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w:\n  %s", errBroken, strings.Join(broken, "\n  "))
+}
--- a/trier/request.go
+++ b/trier/request.go
@@ -23,6 +23,12 @@
 // streamDeadline bounds a stream; the plans' streams are far shorter.
 const streamDeadline = 5 * time.Minute
 
+// Reasons that a caller finds by itself.
+const (
+	reasonCallerTimeout gooseberrymast.Reason = "caller-timeout"
+	reasonNoFlow        gooseberrymast.Reason = "no-flow"
+)
+
 // requestSpec is one request to send.
 type requestSpec struct {
 	id         string
@@ -94,7 +100,7 @@
 }
 
 func judgeRefusal(response *http.Response) (told, gooseberrymast.Reason, error) {
-	refusal, ok := caller.RefusalOf(response)
+	refusal, ok := caller.RefusalOf(response, nil)
 	if !ok {
 		return toldUnknown, gooseberrymast.Reason("status-" + strconv.Itoa(response.StatusCode)), nil
 	}
@@ -115,7 +121,10 @@
 		return toldOf(refusal), refusal.Reason
 	}
 	if ctx.Err() != nil {
-		return toldUnknown, gooseberrymast.ReasonDeadlinePassed
+		return toldUnknown, reasonCallerTimeout
+	}
+	if errors.Is(err, caller.ErrNotRun) {
+		return toldNotRun, reasonNoFlow
 	}
 	return toldCut, gooseberrymast.Reason(err.Error())
 }
