--- a/coordination/spreader/spreader.go
+++ b/coordination/spreader/spreader.go
@@ -16,8 +16,12 @@
 // first news after a pause is sent at once.
 const DefaultInterval = 250 * time.Millisecond
 
+// catchUpInterval takes the interval's place while more news waits than one
+// delta holds, as for a newcomer.
+const catchUpInterval = 50 * time.Millisecond
+
 // MaxDeltaNews bounds the entries of one delta.
-const MaxDeltaNews = 500
+const MaxDeltaNews = 2000
 
 // Batch is what is due on one session.
 type Batch struct {
@@ -66,7 +70,7 @@
 func (s *Spreader) Due(now time.Time) []Batch {
 	var batches []Batch
 	for id, q := range s.queues {
-		if q.empty() || now.Before(q.flushed.Add(s.interval())) {
+		if q.empty() || now.Before(q.flushed.Add(s.wait(q))) {
 			continue
 		}
 		q.flushed = now
@@ -83,7 +87,7 @@
 		if q.empty() {
 			continue
 		}
-		at := q.flushed.Add(s.interval())
+		at := q.flushed.Add(s.wait(q))
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
@@ -103,7 +107,10 @@
 	return q
 }
 
-func (s *Spreader) interval() time.Duration {
+func (s *Spreader) wait(q *queue) time.Duration {
+	if len(q.keys) > MaxDeltaNews {
+		return catchUpInterval
+	}
 	if s.Interval == 0 {
 		return DefaultInterval
 	}
--- /dev/null
+++ b/transport/storer/storer.go
@@ -0,0 +1,214 @@
+// Package storer is the client of the platform's object API.
+package storer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/messages/objects"
+	"gooseberrymast/protocol/messages/objects/objectsconnect"
+)
+
+// DefaultTimeout bounds every call but Watch.
+const DefaultTimeout = 3 * time.Second
+
+// A connection on which nothing came for pingInterval is checked, and dropped
+// after pingTimeout, so that a dead one doesn't hold up calls.
+const (
+	pingInterval = 15 * time.Second
+	pingTimeout  = 5 * time.Second
+)
+
+// ErrTooLarge means that a value is longer than gooseberrymast.MaxObjectBytes.
+var ErrTooLarge = errors.New("the value is too large")
+
+// Storer implements gooseberrymast.Store. Its fields are set before the first
+// call.
+type Storer struct {
+	// Address is the base URL of the API, such as http://10.0.0.1:9000.
+	Address string
+	// Timeout bounds every call but Watch; zero is DefaultTimeout.
+	Timeout time.Duration
+
+	once     sync.Once
+	client   objectsconnect.ObjectServiceClient
+	counters *prometheus.CounterVec
+}
+
+// Register adds the counters of calls by method and outcome.
+func (s *Storer) Register(registerer prometheus.Registerer) error {
+	s.start()
+	if err := registerer.Register(s.counters); err != nil {
+		return fmt.Errorf("Storer.Register: %w", err)
+	}
+	return nil
+}
+
+// Get implements gooseberrymast.Store.
+func (s *Storer) Get(ctx context.Context, key string) (gooseberrymast.Object, error) {
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	response, err := s.client.Get(ctx, connect.NewRequest(&objects.GetRequest{Key: key}))
+	if err != nil {
+		return gooseberrymast.Object{}, s.failed("get", key, readError(err))
+	}
+	s.count("get", "ok")
+	return object(response.Msg.GetObject()), nil
+}
+
+// List implements gooseberrymast.Store.
+func (s *Storer) List(ctx context.Context, prefix string) ([]gooseberrymast.Object, error) {
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	response, err := s.client.List(ctx, connect.NewRequest(&objects.ListRequest{Prefix: prefix}))
+	if err != nil {
+		return nil, s.failed("list", prefix, readError(err))
+	}
+	s.count("list", "ok")
+	list := make([]gooseberrymast.Object, 0, len(response.Msg.GetObjects()))
+	for _, found := range response.Msg.GetObjects() {
+		list = append(list, object(found))
+	}
+	return list, nil
+}
+
+// Put implements gooseberrymast.Store.
+func (s *Storer) Put(ctx context.Context, written gooseberrymast.Object, expected uint64) (uint64, error) {
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	if len(written.Value) > gooseberrymast.MaxObjectBytes {
+		return 0, fmt.Errorf("Storer.Put %s: %d bytes: %w", written.Key, len(written.Value), ErrTooLarge)
+	}
+	response, err := s.client.Put(ctx, connect.NewRequest(&objects.PutRequest{
+		Object:   &objects.Object{Key: written.Key, WriteId: written.WriteID, Value: written.Value},
+		Expected: expected,
+	}))
+	if err != nil {
+		return 0, s.failed("put", written.Key, writeError(err))
+	}
+	s.count("put", "ok")
+	return response.Msg.GetVersion(), nil
+}
+
+// Delete implements gooseberrymast.Store.
+func (s *Storer) Delete(ctx context.Context, key string, expected uint64) error {
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	_, err := s.client.Delete(ctx, connect.NewRequest(&objects.DeleteRequest{Key: key, Expected: expected}))
+	if err != nil {
+		return s.failed("delete", key, writeError(err))
+	}
+	s.count("delete", "ok")
+	return nil
+}
+
+// Watch implements gooseberrymast.Store.
+func (s *Storer) Watch(ctx context.Context, key string, after uint64) (gooseberrymast.Object, error) {
+	s.start()
+	response, err := s.client.Watch(ctx, connect.NewRequest(&objects.WatchRequest{Key: key, After: after}))
+	if err != nil {
+		return gooseberrymast.Object{}, s.failed("watch", key, watchError(err))
+	}
+	s.count("watch", "ok")
+	return object(response.Msg.GetObject()), nil
+}
+
+func (s *Storer) start() {
+	s.once.Do(func() {
+		protocols := &http.Protocols{}
+		protocols.SetUnencryptedHTTP2(true)
+		client := &http.Client{Transport: &http.Transport{
+			Protocols: protocols,
+			HTTP2:     &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		}}
+		s.client = objectsconnect.NewObjectServiceClient(client, s.Address)
+		s.counters = prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrymast_store_calls_total",
+			Help: "Calls to the platform's store by method and outcome.",
+		}, []string{"method", "outcome"})
+	})
+}
+
+func (s *Storer) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.start()
+	timeout := s.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	return context.WithTimeout(ctx, timeout)
+}
+
+func (s *Storer) failed(method, key string, err error) error {
+	s.count(method, outcome(err))
+	return fmt.Errorf("Storer.%s %s at %s: %w", method, key, s.Address, err)
+}
+
+func (s *Storer) count(method, outcome string) {
+	s.counters.WithLabelValues(method, outcome).Inc()
+}
+
+func outcome(err error) string {
+	switch {
+	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+		return "not-found"
+	case errors.Is(err, gooseberrymast.ErrStoreConflict):
+		return "conflict"
+	case errors.Is(err, gooseberrymast.ErrStoreUnknown):
+		return "unknown"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	}
+	return "unavailable"
+}
+
+// readError tells what became of a call that changes nothing.
+func readError(err error) error {
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreNotFound, err)
+	}
+	return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreUnavailable, err)
+}
+
+// watchError tells a watch that ended without news from one that failed.
+func watchError(err error) error {
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		return fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+	}
+	return readError(err)
+}
+
+// writeError tells what became of a write. Only a write that was refused for
+// its version, or that was never sent, is known to have had no effect.
+func writeError(err error) error {
+	switch connect.CodeOf(err) {
+	case connect.CodeFailedPrecondition:
+		return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreConflict, err)
+	case connect.CodeNotFound:
+		return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreNotFound, err)
+	case connect.CodeInvalidArgument, connect.CodeResourceExhausted:
+		return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreUnavailable, err)
+	}
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", gooseberrymast.ErrStoreUnknown, err)
+}
+
+func object(found *objects.Object) gooseberrymast.Object {
+	return gooseberrymast.Object{
+		Key:     found.GetKey(),
+		Version: found.GetVersion(),
+		WriteID: found.GetWriteId(),
+		Value:   found.GetValue(),
+	}
+}
