Add apply, diff, promote, history, status and explain

The commands work against the store's interface and the operators' address; the store itself is not connected yet: openStore fails and says so. The loser of a race is told who won, when and what differs; a promotion is refused while a balancer reports an instance without the revision; a forced one keeps its reason with the author's name.

--- /dev/null
+++ b/cmd/gooseberrymast/apply.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"crypto/rand"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gooseberrymast/coordination/applier"
+)
+
+const applyHelp = `Makes a document the next revision of an environment.
+
+The document is checked first, as by "check". The write is conditional: when
+another operator's revision came between, nothing is changed and you are told
+who applied it, when, and what differs. With --seen N the document is applied
+only when N is still the newest revision, for example the one that "diff"
+compared with; without it, the newest revision at the start of the command.
+
+When the answer of the store is lost, the command reads the store until it knows
+whether the document was applied. If the store stays down it says that this is
+not known; "history" shows it later by the write id.
+
+` + storeHelp + `
+
+Exit codes: 0 applied, 1 not applied or not known, 2 invalid input.`
+
+func newApply(open opener) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "apply --environment E FILE",
+		Short: "Make a document the next revision of an environment",
+		Long:  applyHelp,
+		Args:  invalidArgs(cobra.ExactArgs(1)),
+	}
+	store, author, environment, seen := storeFlag(command), authorFlag(command), environmentFlag(command), seenFlag(command)
+	command.RunE = func(command *cobra.Command, args []string) error {
+		_, text, err := readDocument(args[0])
+		if err != nil {
+			return err
+		}
+		if err := checkEnvironment("environment", *environment); err != nil {
+			return err
+		}
+		if err := checkAuthor(*author); err != nil {
+			return err
+		}
+		access, err := openFlag(open, *store)
+		if err != nil {
+			return err
+		}
+		machine := &applier.Applier{
+			Environment: *environment,
+			Text:        text,
+			Author:      *author,
+			Conditional: command.Flags().Changed("seen"),
+			Seen:        *seen,
+		}
+		return applyAndReport(command, access, machine)
+	}
+	return command
+}
+
+// applyAndReport runs an applier and prints its report.
+func applyAndReport(command *cobra.Command, access revisions, machine *applier.Applier) error {
+	machine.WriteID = rand.Text()
+	machine.Time = time.Now().UTC()
+	return printReport(newPrinter(command), access.run(command.Context(), machine))
+}
--- a/cmd/gooseberrymast/check.go
+++ b/cmd/gooseberrymast/check.go
@@ -30,9 +30,10 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(command.OutOrStdout(), "%s is valid: %d services, %d availability zones\n",
+			out := newPrinter(command)
+			out.printf("%s is valid: %d services, %d availability zones\n",
 				args[0], len(document.Services), len(document.Zones))
-			return nil
+			return out.err
 		},
 	}
 }
--- a/cmd/gooseberrymast/main.go
+++ b/cmd/gooseberrymast/main.go
@@ -3,10 +3,13 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"gooseberrymast"
 )
@@ -34,18 +37,22 @@
 }
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, openStore, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
-// run executes one command line and gives its exit code.
-func run(args []string, stdout, stderr io.Writer) int {
-	root := newRoot()
+// run executes one command line and gives its exit code. The context ends when
+// the process is asked to stop.
+func run(ctx context.Context, open opener, args []string, stdout, stderr io.Writer) int {
+	root := newRoot(open)
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	err := root.ExecuteContext(ctx)
 	if err != nil {
-		fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 	}
 	return exitCode(err)
 }
--- a/cmd/gooseberrymast/main_test.go
+++ b/cmd/gooseberrymast/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,8 +13,13 @@
 
 // execute runs a command line and gives its exit code and outputs.
 func execute(args ...string) (code int, stdout, stderr string) {
+	return executeOn(&memoryStore{}, args...)
+}
+
+// executeOn is execute with a store behind every store address.
+func executeOn(store *memoryStore, args ...string) (code int, stdout, stderr string) {
 	var out, errs bytes.Buffer
-	code = run(args, &out, &errs)
+	code = run(context.Background(), store.open, args, &out, &errs)
 	return code, out.String(), errs.String()
 }
 
@@ -60,7 +66,7 @@
 // TestHelpNamesExitCodes keeps every command's help complete.
 func TestHelpNamesExitCodes(t *testing.T) {
 	is := is.New(t)
-	for _, command := range newRoot().Commands() {
+	for _, command := range newRoot(nil).Commands() {
 		is.True(command.Long != "")
 		if command.Args != nil && command.Name() != "version" {
 			is.True(strings.Contains(command.Long, "Exit codes:")) // documents its exit codes
--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -12,7 +12,10 @@
 
 Exit codes: 0 done, 1 failed, 2 invalid input; with 2 nothing was changed.`
 
-func newRoot() *cobra.Command {
+// opener gives access to the store at a base URL.
+type opener func(address string) (revisions, error)
+
+func newRoot(open opener) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "gooseberrymast",
 		Short:         "A layer-4 load balancer that explains what it did",
@@ -27,7 +30,13 @@
 	})
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
+		newApply(open),
 		newCheck(),
+		newDiff(open),
+		newExplain(),
+		newHistory(open),
+		newPromote(open),
+		newStatus(),
 		newVersion(),
 	)
 	return root
--- a/cmd/gooseberrymast/settings.go
+++ b/cmd/gooseberrymast/settings.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return append(faults, surrounding(key, address.String(), err, "a UDP address that this instance can listen on"))
 	}
-	conn.Close()
+	_ = conn.Close()
 	return faults
 }
 
@@ -106,7 +106,7 @@
 	if err != nil {
 		return append(faults, surrounding(key, address.String(), err, "a TCP address that this instance can listen on"))
 	}
-	listener.Close()
+	_ = listener.Close()
 	return faults
 }
 
--- a/cmd/gooseberrymast/settings_test.go
+++ b/cmd/gooseberrymast/settings_test.go
@@ -13,7 +13,7 @@
 	is := is.New(t)
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	defer taken.Close()
+	defer func() { _ = taken.Close() }()
 	file := write(t, "balancer.toml", fmt.Sprintf(`environment = "trial"
 zone = "cairo-a"
 forward-address = "192.0.2.1:7000"
--- /dev/null
+++ b/cmd/gooseberrymast/status_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/transport/operator"
+)
+
+func identity(text string) gooseberrymast.Identity {
+	return gooseberrymast.Identity{Address: netip.MustParseAddrPort(text), Incarnation: 1}
+}
+
+// serve starts an operators' address and gives it.
+func serve(t *testing.T, server *operator.Server) string {
+	t.Helper()
+	listener := httptest.NewServer(server.Handler())
+	t.Cleanup(listener.Close)
+	return strings.TrimPrefix(listener.URL, "http://")
+}
+
+func trialStatus() gooseberrymast.Status {
+	return gooseberrymast.Status{
+		Instance: identity("10.0.0.1:7000"), Environment: "trial", Revision: 1, Newest: 1, StoreReachable: true,
+		Revisions: []gooseberrymast.RevisionStatus{
+			{Number: 1, Instances: 9},
+			{Number: 0, Instances: 2, Identities: []gooseberrymast.Identity{identity("10.0.1.7:7000")}},
+		},
+		Services: []gooseberrymast.ServiceStatus{{Name: "ledger", Members: []gooseberrymast.MemberStatus{
+			{Identity: identity("10.0.1.7:7000"), Zone: "cairo-a", State: "leaving", Suspect: true, Why: "it is leaving"},
+		}}},
+		Cells: []gooseberrymast.CellStatus{{Name: "cairo-a-0", Holder: identity("10.0.0.1:7000"), Members: 4, Version: 12}},
+	}
+}
+
+func TestStatus(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, &operator.Server{Status: trialStatus})
+	code, stdout, _ := execute("status", "--balancer", address)
+	is.Equal(code, exitOK)
+	for _, want := range []string{
+		"revision 1 is not in force everywhere yet\n",
+		"none      2          10.0.1.7:7000#1 and 1 more\n",
+		"leaving, suspect",
+		"it is leaving\n",
+		"cairo-a-0  10.0.0.1:7000#1  4        12\n",
+	} {
+		if !strings.Contains(stdout, want) {
+			t.Errorf("%q is missing from\n%s", want, stdout)
+		}
+	}
+	_, stdout, _ = execute("status", "--json", "--balancer", address)
+	is.True(strings.Contains(stdout, `"store-reachable":true`))
+	is.Equal(strings.Count(stdout, "\n"), 1) // one object on one line
+	code, _, _ = execute("status", "--balancer", "balancer-1:7002")
+	is.Equal(code, exitInvalid)
+	code, _, _ = execute("status", "--balancer", "127.0.0.1:1")
+	is.Equal(code, exitFailed)
+}
+
+func TestAgentStatus(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, &operator.Server{AgentStatus: func() gooseberrymast.AgentStatus {
+		return gooseberrymast.AgentStatus{Instance: identity("10.0.1.7:7000"), Service: "ledger", State: "leaving", Flows: 3, Streams: 2, Running: 1}
+	}})
+	code, stdout, _ := execute("status", "--agent", address)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(stdout, "state leaving"))
+	is.True(strings.Contains(stdout, "flows 3, streams 2, requests running 1, queued 0"))
+}
+
+type oneRefusal gooseberrymast.Refusal
+
+func (o oneRefusal) Find(id string) (gooseberrymast.Refusal, bool) {
+	return gooseberrymast.Refusal(o), id == o.ID
+}
+
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	refusal := gooseberrymast.Refusal{
+		ID: "abc", Reason: gooseberrymast.ReasonQueueFull, Ran: gooseberrymast.RanNo, Service: "ledger",
+		Limit: "queue", Value: "32", Revision: 7, Instance: "10.0.1.7:7000", Time: time.Unix(0, 0),
+	}
+	address := serve(t, &operator.Server{Refusals: oneRefusal(refusal)})
+	code, stdout, _ := execute("explain", "abc", "--agent", address)
+	is.Equal(code, exitOK)
+	is.Equal(stdout, refusal.Sentence()+"\nid abc, reason queue-full, at 1970-01-01T00:00:00Z\n")
+	code, _, stderr := execute("explain", "abd", "--agent", address)
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(stderr, "refusal abd is not kept at "+address))
+}
+
+func TestPromote(t *testing.T) {
+	status := trialStatus()
+	address := serve(t, &operator.Server{Status: func() gooseberrymast.Status { return status }})
+	is := is.New(t)
+	store := &memoryStore{}
+	applyAs(t, store, "amina", slots4)
+	flags := []string{"promote", "--from", "trial", "--to", "production", "--store", "http://127.0.0.1:1", "--author", "karim", "--balancer", address}
+
+	code, _, stderr := executeOn(store, flags...)
+	is.Equal(code, exitFailed)
+	is.Equal(stderr, "trial: revision 1 was not promoted: the revision is not in force everywhere: 2 of 11 instances don't have revision 1 in force\n")
+	is.Equal(len(store.objects), 2) // trial's document and its copy only
+
+	code, _, _ = executeOn(store, append(flags, "--force", "")...)
+	is.Equal(code, exitInvalid) // a reason is needed
+	code, stdout, _ := executeOn(store, append(flags, "--force", "two agents are being repaired")...)
+	is.Equal(code, exitOK)
+	is.Equal(stdout, "production: applied as revision 1 by karim, forced: two agents are being repaired\n")
+
+	status.Revisions = status.Revisions[:1]
+	code, stdout, _ = executeOn(store, flags...)
+	is.Equal(code, exitOK)
+	is.Equal(stdout, "production: applied as revision 2 by karim\n  its text is that of revision 1\n")
+	_, stdout, _ = executeOn(store, "history", "--environment", "production", "--store", "http://127.0.0.1:1", "--show", "2")
+	is.Equal(stdout, slots4) // the very same bytes
+	code, _, _ = executeOn(store, "promote", "--from", "trial", "--to", "trial", "--author", "a")
+	is.Equal(code, exitInvalid)
+}
--- a/cmd/gooseberrymast/version.go
+++ b/cmd/gooseberrymast/version.go
@@ -18,8 +18,9 @@
 		Long:  versionHelp,
 		Args:  invalidArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
-			fmt.Fprintln(command.OutOrStdout(), versionText())
-			return nil
+			out := newPrinter(command)
+			out.printf("%s\n", versionText())
+			return out.err
 		},
 	}
 }
--- a/coordination/applier/applier.go
+++ b/coordination/applier/applier.go
@@ -250,6 +250,7 @@
 func (a *Applier) finish(report Report) Step {
 	a.stage = stageDone
 	report.Revision = a.revision()
+	report.Base = a.base
 	report.SameText = a.base.Number > 0 && bytes.Equal(a.base.Text, a.Text)
 	return Step{Kind: StepDone, Report: report}
 }
--- a/coordination/applier/report.go
+++ b/coordination/applier/report.go
@@ -39,6 +39,8 @@
 	// Revision is what was or would have been written. Its Number is the
 	// one after the revision that was read, zero-based before any read.
 	Revision gooseberrymast.Revision
+	// Base is the revision that was read, and zero when there was none.
+	Base gooseberrymast.Revision
 	// Winner is set for OutcomeLost once it could be read: the revision that
 	// took the place of this one.
 	Winner gooseberrymast.Revision
--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -36,23 +36,29 @@
 // Status reads the status of a balancer.
 func (c Client) Status(ctx context.Context) (gooseberrymast.Status, error) {
 	var status gooseberrymast.Status
-	err := c.get(ctx, PathStatus, &status)
-	return status, err
+	if err := c.get(ctx, PathStatus, &status); err != nil {
+		return status, fmt.Errorf("Client.Status: %w", err)
+	}
+	return status, nil
 }
 
 // AgentStatus reads the status of an agent.
 func (c Client) AgentStatus(ctx context.Context) (gooseberrymast.AgentStatus, error) {
 	var status gooseberrymast.AgentStatus
-	err := c.get(ctx, PathStatus, &status)
-	return status, err
+	if err := c.get(ctx, PathStatus, &status); err != nil {
+		return status, fmt.Errorf("Client.AgentStatus: %w", err)
+	}
+	return status, nil
 }
 
 // Refusal reads a refusal from the agent that refused. It fails with
 // ErrNotFound when the agent keeps it no longer.
 func (c Client) Refusal(ctx context.Context, id string) (RefusalReport, error) {
 	var report RefusalReport
-	err := c.get(ctx, PathRefusals+url.PathEscape(id), &report)
-	return report, err
+	if err := c.get(ctx, PathRefusals+url.PathEscape(id), &report); err != nil {
+		return report, fmt.Errorf("Client.Refusal: %w", err)
+	}
+	return report, nil
 }
 
 // direct never goes through a proxy of the operator's environment.
@@ -64,19 +70,19 @@
 	target := "http://" + c.Address.String() + path
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return fmt.Errorf("Client.get %s: %w", target, err)
+		return fmt.Errorf("GET %s: %w", target, err)
 	}
 	response, err := direct.Do(request)
 	if err != nil {
-		return fmt.Errorf("Client.get: %w", err)
+		return err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("Client.get %s: %w", target, answerError(response))
+		return fmt.Errorf("GET %s: %w", target, answerError(response))
 	}
 	body := io.LimitReader(response.Body, MaxAnswerBytes)
 	if err := json.NewDecoder(body).Decode(into); err != nil {
-		return fmt.Errorf("Client.get %s: decode the answer: %w", target, err)
+		return fmt.Errorf("GET %s: decode the answer: %w", target, err)
 	}
 	return nil
 }
--- a/transport/operator/operator_test.go
+++ b/transport/operator/operator_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
 		t.Fatal(err)
--- a/validate.go
+++ b/validate.go
@@ -71,7 +71,7 @@
 	tags := map[ServiceTag]string{}
 	for _, name := range d.ServiceNames() {
 		key := KeyPath("services", name)
-		if !isName(name) {
+		if !IsName(name) {
 			faults.add(key, name, "a service name of %s", wantName)
 		}
 		if other, taken := tags[TagOf(name)]; taken {
@@ -97,7 +97,7 @@
 func (s *Service) validate(faults *Faults, key string, zones []string) {
 	validateNames(faults, key+".zones", s.Zones)
 	for _, zone := range s.Zones {
-		if isName(zone) && !slices.Contains(zones, zone) {
+		if IsName(zone) && !slices.Contains(zones, zone) {
 			faults.add(key+".zones", zone, "one of the document's zones: %s", strings.Join(zones, ", "))
 		}
 	}
@@ -144,7 +144,7 @@
 
 func validateNames(faults *Faults, key string, names []string) {
 	for i, name := range names {
-		if !isName(name) {
+		if !IsName(name) {
 			faults.add(key, name, "a zone name of %s", wantName)
 		}
 		if slices.Contains(names[:i], name) {
@@ -173,7 +173,9 @@
 	})
 }
 
-func isName(name string) bool {
+// IsName reports whether a text may name an environment, a service or an
+// availability zone.
+func IsName(name string) bool {
 	if name == "" || len(name) > MaxNameBytes || name[0] < 'a' || name[0] > 'z' {
 		return false
 	}
--- a/validate_settings.go
+++ b/validate_settings.go
@@ -42,7 +42,7 @@
 	}
 	for _, name := range b.ServiceNames() {
 		key := KeyPath("service-addresses", name)
-		if !isName(name) {
+		if !IsName(name) {
 			faults.add(key, name, "a service name of %s", wantName)
 		}
 		if len(b.ServiceAddresses[name]) == 0 {
@@ -144,7 +144,7 @@
 		faults.missing(key, "a name of "+wantName)
 		return
 	}
-	if !isName(name) {
+	if !IsName(name) {
 		faults.add(key, name, "a name of %s", wantName)
 	}
 }
@@ -188,14 +188,23 @@
 		faults.missing(key, wantURL)
 		return
 	}
-	base, err := url.Parse(text)
-	if err != nil || (base.Scheme != "http" && base.Scheme != "https") || base.RawQuery != "" || base.Fragment != "" || base.User != nil {
+	if !IsStoreAddress(text) {
 		faults.add(key, text, wantURL)
-		return
 	}
-	if address, err := netip.ParseAddrPort(base.Host); err != nil || address.Port() == 0 {
-		faults.add(key, text, wantURL)
+}
+
+// IsStoreAddress reports whether a text is a URL with an IP address and a port
+// at which the platform's store may be reached.
+func IsStoreAddress(text string) bool {
+	base, err := url.Parse(text)
+	if err != nil || (base.Scheme != "http" && base.Scheme != "https") {
+		return false
+	}
+	if base.RawQuery != "" || base.Fragment != "" || base.User != nil {
+		return false
 	}
+	address, err := netip.ParseAddrPort(base.Host)
+	return err == nil && address.Port() != 0
 }
 
 func validateFile(faults *Faults, key, name string) {
