--- a/cmd/gooseberrymast/apply.go
+++ b/cmd/gooseberrymast/apply.go
@@ -64,5 +64,12 @@
 func applyAndReport(command *cobra.Command, access revisions, machine *applier.Applier) error {
 	machine.WriteID = rand.Text()
 	machine.Time = time.Now().UTC()
-	return printReport(newPrinter(command), access.run(command.Context(), machine))
+	if err := access.fits(machine); err != nil {
+		return err
+	}
+	report := access.run(command.Context(), machine)
+	if report.Outcome == applier.OutcomeApplied {
+		access.prune(command.Context(), machine.Environment, report.Revision.Number)
+	}
+	return printReport(newPrinter(command), report)
 }
--- a/cmd/gooseberrymast/explain.go
+++ b/cmd/gooseberrymast/explain.go
@@ -3,33 +3,41 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 
 	"github.com/spf13/cobra"
 
+	"gooseberrymast"
+	"gooseberrymast/state/recorder"
 	"gooseberrymast/transport/operator"
 )
 
+// defaultOperatorsPort is the port of the operators' addresses in the examples.
+const defaultOperatorsPort = 7002
+
 const explainHelp = `Says why a request was refused, in the words that the caller was given. The
-identifier stands in the caller's error; the agent that refused keeps its last few
-thousand refusals until it stops.
+identifier stands in the caller's error and names the agent that refused. That
+agent keeps its last few thousand refusals until it stops.
 
---agent is that agent's operators' address, for example 10.0.1.1:7002. The agent
-answers on GET /refusals/ID.
+The agent is asked at the IP address in the identifier, at the port that --port
+gives, by GET /refusals/ID on its operators' address. --agent names another
+address to ask.
 
 Exit codes: 0 explained, 1 the agent can't be reached or keeps it no longer,
 2 invalid input.`
 
 func newExplain() *cobra.Command {
 	command := &cobra.Command{
-		Use:   "explain ID --agent ADDRESS",
+		Use:   "explain ID",
 		Short: "Say why a request was refused",
 		Long:  explainHelp,
 		Args:  invalidArgs(cobra.ExactArgs(1)),
 	}
-	agent := command.Flags().String("agent", "", "operators' `address` of the agent that refused")
+	agent := command.Flags().String("agent", "", "operators' `address` of the agent, when it isn't on the identifier's IP address")
+	port := command.Flags().Uint16("port", defaultOperatorsPort, "`port` of the agents' operators' addresses")
 	asJSON := command.Flags().Bool("json", false, "print one JSON object")
 	command.RunE = func(command *cobra.Command, args []string) error {
-		address, err := parseAddress("agent", *agent)
+		address, err := explainer(args[0], *agent, *port)
 		if err != nil {
 			return err
 		}
@@ -51,6 +59,18 @@
 	return command
 }
 
+// explainer gives the operators' address of the agent to ask.
+func explainer(id, agent string, port uint16) (netip.AddrPort, error) {
+	origin, err := recorder.Origin(id)
+	if err != nil {
+		return netip.AddrPort{}, gooseberrymast.Faults{{Key: "ID", Value: gooseberrymast.FaultValue(id), Want: "the identifier of a refusal"}}
+	}
+	if agent != "" {
+		return parseAddress("agent", agent)
+	}
+	return netip.AddrPortFrom(origin.Address.Addr(), port), nil
+}
+
 func printRefusal(out *printer, report operator.RefusalReport) {
 	out.printf("%s\n", printable(report.Sentence))
 	out.printf("id %s, reason %s, at %s\n", printable(report.ID), printable(report.Reason), formatTime(report.Time))
--- a/cmd/gooseberrymast/revisions.go
+++ b/cmd/gooseberrymast/revisions.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sort"
 	"time"
 
@@ -70,6 +71,42 @@
 	return r.store.List(ctx, gooseberrymast.HistoryPrefix(environment))
 }
 
+// keptRevisions is the number of revisions that the history keeps.
+const keptRevisions = 500
+
+// prune deletes the one revision that the newest pushes out of the history. A
+// failure leaves one old copy behind and harms nothing.
+func (r revisions) prune(ctx context.Context, environment string, newest uint64) {
+	if newest <= keptRevisions {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := gooseberrymast.HistoryKey(environment, newest-keptRevisions)
+	if object, err := r.store.Get(ctx, key); err == nil {
+		_ = r.store.Delete(ctx, key, object.Version)
+	}
+}
+
+// fits makes sure that the store takes an object of the document's length.
+func (r revisions) fits(machine *applier.Applier) error {
+	value, err := r.encode(gooseberrymast.Revision{
+		Number:      math.MaxUint64,
+		Environment: machine.Environment,
+		WriteID:     machine.WriteID,
+		Author:      machine.Author,
+		Time:        machine.Time,
+		Text:        machine.Text,
+	})
+	if err != nil {
+		return invalidError{fmt.Errorf("revisions.fits: %w", err)}
+	}
+	if len(value) > gooseberrymast.MaxObjectBytes {
+		return invalidError{fmt.Errorf("the document needs %d bytes in the store, which takes at most %d", len(value), gooseberrymast.MaxObjectBytes)}
+	}
+	return nil
+}
+
 // run drives an applier to its end.
 func (r revisions) run(ctx context.Context, machine *applier.Applier) applier.Report {
 	step := machine.Start()
--- a/cmd/gooseberrymast/status_test.go
+++ b/cmd/gooseberrymast/status_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/state/recorder"
 	"gooseberrymast/transport/operator"
 )
 
@@ -84,16 +85,21 @@
 func TestExplain(t *testing.T) {
 	is := is.New(t)
 	refusal := gooseberrymast.Refusal{
-		ID: "abc", Reason: gooseberrymast.ReasonQueueFull, Ran: gooseberrymast.RanNo, Service: "ledger",
+		ID: recorder.Identifier(identity("127.0.0.1:7000"), 5), Reason: gooseberrymast.ReasonQueueFull, Ran: gooseberrymast.RanNo, Service: "ledger",
 		Limit: "queue", Value: "32", Revision: 7, Instance: "10.0.1.7:7000", Time: time.Unix(0, 0),
 	}
 	address := serve(t, &operator.Server{Refusals: oneRefusal(refusal)})
-	code, stdout, _ := execute("explain", "abc", "--agent", address)
+	_, port, _ := strings.Cut(address, ":")
+	code, stdout, _ := execute("explain", refusal.ID, "--port", port)
 	is.Equal(code, exitOK)
-	is.Equal(stdout, refusal.Sentence()+"\nid abc, reason queue-full, at 1970-01-01T00:00:00Z\n")
-	code, _, stderr := execute("explain", "abd", "--agent", address)
+	is.Equal(stdout, refusal.Sentence()+"\nid "+refusal.ID+", reason queue-full, at 1970-01-01T00:00:00Z\n")
+	other := recorder.Identifier(identity("10.9.9.9:7000"), 5)
+	code, _, stderr := execute("explain", other, "--agent", address)
 	is.Equal(code, exitFailed)
-	is.True(strings.Contains(stderr, "refusal abd is not kept at "+address))
+	is.True(strings.Contains(stderr, "refusal "+other+" is not kept at "+address))
+	code, _, stderr = execute("explain", "../status", "--agent", address)
+	is.Equal(code, exitInvalid)
+	is.Equal(stderr, "ID: got \"../status\", want the identifier of a refusal\n")
 }
 
 func TestPromote(t *testing.T) {
--- a/cmd/gooseberrymast/store_test.go
+++ b/cmd/gooseberrymast/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sort"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -178,6 +179,17 @@
 	is.Equal(strings.Count(stdout, "\n"), 2)
 }
 
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{}
+	for i := range keptRevisions + 3 {
+		applyAs(t, store, "amina", slots4+"# "+strconv.Itoa(i)+"\n")
+	}
+	_, stdout, _ := executeOn(store, "history", "--limit", "0", "--environment", "trial", "--store", "http://127.0.0.1:1")
+	is.Equal(strings.Count(stdout, "\n"), keptRevisions+1)
+	is.True(strings.HasPrefix(strings.Split(stdout, "\n")[1], "503 "))
+}
+
 func TestDiff(t *testing.T) {
 	is := is.New(t)
 	store := &memoryStore{}
