--- a/cmd/gooseberrymast/history.go
+++ b/cmd/gooseberrymast/history.go
@@ -8,9 +8,10 @@
 	"gooseberrymast"
 )
 
-const historyHelp = `Lists the revisions of an environment, the newest first: number, time, author,
-length and write id. The store keeps 500. With --show N it prints the document of revision N, byte for
-byte; to go back to it, apply that text again as a new revision.
+const historyHelp = `Lists the last revisions of an environment, the newest first: number, time,
+author, length and write id. The store keeps 500. With --show N it prints the
+document of revision N, byte for byte; to go back to it, apply that text again
+as a new revision.
 
 ` + storeHelp + `
 
