--- a/cmd/gooseberrymast/try.go
+++ b/cmd/gooseberrymast/try.go
@@ -19,8 +19,10 @@
 traffic while the scenario changes the system, then report what callers were told
 and what the backend servers really ran.
 
-Nothing is needed beforehand and nothing is left behind. The exit code is 1 when
-an invariant broke.`
+Nothing is needed beforehand and nothing is left behind.
+
+Exit codes: 0 every invariant held, 1 one broke or the trial failed, 2 invalid
+input.`
 
 // errBroken means that a trial broke an invariant.
 var errBroken = errors.New("the trial broke an invariant")
