--- a/trier/fleet.go
+++ b/trier/fleet.go
@@ -30,7 +30,6 @@
 	service DeployedService
 	name    string
 	zone    string
-	life    gooseberrymast.Incarnation
 	backend *backend.Backend
 	agent   *assembler.Agent
 	state   gooseberrymast.State
