--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -11,16 +11,20 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/quic-go/quic-go"
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/dispatcher"
 	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/parser"
+	"gooseberrymast/transport/controller"
 	"gooseberrymast/transport/driver"
 	"gooseberrymast/transport/executor"
 	"gooseberrymast/transport/hander"
 	"gooseberrymast/transport/linker"
+	"gooseberrymast/transport/poller"
 	"gooseberrymast/transport/receiver"
 	"gooseberrymast/transport/terminator"
 )
@@ -45,7 +49,7 @@
 	Registry *prometheus.Registry
 }
 
-// Agent is one agent process without its control side.
+// Agent is one agent process.
 type Agent struct {
 	// Registry holds the agent's metrics.
 	Registry *prometheus.Registry
@@ -62,12 +66,17 @@
 	dispatcher *dispatcher.Dispatcher
 	driver     *driver.Driver
 	terminator *terminator.Terminator
+	controller *controller.Controller
+	poller     *poller.Poller
+	healthy    atomic.Bool
+	revision   atomic.Uint64
+	raised     chan gooseberrymast.Identity
 	leave      sync.Once
 }
 
 // NewAgent opens the agent's sockets.
 func NewAgent(config AgentConfig) (*Agent, error) {
-	a := &Agent{config: config, Registry: config.Registry}
+	a := &Agent{config: config, Registry: config.Registry, raised: make(chan gooseberrymast.Identity, 1)}
 	if a.Registry == nil {
 		a.Registry = prometheus.NewRegistry()
 	}
@@ -78,7 +87,8 @@
 		return nil, fmt.Errorf("assembler.NewAgent: %w", err)
 	}
 	a.assemble()
-	return a, nil
+	a.join()
+	return a, a.register()
 }
 
 func (a *Agent) open() error {
@@ -150,6 +160,53 @@
 	}
 }
 
+// join makes the agent's part in its environment.
+func (a *Agent) join() {
+	settings := a.config.Settings
+	a.controller = controller.New(controller.Config{
+		Environment: settings.Environment,
+		Record: gooseberrymast.Record{
+			Identity: a.receiver.Identity(),
+			Control:  a.listener.Address(),
+			Role:     gooseberrymast.RoleAgent,
+			Service:  a.tag,
+			Zone:     settings.Zone,
+			Weight:   uint16(settings.Weight),
+		},
+		Seeds:      settings.Seeds,
+		Keys:       a.keys.Load,
+		Timer:      a.config.Timer,
+		Seed:       a.config.Seed + uint64(a.receiver.Identity().Address.Port()),
+		Parse:      parser.Document,
+		OnTable:    a.setTable,
+		OnRevision: a.setDocument,
+		OnIdentity: func(identity gooseberrymast.Identity) { a.raised <- identity },
+	})
+	a.controller.Attach(a.listener)
+	a.healthy.Store(true)
+	a.poller = &poller.Poller{
+		Address:    settings.Backend.Address,
+		HealthPath: settings.Backend.HealthPath,
+		LoadPath:   settings.Backend.LoadPath,
+		Timer:      a.config.Timer,
+		Observe:    a.observe,
+	}
+}
+
+func (a *Agent) observe(healthy bool, load int32) {
+	a.healthy.Store(healthy)
+	a.driver.Observe(healthy, load)
+}
+
+func (a *Agent) register() error {
+	for _, collector := range []prometheus.Collector{&a.receiver.Counters, a.dispatcher.Recorder(), violations{}} {
+		if err := a.Registry.Register(collector); err != nil {
+			return fmt.Errorf("Agent.register: %w", err)
+		}
+	}
+	return a.controller.Register(a.Registry)
+}
+
 // quicConfig joins the packet side's settings with those of the flows.
 func (a *Agent) quicConfig() *quic.Config {
 	config := terminator.QUICConfig()
@@ -172,11 +229,6 @@
 	return a.listener.Address()
 }
 
-// Listener takes the handlers of other kinds of streams.
-func (a *Agent) Listener() *linker.Listener {
-	return a.listener
-}
-
 // Driver gives the agent's load and takes what is polled.
 func (a *Agent) Driver() *driver.Driver {
 	return a.driver
@@ -187,19 +239,23 @@
 	return a.dispatcher
 }
 
-// SetTable puts a snapshot of the members in force.
-func (a *Agent) SetTable(table *gooseberrymast.Table) {
+// setTable puts a snapshot of the members in force.
+func (a *Agent) setTable(table *gooseberrymast.Table) {
 	a.table.Store(table)
 	a.driver.Members(table.Members(a.tag))
 }
 
-// SetDocument puts a revision in force.
-func (a *Agent) SetDocument(revision uint64, document *gooseberrymast.Document) {
+// setDocument puts a revision in force. A document without the agent's service
+// leaves the limits as they were.
+func (a *Agent) setDocument(revision uint64, document gooseberrymast.Document) {
 	service, ok := document.Services[a.config.Settings.Service]
 	if !ok {
+		log.Warn().Uint64("revision", revision).Str("service", a.config.Settings.Service).
+			Msg("the document does not name this agent's service; its limits stay as they were")
 		return
 	}
 	a.service.Store(&service)
+	a.revision.Store(revision)
 	a.driver.Configure(revision, service)
 }
 
@@ -209,16 +265,62 @@
 	return a.receiver.SetKeys(keys)
 }
 
-// Run serves until Close, or until the last request after Leave has ended.
+// Run serves until Close or Shutdown. It gives a RaisedError when the agent
+// must be made again with a higher incarnation.
 func (a *Agent) Run(ctx context.Context) error {
-	go a.listener.Serve(ctx)
-	return a.terminator.Serve()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 2)
+	go func() { ended <- a.listener.Serve(ctx) }()
+	go func() { ended <- a.terminator.Serve() }()
+	a.poller.Start()
+	a.controller.Start()
+	a.controller.Move(gooseberrymast.StateReady)
+	select {
+	case identity := <-a.raised:
+		return &RaisedError{Identity: identity}
+	case err := <-ended:
+		return err
+	}
+}
+
+// Ready gives nil while the agent takes new flows and otherwise says why not.
+func (a *Agent) Ready() error {
+	if state := a.controller.State(); state != gooseberrymast.StateReady {
+		return fmt.Errorf("the agent is %s", state)
+	}
+	return nil
+}
+
+// Find gives a refusal that the agent still keeps.
+func (a *Agent) Find(id string) (gooseberrymast.Refusal, bool) {
+	return a.dispatcher.Recorder().Find(id)
+}
+
+// Status is what the agent says of itself.
+func (a *Agent) Status() gooseberrymast.AgentStatus {
+	load := a.driver.Load()
+	return gooseberrymast.AgentStatus{
+		Instance:    a.Identity(),
+		Time:        a.config.Timer.Now(),
+		Environment: a.config.Settings.Environment,
+		Service:     a.config.Settings.Service,
+		Zone:        a.config.Settings.Zone,
+		Revision:    a.revision.Load(),
+		State:       a.controller.State().String(),
+		Healthy:     a.healthy.Load(),
+		Flows:       a.receiver.Callers(),
+		Streams:     int(load.Streams),
+		Running:     a.driver.InProgress() - int(load.Streams) - int(load.Queued),
+		Queued:      int(load.Queued),
+	}
 }
 
 // Leave stops new work at the agent's backend server. Open flows and what is in
 // progress go on.
 func (a *Agent) Leave() {
 	a.leave.Do(func() {
+		a.controller.Move(gooseberrymast.StateLeaving)
 		a.receiver.Leaving()
 		a.driver.Leave()
 	})
@@ -231,12 +333,15 @@
 	if err := a.terminator.Shutdown(ctx); err != nil {
 		return fmt.Errorf("Agent.Shutdown %s: %w", a.Identity(), err)
 	}
+	a.controller.Leave(ctx)
 	return nil
 }
 
 // Close cuts every flow and closes the sockets.
 func (a *Agent) Close() error {
 	err := a.terminator.Close()
+	a.poller.Stop()
+	a.controller.Close()
 	a.closeSockets()
 	return err
 }
--- a/assembler/balancer.go
+++ b/assembler/balancer.go
@@ -6,12 +6,16 @@
 	"net/netip"
 	"slices"
 	"sort"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/parser"
+	"gooseberrymast/transport/controller"
 	"gooseberrymast/transport/forwarder"
+	"gooseberrymast/transport/linker"
 )
 
 // BalancerConfig is what a balancer is made of.
@@ -24,25 +28,32 @@
 	Keys *keyer.Keys
 	// Timer is the timer service.
 	Timer gooseberrymast.Timer
+	// Store is the platform's store; nil leaves the balancer to its peers.
+	Store gooseberrymast.Store
 	// Seed feeds the random choices.
 	Seed uint64
 	// Registry takes the metrics; nil makes one.
 	Registry *prometheus.Registry
 }
 
-// Balancer is one balancer process without its control side.
+// Balancer is one balancer process.
 type Balancer struct {
 	// Registry holds the balancer's metrics.
 	Registry *prometheus.Registry
 
-	config    BalancerConfig
-	forwarder *forwarder.Forwarder
-	services  []forwarder.ServiceAddress
+	config     BalancerConfig
+	keys       atomic.Pointer[keyer.Keys]
+	forwarder  *forwarder.Forwarder
+	listener   *linker.Listener
+	controller *controller.Controller
+	services   []forwarder.ServiceAddress
+	raised     chan gooseberrymast.Identity
 }
 
 // NewBalancer opens the balancer's sockets.
 func NewBalancer(config BalancerConfig) (*Balancer, error) {
-	b := &Balancer{config: config, Registry: config.Registry}
+	b := &Balancer{config: config, Registry: config.Registry, raised: make(chan gooseberrymast.Identity, 1)}
+	b.keys.Store(config.Keys)
 	if b.Registry == nil {
 		b.Registry = prometheus.NewRegistry()
 	}
@@ -59,7 +70,46 @@
 		return nil, fmt.Errorf("assembler.NewBalancer: %w", err)
 	}
 	b.forwarder = fwd
-	return b, nil
+	if b.listener, err = linker.Listen(config.Settings.ControlAddress, b.keys.Load); err != nil {
+		fwd.Close()
+		return nil, fmt.Errorf("assembler.NewBalancer: %w", err)
+	}
+	b.join()
+	return b, b.register()
+}
+
+// join makes the balancer's part in its environment.
+func (b *Balancer) join() {
+	settings := b.config.Settings
+	b.controller = controller.New(controller.Config{
+		Environment: settings.Environment,
+		Record: gooseberrymast.Record{
+			Identity: b.Identity(),
+			Control:  b.listener.Address(),
+			Role:     gooseberrymast.RoleBalancer,
+			Zone:     settings.Zone,
+			Weight:   gooseberrymast.DefaultWeight,
+		},
+		Seeds:      settings.Seeds,
+		Keys:       b.keys.Load,
+		Store:      b.config.Store,
+		Timer:      b.config.Timer,
+		Seed:       b.config.Seed + uint64(b.Identity().Address.Port()),
+		Parse:      parser.Document,
+		OnTable:    b.forwarder.SetTable,
+		OnRevision: func(_ uint64, document gooseberrymast.Document) { b.forwarder.SetDocument(&document) },
+		OnIdentity: func(identity gooseberrymast.Identity) { b.raised <- identity },
+	})
+	b.controller.Attach(b.listener)
+}
+
+func (b *Balancer) register() error {
+	for _, collector := range []prometheus.Collector{&b.forwarder.Counters, violations{}} {
+		if err := b.Registry.Register(collector); err != nil {
+			return fmt.Errorf("Balancer.register: %w", err)
+		}
+	}
+	return b.controller.Register(b.Registry)
 }
 
 // serviceAddresses lists the addresses in the order of the services' names.
@@ -92,27 +142,57 @@
 	return gooseberrymast.Identity{Address: b.forwarder.ForwardAddress(), Incarnation: b.config.Incarnation}
 }
 
-// SetTable puts a snapshot of the members in force.
-func (b *Balancer) SetTable(table *gooseberrymast.Table) {
-	b.forwarder.SetTable(table)
+// Control is the TCP address for sessions between processes.
+func (b *Balancer) Control() netip.AddrPort {
+	return b.listener.Address()
+}
+
+// Status is what the balancer knows of its environment.
+func (b *Balancer) Status() gooseberrymast.Status {
+	return b.controller.Status()
 }
 
-// SetDocument puts a revision in force.
-func (b *Balancer) SetDocument(_ uint64, document *gooseberrymast.Document) {
-	b.forwarder.SetDocument(document)
+// Ready gives nil while the balancer can open new flows and otherwise says why not.
+func (b *Balancer) Ready() error {
+	if state := b.controller.State(); state != gooseberrymast.StateReady {
+		return fmt.Errorf("the balancer is %s", state)
+	}
+	return nil
 }
 
 // SetKeys puts a changed key file in force.
 func (b *Balancer) SetKeys(keys *keyer.Keys) error {
+	b.keys.Store(keys)
 	return b.forwarder.SetKeys(keys)
 }
 
-// Run forwards packets until Close.
+// Run forwards packets until Close. It gives a RaisedError when the balancer
+// must be made again with a higher incarnation.
 func (b *Balancer) Run(ctx context.Context) error {
-	return b.forwarder.Run(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 2)
+	go func() { ended <- b.listener.Serve(ctx) }()
+	go func() { ended <- b.forwarder.Run(ctx) }()
+	b.controller.Start()
+	b.controller.Move(gooseberrymast.StateReady)
+	select {
+	case identity := <-b.raised:
+		return &RaisedError{Identity: identity}
+	case err := <-ended:
+		return err
+	}
+}
+
+// Leave announces the departure, so that the fabric and the agents turn to
+// other balancers, and forwards until the announcement has had its time.
+func (b *Balancer) Leave(ctx context.Context) {
+	b.controller.Leave(ctx)
 }
 
 // Close closes the sockets.
 func (b *Balancer) Close() {
+	b.controller.Close()
+	b.listener.Close()
 	b.forwarder.Close()
 }
