Mark a hand-over whose origin can't run it as displaced

Cause: an agent that leaves, or whose backend server is ejected, hands over all its new requests. At a crest no peer has a free slot, and the receiver refused what it took for a request that could as well wait at its origin. Change: Work.Displaced and Action.Displaced, additive. Conclusion: a displaced request may wait in the receiver's queue.

--- a/work.go
+++ b/work.go
@@ -33,6 +33,9 @@
 	// Replayable is set while the whole body is still held, so that the
 	// request can be sent again.
 	Replayable bool
+	// Displaced is set on a hand-over whose origin can't run requests at its
+	// own backend server, so that the request may wait at the receiver.
+	Displaced bool
 }
 
 // HandedOver reports whether another agent holds the caller's flow.
@@ -66,6 +69,8 @@
 	Work WorkID
 	// Peer is set for ActionHandOver, ActionAsk and ActionSpend.
 	Peer Identity
+	// Displaced is Work.Displaced for the receiver of ActionHandOver.
+	Displaced bool
 	// Refusal is set for ActionRefuse.
 	Refusal Refusal
 }
