--- a/coordination/dispatcher/arrive.go
+++ b/coordination/dispatcher/arrive.go
@@ -21,6 +21,7 @@
 		expected: d.estimator.Expect(work.Path),
 	}
 	d.requests[work.ID] = r
+	d.claim(r)
 	d.admit(now, r)
 	return d.take()
 }
@@ -67,26 +68,37 @@
 	return false
 }
 
+// claim spends a ticket of this agent on arrival, before anything is said
+// about the request: whoever comes second with the ticket can't be told "not
+// run". Nor can the holder of another agent's ticket until that agent grants it.
+func (d *Dispatcher) claim(r *request) {
+	if !r.needsTicket() {
+		return
+	}
+	r.spent = d.issuer.Spend(r.work.Ticket)
+	r.given = !r.spent
+}
+
 // ticketUsable checks a request's ticket before the request is placed. A
 // ticket of another agent is spent there; the request waits for the reply.
 func (d *Dispatcher) ticketUsable(now time.Time, r *request) bool {
+	if r.spent {
+		return true
+	}
 	ticket := r.work.Ticket
 	if ticket.Service != d.config.Tag {
-		d.refuse(now, r, cause{reason: gooseberrymast.ReasonTicketUnknown})
+		d.refuseUnknownTicket(now, r)
 		return false
 	}
 	if ticket.Issuer != d.config.Self {
 		d.askIssuer(now, r)
 		return false
 	}
-	switch d.issuer.Status(ticket) {
-	case ticketer.StatusUnused:
-		return true
-	case ticketer.StatusUsed:
-		d.refuseUsedTicket(now, r)
-	default:
-		d.refuse(now, r, cause{reason: gooseberrymast.ReasonTicketUnknown})
+	if d.issuer.Status(ticket) == ticketer.StatusNever {
+		d.refuseUnknownTicket(now, r)
+		return false
 	}
+	d.refuse(now, r, cause{reason: gooseberrymast.ReasonTicketUsed})
 	return false
 }
 
@@ -94,7 +106,7 @@
 func (d *Dispatcher) askIssuer(now time.Time, r *request) {
 	issuer := r.work.Ticket.Issuer
 	if issuer.Address == d.config.Self.Address || d.placer.Superseded(issuer) {
-		d.refuseIssuerGone(now, r)
+		d.refuse(now, r, cause{reason: gooseberrymast.ReasonIssuerGone})
 		return
 	}
 	r.stage = stageSpending
@@ -111,11 +123,11 @@
 	delete(d.pending, id)
 	switch {
 	case !known:
-		d.refuseIssuerGone(now, r)
+		d.refuse(now, r, cause{reason: gooseberrymast.ReasonIssuerGone})
 	case !granted:
-		d.refuseUsedTicket(now, r)
+		d.refuse(now, r, cause{reason: gooseberrymast.ReasonTicketUsed})
 	default:
-		r.spent = true
+		r.spent, r.given = true, false
 		d.place(now, r)
 	}
 	d.pump(now)
@@ -132,19 +144,6 @@
 	return d.issuer.Spend(ticket)
 }
 
-// spend uses up an own ticket just before the request's first attempt.
-func (d *Dispatcher) spend(now time.Time, r *request) bool {
-	if !r.needsTicket() || r.spent {
-		return true
-	}
-	if !d.issuer.Spend(r.work.Ticket) {
-		d.refuseUsedTicket(now, r)
-		return false
-	}
-	r.spent = true
-	return true
-}
-
 // Ask answers a peer whose hand-over broke. A request that still waits here is
 // dropped, so that the peer can place it anew.
 func (d *Dispatcher) Ask(now time.Time, origin gooseberrymast.Identity, originID gooseberrymast.WorkID) (ran bool) {
--- a/coordination/dispatcher/dispatcher_test.go
+++ b/coordination/dispatcher/dispatcher_test.go
@@ -13,6 +13,8 @@
 var (
 	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	here  = agentAt(1)
+
+	callerAddress = netip.MustParseAddr("192.0.2.1")
 )
 
 // agentAt gives the identity of the n-th agent.
--- a/coordination/dispatcher/finish.go
+++ b/coordination/dispatcher/finish.go
@@ -127,14 +127,26 @@
 	return true
 }
 
-// settleFailure retries an idempotent request; otherwise the caller gets the
-// backend server's own answer.
+// settleFailure retries an idempotent request at once where it can start;
+// otherwise the caller gets the backend server's own answer.
 func (d *Dispatcher) settleFailure(now time.Time, r *request) {
-	if r.work.Idempotent && d.mayRetry(now, r) && d.placer.Any(now, d.need(now, r)) && d.budget.Take() {
-		d.again(now, r, recorder.RetryFailed)
+	here := !r.work.Stream && d.usable(now, r) && d.admitter.CanStart(now, r.entry())
+	elsewhere := !d.config.Policy.NoHandOver && d.placer.Any(now, d.need(now, r))
+	if !(here || elsewhere) || !r.work.Idempotent || !d.mayRetry(now, r) {
+		d.end(now, r)
+		return
+	}
+	if !d.budget.Take() {
+		d.recorder.Retried(recorder.RetryUnbudget)
+		d.end(now, r)
 		return
 	}
-	d.end(now, r)
+	d.recorder.Retried(recorder.RetryFailed)
+	if here {
+		d.run(now, r)
+		return
+	}
+	d.placeElsewhere(now, r)
 }
 
 // settleBreak asks the peer of a broken hand-over what became of the request.
@@ -196,6 +208,10 @@
 	}
 	if !d.budget.Take() {
 		d.recorder.Retried(recorder.RetryUnbudget)
+		if reason == recorder.RetryRefused {
+			d.refuse(now, r, why)
+			return
+		}
 		share := strconv.FormatFloat(d.service.Limits.RetryBudget, 'g', -1, 64)
 		d.refuse(now, r, cause{reason: gooseberrymast.ReasonRetryBudget, limit: "retry-budget", value: share})
 		return
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -131,10 +131,14 @@
 	return need
 }
 
+// queueForPeers is the length of the queue up to which a peer's request may
+// wait here although the peer could run it later.
+const queueForPeers = 1
+
 // enqueue lets a request wait for a slot here. A peer's request waits only if
 // the peer can't run it, or if the queue is nearly empty.
 func (d *Dispatcher) enqueue(now time.Time, r *request) {
-	if !r.own && !d.placer.Leaving(r.work.Origin) && d.admitter.Waiting() >= d.queueForPeers() {
+	if !r.own && !r.work.Displaced && d.admitter.Waiting() >= queueForPeers {
 		d.refuse(now, r, cause{
 			reason: gooseberrymast.ReasonInProgressLimit,
 			limit:  "slots",
@@ -156,17 +160,8 @@
 	}
 }
 
-// queueForPeers is the length of the queue up to which a peer's request may
-// wait here although the peer could run it later.
-func (d *Dispatcher) queueForPeers() int {
-	return 1
-}
-
 // run gives the request to the own backend server.
 func (d *Dispatcher) run(now time.Time, r *request) {
-	if !d.spend(now, r) {
-		return
-	}
 	d.begin(now, r, stageRunning)
 	asserter.Holds(d.drainer.MayStart(now), "no-work-after-grace", "request %d started after the grace", r.work.ID)
 	if r.work.Stream {
@@ -184,9 +179,6 @@
 // handOver sends the request to a peer.
 func (d *Dispatcher) handOver(now time.Time, r *request, peer gooseberrymast.Identity) {
 	asserter.Holds(r.own, "at-most-one-hand-over", "request %d was handed over before", r.work.ID)
-	if !d.spend(now, r) {
-		return
-	}
 	d.begin(now, r, stageHandedOver)
 	r.peer = peer
 	r.probe = d.placer.Given(now, peer)
@@ -194,7 +186,12 @@
 	if d.ejector.Ejected(peer.Address) {
 		d.ejector.Probe(now, peer.Address)
 	}
-	d.emit(gooseberrymast.Action{Kind: gooseberrymast.ActionHandOver, Work: r.work.ID, Peer: peer})
+	d.emit(gooseberrymast.Action{
+		Kind:      gooseberrymast.ActionHandOver,
+		Work:      r.work.ID,
+		Peer:      peer,
+		Displaced: d.drainer.Leaving() || d.selfEjected(),
+	})
 }
 
 // begin starts an attempt.
--- a/coordination/dispatcher/refuse.go
+++ b/coordination/dispatcher/refuse.go
@@ -41,14 +41,10 @@
 	d.end(now, r)
 }
 
-func (d *Dispatcher) refuseUsedTicket(now time.Time, r *request) {
-	r.given = true // by the request that used the ticket
-	d.refuse(now, r, cause{reason: gooseberrymast.ReasonTicketUsed})
-}
-
-func (d *Dispatcher) refuseIssuerGone(now time.Time, r *request) {
-	r.given = true // for all that can be known without the issuer
-	d.refuse(now, r, cause{reason: gooseberrymast.ReasonIssuerGone})
+// refuseUnknownTicket refuses a ticket that nobody here can have let run.
+func (d *Dispatcher) refuseUnknownTicket(now time.Time, r *request) {
+	r.given = false
+	d.refuse(now, r, cause{reason: gooseberrymast.ReasonTicketUnknown})
 }
 
 // drop ends a request whose caller went away. Nobody is answered, but the
--- a/coordination/dispatcher/tick.go
+++ b/coordination/dispatcher/tick.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		if r.stage == stageSpending {
-			d.refuseIssuerGone(now, r)
+			d.refuse(now, r, cause{reason: gooseberrymast.ReasonIssuerGone})
 			continue
 		}
 		r.given = true
--- a/coordination/ejector/ejector.go
+++ b/coordination/ejector/ejector.go
@@ -4,7 +4,7 @@
 
 import (
 	"net/netip"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -27,6 +27,8 @@
 
 	members int
 	servers map[netip.AddrPort]*server
+	// out holds the ejected members; refresh derives it from servers.
+	out map[netip.AddrPort]bool
 }
 
 // server is a member that has failed. Members without failures have none.
@@ -51,6 +53,7 @@
 	}
 	e.servers = keep
 	e.members = len(members)
+	e.refresh()
 }
 
 // Succeeded reports a real answer, which ends an ejection, and tells whether
@@ -61,6 +64,9 @@
 		return false
 	}
 	delete(e.servers, member)
+	if one.ill {
+		e.refresh()
+	}
 	return one.ill
 }
 
@@ -80,6 +86,7 @@
 	}
 	if !one.ill {
 		one.ill, one.illSince, one.pause = true, now, FirstPause
+		e.refresh()
 	} else if one.probing {
 		one.pause = min(2*one.pause, MaxPause)
 	}
@@ -89,21 +96,7 @@
 
 // Ejected reports whether the member must get no work but a probe.
 func (e *Ejector) Ejected(member netip.AddrPort) bool {
-	one := e.servers[member]
-	if one == nil || !one.ill {
-		return false
-	}
-	ill := e.ill()
-	if len(ill) >= e.members {
-		return false
-	}
-	allowed := max(1, int(e.MaxEjected*float64(e.members)))
-	for rank, other := range ill {
-		if other == one {
-			return rank < allowed
-		}
-	}
-	return false
+	return e.out[member]
 }
 
 // ProbeDue reports whether an ejected member may be tried with one request.
@@ -131,36 +124,36 @@
 
 // Out gives the number of members that are ejected.
 func (e *Ejector) Out() int {
-	out := 0
-	for member := range e.servers {
-		if e.Ejected(member) {
-			out++
-		}
+	return len(e.out)
+}
+
+// refresh chooses the ejected among the members that fail: the longest
+// failing, as many as may be out, and none when all fail.
+func (e *Ejector) refresh() {
+	e.out = map[netip.AddrPort]bool{}
+	ill := e.ill()
+	if len(ill) >= e.members {
+		return
+	}
+	allowed := max(1, int(e.MaxEjected*float64(e.members)))
+	for _, member := range ill[:min(len(ill), allowed)] {
+		e.out[member] = true
 	}
-	return out
 }
 
 // ill lists the members that fail, the longest first.
-func (e *Ejector) ill() []*server {
-	type failing struct {
-		member netip.AddrPort
-		server *server
-	}
-	var all []failing
+func (e *Ejector) ill() []netip.AddrPort {
+	var all []netip.AddrPort
 	for member, one := range e.servers {
 		if one.ill {
-			all = append(all, failing{member, one})
+			all = append(all, member)
 		}
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if !all[i].server.illSince.Equal(all[j].server.illSince) {
-			return all[i].server.illSince.Before(all[j].server.illSince)
+	slices.SortFunc(all, func(one, other netip.AddrPort) int {
+		if order := e.servers[one].illSince.Compare(e.servers[other].illSince); order != 0 {
+			return order
 		}
-		return all[i].member.Compare(all[j].member) < 0
+		return one.Compare(other)
 	})
-	servers := make([]*server, len(all))
-	for i, one := range all {
-		servers[i] = one.server
-	}
-	return servers
+	return all
 }
--- /dev/null
+++ b/coordination/estimator/estimator_test.go
@@ -0,0 +1,60 @@
+package estimator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestLongPath(t *testing.T) {
+	is := is.New(t)
+	var e Estimator
+	is.True(!e.Expect("/sync").Known)
+	for i := range 1000 {
+		e.Observe("/loans", 20*time.Millisecond)
+		if i%100 == 50 {
+			e.Observe("/sync", 2*time.Second)
+		}
+	}
+	is.True(e.Expect("/sync").Long)
+	is.True(!e.Expect("/loans").Long)
+	is.True(e.Typical() < 40*time.Millisecond) // stragglers count only up to LongAfter
+	is.Equal(e.Expect("/loans").Mean.Round(time.Millisecond), 20*time.Millisecond)
+}
+
+func TestRareStragglerLeavesItsPathShort(t *testing.T) {
+	is := is.New(t)
+	var e Estimator
+	for i := range 2000 {
+		took := 20 * time.Millisecond
+		if i%200 == 199 {
+			took = 2 * time.Second
+		}
+		e.Observe("/loans", took)
+		is.True(!e.Expect("/loans").Long)
+	}
+}
+
+func TestKey(t *testing.T) {
+	tests := []struct{ path, key string }{
+		{"/ledger.v1.Ledger/Reserve", "/ledger.v1.Ledger/Reserve"},
+		{"/v2/loans", "/v2/loans"},
+		{"/loans/4711/slip", "/loans/*/slip"},
+		{"/loans/7", "/loans/*"},
+		{"/claims/0f8c2a71-aa", "/claims/*"},
+	}
+	for _, test := range tests {
+		is.New(t).Equal(Key(test.path), test.key)
+	}
+}
+
+func TestPathsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var e Estimator
+	for i := range 4 * MaxPaths {
+		e.Observe(fmt.Sprintf("/%c%c%c%c", 'a'+i%26, 'a'+i/26%26, 'a'+i/676%26, 'a'), time.Millisecond)
+	}
+	is.Equal(len(e.paths), MaxPaths)
+}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -92,15 +92,6 @@
 	one.given = 0
 }
 
-// Leaving reports whether the agent is known to be leaving.
-func (p *Placer) Leaving(identity gooseberrymast.Identity) bool {
-	one := p.byAddress[identity.Address]
-	if one == nil || one.Identity != identity {
-		return false
-	}
-	return one.State == gooseberrymast.StateLeaving || one.load.Leaving
-}
-
 // Superseded reports whether a later life of the agent's address is known.
 func (p *Placer) Superseded(identity gooseberrymast.Identity) bool {
 	one := p.byAddress[identity.Address]
--- /dev/null
+++ b/coordination/placer/placer_test.go
@@ -0,0 +1,91 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func identity(n byte) gooseberrymast.Identity {
+	return gooseberrymast.Identity{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000), Incarnation: 1}
+}
+
+func member(n byte, zone string) gooseberrymast.Member {
+	return gooseberrymast.Member{Record: gooseberrymast.Record{Identity: identity(n), Zone: zone, State: gooseberrymast.StateReady}}
+}
+
+func free(slots int32) gooseberrymast.Load { return gooseberrymast.Load{FreeSlots: slots} }
+
+func TestChoose(t *testing.T) {
+	suspect, leaving := member(2, "a"), member(2, "a")
+	suspect.Suspect = true
+	leaving.State = gooseberrymast.StateLeaving
+	long := 20 * time.Millisecond
+	tests := []struct {
+		name    string
+		members []gooseberrymast.Member
+		loads   []gooseberrymast.Load
+		age     time.Duration
+		never   bool
+		need    Need
+		want    byte
+	}{
+		{"no peer", nil, nil, 0, false, Need{}, 0},
+		{"more room", []gooseberrymast.Member{member(2, "a"), member(3, "a")}, []gooseberrymast.Load{free(1), free(3)}, 0, false, Need{}, 3},
+		{"own zone first", []gooseberrymast.Member{member(2, "a"), member(3, "b")}, []gooseberrymast.Load{free(1), free(3)}, 0, false, Need{Wait: long}, 2},
+		{"across when the own is full", []gooseberrymast.Member{member(2, "a"), member(3, "b")}, []gooseberrymast.Load{free(0), free(3)}, 0, false, Need{Wait: long}, 3},
+		{"not across for a short wait", []gooseberrymast.Member{member(2, "a"), member(3, "b")}, []gooseberrymast.Load{free(0), free(3)}, 0, false, Need{}, 0},
+		{"not across by rule", []gooseberrymast.Member{member(2, "a"), member(3, "b")}, []gooseberrymast.Load{free(0), free(3)}, 0, true, Need{Wait: long}, 0},
+		{"never to a suspect", []gooseberrymast.Member{suspect}, []gooseberrymast.Load{free(3)}, 0, false, Need{Must: true}, 0},
+		{"never to a leaving one", []gooseberrymast.Member{leaving}, []gooseberrymast.Load{free(3)}, 0, false, Need{Must: true}, 0},
+		{"never to one that says it leaves", []gooseberrymast.Member{member(2, "a")}, []gooseberrymast.Load{{Leaving: true}}, 0, false, Need{Must: true}, 0},
+		{"never to one that was tried", []gooseberrymast.Member{member(2, "a")}, []gooseberrymast.Load{free(3)}, 0, false, Need{Must: true, Tried: []gooseberrymast.Identity{identity(2)}}, 0},
+		{"a full one if it must be", []gooseberrymast.Member{member(2, "a")}, []gooseberrymast.Load{free(0)}, 0, false, Need{Must: true}, 2},
+		{"a straggler leaves the last slot", []gooseberrymast.Member{member(2, "a")}, []gooseberrymast.Load{free(1)}, 0, false, Need{Long: true}, 0},
+		{"a load ages out", []gooseberrymast.Member{member(2, "a")}, []gooseberrymast.Load{free(0)}, LoadAge, false, Need{}, 2},
+		{"a stream to fewer streams", []gooseberrymast.Member{member(2, "a"), member(3, "a")}, []gooseberrymast.Load{{Streams: 9}, {Streams: 3}}, 0, false, Need{Stream: true}, 3},
+		{"no stream beyond the limit", []gooseberrymast.Member{member(2, "a")}, []gooseberrymast.Load{{Streams: 10}}, 0, false, Need{Stream: true}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := Placer{Random: rand.New(rand.NewPCG(1, 1)), Zone: "a", CrossZone: !test.never, Connections: 10}
+			p.Update(test.members)
+			for i, load := range test.loads {
+				p.Heard(epoch, test.members[i].Identity, load)
+			}
+			got, ok := p.Choose(epoch.Add(test.age), test.need)
+			is.Equal(ok, test.want != 0)
+			if ok {
+				is.Equal(got, identity(test.want))
+			}
+		})
+	}
+}
+
+func TestGivenRequestsUseUpRoomAndProbes(t *testing.T) {
+	is := is.New(t)
+	p := Placer{Random: rand.New(rand.NewPCG(1, 1)), Zone: "a"}
+	p.Update([]gooseberrymast.Member{member(2, "a")})
+	for range MaxProbes {
+		is.True(p.Given(epoch, identity(2))) // its load is unknown
+	}
+	_, ok := p.Choose(epoch, Need{})
+	is.True(!ok)
+	for range MaxProbes {
+		p.Returned(true)
+	}
+	p.Heard(epoch, identity(2), free(1))
+	_, ok = p.Choose(epoch, Need{})
+	is.True(ok)
+	is.True(!p.Given(epoch, identity(2)))
+	_, ok = p.Choose(epoch, Need{})
+	is.True(!ok) // the one free slot is taken by now
+}
