--- /dev/null
+++ b/coordination/opener/opener.go
@@ -0,0 +1,278 @@
+// Package opener decides, at an agent, who takes a new flow.
+//
+// Nearly every handshake begins with two or more datagrams that carry an id of
+// the caller's choice, and each may come through another balancer, of another
+// zone and with another table. They must meet at one agent. Each such packet
+// names up to two takers and up to two homes, and is sent to the first home.
+//
+//   - A home that knows nothing of the flow asks the second home, if there is
+//     one, by passing the packet to it.
+//   - The last home passes the packet to the first taker.
+//   - A taker takes the flow. While it is leaving, cold or over its bound it
+//     passes the packet to the second taker instead, if a hop is left, and
+//     tells the homes.
+//
+// Each agent remembers, for the life of a handshake, where it passed a flow,
+// and this goes before what a later packet says. A packet is passed on at most
+// MaxHop times.
+//
+// The packets of one flow meet if any two of the balancers that send them name
+// the same first home, or the first home of one is the second home of the
+// other, and that home lives. A home doesn't depend on the balancer's zone.
+// Balancers take for the second home's table one that is at least a
+// propagation time old, so this covers tables whose age differs by less than
+// that and between which the flow's home moved once.
+//
+// It does not cover a home that moved twice within that time, one that some
+// balancers hold for suspect while others still send to it, or one that died
+// or forgot the flow between two packets. There the handshake may start at two
+// agents; the caller goes on with the one that answers it first, or fails the
+// handshake by its timeout.
+package opener
+
+import (
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/state/asserter"
+)
+
+// MaxHop is the number of times that a packet may be passed on.
+const MaxHop = 2
+
+// The bounds that stand in for zero fields of an Opener.
+const (
+	DefaultMaxFlows    = 1 << 15
+	DefaultMaxHalfOpen = 4096
+	DefaultLife        = 10 * time.Second
+)
+
+// Verdict tells what to do with a packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// VerdictTake gives the packet to the agent's own QUIC stack.
+	VerdictTake Verdict = iota + 1
+	// VerdictPass sends the packet to another agent.
+	VerdictPass
+	// VerdictDrop drops the packet for Decision.Reason.
+	VerdictDrop
+)
+
+// Reason says why a packet is dropped.
+type Reason string
+
+// The reasons of a drop.
+const (
+	// ReasonNotNamed is a packet whose first home is another agent.
+	ReasonNotNamed Reason = "not-named"
+	// ReasonHalfOpen is a flow above the bound of open handshakes.
+	ReasonHalfOpen Reason = "half-open-limit"
+	// ReasonHops is a packet that would have to be passed on once too often.
+	ReasonHops Reason = "hop-limit"
+)
+
+// Packet is what the opener knows of one packet that may open a flow.
+type Packet struct {
+	// Key is the hash of the id that the caller chose.
+	Key uint64
+	// Hop counts how often the packet was passed on.
+	Hop uint8
+	// Given is set when the packet was passed on to be taken, and clear when
+	// a home is asked.
+	Given bool
+	// Takers and Homes are the balancer's candidates, zero ones last.
+	Takers, Homes [2]gooseberrymast.Identity
+}
+
+// Decision is the opener's answer to one packet.
+type Decision struct {
+	Verdict Verdict
+	// Peer is set for VerdictPass and is never the agent itself.
+	Peer gooseberrymast.Identity
+	// Given is what the packet that is passed on must say.
+	Given bool
+	// Tell lists homes to be told that Peer takes the flow in the agent's
+	// place; see Moved. Unused ones are zero.
+	Tell [2]gooseberrymast.Identity
+	// Reason is set for VerdictDrop.
+	Reason Reason
+}
+
+// Opener is the state machine of one agent. Its fields may be set before the
+// first event. It is not safe for concurrent use.
+type Opener struct {
+	// Self is the agent's identity.
+	Self gooseberrymast.Identity
+	// MaxFlows bounds the flows that are remembered; the oldest is forgotten
+	// first. Zero takes DefaultMaxFlows.
+	MaxFlows int
+	// MaxHalfOpen bounds the flows taken whose handshake isn't known to be
+	// complete. Zero takes DefaultMaxHalfOpen.
+	MaxHalfOpen int
+	// Life is how long a flow's opening is remembered. Zero takes DefaultLife.
+	Life time.Duration
+
+	flows    map[uint64]flow
+	oldest   queue
+	halfOpen int
+}
+
+// flow is what is remembered of one opening.
+type flow struct {
+	// peer is the agent itself when it took the flow.
+	peer  gooseberrymast.Identity
+	since time.Time
+	// asked is set while peer is a home that was asked: it may yet give the
+	// flow to this agent.
+	asked    bool
+	halfOpen bool
+}
+
+// FirstPacket decides about one packet. Busy says that the agent would rather
+// not take a new flow: it is leaving, cold or over its bound.
+func (o *Opener) FirstPacket(packet *Packet, busy bool, now time.Time) Decision {
+	o.Expire(now)
+	home := o.isHome(packet)
+	known, ok := o.flows[packet.Key]
+	switch {
+	case ok && known.peer == o.Self:
+		return Decision{Verdict: VerdictTake}
+	case ok && (home || !known.asked):
+		return follow(known, packet)
+	case home:
+		return o.arbitrate(packet, busy, now)
+	case packet.Hop == 0:
+		return Decision{Verdict: VerdictDrop, Reason: ReasonNotNamed}
+	}
+	return o.takeOrPass(packet, busy, now)
+}
+
+// Moved notes that the agent to which a flow was passed, before, has passed it
+// on to another, after.
+func (o *Opener) Moved(key uint64, before, after gooseberrymast.Identity) {
+	known, ok := o.flows[key]
+	if !ok || known.peer != before {
+		return
+	}
+	known.peer = after
+	known.asked = false
+	o.flows[key] = known
+}
+
+// Complete notes that the flow's handshake is complete or holds no memory, so
+// that it no longer counts as half open.
+func (o *Opener) Complete(key uint64) {
+	known, ok := o.flows[key]
+	if !ok || !known.halfOpen {
+		return
+	}
+	known.halfOpen = false
+	o.flows[key] = known
+	o.halfOpen--
+}
+
+// HalfOpen gives the number of flows taken whose handshake isn't complete.
+func (o *Opener) HalfOpen() int {
+	return o.halfOpen
+}
+
+// Flows gives the number of flows that are remembered.
+func (o *Opener) Flows() int {
+	return len(o.flows)
+}
+
+// Expire forgets the flows that are older than the handshake's life.
+func (o *Opener) Expire(now time.Time) {
+	for o.oldest.len() > 0 {
+		first := o.oldest.first()
+		if now.Sub(first.since) < o.life() {
+			return
+		}
+		o.forget()
+	}
+}
+
+// isHome reports whether the packet came to be told who takes its flow.
+func (o *Opener) isHome(packet *Packet) bool {
+	if packet.Hop == 0 {
+		return packet.Homes[0] == o.Self
+	}
+	return !packet.Given
+}
+
+// follow sends a packet where the flow's earlier packets went.
+func follow(known flow, packet *Packet) Decision {
+	if packet.Hop >= MaxHop {
+		return Decision{Verdict: VerdictDrop, Reason: ReasonHops}
+	}
+	return Decision{Verdict: VerdictPass, Peer: known.peer, Given: !known.asked}
+}
+
+// arbitrate is a home's decision about an unknown flow.
+func (o *Opener) arbitrate(packet *Packet, busy bool, now time.Time) Decision {
+	if packet.Hop == 0 && !packet.Homes[1].IsZero() {
+		return o.pass(packet, flow{peer: packet.Homes[1], since: now, asked: true})
+	}
+	if packet.Takers[0] == o.Self {
+		return o.takeOrPass(packet, busy, now)
+	}
+	return o.pass(packet, flow{peer: packet.Takers[0], since: now})
+}
+
+// takeOrPass is the decision of an agent that a flow was given to.
+func (o *Opener) takeOrPass(packet *Packet, busy bool, now time.Time) Decision {
+	full := o.halfOpen >= o.maxHalfOpen()
+	other := packet.Takers[1]
+	if (busy || full) && packet.Hop < MaxHop && packet.Takers[0] == o.Self && !other.IsZero() {
+		decision := o.pass(packet, flow{peer: other, since: now})
+		decision.Tell = o.others(packet)
+		return decision
+	}
+	if full {
+		return Decision{Verdict: VerdictDrop, Reason: ReasonHalfOpen}
+	}
+	o.halfOpen++
+	o.remember(packet.Key, flow{peer: o.Self, since: now, halfOpen: true})
+	return Decision{Verdict: VerdictTake}
+}
+
+// others gives the homes of a packet but for the agent itself.
+func (o *Opener) others(packet *Packet) [2]gooseberrymast.Identity {
+	homes := packet.Homes
+	for i := range homes {
+		if homes[i] == o.Self {
+			homes[i] = gooseberrymast.Identity{}
+		}
+	}
+	return homes
+}
+
+func (o *Opener) pass(packet *Packet, to flow) Decision {
+	asserter.Holds(packet.Hop < MaxHop, "opener-hop-limit", "flow %x passed on at hop %d", packet.Key, packet.Hop)
+	asserter.Holds(to.peer != o.Self, "opener-passes-to-others", "flow %x passed by %s to itself", packet.Key, o.Self)
+	o.remember(packet.Key, to)
+	return Decision{Verdict: VerdictPass, Peer: to.peer, Given: !to.asked}
+}
+
+func (o *Opener) life() time.Duration {
+	if o.Life == 0 {
+		return DefaultLife
+	}
+	return o.Life
+}
+
+func (o *Opener) maxHalfOpen() int {
+	if o.MaxHalfOpen == 0 {
+		return DefaultMaxHalfOpen
+	}
+	return o.MaxHalfOpen
+}
+
+func (o *Opener) maxFlows() int {
+	if o.MaxFlows == 0 {
+		return DefaultMaxFlows
+	}
+	return o.MaxFlows
+}
--- /dev/null
+++ b/transport/receiver/read.go
@@ -0,0 +1,229 @@
+package receiver
+
+import (
+	"encoding/binary"
+	"errors"
+	"net"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/opener"
+	"gooseberrymast/protocol/framer"
+	"gooseberrymast/protocol/inspector"
+	"gooseberrymast/protocol/sealer"
+)
+
+// ReadFrom waits for a packet that is the agent's to handle, and gives it with
+// the caller's address.
+func (r *Receiver) ReadFrom(payload []byte) (int, net.Addr, error) {
+	for {
+		if r.next == r.filled {
+			n, err := r.conn.Read(r.batch)
+			r.next, r.filled = 0, n
+			if err != nil {
+				return 0, nil, err
+			}
+		}
+		frame, _ := r.batch.Datagram(r.next)
+		r.next++
+		packet, ok := r.accept(frame)
+		if !ok {
+			continue
+		}
+		return copy(payload, packet), r.heard(), nil
+	}
+}
+
+// accept verifies a frame and decides about the packet in it. It reports
+// whether the packet is for the agent's own QUIC stack.
+func (r *Receiver) accept(frame []byte) ([]byte, bool) {
+	payload, err := r.verify(frame)
+	if err != nil {
+		r.Counters.drop(dropOf(err))
+		return nil, false
+	}
+	if r.header.Kind != framer.KindFlow && r.header.To != r.self {
+		r.Counters.drop(DropWrongIncarnation)
+		return nil, false
+	}
+	if r.header.Kind == framer.KindMoved {
+		r.moved(payload)
+		return nil, false
+	}
+	packet, err := inspector.Parse(payload, sealer.Bytes)
+	if err != nil {
+		r.Counters.drop(DropNotQUIC)
+		return nil, false
+	}
+	if r.header.Kind == framer.KindOpening {
+		return payload, r.open(payload, &packet)
+	}
+	if reason, ok := r.isOwn(&packet); !ok {
+		r.Counters.drop(reason)
+		return nil, false
+	}
+	return payload, true
+}
+
+// verify checks what holds for every frame.
+func (r *Receiver) verify(frame []byte) ([]byte, error) {
+	header := &r.header
+	payload, err := r.framer.Open(frame, header)
+	if err != nil {
+		return nil, err
+	}
+	if header.Kind == framer.KindAnswer || header.To.Address != r.self.Address {
+		return nil, framer.FaultWrongTarget
+	}
+	if header.Service != r.service {
+		return nil, framer.FaultWrongService
+	}
+	if !r.windows.Accept(header.Origin, r.config.Timer.Now()) {
+		return nil, framer.FaultReplayed
+	}
+	return payload, nil
+}
+
+// isOwn checks that the connection id was made for this service by this life
+// of the agent. Packets of an earlier life pass if they have a short header:
+// QUIC knows no flow for them and tells the caller so by a stateless reset.
+func (r *Receiver) isOwn(packet *inspector.Packet) (Drop, bool) {
+	id, service, err := r.sealer.Open(packet.ID)
+	switch {
+	case err != nil:
+		return DropUnknownEpoch, false
+	case service != r.service:
+		return DropWrongService, false
+	case id == r.self:
+		r.Counters.Established.Add(1)
+		r.complete(packet)
+		return 0, true
+	case id.Address != r.self.Address:
+		return DropWrongTarget, false
+	case id.Incarnation < r.self.Incarnation && !packet.Long:
+		r.Counters.Stale.Add(1)
+		return 0, true
+	}
+	return DropWrongIncarnation, false
+}
+
+// complete notes a finished handshake: the caller sends with a short header.
+func (r *Receiver) complete(packet *inspector.Packet) {
+	if packet.Long {
+		return
+	}
+	if key := r.callers.opened(r.header.Caller); key != 0 {
+		r.completeOpening(key)
+	}
+}
+
+func (r *Receiver) completeOpening(key uint64) {
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.Complete(key)
+}
+
+// open lets the opener decide about a packet that may open a flow.
+func (r *Receiver) open(payload []byte, packet *inspector.Packet) bool {
+	first := opener.Packet{
+		Key:    xxhash.Sum64(packet.ID),
+		Hop:    r.header.Hop,
+		Given:  r.header.Given,
+		Takers: r.header.Takers,
+		Homes:  r.header.Homes,
+	}
+	decision := r.decide(&first)
+	switch decision.Verdict {
+	case opener.VerdictTake:
+		r.Counters.Opening.Add(1)
+		r.heard()
+		r.callers.open(r.header.Caller, first.Key)
+		return true
+	case opener.VerdictPass:
+		r.pass(payload, &decision)
+		r.tell(first.Key, &decision)
+	case opener.VerdictDrop:
+		r.Counters.drop(openerDrops[decision.Reason])
+	}
+	return false
+}
+
+func (r *Receiver) decide(first *opener.Packet) opener.Decision {
+	busy := r.leaving.Load() || (r.config.FlowBound != nil && r.config.FlowBound())
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	return r.opener.FirstPacket(first, busy, r.config.Timer.Now())
+}
+
+// pass sends a first packet on to another agent. The answers will go through
+// the same balancer.
+func (r *Receiver) pass(payload []byte, decision *opener.Decision) {
+	header := r.header
+	header.Hop++
+	header.Given = decision.Given
+	if r.sendFrame(&header, decision.Peer, payload) {
+		r.Counters.Passed.Add(1)
+	}
+}
+
+// tell lets the homes of a flow know that it was passed on.
+func (r *Receiver) tell(key uint64, decision *opener.Decision) {
+	for _, home := range decision.Tell {
+		if home.IsZero() {
+			continue
+		}
+		header := framer.Header{
+			Kind:    framer.KindMoved,
+			Service: r.service,
+			Takers:  [2]gooseberrymast.Identity{decision.Peer, r.self},
+		}
+		var payload [framer.KeyBytes]byte
+		binary.BigEndian.PutUint64(payload[:], key)
+		r.sendFrame(&header, home, payload[:])
+	}
+}
+
+// moved notes that an agent passed a flow on to another.
+func (r *Receiver) moved(payload []byte) {
+	if len(payload) != framer.KeyBytes {
+		r.Counters.drop(DropTruncated)
+		return
+	}
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.Moved(binary.BigEndian.Uint64(payload), r.header.Takers[1], r.header.Takers[0])
+}
+
+// heard remembers the balancer that delivered the last frame.
+func (r *Receiver) heard() *net.UDPAddr {
+	via := path{balancer: r.header.Balancer, life: r.header.Life, index: r.header.Index}
+	return r.callers.heard(r.header.Caller, via, r.config.Timer.Now())
+}
+
+// dropOf gives the counter of a typed error.
+func dropOf(err error) Drop {
+	var fault framer.Fault
+	if errors.As(err, &fault) {
+		return frameDrops[fault]
+	}
+	return DropNotQUIC
+}
+
+var frameDrops = map[framer.Fault]Drop{
+	framer.FaultTruncated:    DropTruncated,
+	framer.FaultOversized:    DropOversized,
+	framer.FaultBadVersion:   DropBadVersion,
+	framer.FaultBadKind:      DropBadVersion,
+	framer.FaultUnknownEpoch: DropUnknownEpoch,
+	framer.FaultForged:       DropForged,
+	framer.FaultReplayed:     DropReplayed,
+	framer.FaultWrongService: DropWrongService,
+	framer.FaultWrongTarget:  DropWrongTarget,
+}
+
+var openerDrops = map[opener.Reason]Drop{
+	opener.ReasonNotNamed: DropNotNamed,
+	opener.ReasonHalfOpen: DropHalfOpen,
+	opener.ReasonHops:     DropHops,
+}
