Run the membership through seeded random faults in virtual time

Cause: nothing showed that members agree again after faults that come together. The first runs failed for two faults of the code: agents judged others by registrars whose records they don't hold, and what was told of an older version of a record was applied to the newer one.

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -112,7 +112,8 @@
 	m.adopter.Parse = config.Parse
 	m.document.Key = gooseberrymast.DocumentKey(config.Environment)
 	m.document.Random = config.Random
-	if config.Record.Role == gooseberrymast.RoleBalancer {
+	m.Directory.Told = !m.isBalancer()
+	if m.isBalancer() {
 		m.wanted = gooseberrymast.StateReady
 	}
 	return m
--- a/coordination/member/news.go
+++ b/coordination/member/news.go
@@ -56,7 +56,7 @@
 	for _, news := range delta.News {
 		m.learn(now, s, news.Entry)
 		if !m.isBalancer() {
-			m.Directory.Tell(now, directory.KeyOf(news.Entry.Record.Identity.Address), news.Suspect)
+			m.Directory.Tell(now, news.Entry.Record, news.Suspect)
 		}
 	}
 	if delta.Complete && !m.isBalancer() {
--- /dev/null
+++ b/coordination/member/world_test.go
@@ -0,0 +1,565 @@
+package member
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/messenger"
+	"gooseberrymast/protocol/messages/control"
+	"gooseberrymast/protocol/translator"
+	"gooseberrymast/standin/platform"
+)
+
+const testEnvironment = "trial"
+
+// world runs members in virtual time over fake sessions and the stand-in for
+// the platform's store. One seed gives one run.
+type world struct {
+	t      testing.TB
+	now    time.Time
+	begun  time.Time
+	random *rand.Rand
+	queue  events
+	serial uint64
+	nodes  []*node
+	store  *platform.Platform
+	// storeDelay bounds the random delay of each half of a store call.
+	storeDelay time.Duration
+	watches    []*watch
+	ends       []*end
+	// accepted holds the text of each revision that the store took.
+	accepted map[uint64]string
+	// linkDelay and linkJitter are those of a link between zones.
+	linkDelay  time.Duration
+	linkJitter time.Duration
+	cells      int
+	wireBytes  int
+	watchCalls int
+	peeks      int
+}
+
+// callTimeout is the time after which the caller of the store gives up.
+const callTimeout = 3 * time.Second
+
+type node struct {
+	world   *world
+	index   int
+	config  Config
+	m       *Member
+	alive   bool
+	left    bool
+	life    int
+	group   int
+	paused  bool
+	backlog []func()
+	ends    map[messenger.Session]*end
+	last    messenger.Session
+	wake    time.Time
+	// revision is the highest that was ever in force in this life.
+	revision  uint64
+	adoptedAt time.Time
+	sent      int
+	received  int
+}
+
+// end is one side of a session.
+type end struct {
+	owner *node
+	life  int
+	id    messenger.Session
+	peer  *end
+	open  bool
+	// broken sessions lose everything until one side gives up.
+	broken  bool
+	arrival time.Time
+}
+
+type watch struct {
+	key   string
+	after uint64
+	done  func(messenger.Result)
+	over  bool
+}
+
+func newWorld(t testing.TB, seed uint64) *world {
+	return &world{
+		t:          t,
+		now:        time.Unix(1_700_000_000, 0),
+		begun:      time.Unix(1_700_000_000, 0),
+		random:     rand.New(rand.NewPCG(seed, 1)),
+		store:      &platform.Platform{Seed: seed},
+		storeDelay: 5 * time.Millisecond,
+		accepted:   map[uint64]string{},
+		linkDelay:  4 * time.Millisecond,
+		linkJitter: time.Millisecond,
+	}
+}
+
+func (w *world) add(role gooseberrymast.Role, zone string, service string, seeds []netip.AddrPort) *node {
+	index := len(w.nodes)
+	address := netip.AddrFrom4([4]byte{10, byte(index >> 16), byte(index >> 8), byte(index)})
+	record := gooseberrymast.Record{
+		Identity: gooseberrymast.Identity{Address: netip.AddrPortFrom(address, 7000)},
+		Control:  netip.AddrPortFrom(address, 7001),
+		Role:     role,
+		Zone:     zone,
+	}
+	if role == gooseberrymast.RoleAgent {
+		record.Service = gooseberrymast.TagOf(service)
+	}
+	n := &node{world: w, index: index, config: Config{
+		Environment:    testEnvironment,
+		Record:         record,
+		Seeds:          seeds,
+		CellsPerZone:   w.cells,
+		Store:          role == gooseberrymast.RoleBalancer,
+		Parse:          parseTest,
+		DecodeRevision: translator.DecodeRevision,
+		EncodeCell:     translator.EncodeCell,
+		DecodeCell:     translator.DecodeCell,
+	}}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func parseTest(text []byte) (gooseberrymast.Document, error) {
+	if len(text) == 0 {
+		return gooseberrymast.Document{}, errors.New("empty document")
+	}
+	return gooseberrymast.Document{Zones: []string{string(text)}}, nil
+}
+
+func controlOf(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(index >> 16), byte(index >> 8), byte(index)}), 7001)
+}
+
+// start begins a new life of the node.
+func (n *node) start() {
+	n.life++
+	n.alive = true
+	n.left = false
+	n.paused = false
+	n.backlog = nil
+	n.ends = map[messenger.Session]*end{}
+	n.revision = 0
+	n.wake = time.Time{}
+	config := n.config
+	config.Record.Identity.Incarnation = gooseberrymast.Incarnation(n.life)
+	config.Random = rand.New(rand.NewPCG(uint64(n.index), uint64(n.life)))
+	n.m = New(config)
+	n.do(n.m.Start)
+	if config.Record.Role == gooseberrymast.RoleAgent {
+		n.do(func(now time.Time) Actions { return n.m.Move(now, gooseberrymast.StateReady) })
+	}
+	n.tick(time.Duration(n.world.random.Int64N(int64(time.Second))))
+}
+
+func (n *node) tick(in time.Duration) {
+	life := n.life
+	n.world.after(in, func() {
+		if n.life != life || !n.alive {
+			return
+		}
+		if !n.paused {
+			n.do(n.m.Tick)
+		}
+		n.tick(time.Second)
+	})
+}
+
+// do hands an event to the node's member, later if the node is paused.
+func (n *node) do(event func(now time.Time) Actions) {
+	if !n.alive {
+		return
+	}
+	if n.paused {
+		life := n.life
+		n.backlog = append(n.backlog, func() {
+			if n.life == life {
+				n.do(event)
+			}
+		})
+		return
+	}
+	n.perform(event(n.world.now))
+	n.schedule()
+}
+
+func (n *node) schedule() {
+	next := n.m.NextTick()
+	if next.IsZero() || next.Equal(n.wake) {
+		return
+	}
+	n.wake = next
+	life := n.life
+	n.world.after(max(next.Sub(n.world.now), 0), func() {
+		if n.life == life && n.alive && n.wake.Equal(next) {
+			n.wake = time.Time{}
+			n.do(n.m.Flush)
+		}
+	})
+}
+
+func (n *node) perform(actions Actions) {
+	if adopted := actions.Adopted; adopted != nil {
+		n.world.checkAdoption(n, adopted.Revision)
+	}
+	for _, address := range actions.Dials {
+		n.world.dial(n, address)
+	}
+	for _, send := range actions.Sends {
+		if e := n.ends[send.Session]; e != nil {
+			n.world.deliver(e, send.Message)
+		}
+	}
+	for _, id := range actions.Closes {
+		if e := n.ends[id]; e != nil {
+			n.world.close(e)
+		}
+	}
+	for _, call := range actions.Calls {
+		n.world.call(n, call)
+	}
+}
+
+func (w *world) checkAdoption(n *node, revision gooseberrymast.Revision) {
+	if revision.Number <= n.revision {
+		w.t.Fatalf("node %d went from revision %d to %d", n.index, n.revision, revision.Number)
+	}
+	if text := w.accepted[revision.Number]; text != string(revision.Text) {
+		w.t.Fatalf("node %d has text %q in force for revision %d, accepted was %q", n.index, revision.Text, revision.Number, text)
+	}
+	n.revision = revision.Number
+	n.adoptedAt = w.now
+}
+
+// linked reports whether packets pass between two nodes.
+func (w *world) linked(a, b *node) bool {
+	return a.group == b.group
+}
+
+func (w *world) delay(a, b *node) time.Duration {
+	jitter := time.Duration(w.random.Int64N(int64(w.linkJitter) + 1))
+	if a.config.Record.Zone == b.config.Record.Zone {
+		return time.Millisecond + jitter
+	}
+	return w.linkDelay + jitter
+}
+
+func (w *world) dial(n *node, address netip.AddrPort) {
+	index := int(address.Addr().As4()[1])<<16 | int(address.Addr().As4()[2])<<8 | int(address.Addr().As4()[3])
+	target := w.nodes[index]
+	life := n.life
+	refuse := func() {
+		if n.life == life {
+			n.do(func(now time.Time) Actions { return n.m.Refused(now, address) })
+		}
+	}
+	if !w.linked(n, target) || target.paused {
+		w.after(5*time.Second, refuse)
+		return
+	}
+	w.after(3*w.delay(n, target), func() {
+		if n.life != life || !n.alive {
+			return
+		}
+		if !target.alive || !w.linked(n, target) {
+			refuse()
+			return
+		}
+		w.connect(n, target, address)
+	})
+}
+
+func (w *world) connect(n, target *node, address netip.AddrPort) {
+	near := &end{owner: n, life: n.life, open: true}
+	far := &end{owner: target, life: target.life, open: true, peer: near}
+	near.peer = far
+	for _, e := range []*end{far, near} {
+		e.owner.last++
+		e.id = e.owner.last
+		e.owner.ends[e.id] = e
+		w.ends = append(w.ends, e)
+	}
+	target.do(func(now time.Time) Actions { return target.m.Connected(now, far.id, netip.AddrPort{}) })
+	n.do(func(now time.Time) Actions { return n.m.Connected(now, near.id, address) })
+}
+
+func (w *world) deliver(from *end, message *messenger.Message) {
+	raw, err := proto.Marshal(translator.Encode(message))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.wireBytes += len(raw)
+	from.owner.sent += len(raw)
+	w.arrive(from, func(to *end) {
+		to.owner.received += len(raw)
+		var frame control.Message
+		if err := proto.Unmarshal(raw, &frame); err != nil {
+			w.t.Fatal(err)
+		}
+		decoded, err := translator.Decode(&frame)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		to.owner.do(func(now time.Time) Actions { return to.owner.m.Received(now, to.id, decoded) })
+	})
+}
+
+// arrive lets something pass from one end to the other, in order.
+func (w *world) arrive(from *end, event func(to *end)) {
+	to := from.peer
+	at := w.now.Add(w.delay(from.owner, to.owner))
+	if at.Before(to.arrival) {
+		at = to.arrival
+	}
+	to.arrival = at
+	w.after(at.Sub(w.now), func() {
+		if !w.linked(from.owner, to.owner) {
+			from.broken = true
+			to.broken = true
+		}
+		if to.open && !to.broken && to.owner.life == to.life {
+			event(to)
+		}
+	})
+}
+
+func (w *world) close(e *end) {
+	if !e.open {
+		return
+	}
+	e.open = false
+	delete(e.owner.ends, e.id)
+	w.arrive(e, w.ended)
+}
+
+// ended tells the owner of an end that its session is over.
+func (w *world) ended(e *end) {
+	if !e.open || e.owner.life != e.life {
+		return
+	}
+	e.open = false
+	delete(e.owner.ends, e.id)
+	e.owner.do(func(now time.Time) Actions { return e.owner.m.Closed(now, e.id) })
+}
+
+// kill ends a node's life. Peers learn of it at once unless it is silent.
+func (w *world) kill(n *node, silent bool) {
+	n.alive = false
+	for _, e := range w.ends {
+		if e.owner != n || !e.open || e.life != n.life {
+			continue
+		}
+		if silent {
+			e.broken = true
+			e.peer.broken = true
+			e.open = false
+			continue
+		}
+		w.close(e)
+	}
+}
+
+func (w *world) resume(n *node) {
+	if !n.paused {
+		return
+	}
+	n.paused = false
+	backlog := n.backlog
+	n.backlog = nil
+	for _, event := range backlog {
+		event()
+	}
+}
+
+// heal lets all nodes reach each other; sessions that lost something end.
+func (w *world) heal() {
+	for _, n := range w.nodes {
+		n.group = 0
+	}
+	for _, e := range w.ends {
+		if e.broken && e.open {
+			broken := e
+			w.after(w.linkDelay, func() { w.ended(broken) })
+		}
+	}
+}
+
+// call makes a store call that takes its time. A write may take effect after
+// its caller gave up.
+func (w *world) call(n *node, call Call) {
+	life := n.life
+	done := func(result messenger.Result) {
+		if n.life == life {
+			n.do(func(now time.Time) Actions { return n.m.Stored(now, call.ID, result) })
+		}
+	}
+	if call.Call.Method == messenger.MethodWatch {
+		w.watch(call.Call, done)
+		return
+	}
+	there, back := w.halfCall(), w.halfCall()
+	var result messenger.Result
+	w.after(there, func() { result = w.execute(call.Call) })
+	if there+back < callTimeout {
+		w.after(there+back, func() { done(result) })
+		return
+	}
+	late := messenger.Result{Err: gooseberrymast.ErrStoreUnavailable}
+	if call.Call.Method == messenger.MethodPut {
+		late.Err = gooseberrymast.ErrStoreUnknown
+	}
+	w.after(callTimeout, func() { done(late) })
+}
+
+func (w *world) halfCall() time.Duration {
+	return time.Duration(w.random.Int64N(int64(w.storeDelay) + 1))
+}
+
+func (w *world) execute(call messenger.Call) messenger.Result {
+	ctx := context.Background()
+	var result messenger.Result
+	switch call.Method {
+	case messenger.MethodGet:
+		result.Object, result.Err = w.store.Get(ctx, call.Object.Key)
+	case messenger.MethodList:
+		result.Objects, result.Err = w.store.List(ctx, call.Object.Key)
+	case messenger.MethodPut:
+		result.Version, result.Err = w.store.Put(ctx, call.Object, call.Version)
+		w.notify()
+	}
+	return result
+}
+
+func (w *world) watch(call messenger.Call, done func(messenger.Result)) {
+	w.watchCalls++
+	entry := &watch{key: call.Object.Key, after: call.Version}
+	entry.done = func(result messenger.Result) {
+		if !entry.over {
+			entry.over = true
+			w.after(w.halfCall(), func() { done(result) })
+		}
+	}
+	w.after(w.halfCall(), func() {
+		w.watches = append(w.watches, entry)
+		w.look(entry)
+	})
+	w.after(30*time.Second, func() { entry.done(messenger.Result{Err: context.DeadlineExceeded}) })
+}
+
+// look ends a watch that has news or is cut.
+func (w *world) look(entry *watch) {
+	faults := w.store.Faults()
+	if faults.Down || w.random.Float64() < faults.CutWatches {
+		entry.done(messenger.Result{Err: gooseberrymast.ErrStoreUnavailable})
+		return
+	}
+	if object, found := w.peek(entry.key); found && object.Version > entry.after {
+		entry.done(messenger.Result{Object: object})
+	}
+}
+
+func (w *world) notify() {
+	waiting := w.watches[:0]
+	for _, entry := range w.watches {
+		if !entry.over {
+			w.look(entry)
+			waiting = append(waiting, entry)
+		}
+	}
+	w.watches = waiting
+}
+
+// apply plays an operator who writes the next revision over the one read. The
+// document may have changed since: then the store refuses.
+func (w *world) apply(author string, think time.Duration) {
+	key := gooseberrymast.DocumentKey(testEnvironment)
+	object, err := w.store.Get(context.Background(), key)
+	if err != nil && !errors.Is(err, gooseberrymast.ErrStoreNotFound) {
+		return
+	}
+	number := uint64(1)
+	if err == nil {
+		read, err := translator.DecodeRevision(object.Value)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		number = read.Number + 1
+	}
+	id := fmt.Sprintf("%s-%d-%d", author, number, w.serial)
+	text := fmt.Sprintf("# revision %d by %s\n[services.ledger]\n", number, id)
+	value, err := translator.EncodeRevision(gooseberrymast.Revision{
+		Number: number, Environment: testEnvironment, WriteID: id, Author: author, Time: w.now, Text: []byte(text),
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.after(think, func() {
+		_, err := w.store.Put(context.Background(), gooseberrymast.Object{Key: key, WriteID: id, Value: value}, object.Version)
+		if stored, ok := w.peek(key); ok && stored.WriteID == id {
+			w.accepted[number] = text
+			w.notify()
+		} else if err == nil {
+			w.t.Fatalf("the store took write %s and lost it", id)
+		}
+	})
+}
+
+// peek reads an object without faults.
+func (w *world) peek(key string) (gooseberrymast.Object, bool) {
+	w.peeks++
+	faults := w.store.Faults()
+	w.store.SetFaults(platform.Faults{})
+	object, err := w.store.Get(context.Background(), key)
+	w.store.SetFaults(faults)
+	return object, err == nil
+}
+
+func (w *world) after(delay time.Duration, run func()) {
+	w.serial++
+	heap.Push(&w.queue, event{at: w.now.Add(delay), serial: w.serial, run: run})
+}
+
+// run lets time pass.
+func (w *world) run(by time.Duration) {
+	end := w.now.Add(by)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+type event struct {
+	at     time.Time
+	serial uint64
+	run    func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].serial < q[j].serial
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -38,6 +38,9 @@
 	ForgetTimeout time.Duration
 	// TombstoneTTL is the time for which a gone entry is kept.
 	TombstoneTTL time.Duration
+	// Told is set in an agent's directory: it doesn't hold the registrars'
+	// records, and Tell alone says who is suspect.
+	Told bool
 
 	shards [shardCount]shard
 	zones  zoneNames
--- a/state/directory/suspicion.go
+++ b/state/directory/suspicion.go
@@ -21,10 +21,11 @@
 	return true
 }
 
-// Tell sets the suspicion of a key as a registrar told it. An agent uses it,
-// since it doesn't hold the records of all registrars.
-func (d *Directory) Tell(now time.Time, key Key, suspect bool) {
-	if known, found := d.get(key); found {
+// Tell sets the suspicion of a record as a registrar told it. What is told of
+// another version of the record has no effect.
+func (d *Directory) Tell(now time.Time, record gooseberrymast.Record, suspect bool) {
+	known, found := d.get(KeyOf(record.Identity.Address))
+	if found && known.incarnation == record.Identity.Incarnation && known.sequence == record.Sequence {
 		d.setSuspect(now, known, suspect)
 	}
 }
@@ -56,8 +57,8 @@
 	if !found {
 		return
 	}
-	if p.state == gooseberrymast.StateGone {
-		d.setSuspect(now, p, false)
+	if p.state == gooseberrymast.StateGone || d.Told {
+		d.setSuspect(now, p, p.suspect && d.Told)
 		return
 	}
 	d.setSuspect(now, p, d.abandoned(now, p))
