--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -37,6 +37,7 @@
 		newHistory(open),
 		newPromote(open),
 		newStatus(),
+		newTry(),
 		newVersion(),
 	)
 	return root
