--- a/cmd/gooseberrymast/try.go
+++ b/cmd/gooseberrymast/try.go
@@ -21,7 +21,8 @@
 
 Nothing is needed beforehand and nothing is left behind.
 
-Exit codes: 0 every invariant held, 1 an invariant broke, 2 invalid input.`
+Exit codes: 0 every invariant held, 1 one broke or the trial failed, 2 invalid
+input.`
 
 // errBroken means that a trial broke an invariant.
 var errBroken = errors.New("the trial broke an invariant")
