Connect the commands to the platform's store

apply, diff, promote and history speak to the object API through transport/storer.

The agent's key store-address goes: only balancers use the store, and a key that is read but not used would mislead.

--- a/cmd/gooseberrymast/store.go
+++ b/cmd/gooseberrymast/store.go
@@ -1,11 +1,17 @@
 package main
 
 import (
-	"errors"
-	"fmt"
+	"gooseberrymast/protocol/translator"
+	"gooseberrymast/transport/storer"
 )
 
-// openStore gives access to the platform's store at a base URL.
+// openStore gives access to the platform's store at a base URL. Nothing is
+// sent before the first call.
 func openStore(address string) (revisions, error) {
-	return revisions{wait: sleep}, fmt.Errorf("openStore %s: %w", address, errors.ErrUnsupported)
+	return revisions{
+		store:  &storer.Storer{Address: address, Timeout: storeTimeout},
+		encode: translator.EncodeRevision,
+		decode: translator.DecodeRevision,
+		wait:   sleep,
+	}, nil
 }
--- a/settings.go
+++ b/settings.go
@@ -54,9 +54,6 @@
 	CertificateKeyFile string `toml:"certificate-key-file"`
 	// KeyFile holds the fleet's keys.
 	KeyFile string `toml:"key-file"`
-	// StoreAddress is the base URL of the platform's object API; empty when
-	// the agent learns the document from balancers alone.
-	StoreAddress string `toml:"store-address"`
 	// OperatorsAddress is the TCP address of metrics, health, status and refusals.
 	OperatorsAddress netip.AddrPort `toml:"operators-address"`
 	// Weight is the share of new flows against the service's other agents.
--- a/validate_settings.go
+++ b/validate_settings.go
@@ -92,9 +92,6 @@
 	validateFile(&faults, "certificate-file", a.CertificateFile)
 	validateFile(&faults, "certificate-key-file", a.CertificateKeyFile)
 	validateFile(&faults, "key-file", a.KeyFile)
-	if a.StoreAddress != "" {
-		validateURL(&faults, "store-address", a.StoreAddress)
-	}
 	validateRange(&faults, "weight", a.Weight, 1, MaxWeight)
 	validateLogLevel(&faults, a.LogLevel)
 	validateDistinct(&faults, []namedAddress{
