Try the whole system with membership, the store and the poller

Cause: a trial handed out static tables and so passed over the control side. Change: the trial's fleet joins through the stand-in store: a document is applied, balancers and agents announce themselves, drains and replacements are announced.

--- a/assembler/balancer.go
+++ b/assembler/balancer.go
@@ -147,6 +147,23 @@
 	return b.listener.Address()
 }
 
+// Routable is the number of agents that the balancer gives new flows to.
+func (b *Balancer) Routable() int {
+	table := b.controller.Table()
+	if table == nil {
+		return 0
+	}
+	n := 0
+	for _, members := range table.Services {
+		for _, member := range members {
+			if member.Routable() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Status is what the balancer knows of its environment.
 func (b *Balancer) Status() gooseberrymast.Status {
 	return b.controller.Status()
--- a/trier/fleet.go
+++ b/trier/fleet.go
@@ -9,20 +9,26 @@
 	"sync"
 	"time"
 
+	"github.com/BurntSushi/toml"
 	"github.com/phuslu/log"
 
 	"gooseberrymast"
 	"gooseberrymast/assembler"
 	"gooseberrymast/coordination/dispatcher"
 	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/translator"
 	"gooseberrymast/standin/backend"
 	"gooseberrymast/standin/fabric"
+	"gooseberrymast/standin/platform"
 	"gooseberrymast/state/timer"
 )
 
 // balancers is the number of entry instances of a trial.
 const balancers = 3
 
+// environment is the environment's name in a trial.
+const environment = "trial"
+
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
 // server is one backend server with its agent.
@@ -32,7 +38,6 @@
 	zone    string
 	backend *backend.Backend
 	agent   *assembler.Agent
-	state   gooseberrymast.State
 	// leftAt is when the drain began, and unset before.
 	leftAt time.Time
 }
@@ -44,13 +49,12 @@
 	policy     dispatcher.Policy
 	plan       Plan
 	keys       *keyer.Keys
-	document   *gooseberrymast.Document
+	platform   *platform.Platform
 	tls        *tlsMaterial
 	fabric     *fabric.Fabric
 	addresses  map[string]netip.AddrPort
 
 	mu        sync.Mutex
-	version   uint64
 	servers   []*server
 	balancers []*assembler.Balancer
 	lives     gooseberrymast.Incarnation
@@ -69,7 +73,7 @@
 		policy:     policy,
 		plan:       plan,
 		keys:       keyer.Random(),
-		document:   documentOf(deployment),
+		platform:   &platform.Platform{Seed: seed},
 		tls:        material,
 		addresses:  map[string]netip.AddrPort{},
 	}
@@ -96,8 +100,27 @@
 	return nil
 }
 
-// start brings up every backend server, agent and balancer.
+// startPatience bounds the wait until the whole system takes new flows.
+const startPatience = 30 * time.Second
+
+// start brings up every balancer, agent and backend server.
 func (f *fleet) start(ctx context.Context) error {
+	if err := f.apply(ctx); err != nil {
+		return err
+	}
+	f.balancers = make([]*assembler.Balancer, balancers)
+	for i := range balancers {
+		if err := f.replaceBalancer(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := f.startServers(ctx); err != nil {
+		return err
+	}
+	return f.settle(ctx)
+}
+
+func (f *fleet) startServers(ctx context.Context) error {
 	n := 0
 	for _, service := range f.deployment.Services {
 		for i := range service.Servers {
@@ -113,16 +136,58 @@
 			f.servers = append(f.servers, s)
 		}
 	}
-	for i := range balancers {
-		f.balancers = append(f.balancers, nil)
-		if err := f.replaceBalancer(ctx, i); err != nil {
-			return err
+	return nil
+}
+
+// apply writes the deployment's document to the platform's store.
+func (f *fleet) apply(ctx context.Context) error {
+	text, err := documentText(f.deployment)
+	if err != nil {
+		return err
+	}
+	const writeID = "trial-1"
+	value, err := translator.EncodeRevision(gooseberrymast.Revision{
+		Number: 1, Environment: environment, WriteID: writeID, Author: "try", Time: time.Now(), Text: text,
+	})
+	if err != nil {
+		return fmt.Errorf("fleet.apply: %w", err)
+	}
+	object := gooseberrymast.Object{Key: gooseberrymast.DocumentKey(environment), WriteID: writeID, Value: value}
+	if _, err := f.platform.Put(ctx, object, 0); err != nil {
+		return fmt.Errorf("fleet.apply: %w", err)
+	}
+	return nil
+}
+
+// settle waits until every balancer routes to every agent.
+func (f *fleet) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	for !f.settled() {
+		if !sleepUntil(ctx, time.Now().Add(settlePause)) {
+			return fmt.Errorf("fleet.settle: not every balancer knows every agent: %w", ctx.Err())
 		}
 	}
-	f.publish()
 	return nil
 }
 
+// settlePause is the time between two looks at the fleet.
+const settlePause = 50 * time.Millisecond
+
+func (f *fleet) settled() bool {
+	for _, b := range f.balancers {
+		if b.Ready() != nil || b.Routable() != len(f.servers) {
+			return false
+		}
+	}
+	for _, s := range f.servers {
+		if s.agent.Ready() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // startServer starts a stand-in backend server and the agent beside it.
 func (f *fleet) startServer(ctx context.Context, s *server) error {
 	s.backend = &backend.Backend{Name: s.name, Slots: s.service.Slots, Work: f.plan.Work, Push: f.plan.StreamPeriod}
@@ -131,10 +196,12 @@
 		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
 	}
 	settings := gooseberrymast.AgentSettings{
+		Environment:    environment,
 		Service:        s.service.Name,
 		Zone:           s.zone,
 		Address:        anyPort,
 		ControlAddress: anyPort,
+		Seeds:          f.seeds(),
 	}
 	settings.Backend.Address = address
 	settings.Backend.HealthPath = backend.PathHealth
@@ -153,9 +220,7 @@
 		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
 	}
 	s.agent = agent
-	s.state = gooseberrymast.StateReady
 	s.leftAt = time.Time{}
-	agent.SetDocument(1, f.document)
 	go func() {
 		if err := agent.Run(ctx); err != nil && ctx.Err() == nil {
 			log.Error().Err(err).Str("agent", s.name).Msg("the agent stopped")
@@ -175,9 +240,12 @@
 // stops. The new one knows nothing of the flows in progress.
 func (f *fleet) replaceBalancer(ctx context.Context, i int) error {
 	settings := gooseberrymast.BalancerSettings{
+		Environment:      environment,
 		Zone:             f.deployment.Zones[i%len(f.deployment.Zones)],
 		ServiceAddresses: map[string][]netip.AddrPort{},
 		ForwardAddress:   anyPort,
+		ControlAddress:   anyPort,
+		Seeds:            f.seeds(),
 		Shards:           1,
 	}
 	for _, service := range f.deployment.Services {
@@ -187,12 +255,13 @@
 		Settings:    settings,
 		Incarnation: f.nextLife(),
 		Keys:        f.keys,
+		Store:       f.platform,
 		Timer:       timer.System{},
+		Seed:        f.seed,
 	})
 	if err != nil {
 		return fmt.Errorf("fleet.replaceBalancer %d: %w", i, err)
 	}
-	next.SetDocument(1, f.document)
 	go func() {
 		if err := next.Run(ctx); err != nil && ctx.Err() == nil {
 			log.Error().Err(err).Int("balancer", i).Msg("the balancer stopped")
@@ -202,14 +271,27 @@
 	before := f.balancers[i]
 	f.balancers[i] = next
 	f.mu.Unlock()
-	f.publish()
 	f.fabric.Add(f.placeOf(next, i))
 	if before != nil {
+		before.Leave(ctx)
 		before.Close()
 	}
 	return nil
 }
 
+// seeds lists the control addresses of the balancers that run.
+func (f *fleet) seeds() []netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var seeds []netip.AddrPort
+	for _, b := range f.balancers {
+		if b != nil {
+			seeds = append(seeds, b.Control())
+		}
+	}
+	return seeds
+}
+
 func (f *fleet) placeOf(b *assembler.Balancer, i int) fabric.Balancer {
 	place := fabric.Balancer{Name: fmt.Sprintf("balancer-%d", i)}
 	for _, service := range f.deployment.Services {
@@ -219,44 +301,12 @@
 	return place
 }
 
-// publish gives every process the table of the members.
-func (f *fleet) publish() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.version++
-	table := &gooseberrymast.Table{Version: f.version, Revision: 1, Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{}}
-	for _, s := range f.servers {
-		tag := gooseberrymast.TagOf(s.service.Name)
-		table.Services[tag] = append(table.Services[tag], gooseberrymast.Member{Record: gooseberrymast.Record{
-			Identity: s.agent.Identity(),
-			Sequence: uint32(f.version),
-			Control:  s.agent.Control(),
-			Role:     gooseberrymast.RoleAgent,
-			State:    s.state,
-			Service:  tag,
-			Zone:     s.zone,
-			Weight:   1,
-		}})
-	}
-	for _, s := range f.servers {
-		s.agent.SetTable(table)
-	}
-	for _, b := range f.balancers {
-		if b != nil {
-			b.SetTable(table)
-		}
-	}
-}
-
 // drain makes a backend server leave, waits for what is in progress, and puts
 // a new one in its place.
 func (f *fleet) drain(ctx context.Context, s *server) error {
 	f.mu.Lock()
-	s.state = gooseberrymast.StateLeaving
 	s.leftAt = time.Now()
 	f.mu.Unlock()
-	s.agent.Leave()
-	f.publish()
 	if err := s.agent.Shutdown(ctx); err != nil {
 		return fmt.Errorf("fleet.drain: %w", err)
 	}
@@ -267,11 +317,7 @@
 	if err := s.backend.Close(); err != nil {
 		return fmt.Errorf("fleet.drain %s: %w", s.name, err)
 	}
-	if err := f.startServer(ctx, s); err != nil {
-		return err
-	}
-	f.publish()
-	return nil
+	return f.startServer(ctx, s)
 }
 
 func (f *fleet) retire(s *server) {
@@ -294,9 +340,9 @@
 	f.fabric.Close()
 }
 
-// documentOf writes the deployment's document.
-func documentOf(deployment Deployment) *gooseberrymast.Document {
-	document := &gooseberrymast.Document{Zones: deployment.Zones, Services: map[string]gooseberrymast.Service{}}
+// documentText writes the deployment's document.
+func documentText(deployment Deployment) ([]byte, error) {
+	document := gooseberrymast.Document{Zones: deployment.Zones, Services: map[string]gooseberrymast.Service{}}
 	for _, s := range deployment.Services {
 		var service gooseberrymast.Service
 		service.Limits.Slots = s.Slots
@@ -305,5 +351,9 @@
 		document.Services[s.Name] = service
 	}
 	document.Defaults()
-	return document
+	text, err := toml.Marshal(document)
+	if err != nil {
+		return nil, fmt.Errorf("documentText: %w", err)
+	}
+	return text, nil
 }
