--- a/protocol/parser/parser.go
+++ b/protocol/parser/parser.go
@@ -1,130 +1,99 @@
-// Package parser reads from a QUIC datagram what a balancer needs: the
-// destination connection id and whether the packet can open a flow. It goes no
-// further than the version-independent properties of RFC 8999, but for the
-// packet types of the versions 1 and 2.
+// Package parser reads documents and settings in TOML. It reports every fault
+// of a text at once, each with its line and key.
 package parser
 
-import "encoding/binary"
+import (
+	"errors"
+	"sort"
 
-// Versions whose packet types are known.
-const (
-	version1 = 0x00000001
-	version2 = 0x6b3343cf
-)
-
-// Lengths in bytes, from RFC 9000.
-const (
-	// MinInitialDatagram is the size to which a caller pads a datagram that
-	// holds an Initial packet.
-	MinInitialDatagram = 1200
-	// MinOpeningID and MaxID bound the id that a caller chooses for a flow.
-	MinOpeningID = 8
-	MaxID        = 20
+	"github.com/BurntSushi/toml"
 
-	longHeaderBytes = 6
+	"gooseberrymast"
 )
 
-// Bits of the first byte.
-const (
-	longBit   = 0x80
-	fixedBit  = 0x40
-	typeShift = 4
-	typeMask  = 3
-)
+// MaxDocumentBytes is the longest document that is accepted, in bytes. It
+// leaves room for the revision's own fields in one object of the store.
+const MaxDocumentBytes = gooseberrymast.MaxObjectBytes - 1<<16
 
-// Fault says why a datagram isn't carried.
-type Fault string
+// Document decodes and validates the text of a document. The defaults of the
+// keys left out are set. The error is a gooseberrymast.Faults.
+func Document(text []byte) (gooseberrymast.Document, error) {
+	return DocumentFile("", text)
+}
 
-// The faults of a datagram.
-const (
-	FaultTruncated Fault = "truncated"
-	// FaultNotQUIC is a datagram that can't be a caller's QUIC packet.
-	FaultNotQUIC Fault = "not-quic"
-	// FaultTooSmall is an Initial packet in a datagram that isn't padded.
-	FaultTooSmall Fault = "too-small"
-)
+// DocumentFile is Document with the name of the file in each fault.
+func DocumentFile(file string, text []byte) (gooseberrymast.Document, error) {
+	var document gooseberrymast.Document
+	if len(text) > MaxDocumentBytes {
+		return document, tooLong(file, text).Err()
+	}
+	err := parse(file, text, &document)
+	return document, err
+}
 
-// Error makes a fault an error.
-func (f Fault) Error() string {
-	return "datagram: " + string(f)
+// Balancer decodes and validates a balancer's settings. With an error, a
+// gooseberrymast.Faults, the settings hold what could be read.
+func Balancer(file string, text []byte) (gooseberrymast.BalancerSettings, error) {
+	var settings gooseberrymast.BalancerSettings
+	settings.Defaults()
+	err := parse(file, text, &settings)
+	return settings, err
 }
 
-// Packet is what was read of a datagram's first packet.
-type Packet struct {
-	// ID is the destination connection id, a part of the datagram. It is
-	// idBytes long in a packet with a short header.
-	ID []byte
-	// Opens is set when the packet can belong to a flow that has no id of an
-	// agent's making yet.
-	Opens bool
-	// Long is set for a packet with a long header.
-	Long bool
+// Agent decodes and validates an agent's settings. With an error, a
+// gooseberrymast.Faults, the settings hold what could be read.
+func Agent(file string, text []byte) (gooseberrymast.AgentSettings, error) {
+	var settings gooseberrymast.AgentSettings
+	settings.Defaults()
+	err := parse(file, text, &settings)
+	return settings, err
 }
 
-// Parse reads a datagram. A short header doesn't tell the length of its id, so
-// it is given as idBytes. The error is a Fault.
-func Parse(datagram []byte, idBytes int) (Packet, error) {
-	if len(datagram) == 0 {
-		return Packet{}, FaultTruncated
-	}
-	if datagram[0]&longBit != 0 {
-		return parseLong(datagram)
-	}
-	if datagram[0]&fixedBit == 0 {
-		return Packet{}, FaultNotQUIC
-	}
-	if len(datagram) < 1+idBytes {
-		return Packet{}, FaultTruncated
-	}
-	return Packet{ID: datagram[1 : 1+idBytes]}, nil
+// Locate gives each fault the file and, where the text has the key or a table
+// around it, the line.
+func Locate(file string, text []byte, faults gooseberrymast.Faults) gooseberrymast.Faults {
+	decoder := decoder{file: file}
+	decoder.index(text)
+	return decoder.locate(faults)
 }
 
-func parseLong(datagram []byte) (Packet, error) {
-	if len(datagram) < longHeaderBytes {
-		return Packet{}, FaultTruncated
-	}
-	version := binary.BigEndian.Uint32(datagram[1:])
-	length := int(datagram[longHeaderBytes-1])
-	if version == 0 || length > MaxID {
-		return Packet{}, FaultNotQUIC
-	}
-	if len(datagram) < longHeaderBytes+length {
-		return Packet{}, FaultTruncated
+type validator interface {
+	Validate() gooseberrymast.Faults
+}
+
+func parse(file string, text []byte, value validator) error {
+	decoder := decoder{file: file}
+	if !decoder.decode(text, value) {
+		return decoder.faults.Err()
 	}
-	packet := Packet{ID: datagram[longHeaderBytes : longHeaderBytes+length], Long: true}
-	kind := classify(version, datagram[0])
-	if kind == kindInitial && len(datagram) < MinInitialDatagram {
-		return Packet{}, FaultTooSmall
+	faults := decoder.faults
+	for _, fault := range decoder.locate(value.Validate()) {
+		if !decoder.reported(fault.Key) {
+			faults = append(faults, fault)
+		}
 	}
-	packet.Opens = kind != kindOther && length >= MinOpeningID
-	return packet, nil
+	sort.SliceStable(faults, func(i, j int) bool {
+		return faults[i].Line < faults[j].Line
+	})
+	return faults.Err()
 }
 
-// kind classifies packets with a long header.
-type kind uint8
-
-const (
-	kindOther kind = iota
-	kindInitial
-	kindZeroRTT
-)
+func tooLong(file string, text []byte) gooseberrymast.Faults {
+	return gooseberrymast.Faults{{
+		File:  file,
+		Value: gooseberrymast.FaultValue(len(text)) + " bytes",
+		Want:  "at most " + gooseberrymast.FaultValue(MaxDocumentBytes) + " bytes",
+	}}
+}
 
-// classify takes a packet of an unknown version for an Initial: the agent
-// answers it by naming the versions it speaks.
-func classify(version uint32, first byte) kind {
-	bits := first >> typeShift & typeMask
-	switch version {
-	case version1:
-	case version2:
-		bits--
-	default:
-		return kindInitial
-	}
-	switch bits {
-	case 0:
-		return kindInitial
-	case 1:
-		return kindZeroRTT
+// syntaxFault describes a text that is not TOML.
+func syntaxFault(file string, err error) gooseberrymast.Fault {
+	fault := gooseberrymast.Fault{File: file, Want: "TOML: " + oneLine(err.Error())}
+	var parseError toml.ParseError
+	if errors.As(err, &parseError) {
+		fault.Line = parseError.Position.Line
+		fault.Key = oneLine(parseError.LastKey)
+		fault.Want = "TOML: " + oneLine(parseError.Message)
 	}
-	return kindOther
+	return fault
 }
--- a/work.go
+++ b/work.go
@@ -33,6 +33,9 @@
 	// Replayable is set while the whole body is still held, so that the
 	// request can be sent again.
 	Replayable bool
+	// Displaced is set on a hand-over whose origin can't run requests at its
+	// own backend server, so that the request may wait at the receiver.
+	Displaced bool
 }
 
 // HandedOver reports whether another agent holds the caller's flow.
@@ -66,6 +69,8 @@
 	Work WorkID
 	// Peer is set for ActionHandOver, ActionAsk and ActionSpend.
 	Peer Identity
+	// Displaced is Work.Displaced for the receiver of ActionHandOver.
+	Displaced bool
 	// Refusal is set for ActionRefuse.
 	Refusal Refusal
 }
@@ -89,7 +94,8 @@
 	ResultBroken
 	// ResultTorn: the answer broke after its beginning was passed on.
 	ResultTorn
-	// ResultRefused: the peer refused the hand-over; its refusal says RanNo.
+	// ResultRefused: the peer refused the hand-over; its refusal says whether
+	// the request can have run there.
 	ResultRefused
 	// ResultTimedOut: the deadline passed during the attempt.
 	ResultTimedOut
@@ -116,7 +122,11 @@
 	// Arrive takes a request from a caller's flow or a peer's hand-over.
 	Arrive(now time.Time, work Work) []Action
 	// Finish reports how ActionRun or ActionHandOver ended. The refusal is
-	// the peer's for ResultRefused and zero otherwise.
+	// the peer's for ResultRefused and zero otherwise. Finish follows every
+	// such action exactly once, also after ActionCancel: until then the slot
+	// counts as held. When no action comes back for the request, the answer
+	// of the attempt is the caller's: after ResultFailed that is the backend
+	// server's own failure.
 	Finish(now time.Time, id WorkID, result Result, refusal Refusal) []Action
 	// Answered reports the reply to ActionAsk: known is false when the peer
 	// gave no answer, ran tells whether the request ran or may still run.
@@ -128,7 +138,8 @@
 	Cancel(now time.Time, id WorkID) []Action
 	// Tick lets time pass: queues, deadlines and budgets.
 	Tick(now time.Time) []Action
-	// NextTick gives the time at which Tick has something to do, or zero.
+	// NextTick gives the time at which Tick has something to do, or zero. It
+	// is asked again after each of the other methods.
 	NextTick() time.Time
 	// Configure puts the limits of a revision in force.
 	Configure(now time.Time, revision uint64, service Service) []Action
