Answer through other balancers sooner, and through ones that are known to run

Cause: when the balancer that last delivered crashed, the first turn of the answers still went to it, after 300 ms; and when all that had delivered were gone, nothing led back to a caller with nothing to send.

Change: turns begin with another balancer, after 100 ms of silence. Receiver.SetBalancers names the balancers that run: others are not used and these stand in for them, with an answer that says no life and no index. Tests: the death of every balancer that delivered, and a caller whose address changes three times on an open flow.

--- a/protocol/framer/header.go
+++ b/protocol/framer/header.go
@@ -99,6 +99,10 @@
 	KindMoved
 )
 
+// AnyIndex stands in an answer for the first address of the service, when the
+// balancer's numbering isn't known.
+const AnyIndex = 1<<16 - 1
+
 // KeyBytes is the size of the payload of KindMoved.
 const KeyBytes = 8
 
@@ -139,7 +143,7 @@
 	// Service is the service that the caller addressed.
 	Service gooseberrymast.ServiceTag
 	// Index numbers the balancer's service address; the agent's answers
-	// repeat it.
+	// repeat it, or say AnyIndex.
 	Index uint16
 	// Origin names the sender and the place of the frame in its sequence.
 	Origin Origin
@@ -151,7 +155,8 @@
 	// Balancer is the address that answers are sent to.
 	Balancer netip.AddrPort
 	// Life is the id of the balancer's sender, which answers must repeat, so
-	// that a balancer that took over the address refuses old answers.
+	// that a balancer that took over the address refuses old answers. Zero
+	// stands in an answer through a balancer that delivered nothing yet.
 	Life uint64
 	// Takers are the agents that may take the flow, in order. Unused ones
 	// are zero and come last.
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -182,6 +182,7 @@
 		{"for another balancer", func(h *framer.Header) { h.To = agent }, 0, DropWrongTarget},
 		{"not an answer", func(h *framer.Header) { h.Kind = framer.KindFlow }, 0, DropWrongTarget},
 		{"of another service", func(h *framer.Header) { h.Index = 1 }, 0, DropWrongService},
+		{"of a service without an address", func(h *framer.Header) { h.Index, h.Service = framer.AnyIndex, 1 }, 0, DropWrongService},
 		{"for no address", func(h *framer.Header) { h.Index = 2 }, 0, DropWrongService},
 	}
 	for _, test := range tests {
@@ -214,6 +215,19 @@
 	is.Equal(dropOf(err), DropReplayed)
 }
 
+// An agent that knows only the balancer's address may answer through it.
+func TestAnswerWithoutLifeOrIndex(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	frame := answer(t, fwd, framer.NewSender(), func(h *framer.Header) {
+		h.Life, h.Index, h.Service = 0, framer.AnyIndex, gooseberrymast.TagOf(receipts)
+	})
+	var header framer.Header
+	_, err := fwd.open(frame, &header)
+	is.NoErr(err)
+	is.Equal(header.Index, uint16(1))
+}
+
 // The table before the one in force is kept for one to two periods.
 func TestPreviousTableAges(t *testing.T) {
 	is := is.New(t)
--- a/transport/forwarder/outbound.go
+++ b/transport/forwarder/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"gooseberrymast/protocol/framer"
 	"gooseberrymast/transport/batcher"
@@ -71,15 +72,24 @@
 	out.write.Clear()
 }
 
+// isOwnLife tells an answer for this life of the balancer from one for an
+// earlier life. Zero is said by an agent that knows only the address.
+func (f *Forwarder) isOwnLife(life uint64) bool {
+	return life == f.sender.ID || life == 0
+}
+
 // open verifies an agent's frame and gives the packet for the caller.
 func (f *Forwarder) open(frame []byte, header *framer.Header) ([]byte, error) {
 	payload, err := f.framer.Open(frame, header)
 	if err != nil {
 		return nil, err
 	}
-	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || header.Life != f.sender.ID {
+	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || !f.isOwnLife(header.Life) {
 		return nil, framer.FaultWrongTarget
 	}
+	if header.Index == framer.AnyIndex {
+		header.Index = uint16(max(0, slices.Index(f.tags, header.Service)))
+	}
 	if int(header.Index) >= len(f.tags) || f.tags[header.Index] != header.Service {
 		return nil, framer.FaultWrongService
 	}
--- a/transport/receiver/callers.go
+++ b/transport/receiver/callers.go
@@ -6,7 +6,10 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"gooseberrymast/protocol/framer"
 )
 
 // Bounds of the memory of callers.
@@ -18,9 +21,9 @@
 	// the idle timeout of a flow.
 	CallerLife = 3 * time.Minute
 	// alternateAfter is the silence of a caller after which its answers take
-	// turns through the balancers that delivered last, as the newest of them
-	// may be gone.
-	alternateAfter = 300 * time.Millisecond
+	// turns through several balancers, as the newest may be gone. It is above
+	// a round trip and a delayed acknowledgement.
+	alternateAfter = 100 * time.Millisecond
 	// paths is the number of balancers remembered for each caller.
 	paths = 3
 )
@@ -45,8 +48,9 @@
 // callers remembers, by caller's address, the balancers that last delivered.
 // It is sharded, each shard under its own lock. The zero value works.
 type callers struct {
-	max    int
-	shards [callerShards]callerShard
+	max       int
+	balancers atomic.Pointer[[]netip.AddrPort]
+	shards    [callerShards]callerShard
 }
 
 type callerShard struct {
@@ -90,12 +94,55 @@
 	if now.Sub(known.heard) <= alternateAfter {
 		return known.paths[0], false, true
 	}
-	turn := known.turn
 	known.turn++
-	if int(known.turn) == paths || known.paths[known.turn] == (path{}) {
-		known.turn = 0
+	via = known.alternative(int(known.turn), key, c.balancers.Load())
+	return via, via != known.paths[0], true
+}
+
+// setBalancers replaces the balancers that are known to run.
+func (c *callers) setBalancers(addresses []netip.AddrPort) {
+	next := append([]netip.AddrPort(nil), addresses...)
+	c.balancers.Store(&next)
+}
+
+// alternative gives the path at a turn. The turns go over the balancers that
+// are remembered and run, the newest last, and over others that run in place of
+// those that don't.
+func (c *caller) alternative(turn int, key uint64, running *[]netip.AddrPort) path {
+	var choice [paths]path
+	n := 0
+	for i := range paths {
+		via := c.paths[(i+1)%paths]
+		if via != (path{}) && runs(via.balancer, running) {
+			choice[n] = via
+			n++
+		}
 	}
-	return known.paths[turn], turn > 0, true
+	if running != nil {
+		for i := range *running {
+			if n == paths {
+				break
+			}
+			other := path{balancer: (*running)[(int(key%(1<<31))+i)%len(*running)], index: framer.AnyIndex}
+			if !c.remembers(other.balancer) {
+				choice[n] = other
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return c.paths[0]
+	}
+	return choice[(turn-1)%n]
+}
+
+func (c *caller) remembers(balancer netip.AddrPort) bool {
+	return slices.ContainsFunc(c.paths[:], func(via path) bool { return via.balancer == balancer })
+}
+
+// runs reports whether a balancer isn't known to be gone.
+func runs(balancer netip.AddrPort, running *[]netip.AddrPort) bool {
+	return running == nil || len(*running) == 0 || slices.Contains(*running, balancer)
 }
 
 // open notes that a caller opens a flow.
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -230,7 +230,7 @@
 func TestPushSurvivesADeadBalancer(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, 1, 3, nil)
-	conn := b.dialWith(nil) // the caller sends nothing unless it has to
+	conn := b.dialWith(nil)         // the caller sends nothing unless it has to
 	echo(t, conn, 30, func(int) {}) // all three balancers have delivered by now
 	stream, err := conn.OpenStream()
 	is.NoErr(err)
@@ -252,3 +252,55 @@
 	}
 	is.True(b.agents[0].receiver.Counters.Alternated.Load() > 0)
 }
+
+// The same holds when every balancer that delivered the caller's packets is
+// gone, once the agent hears of others.
+func TestPushSurvivesTheDeathOfAllKnownBalancers(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 2, nil)
+	conn := b.dialWith(nil)
+	echo(t, conn, 30, func(int) {})
+	stream, err := conn.OpenStream()
+	is.NoErr(err)
+	defer func() { _ = stream.Close() }()
+	_, err = stream.Write([]byte(pushRequest))
+	is.NoErr(err)
+	message := make([]byte, len(pushMessage))
+	_, err = io.ReadFull(stream, message)
+	is.NoErr(err)
+	b.onlyThrough()
+	b.current["balancer-0"].Close()
+	b.current["balancer-1"].Close()
+	next := b.startBalancer("balancer-2", nil)
+	b.onlyThrough() // the agent must speak first
+	b.agents[0].receiver.SetBalancers([]netip.AddrPort{next.ForwardAddress()})
+	_, err = io.ReadFull(stream, message)
+	is.NoErr(err)
+	b.onlyThrough("balancer-2")
+	for range pushes - 2 {
+		_, err = io.ReadFull(stream, message)
+		is.NoErr(err)
+	}
+}
+
+// A caller whose address changes in the middle of a flow keeps it.
+func TestCallerMovesToAnotherAddress(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 3, nil)
+	socket := newMovingSocket(t)
+	transport := &quic.Transport{Conn: socket}
+	t.Cleanup(func() { _ = transport.Close() })
+	to := net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0))
+	conn, err := transport.Dial(b.ctx, to, clientTLS(), nil)
+	is.NoErr(err)
+	echo(t, conn, 60, func(i int) {
+		if i%20 == 10 {
+			socket.move()
+		}
+	})
+	callers := 0
+	for _, a := range b.agents {
+		callers += a.receiver.Callers()
+	}
+	is.Equal(callers, 4) // the agent heard of the first address and of three others
+}
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -138,6 +138,14 @@
 	r.leaving.Store(true)
 }
 
+// SetBalancers names the forwarding addresses of the balancers that run. The
+// answers to a caller that has gone silent take turns through those of them
+// that delivered its packets, and through others in place of those that are
+// gone. Without it, or with none, just the balancers that delivered are used.
+func (r *Receiver) SetBalancers(addresses []netip.AddrPort) {
+	r.callers.setBalancers(addresses)
+}
+
 // SetKeys replaces the fleet's keys with flows open.
 func (r *Receiver) SetKeys(keys *keyer.Keys) error {
 	if err := r.sealer.SetKeys(keys); err != nil {
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -12,7 +12,9 @@
 	"io"
 	"maps"
 	"math/big"
+	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -258,3 +260,46 @@
 func clientTLS() *tls.Config {
 	return &tls.Config{InsecureSkipVerify: true, NextProtos: []string{protocolName}}
 }
+
+// movingSocket is a caller's socket whose address changes on the way, as behind
+// a NAT that forgot it.
+type movingSocket struct {
+	net.PacketConn
+	t       *testing.T
+	current atomic.Pointer[net.UDPConn]
+}
+
+func newMovingSocket(t *testing.T) *movingSocket {
+	s := &movingSocket{t: t}
+	s.move()
+	s.PacketConn = s.current.Load()
+	return s
+}
+
+// move takes another address. The old one is read no more.
+func (s *movingSocket) move() {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	is.New(s.t).NoErr(err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	if old := s.current.Swap(conn); old != nil {
+		_ = old.SetReadDeadline(time.Now())
+	}
+}
+
+func (s *movingSocket) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		conn := s.current.Load()
+		n, from, err := conn.ReadFrom(p)
+		if err == nil || conn == s.current.Load() {
+			return n, from, err
+		}
+	}
+}
+
+func (s *movingSocket) WriteTo(p []byte, to net.Addr) (int, error) {
+	return s.current.Load().WriteTo(p, to)
+}
+
+func (s *movingSocket) SetReadDeadline(t time.Time) error {
+	return s.current.Load().SetReadDeadline(t)
+}
