Let apply and promote wait until a revision is in force everywhere

--wait asks a balancer twice a second and fails, with the number of instances that lack the revision, when time is up; the revision stays applied.

--- a/cmd/gooseberrymast/apply.go
+++ b/cmd/gooseberrymast/apply.go
@@ -21,9 +21,13 @@
 whether the document was applied. If the store stays down it says that this is
 not known; "history" shows it later by the write id.
 
+` + waitHelp + `
+
 ` + storeHelp + `
+` + balancerHelp + `
 
-Exit codes: 0 applied, 1 not applied or not known, 2 invalid input.`
+Exit codes: 0 applied, 1 not applied, not known, or not in force everywhere by
+--wait, 2 invalid input.`
 
 func newApply(open opener) *cobra.Command {
 	command := &cobra.Command{
@@ -33,6 +37,7 @@
 		Args:  invalidArgs(cobra.ExactArgs(1)),
 	}
 	store, author, environment, seen := storeFlag(command), authorFlag(command), environmentFlag(command), seenFlag(command)
+	balancer, limit := balancerFlag(command), waitFlag(command)
 	command.RunE = func(command *cobra.Command, args []string) error {
 		_, text, err := readDocument(args[0])
 		if err != nil {
@@ -44,6 +49,10 @@
 		if err := checkAuthor(*author); err != nil {
 			return err
 		}
+		waiter, err := newWaiter(*limit, "balancer", *balancer)
+		if err != nil {
+			return err
+		}
 		access, err := openFlag(open, *store)
 		if err != nil {
 			return err
@@ -55,21 +64,24 @@
 			Conditional: command.Flags().Changed("seen"),
 			Seen:        *seen,
 		}
-		return applyAndReport(command, access, machine)
+		return applyAndReport(command, access, machine, waiter)
 	}
 	return command
 }
 
-// applyAndReport runs an applier and prints its report.
-func applyAndReport(command *cobra.Command, access revisions, machine *applier.Applier) error {
+// applyAndReport runs an applier, prints its report and waits if told to.
+func applyAndReport(command *cobra.Command, access revisions, machine *applier.Applier, waiter waiter) error {
 	machine.WriteID = rand.Text()
 	machine.Time = time.Now().UTC()
 	if err := access.fits(machine); err != nil {
 		return err
 	}
 	report := access.run(command.Context(), machine)
-	if report.Outcome == applier.OutcomeApplied {
-		access.prune(command.Context(), machine.Environment, report.Revision.Number)
+	out := newPrinter(command)
+	if err := printReport(out, report); err != nil {
+		return err
 	}
-	return printReport(newPrinter(command), report)
+	access.prune(command.Context(), machine.Environment, report.Revision.Number)
+	waiter.wait = access.wait
+	return waiter.run(command.Context(), out, report.Revision)
 }
--- a/cmd/gooseberrymast/promote.go
+++ b/cmd/gooseberrymast/promote.go
@@ -19,11 +19,15 @@
 instances lack it. With --force REASON it is promoted all the same; the reason is
 kept with the author's name. Races are settled as by "apply".
 
+` + waitHelp + ` That balancer is
+named by --to-balancer.
+
 ` + storeHelp + `
 ` + balancerHelp + `
 It must be a balancer of the environment that --from names.
 
-Exit codes: 0 applied, 1 refused, not applied or not known, 2 invalid input.`
+Exit codes: 0 applied, 1 refused, not applied, not known, or not in force
+everywhere by --wait, 2 invalid input.`
 
 func newPromote(open opener) *cobra.Command {
 	command := &cobra.Command{
@@ -36,6 +40,8 @@
 	author, seen := authorFlag(command), seenFlag(command)
 	from := command.Flags().String("from", "", "`name` of the environment to promote from")
 	to := command.Flags().String("to", "", "`name` of the environment to promote to")
+	limit := waitFlag(command)
+	target := command.Flags().String("to-balancer", "", "operators' `address` of a balancer of the environment to promote to, for --wait")
 	force := command.Flags().String("force", "", "promote whatever is in force, for this `reason`")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		if err := checkPromotion(*from, *to, *author); err != nil {
@@ -45,6 +51,10 @@
 		if err != nil {
 			return err
 		}
+		waiter, err := newWaiter(*limit, "to-balancer", *target)
+		if err != nil {
+			return err
+		}
 		access, err := openFlag(open, *store)
 		if err != nil {
 			return err
@@ -59,7 +69,7 @@
 			Author:      signed,
 			Conditional: command.Flags().Changed("seen"),
 			Seen:        *seen,
-		})
+		}, waiter)
 	}
 	return command
 }
--- a/cmd/gooseberrymast/status_test.go
+++ b/cmd/gooseberrymast/status_test.go
@@ -76,6 +76,26 @@
 	is.True(strings.Contains(stdout, "flows 3, streams 2, requests running 1, queued 0"))
 }
 
+func TestApplyWaits(t *testing.T) {
+	is := is.New(t)
+	looks := 0
+	address := serve(t, &operator.Server{Status: func() gooseberrymast.Status {
+		status := trialStatus()
+		if looks++; looks > 3 {
+			status.Revisions = status.Revisions[:1]
+		}
+		return status
+	}})
+	code, _, stderr := applyAs(t, &memoryStore{}, "amina", slots4, "--wait", "1s", "--balancer", address)
+	is.Equal(code, exitFailed)
+	is.Equal(stderr, "trial: revision 1 is applied, but after 1s: the revision is not in force everywhere: 2 of 11 instances don't have revision 1 in force\n")
+	code, stdout, _ := applyAs(t, &memoryStore{}, "amina", slots4, "--wait", "1s", "--balancer", address)
+	is.Equal(code, exitOK)
+	is.Equal(stdout, "trial: applied as revision 1 by amina\ntrial: revision 1 is in force everywhere\n")
+	code, _, _ = applyAs(t, &memoryStore{}, "amina", slots4, "--wait", "1s")
+	is.Equal(code, exitInvalid) // nobody to ask
+}
+
 type oneRefusal gooseberrymast.Refusal
 
 func (o oneRefusal) Find(id string) (gooseberrymast.Refusal, bool) {
@@ -127,6 +147,9 @@
 	is.Equal(stdout, "production: applied as revision 2 by karim\n  its text is that of revision 1\n")
 	_, stdout, _ = executeOn(store, "history", "--environment", "production", "--store", "http://127.0.0.1:1", "--show", "2")
 	is.Equal(stdout, slots4) // the very same bytes
+	code, stdout, _ = executeOn(store, append(flags, "--wait", "2s", "--to-balancer", address)...)
+	is.Equal(code, exitFailed) // a balancer of trial can't speak for production
+	is.True(strings.Contains(stdout, "production: applied as revision 3"))
 	code, _, _ = executeOn(store, "promote", "--from", "trial", "--to", "trial", "--author", "a")
 	is.Equal(code, exitInvalid)
 }
