--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -118,7 +118,10 @@
 		Protocols:   protocols,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	go func() { b.done <- b.server.Serve(socket) }()
+	go func() {
+		b.done <- b.server.Serve(socket)
+		close(b.done)
+	}()
 	return socket.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
@@ -129,7 +132,8 @@
 	}
 	b.cancel()
 	err := b.server.Close()
-	if served := <-b.done; err == nil && !errors.Is(served, http.ErrServerClosed) {
+	served, first := <-b.done
+	if first && err == nil && !errors.Is(served, http.ErrServerClosed) {
 		err = served
 	}
 	if err != nil {
--- /dev/null
+++ b/transport/poller/poller_test.go
@@ -0,0 +1,52 @@
+package poller
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast/standin/backend"
+	"gooseberrymast/state/timer"
+)
+
+// observation is one call of Observe.
+type observation struct {
+	healthy bool
+	load    int32
+}
+
+func TestPollerReportsWhatTheServerSays(t *testing.T) {
+	is := is.New(t)
+	server := &backend.Backend{}
+	address, err := server.Start(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	defer server.Close()
+	seen := make(chan observation, 1)
+	clock := &timer.Manual{}
+	poller := &Poller{
+		Address:    address,
+		HealthPath: backend.PathHealth,
+		LoadPath:   backend.PathLoad,
+		Timer:      clock,
+		Observe:    func(healthy bool, load int32) { seen <- observation{healthy, load} },
+	}
+	poller.Start()
+	defer poller.Stop()
+	is.Equal(<-seen, observation{true, 0})
+	poll := func() observation {
+		clock.Advance(Period)
+		return <-seen
+	}
+	lie := 7
+	server.SetLoadLie(&lie)
+	is.Equal(poll(), observation{true, 7})
+	server.SetHealthy(false)
+	is.Equal(poll(), observation{true, 7}) // one failure is not enough
+	is.Equal(poll(), observation{false, 7})
+	server.SetHealthy(true)
+	is.Equal(poll(), observation{true, 7})
+	server.Close()
+	is.Equal(poll(), observation{true, 7})
+	is.Equal(poll(), observation{false, 7}) // a server that is gone is unhealthy
+}
