--- /dev/null
+++ b/transport/forwarder/outbound.go
@@ -0,0 +1,90 @@
+package forwarder
+
+import (
+	"fmt"
+
+	"gooseberrymast/protocol/framer"
+	"gooseberrymast/transport/batcher"
+)
+
+// outbound sends the answers that come to one forwarding socket to their
+// callers, each from the service address it belongs to.
+type outbound struct {
+	fwd    *Forwarder
+	shard  int
+	read   *batcher.Batch
+	write  *batcher.Batch
+	header framer.Header
+}
+
+// answer reads one forwarding socket until it is closed.
+func (f *Forwarder) answer(shard int, conn *batcher.Conn) error {
+	out := newOutbound(f, shard)
+	for {
+		if err := out.step(conn); err != nil {
+			return fmt.Errorf("forwarder forwarding address %s: %w", f.forward, err)
+		}
+	}
+}
+
+func newOutbound(fwd *Forwarder, shard int) *outbound {
+	return &outbound{
+		fwd:   fwd,
+		shard: shard,
+		read:  batcher.NewReadBatch(fwd.config.Batch, 0, framer.MaxFrame+1),
+		write: batcher.NewWriteBatch(fwd.config.Batch),
+	}
+}
+
+// step sends the answers of one read.
+func (out *outbound) step(from *batcher.Conn) error {
+	n, err := from.Read(out.read)
+	if err != nil {
+		return err
+	}
+	index := uint16(0)
+	for i := range n {
+		frame, _ := out.read.Datagram(i)
+		payload, err := out.fwd.open(frame, &out.header)
+		if err != nil {
+			out.fwd.Counters.drop(dropOf(err))
+			continue
+		}
+		if out.header.Index != index {
+			out.flush(index)
+			index = out.header.Index
+		}
+		out.write.Add(payload, out.header.Caller)
+	}
+	out.flush(index)
+	return nil
+}
+
+// flush sends the answers for one service address.
+func (out *outbound) flush(index uint16) {
+	if out.write.Len() == 0 {
+		return
+	}
+	conns := out.fwd.services[index]
+	out.fwd.Counters.Answers.Add(uint64(out.write.Len()))
+	out.fwd.send(conns[min(out.shard, len(conns)-1)], out.write)
+	out.write.Clear()
+}
+
+// open verifies an agent's frame and gives the packet for the caller.
+func (f *Forwarder) open(frame []byte, header *framer.Header) ([]byte, error) {
+	payload, err := f.framer.Open(frame, header)
+	if err != nil {
+		return nil, err
+	}
+	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || header.Life != f.sender.ID {
+		return nil, framer.FaultWrongTarget
+	}
+	if int(header.Index) >= len(f.tags) || f.tags[header.Index] != header.Service {
+		return nil, framer.FaultWrongService
+	}
+	if !f.windows.Accept(header.Origin, f.config.Timer.Now()) {
+		return nil, framer.FaultReplayed
+	}
+	return payload, nil
+}
--- /dev/null
+++ b/transport/receiver/end_to_end_test.go
@@ -0,0 +1,202 @@
+package receiver_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/standin/fabric"
+	"gooseberrymast/transport/receiver"
+)
+
+// A stream goes on while every balancer is replaced by one with an empty table.
+func TestStreamSurvivesReplacedBalancers(t *testing.T) {
+	b := newBench(t, 3, 3, nil)
+	conn := b.dial()
+	echo(t, conn, 400, func(i int) {
+		if i%100 == 50 && i < 350 {
+			b.startBalancer(fmt.Sprint("balancer-", i/100), nil)
+		}
+	})
+}
+
+// Flows open while the two datagrams of a ClientHello come through different
+// balancers, and all agents get some.
+func TestFlowsOpenThroughAnyBalancer(t *testing.T) {
+	b := newBench(t, 3, 3, nil)
+	for range 30 {
+		echo(t, b.dial(), 1, func(int) {})
+	}
+	is := is.New(t)
+	for _, a := range b.agents {
+		is.True(a.receiver.Counters.Opening.Load() > 0) // the agent took a flow
+	}
+}
+
+// opened gives the number of first packets that the agents took.
+func (b *bench) opened() uint64 {
+	n := uint64(0)
+	for _, a := range b.agents {
+		n += a.receiver.Counters.Opening.Load()
+	}
+	return n
+}
+
+// A stream goes on through loss, delay, reordering and duplication, while
+// balancers are replaced.
+func TestStreamSurvivesABadNetwork(t *testing.T) {
+	b := newBench(t, 3, 3, nil)
+	b.fabric.SetFaults(fabric.Faults{
+		Drop: 0.03, Duplicate: 0.05, Delay: time.Millisecond, Reorder: 0.1, ReorderBy: 3 * time.Millisecond,
+	})
+	conn := b.dial()
+	echo(t, conn, 150, func(i int) {
+		if i%50 == 25 {
+			b.startBalancer(fmt.Sprint("balancer-", i/50), nil)
+		}
+	})
+	is := is.New(t)
+	counts := b.fabric.Counts()
+	is.True(counts.Dropped > 0)
+	is.True(counts.Reordered > 0)
+	is.True(counts.Duplicated > 0)
+}
+
+// An agent that leaves passes new flows on, and keeps those that it holds.
+func TestLeavingAgentKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 3, nil)
+	var conns []*quic.Conn
+	for range 8 {
+		conns = append(conns, b.dial())
+	}
+	left := b.agents[0].receiver
+	left.Leaving()
+	before := left.Counters.Opening.Load()
+	is.True(before > 0)
+	for range 8 {
+		echo(t, b.dial(), 1, func(int) {})
+	}
+	for _, conn := range conns {
+		echo(t, conn, 5, func(int) {})
+	}
+	is.True(left.Counters.Passed.Load() > 0)
+	is.Equal(left.Counters.Opening.Load(), before) // it took no new flow
+}
+
+// Flows pass on from agents that are at their bound.
+func TestBoundedAgentPassesFlowsOn(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 3, func(i int, config *receiver.Config) {
+		config.FlowBound = func() bool { return i == 0 }
+	})
+	for range 10 {
+		echo(t, b.dial(), 1, func(int) {})
+	}
+	is.Equal(b.agents[0].receiver.Counters.Opening.Load(), uint64(0))
+	is.True(b.agents[1].receiver.Counters.Opening.Load() >= 10)
+}
+
+// Callers prove their address by a Retry, which comes back to the same agent.
+func TestRetry(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 3, func(_ int, config *receiver.Config) { config.RetryRate = -1 })
+	for range 5 {
+		echo(t, b.dial(), 1, func(int) {})
+	}
+	retries, halfOpen := uint64(0), 0
+	for _, a := range b.agents {
+		retries += a.receiver.Counters.Retries.Load()
+		halfOpen += a.receiver.HalfOpen()
+	}
+	is.True(retries >= 5)
+	is.Equal(halfOpen, 0)
+}
+
+// The fleet's key is rotated in three steps with a flow open.
+func TestKeysRotateUnderAnOpenFlow(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 2, nil)
+	conn := b.dial()
+	next := keyer.Random().Keys[0]
+	next.Epoch = 2
+	both := &keyer.Keys{Current: 1, Keys: append([]keyer.Key{next}, b.keys.Keys...)}
+	switched := &keyer.Keys{Current: 2, Keys: both.Keys}
+	steps := []*keyer.Keys{both, switched}
+	echo(t, conn, 60, func(i int) {
+		if i%20 != 10 || i/20 >= len(steps) {
+			return
+		}
+		for _, fwd := range b.current {
+			is.NoErr(fwd.SetKeys(steps[i/20]))
+		}
+		for _, a := range b.agents {
+			is.NoErr(a.receiver.SetKeys(steps[i/20]))
+		}
+	})
+	echo(t, b.dial(), 1, func(int) {})
+}
+
+// A restarted agent tells the callers of its earlier life that their flow is
+// gone, by a stateless reset.
+func TestRestartedAgentResetsStaleFlows(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 2, nil)
+	conn := b.dial()
+	echo(t, conn, 1, func(int) {})
+	old := b.agents[0].receiver
+	address := old.Identity().Address
+	is.NoErr(old.Close())
+	restarted := b.startAgent(0, service, func(_ int, config *receiver.Config) {
+		config.Identity = gooseberrymast.Identity{Address: address, Incarnation: 8}
+	})
+	stream, err := conn.OpenStream()
+	is.NoErr(err)
+	_, err = stream.Write([]byte("anyone there"))
+	is.NoErr(err)
+	select {
+	case <-conn.Context().Done():
+	case <-b.ctx.Done():
+		t.Fatal("the flow was not reset")
+	}
+	var reset *quic.StatelessResetError
+	is.True(errors.As(context.Cause(conn.Context()), &reset))
+	is.True(restarted.receiver.Counters.Stale.Load() > 0)
+}
+
+// Random datagrams to a service, to a balancer's forwarding address and to an
+// agent are dropped and counted, and flows go on.
+func TestGarbageIsDropped(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, 2, nil)
+	conn := b.dial()
+	garbage, err := net.ListenUDP("udp4", nil)
+	is.NoErr(err)
+	defer func() { _ = garbage.Close() }()
+	fwd := b.startBalancer("balancer-0", b.table)
+	targets := []net.Addr{
+		net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0)),
+		net.UDPAddrFromAddrPort(fwd.ForwardAddress()),
+		b.agents[0].receiver.LocalAddr(),
+	}
+	opened := b.opened()
+	echo(t, conn, 50, func(i int) {
+		for _, target := range targets {
+			_, err := garbage.WriteTo(make([]byte, i*40), target)
+			is.NoErr(err)
+		}
+	})
+	is.Equal(b.opened(), opened)
+	agentCounters := &b.agents[0].receiver.Counters
+	is.True(agentCounters.Dropped(receiver.DropTruncated) > 0)
+	is.True(agentCounters.Dropped(receiver.DropBadVersion) > 0)
+	is.True(agentCounters.Dropped(receiver.DropOversized) > 0)
+}
--- /dev/null
+++ b/trier/fleet.go
@@ -0,0 +1,359 @@
+package trier
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/phuslu/log"
+
+	"gooseberrymast"
+	"gooseberrymast/assembler"
+	"gooseberrymast/coordination/dispatcher"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/translator"
+	"gooseberrymast/standin/backend"
+	"gooseberrymast/standin/fabric"
+	"gooseberrymast/standin/platform"
+	"gooseberrymast/state/timer"
+)
+
+// balancers is the number of entry instances of a trial.
+const balancers = 3
+
+// environment is the environment's name in a trial.
+const environment = "trial"
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// server is one backend server with its agent.
+type server struct {
+	service DeployedService
+	name    string
+	zone    string
+	backend *backend.Backend
+	agent   *assembler.Agent
+	// leftAt is when the drain began, and unset before.
+	leftAt time.Time
+}
+
+// fleet is a whole system on loopback.
+type fleet struct {
+	deployment Deployment
+	seed       uint64
+	policy     dispatcher.Policy
+	plan       Plan
+	keys       *keyer.Keys
+	platform   *platform.Platform
+	tls        *tlsMaterial
+	fabric     *fabric.Fabric
+	addresses  map[string]netip.AddrPort
+
+	mu        sync.Mutex
+	servers   []*server
+	balancers []*assembler.Balancer
+	lives     gooseberrymast.Incarnation
+	// retired holds the stand-ins of servers that were replaced.
+	retired []*backend.Backend
+}
+
+func newFleet(deployment Deployment, seed uint64, plan Plan, policy dispatcher.Policy) (*fleet, error) {
+	material, err := newTLS(deployment)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		deployment: deployment,
+		seed:       seed,
+		policy:     policy,
+		plan:       plan,
+		keys:       keyer.Random(),
+		platform:   &platform.Platform{Seed: seed},
+		tls:        material,
+		addresses:  map[string]netip.AddrPort{},
+	}
+	if err := f.startFabric(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) startFabric() error {
+	var addresses []netip.AddrPort
+	for range f.deployment.Services {
+		addresses = append(addresses, anyPort)
+	}
+	fab, err := fabric.New(fabric.Config{Services: addresses, Seed: f.seed})
+	if err != nil {
+		return fmt.Errorf("fleet.startFabric: %w", err)
+	}
+	fab.SetFaults(fabric.Faults{Delay: f.deployment.CallerDelay})
+	f.fabric = fab
+	for i, service := range f.deployment.Services {
+		f.addresses[service.Name] = fab.ServiceAddress(i)
+	}
+	return nil
+}
+
+// startPatience bounds the wait until the whole system takes new flows.
+const startPatience = 30 * time.Second
+
+// start brings up every balancer, agent and backend server.
+func (f *fleet) start(ctx context.Context) error {
+	if err := f.apply(ctx); err != nil {
+		return err
+	}
+	f.balancers = make([]*assembler.Balancer, balancers)
+	for i := range balancers {
+		if err := f.replaceBalancer(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := f.startServers(ctx); err != nil {
+		return err
+	}
+	return f.settle(ctx)
+}
+
+func (f *fleet) startServers(ctx context.Context) error {
+	n := 0
+	for _, service := range f.deployment.Services {
+		for i := range service.Servers {
+			s := &server{
+				service: service,
+				name:    fmt.Sprintf("%s-%d", service.Name, i),
+				zone:    f.deployment.Zones[n%len(f.deployment.Zones)],
+			}
+			n++
+			if err := f.startServer(ctx, s); err != nil {
+				return err
+			}
+			f.servers = append(f.servers, s)
+		}
+	}
+	return nil
+}
+
+// apply writes the deployment's document to the platform's store.
+func (f *fleet) apply(ctx context.Context) error {
+	text, err := documentText(f.deployment)
+	if err != nil {
+		return err
+	}
+	const writeID = "trial-1"
+	value, err := translator.EncodeRevision(gooseberrymast.Revision{
+		Number: 1, Environment: environment, WriteID: writeID, Author: "try", Time: time.Now(), Text: text,
+	})
+	if err != nil {
+		return fmt.Errorf("fleet.apply: %w", err)
+	}
+	object := gooseberrymast.Object{Key: gooseberrymast.DocumentKey(environment), WriteID: writeID, Value: value}
+	if _, err := f.platform.Put(ctx, object, 0); err != nil {
+		return fmt.Errorf("fleet.apply: %w", err)
+	}
+	return nil
+}
+
+// settle waits until every balancer routes to every agent.
+func (f *fleet) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	for !f.settled() {
+		if !sleepUntil(ctx, time.Now().Add(settlePause)) {
+			return fmt.Errorf("fleet.settle: not every balancer knows every agent: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// settlePause is the time between two looks at the fleet.
+const settlePause = 50 * time.Millisecond
+
+func (f *fleet) settled() bool {
+	for _, b := range f.balancers {
+		if b.Ready() != nil || b.Routable() != len(f.servers) {
+			return false
+		}
+	}
+	for _, s := range f.servers {
+		if s.agent.Ready() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// startServer starts a stand-in backend server and the agent beside it.
+func (f *fleet) startServer(ctx context.Context, s *server) error {
+	s.backend = &backend.Backend{Name: s.name, Slots: s.service.Slots, Work: f.plan.Work, Push: f.plan.StreamPeriod}
+	address, err := s.backend.Start(anyPort)
+	if err != nil {
+		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
+	}
+	settings := gooseberrymast.AgentSettings{
+		Environment:    environment,
+		Service:        s.service.Name,
+		Zone:           s.zone,
+		Address:        anyPort,
+		ControlAddress: anyPort,
+		Seeds:          f.seeds(),
+	}
+	settings.Backend.Address = address
+	settings.Backend.HealthPath = backend.PathHealth
+	settings.Backend.LoadPath = backend.PathLoad
+	settings.Defaults()
+	agent, err := assembler.NewAgent(assembler.AgentConfig{
+		Settings:    settings,
+		Incarnation: f.nextLife(),
+		Keys:        f.keys,
+		Certificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &f.tls.certificate, nil },
+		Timer:       timer.System{},
+		Seed:        f.seed,
+		Policy:      f.policy,
+	})
+	if err != nil {
+		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
+	}
+	s.agent = agent
+	s.leftAt = time.Time{}
+	go func() {
+		if err := agent.Run(ctx); err != nil && ctx.Err() == nil {
+			log.Error().Err(err).Str("agent", s.name).Msg("the agent stopped")
+		}
+	}()
+	return nil
+}
+
+func (f *fleet) nextLife() gooseberrymast.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives++
+	return f.lives
+}
+
+// replaceBalancer starts a balancer in the place of another one, which then
+// stops. The new one knows nothing of the flows in progress.
+func (f *fleet) replaceBalancer(ctx context.Context, i int) error {
+	settings := gooseberrymast.BalancerSettings{
+		Environment:      environment,
+		Zone:             f.deployment.Zones[i%len(f.deployment.Zones)],
+		ServiceAddresses: map[string][]netip.AddrPort{},
+		ForwardAddress:   anyPort,
+		ControlAddress:   anyPort,
+		Seeds:            f.seeds(),
+		Shards:           1,
+	}
+	for _, service := range f.deployment.Services {
+		settings.ServiceAddresses[service.Name] = []netip.AddrPort{anyPort}
+	}
+	next, err := assembler.NewBalancer(assembler.BalancerConfig{
+		Settings:    settings,
+		Incarnation: f.nextLife(),
+		Keys:        f.keys,
+		Store:       f.platform,
+		Timer:       timer.System{},
+		Seed:        f.seed,
+	})
+	if err != nil {
+		return fmt.Errorf("fleet.replaceBalancer %d: %w", i, err)
+	}
+	go func() {
+		if err := next.Run(ctx); err != nil && ctx.Err() == nil {
+			log.Error().Err(err).Int("balancer", i).Msg("the balancer stopped")
+		}
+	}()
+	f.mu.Lock()
+	before := f.balancers[i]
+	f.balancers[i] = next
+	f.mu.Unlock()
+	f.fabric.Add(f.placeOf(next, i))
+	if before != nil {
+		before.Leave(ctx)
+		before.Close()
+	}
+	return nil
+}
+
+// seeds lists the control addresses of the balancers that run.
+func (f *fleet) seeds() []netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var seeds []netip.AddrPort
+	for _, b := range f.balancers {
+		if b != nil {
+			seeds = append(seeds, b.Control())
+		}
+	}
+	return seeds
+}
+
+func (f *fleet) placeOf(b *assembler.Balancer, i int) fabric.Balancer {
+	place := fabric.Balancer{Name: fmt.Sprintf("balancer-%d", i)}
+	for _, service := range f.deployment.Services {
+		address, _ := b.ServiceAddress(service.Name)
+		place.Services = append(place.Services, address)
+	}
+	return place
+}
+
+// drain makes a backend server leave, waits for what is in progress, and puts
+// a new one in its place.
+func (f *fleet) drain(ctx context.Context, s *server) error {
+	f.mu.Lock()
+	s.leftAt = time.Now()
+	f.mu.Unlock()
+	if err := s.agent.Shutdown(ctx); err != nil {
+		return fmt.Errorf("fleet.drain: %w", err)
+	}
+	f.retire(s)
+	if err := s.agent.Close(); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("fleet.drain %s: %w", s.name, err)
+	}
+	if err := s.backend.Close(); err != nil {
+		return fmt.Errorf("fleet.drain %s: %w", s.name, err)
+	}
+	return f.startServer(ctx, s)
+}
+
+func (f *fleet) retire(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retired = append(f.retired, s.backend)
+}
+
+// close ends every process.
+func (f *fleet) close() {
+	for _, b := range f.balancers {
+		if b != nil {
+			b.Close()
+		}
+	}
+	for _, s := range f.servers {
+		s.agent.Close()
+		s.backend.Close()
+	}
+	f.fabric.Close()
+}
+
+// documentText writes the deployment's document.
+func documentText(deployment Deployment) ([]byte, error) {
+	document := gooseberrymast.Document{Zones: deployment.Zones, Services: map[string]gooseberrymast.Service{}}
+	for _, s := range deployment.Services {
+		var service gooseberrymast.Service
+		service.Limits.Slots = s.Slots
+		service.Streams = []string{backend.PathPush, backend.PathConverse}
+		service.CrossZone = gooseberrymast.CrossZoneWhenFull
+		document.Services[s.Name] = service
+	}
+	document.Defaults()
+	text, err := toml.Marshal(document)
+	if err != nil {
+		return nil, fmt.Errorf("documentText: %w", err)
+	}
+	return text, nil
+}
