Add the commands balancer, agent and platform

Change: one command for each process with checked settings, graceful shutdown on a signal, the operators' address, and reload of keys and certificates that changed. Conclusion: one binary holds the whole product.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -327,9 +327,15 @@
 }
 
 // Shutdown waits until the requests in progress have ended and moves the
-// callers on. The end of the context cuts what is left.
+// callers on. The end of the context, or of the document's max-wait, cuts what
+// is left.
 func (a *Agent) Shutdown(ctx context.Context) error {
 	a.Leave()
+	if wait := a.document().Drain.MaxWait.Std(); wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
 	if err := a.terminator.Shutdown(ctx); err != nil {
 		return fmt.Errorf("Agent.Shutdown %s: %w", a.Identity(), err)
 	}
--- a/assembler/balancer.go
+++ b/assembler/balancer.go
@@ -201,15 +201,16 @@
 	}
 }
 
-// Leave announces the departure, so that the fabric and the agents turn to
+// Shutdown announces the departure, so that the fabric and the agents turn to
 // other balancers, and forwards until the announcement has had its time.
-func (b *Balancer) Leave(ctx context.Context) {
+func (b *Balancer) Shutdown(ctx context.Context) error {
 	b.controller.Leave(ctx)
+	return ctx.Err()
 }
 
 // Close closes the sockets.
-func (b *Balancer) Close() {
+func (b *Balancer) Close() error {
 	b.controller.Close()
-	b.listener.Close()
 	b.forwarder.Close()
+	return b.listener.Close()
 }
--- /dev/null
+++ b/cmd/gooseberrymast/balancer.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gooseberrymast"
+	"gooseberrymast/assembler"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/operator"
+	"gooseberrymast/transport/reloader"
+	"gooseberrymast/transport/storer"
+)
+
+const balancerLong = `Runs a balancer: an entry instance behind the fabric. It forwards callers' packets
+to agents and keeps nothing of a flow.
+
+SIGTERM announces the departure, goes on forwarding while others turn away, and
+stops. A second signal stops at once; flows go on through the other balancers.
+
+Exit codes: 0 stopped by a signal or the settings are valid, 1 failed, 2 the
+settings are invalid.`
+
+func newBalancer() *cobra.Command {
+	var config string
+	var check bool
+	command := &cobra.Command{
+		Use:   "balancer --config FILE",
+		Short: "Run a balancer",
+		Long:  balancerLong,
+		Args:  invalidArgs(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			settings, err := readBalancerSettings(config)
+			if err != nil {
+				return err
+			}
+			if check {
+				fmt.Fprintf(command.OutOrStdout(), "%s is valid\n", config)
+				return nil
+			}
+			setLogLevel(settings.LogLevel)
+			return again(assembler.IncarnationAt(time.Now()), func(incarnation gooseberrymast.Incarnation) error {
+				return runBalancer(command.Context(), settings, incarnation)
+			})
+		},
+	}
+	addConfigFlags(command, &config, &check)
+	return command
+}
+
+func addConfigFlags(command *cobra.Command, config *string, check *bool) {
+	command.Flags().StringVar(config, "config", "", "the settings' `FILE`, in TOML")
+	command.Flags().BoolVar(check, "check", false, "check the settings and exit")
+}
+
+func runBalancer(ctx context.Context, settings gooseberrymast.BalancerSettings, incarnation gooseberrymast.Incarnation) error {
+	keys, err := keyer.Load(settings.KeyFile)
+	if err != nil {
+		return err
+	}
+	store := &storer.Storer{Address: settings.StoreAddress}
+	balancer, err := assembler.NewBalancer(assembler.BalancerConfig{
+		Settings:    settings,
+		Incarnation: incarnation,
+		Keys:        keys,
+		Store:       store,
+		Timer:       timer.System{},
+	})
+	if err != nil {
+		return err
+	}
+	if err := store.Register(balancer.Registry); err != nil {
+		return err
+	}
+	files := &reloader.Reloader{Files: []string{settings.KeyFile}, Timer: timer.System{}, Load: func() error {
+		return loadKeys(settings.KeyFile, balancer.SetKeys)
+	}}
+	files.Start()
+	defer files.Stop()
+	stop, err := serveOperators(settings.OperatorsAddress, &operator.Server{
+		Metrics: balancer.Registry,
+		Ready:   balancer.Ready,
+		Status:  balancer.Status,
+	})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	return serveProcess(ctx, balancer)
+}
+
+func loadKeys(file string, set func(*keyer.Keys) error) error {
+	keys, err := keyer.Load(file)
+	if err != nil {
+		return err
+	}
+	return set(keys)
+}
--- /dev/null
+++ b/cmd/gooseberrymast/process.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"gooseberrymast"
+	"gooseberrymast/assembler"
+	"gooseberrymast/transport/operator"
+)
+
+// operatorsShutdown bounds the wait for questions on the operators' address.
+const operatorsShutdown = 2 * time.Second
+
+// process is what the commands balancer and agent run.
+type process interface {
+	// Run serves until Close.
+	Run(ctx context.Context) error
+	// Shutdown announces the departure and waits for what is in progress.
+	Shutdown(ctx context.Context) error
+	// Close cuts what is left.
+	Close() error
+}
+
+// serveProcess runs a process until it fails or a signal ends it. The first
+// signal begins a graceful shutdown, the second cuts it short.
+func serveProcess(ctx context.Context, running process) error {
+	first, stopFirst := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stopFirst()
+	failed := make(chan error, 1)
+	go func() { failed <- running.Run(ctx) }()
+	select {
+	case err := <-failed:
+		return errors.Join(err, running.Close())
+	case <-first.Done():
+	}
+	stopFirst()
+	log.Info().Msg("leaving: no new work, what is in progress goes on; a second signal cuts it")
+	second, stopSecond := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stopSecond()
+	err := running.Shutdown(second)
+	if err != nil {
+		log.Warn().Err(err).Msg("the shutdown was cut short")
+	}
+	return running.Close()
+}
+
+// serveOperators answers on the operators' address until the returned function
+// is called.
+func serveOperators(address netip.AddrPort, server *operator.Server) (stop func(), err error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("serveOperators %s: %w", address, err)
+	}
+	serving := server.HTTPServer()
+	go func() {
+		if err := serving.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Err(err).Msg("the operators' address is no longer served")
+		}
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), operatorsShutdown)
+		defer cancel()
+		if err := serving.Shutdown(ctx); err != nil {
+			log.Warn().Err(err).Msg("a question on the operators' address was cut")
+		}
+	}, nil
+}
+
+// again runs a process anew with a higher incarnation as often as the
+// membership asks for it.
+func again(start gooseberrymast.Incarnation, run func(gooseberrymast.Incarnation) error) error {
+	for {
+		err := run(start)
+		var raised *assembler.RaisedError
+		if !errors.As(err, &raised) {
+			return err
+		}
+		log.Warn().Err(err).Msg("starting again")
+		start = raised.Identity.Incarnation
+	}
+}
+
+func setLogLevel(name string) {
+	log.DefaultLogger.Level = log.ParseLevel(name)
+}
--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -30,11 +30,14 @@
 	})
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
+		newAgent(),
 		newApply(open),
+		newBalancer(),
 		newCheck(),
 		newDiff(open),
 		newExplain(),
 		newHistory(open),
+		newPlatform(),
 		newPromote(open),
 		newStatus(),
 		newTry(),
--- a/trier/fleet.go
+++ b/trier/fleet.go
@@ -272,11 +272,13 @@
 	f.balancers[i] = next
 	f.mu.Unlock()
 	f.fabric.Add(f.placeOf(next, i))
-	if before != nil {
-		before.Leave(ctx)
-		before.Close()
+	if before == nil {
+		return nil
 	}
-	return nil
+	if err := before.Shutdown(ctx); err != nil {
+		return fmt.Errorf("fleet.replaceBalancer %d: %w", i, err)
+	}
+	return before.Close()
 }
 
 // seeds lists the control addresses of the balancers that run.
