Run the processes of a small deployment and call them

Cause: a signal ended the command's context and with it the graceful shutdown; found by running two balancers and two agents as processes and stopping one of each.

--- a/cmd/gooseberrymast/process.go
+++ b/cmd/gooseberrymast/process.go
@@ -34,6 +34,8 @@
 // serveProcess runs a process until it fails or a signal ends it. The first
 // signal begins a graceful shutdown, the second cuts it short.
 func serveProcess(ctx context.Context, running process) error {
+	// A signal cancels the command's context too, which would cut the shutdown.
+	ctx = context.WithoutCancel(ctx)
 	first, stopFirst := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stopFirst()
 	failed := make(chan error, 1)
--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -32,7 +32,9 @@
 	root.AddCommand(
 		newAgent(),
 		newApply(open),
+		newBackend(),
 		newBalancer(),
+		newCall(),
 		newCheck(),
 		newDiff(open),
 		newExplain(),
