Mend what random faults with lost zones and leaves showed

Change: seeds always end an agent's list; a balancer without sessions names no registrars; a failed probe is repeated at once and counts as evidence; a lone balancer judges the unreachable for itself; agents send newer records back.

--- a/coordination/member/attach.go
+++ b/coordination/member/attach.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -48,7 +49,8 @@
 	for i, s := range ready {
 		registrars[i] = s.Peer.Address()
 	}
-	if len(ready) > 0 && m.announcer.Attach(registrars) {
+	// An agent without sessions has nobody to tell. A balancer goes on alone.
+	if (len(ready) > 0 || m.isBalancer()) && m.announcer.Attach(registrars) {
 		m.announce(now)
 	}
 }
@@ -56,17 +58,7 @@
 // desired lists the control addresses of the peers to hold sessions with, at
 // most RegistrarCount, the best first.
 func (m *Member) desired(now time.Time) []netip.AddrPort {
-	var candidates []netip.AddrPort
-	if m.isBalancer() {
-		for _, b := range m.place().parents {
-			candidates = append(candidates, b.Control.Address())
-		}
-	} else {
-		candidates = slices.Clone(m.advice)
-	}
-	if len(candidates) < directory.RegistrarCount {
-		candidates = append(candidates, m.seeds()...)
-	}
+	candidates := m.candidates()
 	var desired []netip.AddrPort
 	for _, address := range candidates {
 		if len(desired) == directory.RegistrarCount {
@@ -105,21 +97,36 @@
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
-// seeds orders the seeds differently for each member. A balancer that knows
-// its peers needs none.
-func (m *Member) seeds() []netip.AddrPort {
-	if m.isBalancer() && len(m.place().parents) > 0 {
-		return nil
+// candidates lists the control addresses that this member may want, the best
+// first.
+func (m *Member) candidates() []netip.AddrPort {
+	if !m.isBalancer() {
+		return append(slices.Clone(m.advice), m.seeds()...)
+	}
+	candidates := controls(m.place().parents)
+	if m.hasPeer() {
+		return candidates
+	}
+	// A balancer without any session may know no parent that lives.
+	candidates = append(candidates, controls(announcer.Registrars(m.self, m.Record.Zone, m.Directory.Balancers()))...)
+	return append(candidates, m.seeds()...)
+}
+
+func controls(balancers []directory.Balancer) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(balancers))
+	for _, b := range balancers {
+		addresses = append(addresses, b.Control.Address())
 	}
+	return addresses
+}
+
+// seeds orders the seeds differently for each member.
+func (m *Member) seeds() []netip.AddrPort {
 	seeds := append(slices.Clone(m.Seeds), m.hints.controls...)
 	slices.SortStableFunc(seeds, func(a, b netip.AddrPort) int {
-		x, y := directory.KeyOf(a).HashWith(uint64(m.self)), directory.KeyOf(b).HashWith(uint64(m.self))
-		if x < y {
-			return -1
-		}
-		return 1
+		return cmp.Compare(directory.KeyOf(a).HashWith(uint64(m.self)), directory.KeyOf(b).HashWith(uint64(m.self)))
 	})
-	return slices.Compact(seeds)
+	return seeds
 }
 
 func (m *Member) failing(now time.Time, address netip.AddrPort) bool {
@@ -196,11 +203,15 @@
 		d = &dial{}
 		m.dials[address] = d
 	}
+	if d.probe {
+		m.reprobe = address // One failure is no proof.
+		m.nextProbe = now.Add(minRedial)
+	}
 	d.pending = false
 	d.probe = false
 	d.failures++
 	d.next = now.Add(m.jitter(min(minRedial<<min(d.failures-1, 10), maxRedial)))
-	if d.failures == failuresToReport {
+	if d.failures >= failuresToReport {
 		m.reportUnreachable(now, address)
 	}
 }
@@ -213,16 +224,21 @@
 }
 
 // reportUnreachable states that a balancer can't be connected to. A member
-// without any session says nothing: it may itself be cut off.
+// without any session keeps it to itself: it may be the one that is cut off.
 func (m *Member) reportUnreachable(now time.Time, address netip.AddrPort) {
-	if !m.isBalancer() || !m.hasPeer() {
+	if !m.isBalancer() {
 		return
 	}
-	for _, b := range m.Directory.Balancers() {
-		if b.Control.Address() == address && m.registrar.With(b.Key) == nil &&
-			m.Directory.MarkLoss(now, b.Key, directory.LossUnreachable) {
+	for _, balancer := range m.Directory.Members(0) {
+		key := directory.KeyOf(balancer.Identity.Address)
+		if balancer.Control != address || m.registrar.With(key) != nil {
+			continue
+		}
+		if !m.hasPeer() {
+			m.Directory.MarkUnreachable(now, key)
+		} else if m.Directory.MarkLoss(now, key, directory.LossUnreachable) {
 			m.Counters.UnreachablePeers++
-			m.spread(b.Key, 0)
+			m.spread(key, 0)
 		}
 	}
 }
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -77,12 +77,14 @@
 	differing  map[messenger.Session]bool
 	nextRepair time.Time
 	nextProbe  time.Time
-	document   watcher.Watcher
-	leasers    map[directory.CellID]*leaser.Leaser
-	ranks      map[directory.CellID]int
-	ranked     []directory.Balancer
-	cells      int
-	tree       tree
+	// reprobe is the address of a probe that failed, or zero.
+	reprobe  netip.AddrPort
+	document watcher.Watcher
+	leasers  map[directory.CellID]*leaser.Leaser
+	ranks    map[directory.CellID]int
+	ranked   []directory.Balancer
+	cells    int
+	tree     tree
 	// advisedOf is the list that agents were last advised from.
 	advisedOf []directory.Balancer
 	calls     map[uint64]string
--- a/coordination/member/news.go
+++ b/coordination/member/news.go
@@ -78,8 +78,17 @@
 		m.spread(key, s.ID)
 		return
 	}
-	if known, found := m.Directory.Lookup(key); found && known.Record.Newer(entry.Record) && key == s.Peer {
-		m.spreader.NoteKey(s.ID, key) // The peer must rise above its earlier life.
+	if known, found := m.Directory.Lookup(key); found && known.Record.Newer(entry.Record) {
+		m.sendBack(s, key)
+	}
+}
+
+// sendBack tells a peer of a newer record than it sent: a writer must rise above
+// its earlier life, and an agent may be the only one to whom a balancer that
+// died had passed a record on.
+func (m *Member) sendBack(s *registrar.Session, key directory.Key) {
+	if key == s.Peer || !m.isBalancer() {
+		m.spreader.NoteKey(s.ID, key)
 	}
 }
 
--- a/coordination/member/random_test.go
+++ b/coordination/member/random_test.go
@@ -62,6 +62,10 @@
 			w.repairAll()
 			w.run(settleTime)
 			w.checkAll()
+			if t.Failed() && testing.Verbose() {
+				w.debug()
+				w.debugKey(6)
+			}
 		})
 	}
 }
@@ -69,7 +73,7 @@
 // disturb causes one fault, or ends one. Faults of several kinds last together.
 func (w *world) disturb() {
 	n := w.nodes[w.random.IntN(len(w.nodes))]
-	switch w.random.IntN(14) {
+	switch w.random.IntN(17) {
 	case 0, 1:
 		w.apply("amina", 0)
 		w.apply("bahiga", time.Duration(w.random.Int64N(int64(time.Second))))
@@ -94,7 +98,7 @@
 			w.kill(n, w.random.IntN(2) == 0)
 		}
 	case 10:
-		if !n.alive && !n.left {
+		if !n.alive {
 			n.start()
 		}
 	case 11:
@@ -105,6 +109,54 @@
 		w.heal()
 	case 13:
 		w.restartBalancers()
+	case 14:
+		w.apply("in-spread", 0)
+		w.run(time.Duration(w.random.Int64N(int64(20 * time.Millisecond))))
+		if balancer := w.nodes[w.random.IntN(5)]; balancer.alive && !balancer.paused {
+			w.kill(balancer, w.random.IntN(2) == 0)
+		}
+	case 15:
+		w.leave(n)
+	case 16:
+		w.loseZone(n.config.Record.Zone)
+	}
+}
+
+// leave ends a node's life the way that a planned stop does.
+func (w *world) leave(n *node) {
+	if !n.alive || n.paused {
+		return
+	}
+	life := n.life
+	n.do(func(now time.Time) Actions { return n.m.Move(now, gooseberrymast.StateLeaving) })
+	w.after(3*time.Second, func() {
+		if n.life == life {
+			n.do(func(now time.Time) Actions { return n.m.Move(now, gooseberrymast.StateGone) })
+		}
+	})
+	w.after(4*time.Second, func() {
+		if n.life == life && n.alive {
+			w.resume(n)
+			w.kill(n, false)
+		}
+	})
+}
+
+// loseZone ends the lives of all nodes of an availability zone without a word,
+// and begins most of them again later.
+func (w *world) loseZone(zone string) {
+	for _, n := range w.nodes {
+		if n.config.Record.Zone != zone || !n.alive {
+			continue
+		}
+		w.kill(n, true)
+		if w.random.IntN(4) > 0 {
+			w.after(time.Duration(w.random.Int64N(int64(time.Minute))), func() {
+				if !n.alive {
+					n.start()
+				}
+			})
+		}
 	}
 }
 
@@ -135,7 +187,11 @@
 	for _, n := range w.nodes {
 		if n.config.Record.Role == gooseberrymast.RoleBalancer && n.alive {
 			w.kill(n, false)
-			w.after(time.Duration(w.random.Int64N(int64(2*time.Second))), n.start)
+			w.after(time.Duration(w.random.Int64N(int64(2*time.Second))), func() {
+				if !n.alive {
+					n.start()
+				}
+			})
 		}
 	}
 }
@@ -148,7 +204,7 @@
 	for _, n := range w.nodes {
 		w.resume(n)
 	}
-	w.run(10 * time.Second)
+	w.run(70 * time.Second) // The last of the nodes that come back have come.
 	if !w.nodes[0].alive {
 		w.nodes[0].start()
 	}
--- a/coordination/member/sessions.go
+++ b/coordination/member/sessions.go
@@ -150,6 +150,7 @@
 		m.meetBalancer(s, record)
 		return
 	}
+	m.Directory.ClearUnreachable(now)
 	if s.Address.IsValid() && hello.Digest != m.Directory.Digest() {
 		m.beginRepair(s)
 	}
@@ -249,17 +250,25 @@
 		return
 	}
 	m.nextProbe = now.Add(m.jitter(probeInterval))
-	targets := m.probeTargets()
-	if len(targets) == 0 {
-		return
-	}
-	address := targets[m.Random.IntN(len(targets))]
-	if m.dialNow(now, address) {
+	address := m.probeTarget()
+	if address.IsValid() && m.dialNow(now, address) {
 		m.Counters.Probes++
 		m.dials[address].probe = true
 	}
 }
 
+func (m *Member) probeTarget() netip.AddrPort {
+	if again := m.reprobe; again.IsValid() {
+		m.reprobe = netip.AddrPort{}
+		return again
+	}
+	targets := m.probeTargets()
+	if len(targets) == 0 {
+		return netip.AddrPort{}
+	}
+	return targets[m.Random.IntN(len(targets))]
+}
+
 func (m *Member) probeTargets() []netip.AddrPort {
 	var targets []netip.AddrPort
 	for _, member := range m.Directory.Members(0) {
--- a/coordination/member/world_test.go
+++ b/coordination/member/world_test.go
@@ -56,7 +56,6 @@
 	config  Config
 	m       *Member
 	alive   bool
-	left    bool
 	life    int
 	group   int
 	paused  bool
@@ -146,7 +145,6 @@
 func (n *node) start() {
 	n.life++
 	n.alive = true
-	n.left = false
 	n.paused = false
 	n.backlog = nil
 	n.ends = map[messenger.Session]*end{}
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -57,6 +57,8 @@
 	published  atomic.Pointer[gooseberrymast.Table]
 	changed    map[gooseberrymast.ServiceTag]struct{}
 	suspicions []Key
+	// unreachable is this process's own judgement, told to nobody.
+	unreachable map[Key]struct{}
 }
 
 type shard struct {
--- a/state/directory/suspicion.go
+++ b/state/directory/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,25 @@
 	return true
 }
 
+// MarkUnreachable makes a process suspect in this directory alone. A balancer
+// that is cut off judges the others so without telling anyone.
+func (d *Directory) MarkUnreachable(now time.Time, key Key) {
+	if d.unreachable == nil {
+		d.unreachable = map[Key]struct{}{}
+	}
+	d.unreachable[key] = struct{}{}
+	d.judge(now, key)
+}
+
+// ClearUnreachable takes back all that MarkUnreachable set.
+func (d *Directory) ClearUnreachable(now time.Time) {
+	keys := slices.Sorted(maps.Keys(d.unreachable))
+	d.unreachable = nil
+	for _, key := range keys {
+		d.judge(now, key)
+	}
+}
+
 // Tell sets the suspicion of a record as a registrar told it. What is told of
 // another version of the record has no effect.
 func (d *Directory) Tell(now time.Time, record gooseberrymast.Record, suspect bool) {
@@ -65,7 +85,7 @@
 }
 
 func (d *Directory) abandoned(now time.Time, p packed) bool {
-	if p.loss&LossUnreachable != 0 {
+	if _, unreachable := d.unreachable[p.key]; unreachable || p.loss&LossUnreachable != 0 {
 		return true
 	}
 	named := 0
