Look up the lines of keys only when something is wrong

Cause: each line came from an error of the TOML library, which copies the whole text, and the parser asked for every key's line. The time grew with the square of the document.

Change: the lines are looked up for the faults alone, for at most 1,000 of them.

--- a/protocol/parser/decoder.go
+++ b/protocol/parser/decoder.go
@@ -18,54 +18,46 @@
 type decoder struct {
 	file   string
 	meta   toml.MetaData
+	root   table
 	faults gooseberrymast.Faults
-	// lines has the line of each key in the text, by its path.
-	lines map[string]int
+	// keys has the value of each key in the text by its path, once a line is
+	// asked for.
+	keys map[string]toml.Primitive
 }
 
 type table map[string]toml.Primitive
 
 // decode reports whether the text is TOML at all.
 func (d *decoder) decode(text []byte, target any) bool {
-	root, ok := d.open(text)
+	ok := d.open(text)
 	if ok {
-		d.fillStruct(root, nil, reflect.ValueOf(target).Elem())
+		d.fillStruct(d.root, nil, reflect.ValueOf(target).Elem())
 	}
 	return ok
 }
 
-// index notes the lines of all keys without decoding them.
-func (d *decoder) index(text []byte) {
-	root, ok := d.open(text)
-	if ok {
-		d.walk(root, nil)
-	}
-}
-
-func (d *decoder) open(text []byte) (table, bool) {
-	d.lines = map[string]int{}
-	var root table
-	meta, err := toml.Decode(string(text), &root)
+func (d *decoder) open(text []byte) bool {
+	meta, err := toml.Decode(string(text), &d.root)
 	if err != nil {
 		d.faults = append(d.faults, syntaxFault(d.file, err))
-		return nil, false
+		return false
 	}
 	d.meta = meta
-	return root, true
+	return true
 }
 
-func (d *decoder) walk(keys table, parent []string) {
+// index notes all keys below a table.
+func (d *decoder) index(keys table, parent []string) {
 	for name, primitive := range keys {
 		path := append(parent[:len(parent):len(parent)], name)
-		d.note(path, primitive)
+		d.keys[gooseberrymast.KeyPath(path...)] = primitive
 		if inner, ok := d.tableOf(primitive); ok {
-			d.walk(inner, path)
+			d.index(inner, path)
 		}
 	}
 }
 
 func (d *decoder) fill(primitive toml.Primitive, path []string, target reflect.Value) {
-	d.note(path, primitive)
 	if !isTable(target) {
 		d.fillLeaf(primitive, path, target)
 		return
@@ -102,7 +94,7 @@
 		inner := append(path[:len(path):len(path)], name)
 		field, ok := fieldOf(target, name)
 		if !ok {
-			d.unknownKey(keys[name], inner, target.Type())
+			d.unknownKey(inner, target.Type())
 			continue
 		}
 		d.fill(keys[name], inner, field)
@@ -130,8 +122,7 @@
 	target.Set(value.Elem())
 }
 
-func (d *decoder) unknownKey(primitive toml.Primitive, path []string, parent reflect.Type) {
-	d.note(path, primitive)
+func (d *decoder) unknownKey(path []string, parent reflect.Type) {
 	d.report(path, "an unknown key", "one of "+strings.Join(keysOf(parent), ", "))
 }
 
@@ -145,10 +136,7 @@
 }
 
 func (d *decoder) report(path []string, value, want string) {
-	key := gooseberrymast.KeyPath(path...)
-	d.faults = append(d.faults, gooseberrymast.Fault{
-		File: d.file, Line: d.lines[key], Key: key, Value: value, Want: want,
-	})
+	d.faults = append(d.faults, gooseberrymast.Fault{Key: gooseberrymast.KeyPath(path...), Value: value, Want: want})
 }
 
 // reported tells whether the key, or a table around it, could not be decoded.
@@ -163,11 +151,16 @@
 
 // locate sets the line of the key or of the nearest table around it.
 func (d *decoder) locate(faults gooseberrymast.Faults) gooseberrymast.Faults {
+	if len(faults) == 0 {
+		return nil
+	}
+	d.keys = map[string]toml.Primitive{}
+	d.index(d.root, nil)
 	located := make(gooseberrymast.Faults, 0, len(faults))
-	for _, fault := range faults {
+	for i, fault := range faults {
 		fault.File = d.file
-		for key := fault.Key; key != "" && fault.Line == 0; {
-			fault.Line = d.lines[key]
+		for key := fault.Key; key != "" && fault.Line == 0 && i < MaxLocated; {
+			fault.Line = d.line(key)
 			cut := strings.LastIndexByte(key, '.')
 			key = key[:max(cut, 0)]
 		}
@@ -176,6 +169,10 @@
 	return located
 }
 
+// MaxLocated is the number of faults of one text that are given their lines.
+// Each costs the library a copy of the text.
+const MaxLocated = 1000
+
 // locator never decodes, so that the library's error tells where it was.
 type locator struct{}
 
@@ -186,12 +183,18 @@
 	return errLocated
 }
 
-func (d *decoder) note(path []string, primitive toml.Primitive) {
+// line gives the line of a key, or zero.
+func (d *decoder) line(key string) int {
+	primitive, ok := d.keys[key]
+	if !ok {
+		return 0
+	}
 	var parseError toml.ParseError
 	err := d.meta.PrimitiveDecode(primitive, &locator{})
-	if errors.As(err, &parseError) && parseError.Position.Line > 0 {
-		d.lines[gooseberrymast.KeyPath(path...)] = parseError.Position.Line
+	if !errors.As(err, &parseError) {
+		return 0
 	}
+	return parseError.Position.Line
 }
 
 var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
--- a/protocol/parser/parser.go
+++ b/protocol/parser/parser.go
@@ -53,7 +53,7 @@
 // around it, the line.
 func Locate(file string, text []byte, faults gooseberrymast.Faults) gooseberrymast.Faults {
 	decoder := decoder{file: file}
-	decoder.index(text)
+	decoder.open(text)
 	return decoder.locate(faults)
 }
 
@@ -67,11 +67,12 @@
 		return decoder.faults.Err()
 	}
 	faults := decoder.faults
-	for _, fault := range decoder.locate(value.Validate()) {
+	for _, fault := range value.Validate() {
 		if !decoder.reported(fault.Key) {
 			faults = append(faults, fault)
 		}
 	}
+	faults = decoder.locate(faults)
 	sort.SliceStable(faults, func(i, j int) bool {
 		return faults[i].Line < faults[j].Line
 	})
