--- a/cmd/gooseberrymast/settings.go
+++ b/cmd/gooseberrymast/settings.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -44,8 +45,7 @@
 	settings, err := parser.Agent(file, text)
 	var found gooseberrymast.Faults
 	found = checkKeyFile(found, settings.KeyFile)
-	found = checkFile(found, "certificate-file", settings.CertificateFile)
-	found = checkFile(found, "certificate-key-file", settings.CertificateKeyFile)
+	found = checkCertificate(found, settings.CertificateFile, settings.CertificateKeyFile)
 	found = checkUDP(found, "address", settings.Address)
 	found = checkTCP(found, "control-address", settings.ControlAddress)
 	found = checkTCP(found, "operators-address", settings.OperatorsAddress)
@@ -86,6 +86,19 @@
 	return faults
 }
 
+func checkCertificate(faults gooseberrymast.Faults, certificate, key string) gooseberrymast.Faults {
+	before := len(faults)
+	faults = checkFile(faults, "certificate-file", certificate)
+	faults = checkFile(faults, "certificate-key-file", key)
+	if certificate == "" || key == "" || len(faults) > before {
+		return faults
+	}
+	if _, err := tls.LoadX509KeyPair(certificate, key); err != nil {
+		return append(faults, surrounding("certificate-file", certificate, err, "a certificate in PEM that matches certificate-key-file"))
+	}
+	return faults
+}
+
 func checkUDP(faults gooseberrymast.Faults, key string, address netip.AddrPort) gooseberrymast.Faults {
 	if !address.IsValid() || address.Port() == 0 {
 		return faults
--- a/cmd/gooseberrymast/settings_test.go
+++ b/cmd/gooseberrymast/settings_test.go
@@ -50,4 +50,7 @@
 	is.True(strings.Contains(err.Error(), ":1: key-file: got \""))
 	is.True(strings.Contains(err.Error(), "no keys"))
 	is.True(strings.Contains(err.Error(), "certificate-file: want the name of a file"))
+	_, err = readAgentSettings(write(t, "agent.toml", "certificate-file = \""+keys+"\"\ncertificate-key-file = \""+keys+"\"\n"))
+	is.True(strings.Contains(err.Error(), ":1: certificate-file: got \""))
+	is.True(strings.Contains(err.Error(), "want a certificate in PEM that matches certificate-key-file"))
 }
