Test requests of every shape through agents, served here and handed over

Cause: bodies, trailers, streams, cancellation, deadlines and failures must come through alike whether a request runs where its flow ends or at a peer.

Change: tests with the real dispatcher over HTTP/1.1 and h2c. They found that an answer that the dispatcher meant to retry after a shed was passed on, and that the caller sent a request again whose stream was reset on a living flow.

Conclusion: only a failure without a further action is the caller's answer; a reset stream is an unknown outcome.

--- a/caller/send.go
+++ b/caller/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/quic-go/quic-go"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/encoder"
@@ -128,7 +129,7 @@
 		if ctx.Err() != nil {
 			return nil, fmt.Errorf("Client.send: %w", outcome(mayHaveRun, ctx.Err()))
 		}
-		if !prepared.mayResend(mayHaveRun) {
+		if wasReset(err) || !prepared.mayResend(mayHaveRun) {
 			return nil, fmt.Errorf("Client.send: %w", outcome(mayHaveRun, err))
 		}
 		if err := pause(ctx, resendPause<<prepared.sends); err != nil {
@@ -155,6 +156,13 @@
 	return errors.As(err, &dial)
 }
 
+// wasReset reports whether the agent gave the request up while the flow lives.
+// The agent has then done all that can be done for it.
+func wasReset(err error) bool {
+	var reset *quic.StreamError
+	return errors.As(err, &reset)
+}
+
 func outcome(mayHaveRun bool, err error) error {
 	if mayHaveRun {
 		return fmt.Errorf("%w: %w", ErrUnknown, err)
--- a/standin/backend/serve.go
+++ b/standin/backend/serve.go
@@ -91,6 +91,10 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
 	w.Write(start)
+	if len(r.Trailer) > 0 {
+		// HTTP/1.1 has trailers only after a body of unknown length.
+		http.NewResponseController(w).Flush()
+	}
 	if _, err := io.Copy(w, r.Body); err != nil {
 		b.countCancelled()
 		return
--- a/transport/driver/attempt.go
+++ b/transport/driver/attempt.go
@@ -106,7 +106,7 @@
 	if ctx.Err() != nil {
 		return executor.StatusCancelled
 	}
-	if r.held != nil && !r.waiting() {
+	if result == gooseberrymast.ResultFailed && r.held != nil && !r.waiting() {
 		return d.passHeld(r)
 	}
 	return 0
--- /dev/null
+++ b/transport/terminator/requests_test.go
@@ -0,0 +1,257 @@
+package terminator_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/caller"
+	"gooseberrymast/protocol/encoder"
+	"gooseberrymast/standin/backend"
+)
+
+// ways runs a test with the request served where its flow ends, and handed
+// over because that agent is leaving; over both protocols.
+func ways(t *testing.T, test func(t *testing.T, s *service, client *caller.Client)) {
+	for _, http2 := range []bool{false, true} {
+		for _, handedOver := range []bool{false, true} {
+			t.Run(fmt.Sprintf("h2c %v handed over %v", http2, handedOver), func(t *testing.T) {
+				s := newService(t, 0, nil)
+				s.http2 = http2
+				entry := s.start(newBackend())
+				if handedOver {
+					s.start(newBackend())
+					entry.driver.Leave()
+				}
+				test(t, s, s.caller(entry))
+			})
+		}
+	}
+}
+
+// pseudorandom gives the same bytes in each run, without holding them.
+type pseudorandom struct {
+	source *rand.ChaCha8
+	left   int
+}
+
+func newPseudorandom(size int) *pseudorandom {
+	return &pseudorandom{source: rand.NewChaCha8([32]byte{1}), left: size}
+}
+
+func (p *pseudorandom) Read(b []byte) (int, error) {
+	if p.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(b), p.left)
+	p.source.Read(b[:n])
+	p.left -= n
+	return n, nil
+}
+
+func TestBodiesOfAnySize(t *testing.T) {
+	ways(t, func(t *testing.T, s *service, client *caller.Client) {
+		for _, size := range []int{0, 1, 64 << 10, 64<<10 + 1, 5 << 20} {
+			is := is.New(t)
+			id := fmt.Sprint("size-", size)
+			sent := request(t.Context(), http.MethodPost, "/sync", id, "")
+			sent.Body = io.NopCloser(newPseudorandom(size))
+			sent.ContentLength = int64(size)
+			response, err := client.Do(sent)
+			is.NoErr(err)
+			want := sha256.New()
+			io.Copy(want, newPseudorandom(size))
+			got := sha256.New()
+			n, err := io.Copy(got, response.Body)
+			is.NoErr(err)
+			is.Equal(n, int64(size))
+			is.True(bytes.Equal(got.Sum(nil), want.Sum(nil)))
+			is.Equal(s.ran(id), 1)
+		}
+	})
+}
+
+func TestTrailersGoBothWays(t *testing.T) {
+	ways(t, func(t *testing.T, _ *service, client *caller.Client) {
+		is := is.New(t)
+		sent := request(t.Context(), http.MethodPost, "/loans", "trailers", "")
+		sent.Body = io.NopCloser(newPseudorandom(1000))
+		sent.ContentLength = -1
+		sent.Trailer = http.Header{"Checksum": {"abc"}}
+		response, err := client.Do(sent)
+		is.NoErr(err)
+		_, err = text(response)
+		is.NoErr(err)
+		is.Equal(response.Trailer.Get("Checksum"), "abc")
+	})
+}
+
+func TestStreamsInBothDirections(t *testing.T) {
+	ways(t, func(t *testing.T, s *service, client *caller.Client) {
+		is := is.New(t)
+		reader, writer := io.Pipe()
+		sent := request(t.Context(), http.MethodPost, backend.PathConverse, "converse", "")
+		sent.Body = reader
+		sent.ContentLength = -1
+		answered := make(chan *http.Response, 1)
+		go func() {
+			response, err := client.Do(sent)
+			is.NoErr(err)
+			answered <- response
+		}()
+		_, err := io.WriteString(writer, "line 0\n")
+		is.NoErr(err)
+		response := <-answered
+		lines := bufio.NewReader(response.Body)
+		for n := range 50 {
+			line, err := lines.ReadString('\n')
+			is.NoErr(err)
+			is.Equal(line, fmt.Sprintf("line %d\n", n))
+			fmt.Fprintf(writer, "line %d\n", n+1)
+		}
+		writer.Close()
+		_, err = io.Copy(io.Discard, lines)
+		is.NoErr(err)
+		is.Equal(s.ran("converse"), 1)
+	})
+}
+
+func TestPushedStreamOutlivesTheDefaultDeadline(t *testing.T) {
+	is := is.New(t)
+	s := newService(t, 1, func(document *gooseberrymast.Service) {
+		document.Limits.Deadline = gooseberrymast.Duration(20 * time.Millisecond)
+	})
+	client := s.caller(s.agents...)
+	response, err := client.Do(request(t.Context(), http.MethodGet, backend.PathPush+"?count=30", "push", ""))
+	is.NoErr(err)
+	body, err := text(response)
+	is.NoErr(err) // 30 lines take 150 ms
+	is.Equal(len(bytes.Split([]byte(body), []byte("\n"))), 31)
+}
+
+func TestCancellationReachesTheServer(t *testing.T) {
+	ways(t, func(t *testing.T, s *service, client *caller.Client) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		sent := request(ctx, http.MethodPost, "/loans", "hang", "body")
+		sent.Header.Set(backend.HeaderMode, string(backend.ModeHang))
+		failed := make(chan error, 1)
+		go func() {
+			_, err := client.Do(sent)
+			failed <- err
+		}()
+		eventually(t, func() bool { return s.ran("hang") == 1 })
+		cancel()
+		err := <-failed
+		is.True(errors.Is(err, caller.ErrUnknown)) // it may have run, and did
+		eventually(t, func() bool { return s.cancelled() == 1 })
+		eventually(t, s.idle)
+	})
+}
+
+func TestDeadlineReachesTheServer(t *testing.T) {
+	ways(t, func(t *testing.T, s *service, client *caller.Client) {
+		is := is.New(t)
+		sent := request(t.Context(), http.MethodPost, "/loans", "late", "body")
+		sent.Header.Set(backend.HeaderMode, string(backend.ModeHang))
+		sent.Header.Set(encoder.HeaderConnectTimeout, "50")
+		response, err := client.Do(sent)
+		is.NoErr(err)
+		refusal, ok := caller.RefusalOf(response, nil)
+		is.True(ok)
+		is.Equal(refusal.Reason, gooseberrymast.ReasonDeadlinePassed)
+		is.Equal(refusal.Ran, gooseberrymast.RanUnknown)
+		is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+		is.Equal(s.ran("late"), 1)
+		eventually(t, func() bool { return s.cancelled() == 1 })
+		eventually(t, s.idle)
+	})
+}
+
+func TestAnswerOfAFailedServer(t *testing.T) {
+	tests := []struct {
+		mode   backend.Mode
+		method string
+		ran    int
+		check  func(is *is.I, response *http.Response, err error)
+	}{
+		{backend.ModeFail, http.MethodPost, 1, func(is *is.I, response *http.Response, err error) {
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			_, refused := caller.RefusalOf(response, nil)
+			is.True(!refused) // the backend server's own answer
+			body, err := text(response)
+			is.NoErr(err)
+			is.Equal(body, "failed\n")
+		}},
+		{backend.ModeCrash, http.MethodPost, 1, func(is *is.I, response *http.Response, err error) {
+			is.NoErr(err)
+			refusal, _ := caller.RefusalOf(response, nil)
+			is.Equal(refusal.Reason, gooseberrymast.ReasonServerBroke)
+			is.Equal(refusal.Ran, gooseberrymast.RanUnknown)
+		}},
+		{backend.ModeTear, http.MethodPost, 1, func(is *is.I, response *http.Response, err error) {
+			if err == nil {
+				_, err = text(response)
+				is.True(err != nil) // a part is never taken for the whole
+				return
+			}
+			is.True(errors.Is(err, caller.ErrUnknown)) // the answer broke before it was passed on
+		}},
+		{backend.ModeShed, http.MethodPost, 0, func(is *is.I, response *http.Response, err error) {
+			is.NoErr(err)
+			refusal, _ := caller.RefusalOf(response, nil)
+			is.Equal(refusal.Ran, gooseberrymast.RanNo) // the reason depends on who could take it
+		}},
+	}
+	for _, test := range tests {
+		t.Run(string(test.mode), func(t *testing.T) {
+			ways(t, func(t *testing.T, s *service, client *caller.Client) {
+				is := is.New(t)
+				sent := request(t.Context(), test.method, "/loans", "failing", "body")
+				sent.Header.Set(backend.HeaderMode, string(test.mode))
+				response, err := client.Do(sent)
+				test.check(is, response, err)
+				is.Equal(s.ran("failing"), test.ran)
+				eventually(t, s.idle)
+			})
+		})
+	}
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newService(t, 2, nil)
+	leaving, staying := s.agents[0], s.agents[1]
+	client := s.caller(leaving, staying)
+	stream, err := client.Do(request(t.Context(), http.MethodGet, backend.PathPush+"?count=100", "screen", ""))
+	is.NoErr(err)
+	leaving.driver.Leave()
+	done := make(chan error, 1)
+	go func() { done <- leaving.terminator.Shutdown(t.Context()) }()
+	for n := range 20 {
+		response, err := client.Do(request(t.Context(), http.MethodPost, "/loans", fmt.Sprint("after-", n), "body"))
+		is.NoErr(err)
+		body, err := text(response)
+		is.NoErr(err)
+		is.Equal(body, "body")
+		is.Equal(s.ran(fmt.Sprint("after-", n)), 1)
+	}
+	body, err := text(stream)
+	is.NoErr(err)
+	is.Equal(len(bytes.Split([]byte(body), []byte("\n"))), 101) // the whole stream came
+	client.CloseIdle()
+	is.NoErr(<-done)
+	is.Equal(staying.backend.Counts().Unary, 20) // no new work at the leaving server
+}
--- a/transport/terminator/rig_test.go
+++ b/transport/terminator/rig_test.go
@@ -243,3 +243,33 @@
 func newBackend() *backend.Backend {
 	return &backend.Backend{Push: 5 * time.Millisecond}
 }
+
+// eventually waits for something that happens in another goroutine. It fails
+// only when that never happens.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > time.Minute {
+			t.Fatal("it did not happen within a minute")
+		}
+	}
+}
+
+func (s *service) cancelled() int {
+	total := 0
+	for _, a := range s.agents {
+		total += a.backend.Counts().Cancelled
+	}
+	return total
+}
+
+// idle reports whether no request is left at any agent or stand-in.
+func (s *service) idle() bool {
+	for _, a := range s.agents {
+		unary, streams := a.backend.InProgress()
+		if unary+streams+a.driver.InProgress() > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/work.go
+++ b/work.go
@@ -126,7 +126,8 @@
 	// such action exactly once, also after ActionCancel: until then the slot
 	// counts as held. When no action comes back for the request, the answer
 	// of the attempt is the caller's: after ResultFailed that is the backend
-	// server's own failure.
+	// server's own failure. After ResultShed the request then waits for a
+	// further action.
 	Finish(now time.Time, id WorkID, result Result, refusal Refusal) []Action
 	// Answered reports the reply to ActionAsk: known is false when the peer
 	// gave no answer, ran tells whether the request ran or may still run.
