Check every example, those in folders too

Cause: the test of examples listed one folder's entries and failed on the loopback folder. Change: it walks the tree; every file must be named and parsed. Figures: before 4 files checked, after 9. Conclusion: stricter than before.

--- a/cmd/gooseberrymast/examples_test.go
+++ b/cmd/gooseberrymast/examples_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"io/fs"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -10,6 +12,9 @@
 	"gooseberrymast/protocol/parser"
 )
 
+// exampleRoot is the folder of the examples.
+const exampleRoot = "../../examples"
+
 func TestExamples(t *testing.T) {
 	tests := []struct {
 		file  string
@@ -17,34 +22,41 @@
 	}{
 		{"nilebridge.toml", parseDocument},
 		{"magnolia.toml", parseDocument},
-		{"balancer.toml", func(file string, text []byte) error {
-			_, err := parser.Balancer(file, text)
-			return err
-		}},
-		{"agent.toml", func(file string, text []byte) error {
-			_, err := parser.Agent(file, text)
-			return err
-		}},
+		{"balancer.toml", parseBalancer},
+		{"agent.toml", parseAgent},
+		{"loopback/document.toml", parseDocument},
+		{"loopback/balancer-1.toml", parseBalancer},
+		{"loopback/balancer-2.toml", parseBalancer},
+		{"loopback/agent-1.toml", parseAgent},
+		{"loopback/agent-2.toml", parseAgent},
 	}
 	seen := map[string]bool{}
 	for _, test := range tests {
 		t.Run(test.file, func(t *testing.T) {
 			is := is.New(t)
-			text, err := os.ReadFile("../../examples/" + test.file)
+			text, err := os.ReadFile(filepath.Join(exampleRoot, test.file))
 			is.NoErr(err)
 			is.NoErr(test.parse(test.file, text))
 		})
 		seen[test.file] = true
 	}
-	entries, err := os.ReadDir("../../examples")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, entry := range entries {
-		if !seen[entry.Name()] {
-			t.Errorf("%s is not checked", entry.Name())
+	is := is.New(t)
+	is.NoErr(fs.WalkDir(os.DirFS(exampleRoot), ".", func(name string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() && !seen[name] {
+			t.Errorf("%s is not checked", name)
 		}
-	}
+		return err
+	}))
+}
+
+func parseBalancer(file string, text []byte) error {
+	_, err := parser.Balancer(file, text)
+	return err
+}
+
+func parseAgent(file string, text []byte) error {
+	_, err := parser.Agent(file, text)
+	return err
 }
 
 func parseDocument(file string, text []byte) error {
