--- a/caller/send.go
+++ b/caller/send.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/encoder"
@@ -150,17 +151,22 @@
 }
 
 // neverSent reports whether an error came before anything of the request went
-// out.
+// out, or says that the agent did not take it.
 func neverSent(err error) bool {
 	var dial *dialError
-	return errors.As(err, &dial)
+	return errors.As(err, &dial) || wasRejected(err)
+}
+
+func wasRejected(err error) bool {
+	var failure *http3.Error
+	return errors.As(err, &failure) && failure.ErrorCode == http3.ErrCodeRequestRejected
 }
 
 // wasReset reports whether the agent gave the request up while the flow lives.
 // The agent has then done all that can be done for it.
 func wasReset(err error) bool {
 	var reset *quic.StreamError
-	return errors.As(err, &reset)
+	return errors.As(err, &reset) && !wasRejected(err)
 }
 
 func outcome(mayHaveRun bool, err error) error {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -56,6 +56,8 @@
 	ModeCrash Mode = "crash"
 	// ModeTear runs the request and breaks the connection within the answer.
 	ModeTear Mode = "tear"
+	// ModeTearLong is ModeTear with an answer of 1 MiB.
+	ModeTearLong Mode = "tear-long"
 	// ModeFail runs the request and answers 503.
 	ModeFail Mode = "fail"
 )
@@ -149,6 +151,13 @@
 	b.mode = mode
 }
 
+// SetSlots bounds the unary requests run at once; more are shed.
+func (b *Backend) SetSlots(slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Slots = slots
+}
+
 // SetHealthy sets what PathHealth says, after ReportLag.
 func (b *Backend) SetHealthy(healthy bool) {
 	b.mu.Lock()
--- a/standin/backend/serve.go
+++ b/standin/backend/serve.go
@@ -55,7 +55,9 @@
 		http.Error(w, "failed", http.StatusServiceUnavailable)
 		return
 	case ModeTear:
-		tear(w)
+		tear(w, 100)
+	case ModeTearLong:
+		tear(w, 1<<20)
 	}
 	switch r.URL.Path {
 	case PathPush:
@@ -68,8 +70,8 @@
 }
 
 // tear sends a part of an answer and breaks the connection.
-func tear(w http.ResponseWriter) {
-	w.Header().Set("Content-Length", "100")
+func tear(w http.ResponseWriter, length int) {
+	w.Header().Set("Content-Length", strconv.Itoa(length))
 	w.Write([]byte("a part of the answer"))
 	http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
--- a/transport/driver/attempt.go
+++ b/transport/driver/attempt.go
@@ -58,6 +58,9 @@
 		r.held = response
 		return d.afterAttempt(ctx, r, result, gooseberrymast.Refusal{})
 	}
+	if result = executor.Hold(attemptCtx, response); result != 0 {
+		return d.afterAttempt(ctx, r, result, gooseberrymast.Refusal{})
+	}
 	return d.pass(attemptCtx, r, response)
 }
 
--- a/transport/executor/answer.go
+++ b/transport/executor/answer.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -33,6 +35,32 @@
 // grpcUnavailable is the gRPC status of a server that can't do its work.
 const grpcUnavailable = "14"
 
+// MaxHeldAnswerBytes is the largest answer that is received whole before its
+// head is passed on.
+const MaxHeldAnswerBytes = 16 << 10
+
+// Hold receives a small answer of known length whole. It gives zero, or the
+// result of an attempt whose answer broke before anything was passed on. Such
+// a request can still be run again or refused, unlike one whose answer tears.
+func Hold(ctx context.Context, response *http.Response) gooseberrymast.Result {
+	if response.ContentLength < 0 || response.ContentLength > MaxHeldAnswerBytes {
+		return 0
+	}
+	defer response.Body.Close()
+	held, err := io.ReadAll(response.Body)
+	if err == nil {
+		response.Body = io.NopCloser(bytes.NewReader(held))
+		return 0
+	}
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return gooseberrymast.ResultBroken
+	case errors.Is(cause, context.DeadlineExceeded):
+		return gooseberrymast.ResultTimedOut
+	}
+	return gooseberrymast.ResultCancelled
+}
+
 // Pass writes an answer to the writer, each piece as it comes, and closes it.
 // It gives ResultAnswered, ResultTorn when the answer broke, or
 // ResultCancelled when the writer failed. In the last two cases the writer's
@@ -44,6 +72,7 @@
 		header[name] = values
 	}
 	delete(header, encoder.HeaderNotRun)
+	delete(header, encoder.HeaderRefusal) // Only this system's own word counts.
 	writer.WriteHeader(response.StatusCode)
 	// An answer of known length is short of nothing that a flush would show.
 	streamed := response.ContentLength < 0
--- a/transport/hander/incoming.go
+++ b/transport/hander/incoming.go
@@ -14,6 +14,9 @@
 	"gooseberrymast/transport/linker"
 )
 
+// maxHeldBytes bounds a body that follows at once. Origins hold less.
+const maxHeldBytes = 128 << 10
+
 // incoming is one request at the agent that was given it.
 type incoming struct {
 	server *Server
@@ -26,22 +29,41 @@
 	trailers http.Header
 }
 
+// serve treats the request. A body that follows at once is read whole before
+// the request counts as arrived, so that one that breaks within it has not run.
 func (i *incoming) serve(ctx context.Context, work gooseberrymast.Work) {
-	body, feed := io.Pipe()
+	var body *executor.Body
+	if i.begin.GetBodyFollows() {
+		held, err := i.readHeld()
+		if err != nil {
+			return
+		}
+		body = held
+	}
+	pipe, feed := io.Pipe()
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
 		i.readFrames(feed)
 	}()
+	if !i.begin.GetBodyFollows() {
+		body = i.streamed(pipe)
+	}
 	writer := &replyWriter{incoming: i, header: http.Header{}}
-	status := i.server.Local.ServeHandOver(ctx, &executor.Exchange{
+	i.finish(writer, i.server.Local.ServeHandOver(ctx, &executor.Exchange{
 		Work:    work,
 		Request: i.request(body),
 		Writer:  writer,
 		Refuse: func(refusal gooseberrymast.Refusal) {
 			i.send(&handover.Reply{Frame: &handover.Reply_Refused{Refused: encoder.Refusal(refusal)}})
 		},
-	})
+	}))
+	pipe.CloseWithError(io.ErrClosedPipe)
+	<-read
+}
+
+// finish sends what is left and ends the reading of frames.
+func (i *incoming) finish(writer *replyWriter, status executor.Status) {
 	switch status {
 	case executor.StatusAnswered:
 		writer.finish()
@@ -50,24 +72,59 @@
 	}
 	i.stream.Close()
 	i.stream.SetReadDeadline(time.Unix(1, 0))
-	body.CloseWithError(io.ErrClosedPipe)
-	<-read
 }
 
-func (i *incoming) request(body *io.PipeReader) *executor.Request {
-	request := &executor.Request{
+func (i *incoming) request(body *executor.Body) *executor.Request {
+	return &executor.Request{
 		Method:    i.begin.GetMethod(),
 		URI:       i.begin.GetUri(),
 		Authority: i.begin.GetAuthority(),
 		Header:    encoder.ParseFields(i.begin.GetHeaders()),
+		Body:      body,
 		Timeout:   time.Duration(i.begin.GetTimeoutNanos()),
 		OpenEnded: i.begin.GetOpenEnded(),
 	}
-	if i.begin.GetBodyBytes() == 0 && len(i.begin.GetTrailerNames()) == 0 {
-		return request
+}
+
+// readHeld reads the frames of a body that the origin holds, up to its end.
+func (i *incoming) readHeld() (*executor.Body, error) {
+	i.stream.SetReadDeadline(time.Now().Add(linker.HandshakeTimeout))
+	defer i.stream.SetReadDeadline(time.Time{})
+	var held []byte
+	for {
+		frame := &handover.Request{}
+		if err := linker.ReadMessage(i.stream, frame); err != nil {
+			return nil, err
+		}
+		switch frame := frame.GetFrame().(type) {
+		case *handover.Request_Body:
+			held = append(held, frame.Body...)
+			if len(held) > maxHeldBytes {
+				return nil, errProtocol
+			}
+		case *handover.Request_End:
+			return i.held(held, encoder.ParseFields(frame.End.GetFields())), nil
+		default:
+			return nil, errProtocol
+		}
+	}
+}
+
+func (i *incoming) held(held []byte, trailers http.Header) *executor.Body {
+	names := i.begin.GetTrailerNames()
+	if len(held) == 0 && len(names) == 0 {
+		return nil
+	}
+	return &executor.Body{
+		Held:         held,
+		TrailerNames: names,
+		Trailer:      func() http.Header { return trailers },
 	}
-	request.Body = &executor.Body{
-		Stream:       &wantedBody{incoming: i, pipe: body},
+}
+
+func (i *incoming) streamed(pipe *io.PipeReader) *executor.Body {
+	return &executor.Body{
+		Stream:       &wantedBody{incoming: i, pipe: pipe},
 		Length:       i.begin.GetBodyBytes(),
 		TrailerNames: i.begin.GetTrailerNames(),
 		Trailer: func() http.Header {
@@ -76,7 +133,6 @@
 			return i.trailers
 		},
 	}
-	return request
 }
 
 // readFrames feeds the body and watches for the origin's departure.
@@ -124,9 +180,7 @@
 
 func (w *wantedBody) Read(p []byte) (int, error) {
 	w.once.Do(func() {
-		if !w.incoming.begin.GetBodyFollows() {
-			w.incoming.send(&handover.Reply{Frame: &handover.Reply_Accepted{Accepted: &handover.Accepted{}}})
-		}
+		w.incoming.send(&handover.Reply{Frame: &handover.Reply_Accepted{Accepted: &handover.Accepted{}}})
 	})
 	return w.pipe.Read(p)
 }
--- a/transport/terminator/requests_test.go
+++ b/transport/terminator/requests_test.go
@@ -202,12 +202,18 @@
 			is.Equal(refusal.Ran, gooseberrymast.RanUnknown)
 		}},
 		{backend.ModeTear, http.MethodPost, 1, func(is *is.I, response *http.Response, err error) {
+			is.NoErr(err)
+			refusal, _ := caller.RefusalOf(response, nil)
+			is.Equal(refusal.Reason, gooseberrymast.ReasonServerBroke) // nothing was passed on yet
+			is.Equal(refusal.Ran, gooseberrymast.RanUnknown)
+		}},
+		{backend.ModeTearLong, http.MethodPost, 1, func(is *is.I, response *http.Response, err error) {
 			if err == nil {
 				_, err = text(response)
 				is.True(err != nil) // a part is never taken for the whole
 				return
 			}
-			is.True(errors.Is(err, caller.ErrUnknown)) // the answer broke before it was passed on
+			is.True(errors.Is(err, caller.ErrUnknown)) // the head was still on its way
 		}},
 		{backend.ModeShed, http.MethodPost, 0, func(is *is.I, response *http.Response, err error) {
 			is.NoErr(err)
--- a/transport/terminator/rig_test.go
+++ b/transport/terminator/rig_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 
 	"gooseberrymast"
 	"gooseberrymast/caller"
@@ -48,6 +49,8 @@
 
 	mu     sync.Mutex
 	agents []*agent
+	// via overrides the control addresses of agents.
+	via map[gooseberrymast.Identity]netip.AddrPort
 }
 
 // agent is one agent and its backend server.
@@ -168,6 +171,9 @@
 func (s *service) locate(peer gooseberrymast.Identity) (netip.AddrPort, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if address, ok := s.via[peer]; ok {
+		return address, true
+	}
 	at := slices.IndexFunc(s.agents, func(a *agent) bool { return a.self == peer })
 	if at < 0 {
 		return netip.AddrPort{}, false
@@ -185,6 +191,31 @@
 	return client
 }
 
+// doer is a connect.HTTPClient.
+type doer interface {
+	Do(request *http.Request) (*http.Response, error)
+}
+
+// plainClient is an HTTP/3 client that knows nothing of tickets.
+type plainClient struct {
+	*http3.Transport
+}
+
+func (p plainClient) Do(request *http.Request) (*http.Response, error) {
+	return p.RoundTrip(request)
+}
+
+func (s *service) plain(a *agent) plainClient {
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: s.roots, MinVersion: tls.VersionTLS13},
+		Dial: func(ctx context.Context, _ string, secure *tls.Config, config *quic.Config) (*quic.Conn, error) {
+			return quic.DialAddr(ctx, a.self.Address.String(), secure, config)
+		},
+	}
+	s.t.Cleanup(func() { transport.Close() })
+	return plainClient{transport}
+}
+
 // ran gives the runs of a request over all stand-ins.
 func (s *service) ran(id string) int {
 	s.mu.Lock()
