--- /dev/null
+++ b/transport/executor/executor_test.go
@@ -0,0 +1,275 @@
+package executor
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/standin/backend"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func post(body string) *Request {
+	return &Request{
+		Method:    http.MethodPost,
+		URI:       "/loans?kind=pall",
+		Authority: "ledger.example",
+		Header:    http.Header{},
+		Body:      &Body{Held: []byte(body)},
+		Timeout:   time.Minute,
+	}
+}
+
+// server accepts connections and gives each to serve, which says how the
+// backend server breaks. It counts the bytes that reached it.
+func server(t *testing.T, serve func(conn *net.TCPConn, lines *bufio.Reader)) (netip.AddrPort, *atomic.Int64) {
+	t.Helper()
+	socket, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback))
+	is.New(t).NoErr(err)
+	var received atomic.Int64
+	go func() {
+		for {
+			conn, err := socket.AcceptTCP()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn, bufio.NewReader(&countingReader{conn, &received}))
+			}()
+		}
+	}()
+	t.Cleanup(func() { socket.Close() })
+	return socket.Addr().(*net.TCPAddr).AddrPort(), &received
+}
+
+type countingReader struct {
+	io.Reader
+	count *atomic.Int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// readRequest reads one request whole.
+func readRequest(lines *bufio.Reader) {
+	request, err := http.ReadRequest(lines)
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, request.Body)
+}
+
+func TestBrokenAttempts(t *testing.T) {
+	tests := []struct {
+		name  string
+		serve func(conn *net.TCPConn, lines *bufio.Reader)
+	}{
+		{"closed after the first byte", func(_ *net.TCPConn, lines *bufio.Reader) { lines.ReadByte() }},
+		{"reset after the first byte", func(conn *net.TCPConn, lines *bufio.Reader) {
+			lines.ReadByte()
+			conn.SetLinger(0)
+		}},
+		{"closed after the request", func(_ *net.TCPConn, lines *bufio.Reader) { readRequest(lines) }},
+		{"closed within the head", func(conn *net.TCPConn, lines *bufio.Reader) {
+			readRequest(lines)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+		}},
+		{"no HTTP", func(conn *net.TCPConn, lines *bufio.Reader) {
+			readRequest(lines)
+			io.WriteString(conn, "hello\r\n\r\n")
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, received := server(t, test.serve)
+			x := &Executor{Address: address}
+			defer x.Close()
+			response, result := x.Run(t.Context(), post(strings.Repeat("body", 1000)))
+			is.Equal(response, nil)
+			is.Equal(result, gooseberrymast.ResultBroken)
+			is.True(received.Load() > 0)
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		is := is.New(t)
+		socket, err := net.Listen("tcp", loopback.String())
+		is.NoErr(err)
+		socket.Close()
+		x := &Executor{Address: socket.Addr().(*net.TCPAddr).AddrPort(), HTTP2: http2}
+		_, result := x.Run(t.Context(), post("body"))
+		is.Equal(result, gooseberrymast.ResultNotSent)
+	}
+}
+
+// TestIdleConnectionThatTheServerCloses lets the server close a kept
+// connection at the moment of its next use. NotSent is said only when nothing
+// reached the server.
+func TestIdleConnectionThatTheServerCloses(t *testing.T) {
+	results := map[gooseberrymast.Result]int{}
+	for range 200 {
+		is := is.New(t)
+		hangUp, drained := make(chan struct{}), make(chan struct{})
+		var used atomic.Bool
+		address, received := server(t, func(conn *net.TCPConn, lines *bufio.Reader) {
+			if used.Swap(true) {
+				return // A new connection is closed at once.
+			}
+			readRequest(lines)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			<-hangUp
+			conn.CloseWrite()
+			io.Copy(io.Discard, lines) // What still comes is counted.
+			close(drained)
+		})
+		x := &Executor{Address: address}
+		response, _ := x.Run(t.Context(), post("first"))
+		response.Body.Close()
+		before := received.Load()
+		close(hangUp)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		response, result := x.Run(ctx, post("second"))
+		is.Equal(response, nil)
+		x.Close()
+		<-drained
+		if result == gooseberrymast.ResultNotSent {
+			is.Equal(received.Load(), before)
+		} else {
+			is.True(result == gooseberrymast.ResultBroken)
+		}
+		results[result]++
+		cancel()
+	}
+	t.Log(results)
+}
+
+func TestNoHiddenRetries(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		t.Run(fmt.Sprint("h2c ", http2), func(t *testing.T) {
+			is := is.New(t)
+			stand := &backend.Backend{}
+			address, err := stand.Start(loopback)
+			is.NoErr(err)
+			defer stand.Close()
+			x := &Executor{Address: address, HTTP2: http2}
+			request := &Request{Method: http.MethodGet, URI: "/", Authority: "a", Header: http.Header{}}
+			for range 3 {
+				response, result := x.Run(t.Context(), request)
+				is.Equal(result, gooseberrymast.Result(0))
+				_, err := io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				response.Body.Close()
+			}
+			request.Header.Set(backend.HeaderRequestID, "crash")
+			request.Header.Set(backend.HeaderMode, string(backend.ModeCrash))
+			_, result := x.Run(t.Context(), request)
+			is.Equal(result, gooseberrymast.ResultBroken)
+			is.Equal(stand.Counts().Ran["crash"], 1) // a GET on a kept connection too
+		})
+	}
+}
+
+func TestEndsOfTheContext(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause error
+		want  gooseberrymast.Result
+	}{
+		{"deadline", context.DeadlineExceeded, gooseberrymast.ResultTimedOut},
+		{"cancelled", context.Canceled, gooseberrymast.ResultCancelled},
+	}
+	for _, test := range tests {
+		for _, http2 := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, " h2c ", http2), func(t *testing.T) {
+				is := is.New(t)
+				stand := &backend.Backend{}
+				address, err := stand.Start(loopback)
+				is.NoErr(err)
+				defer stand.Close()
+				x := &Executor{Address: address, HTTP2: http2}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				request := post("body")
+				request.Header.Set(backend.HeaderMode, string(backend.ModeHang))
+				go func() {
+					for stand.Counts().Unary == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					cancel(test.cause)
+				}()
+				_, result := x.Run(ctx, request)
+				is.Equal(result, test.want)
+			})
+		}
+	}
+}
+
+func TestContextThatEndedBefore(t *testing.T) {
+	is := is.New(t)
+	address, received := server(t, func(_ *net.TCPConn, lines *bufio.Reader) { readRequest(lines) })
+	x := &Executor{Address: address}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(context.DeadlineExceeded)
+	_, result := x.Run(ctx, post("body"))
+	is.Equal(result, gooseberrymast.ResultNotSent)
+	is.Equal(received.Load(), int64(0))
+}
+
+func TestBodyThatBreaksIsCancelled(t *testing.T) {
+	is := is.New(t)
+	stand := &backend.Backend{}
+	address, err := stand.Start(loopback)
+	is.NoErr(err)
+	defer stand.Close()
+	x := &Executor{Address: address}
+	request := post("")
+	request.Body = &Body{Stream: iotest.ErrReader(errors.New("the caller is gone")), Length: 10}
+	_, result := x.Run(t.Context(), request)
+	is.Equal(result, gooseberrymast.ResultCancelled)
+	is.True(!request.Body.Whole())
+}
+
+func TestClassify(t *testing.T) {
+	tests := []struct {
+		status int
+		header http.Header
+		want   gooseberrymast.Result
+	}{
+		{200, nil, gooseberrymast.ResultAnswered},
+		{404, nil, gooseberrymast.ResultAnswered},
+		{500, nil, gooseberrymast.ResultAnswered},
+		{502, nil, gooseberrymast.ResultFailed},
+		{503, nil, gooseberrymast.ResultFailed},
+		{503, http.Header{"Gooseberrymast-Not-Run": {"yes"}}, gooseberrymast.ResultFailed},
+		{503, http.Header{"Gooseberrymast-Not-Run": {"true"}}, gooseberrymast.ResultShed},
+		{500, http.Header{"Gooseberrymast-Not-Run": {"true"}}, gooseberrymast.ResultAnswered},
+		{200, http.Header{"Grpc-Status": {"14"}}, gooseberrymast.ResultFailed},
+		{200, http.Header{"Grpc-Status": {"5"}}, gooseberrymast.ResultAnswered},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.status, test.header), func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Classify(&http.Response{StatusCode: test.status, Header: test.header}), test.want)
+		})
+	}
+}
