--- /dev/null
+++ b/transport/terminator/memory_test.go
@@ -0,0 +1,146 @@
+package terminator_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"gooseberrymast/standin/backend"
+)
+
+// clientVariable, when set, makes this test binary the other side of
+// BenchmarkIdleFlow: the callers and the stand-in backend server, in a process
+// of their own, so that the agent's memory can be told apart.
+const clientVariable = "IDLE_FLOW_CLIENT"
+
+// TestIdleFlowClient is the other process of BenchmarkIdleFlow.
+func TestIdleFlowClient(t *testing.T) {
+	if os.Getenv(clientVariable) == "" {
+		return
+	}
+	is := is.New(t)
+	server := &backend.Backend{Push: time.Hour}
+	address, err := server.Start(loopback)
+	is.NoErr(err)
+	fmt.Println("backend", address)
+	input := bufio.NewScanner(os.Stdin)
+	socket, err := net.ListenUDP("udp4", nil)
+	is.NoErr(err)
+	transport := &quic.Transport{Conn: socket}
+	for input.Scan() {
+		var agent string
+		var flows int
+		var screens bool
+		_, err := fmt.Sscan(input.Text(), &agent, &flows, &screens)
+		is.NoErr(err)
+		for range flows {
+			openFlow(is, transport, agent, screens)
+		}
+		fmt.Println("open")
+	}
+}
+
+// openFlow opens a flow that stays, with a stream that pushes nothing more if
+// there is to be a screen.
+func openFlow(is *is.I, transport *quic.Transport, agent string, screen bool) {
+	secure := &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13, NextProtos: []string{http3.NextProtoH3}}
+	config := &quic.Config{MaxIdleTimeout: 10 * time.Minute, DisablePathMTUDiscovery: true}
+	address := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(agent))
+	flow, err := transport.Dial(context.Background(), address, secure, config)
+	is.NoErr(err)
+	conn := (&http3.Transport{}).NewClientConn(flow)
+	path := "/loans"
+	if screen {
+		path = backend.PathPush
+	}
+	response, err := conn.RoundTrip(request(context.Background(), http.MethodGet, path, "", ""))
+	is.NoErr(err)
+	if !screen {
+		io.Copy(io.Discard, response.Body)
+		return
+	}
+	_, err = response.Body.Read(make([]byte, 16)) // the first line
+	is.NoErr(err)
+}
+
+// BenchmarkIdleFlow measures the agent's memory for each open flow, as the
+// growth of the resident set and of Go's heap and stacks after a collection.
+func BenchmarkIdleFlow(b *testing.B) {
+	for _, screens := range []bool{false, true} {
+		for _, http2 := range []bool{false, true} {
+			b.Run(fmt.Sprintf("screens=%v/h2c=%v", screens, http2), func(b *testing.B) {
+				measureFlows(b, screens, http2)
+			})
+		}
+	}
+}
+
+func measureFlows(b *testing.B, screens, http2 bool) {
+	const warm, measured = 100, 500
+	is := is.New(b)
+	command := exec.Command(os.Args[0], "-test.run=TestIdleFlowClient$")
+	command.Env = append(os.Environ(), clientVariable+"=1")
+	stdin, err := command.StdinPipe()
+	is.NoErr(err)
+	stdout, err := command.StdoutPipe()
+	is.NoErr(err)
+	is.NoErr(command.Start())
+	defer func() {
+		stdin.Close()
+		command.Wait()
+	}()
+	lines := bufio.NewScanner(stdout)
+	is.True(lines.Scan())
+	server := netip.MustParseAddrPort(strings.TrimPrefix(lines.Text(), "backend "))
+	s := newService(b, 0, nil)
+	s.http2 = http2
+	a := s.startBefore(server, &backend.Backend{})
+	open := func(flows int) {
+		fmt.Fprintln(stdin, a.self.Address, flows, screens)
+		is.True(lines.Scan())
+		is.Equal(lines.Text(), "open")
+	}
+	open(warm)
+	resident, inUse := memory(is)
+	open(measured)
+	residentAfter, inUseAfter := memory(is)
+	b.ReportMetric(float64(residentAfter-resident)/measured, "resident-B/flow")
+	b.ReportMetric(float64(inUseAfter-inUse)/measured, "heap+stack-B/flow")
+	b.ReportMetric(float64(runtime.NumGoroutine())/(warm+measured), "goroutines/flow")
+	b.ReportMetric(0, "ns/op")
+}
+
+// memory gives the resident set and Go's heap and stacks, in bytes.
+func memory(is *is.I) (resident, inUse int) {
+	runtime.GC()
+	debug.FreeOSMemory()
+	status, err := os.ReadFile("/proc/self/status")
+	is.NoErr(err)
+	for line := range strings.Lines(string(status)) {
+		if kilobytes, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, err := strconv.Atoi(strings.Fields(kilobytes)[0])
+			is.NoErr(err)
+			resident = n << 10
+		}
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return resident, int(stats.HeapAlloc + stats.StackInuse)
+}
--- a/transport/terminator/rig_test.go
+++ b/transport/terminator/rig_test.go
@@ -40,7 +40,7 @@
 
 // service is one service in one process: agents with their stand-ins.
 type service struct {
-	t      *testing.T
+	t      testing.TB
 	keys   *keyer.Keys
 	tls    *tls.Config
 	roots  *x509.CertPool
@@ -67,7 +67,7 @@
 
 const serviceName = "ledger"
 
-func newService(t *testing.T, agents int, change func(*gooseberrymast.Service)) *service {
+func newService(t testing.TB, agents int, change func(*gooseberrymast.Service)) *service {
 	t.Helper()
 	var document gooseberrymast.Service
 	document.Streams = []string{backend.PathPush, backend.PathConverse}
@@ -94,6 +94,13 @@
 	address, err := server.Start(loopback)
 	is.NoErr(err)
 	s.t.Cleanup(func() { server.Close() })
+	return s.startBefore(address, server)
+}
+
+// startBefore adds an agent in front of a stand-in that runs already.
+func (s *service) startBefore(address netip.AddrPort, server *backend.Backend) *agent {
+	s.t.Helper()
+	is := is.New(s.t)
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 	is.NoErr(err)
 	listener, err := linker.Listen(loopback, linker.Fixed(s.keys))
@@ -248,7 +255,7 @@
 	return string(body), err
 }
 
-func certificate(t *testing.T) (*tls.Config, *x509.CertPool) {
+func certificate(t testing.TB) (*tls.Config, *x509.CertPool) {
 	is := is.New(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	is.NoErr(err)
