--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -14,6 +14,12 @@
 	// ShedPause is how long a backend server that shed with nothing else
 	// running is left alone.
 	ShedPause = 50 * time.Millisecond
+	// OverloadAfter is how long short requests must have waited without a
+	// break for the backend server to count as overloaded.
+	OverloadAfter = 100 * time.Millisecond
+	// OverloadRounds is the number of requests for each slot that wait at an
+	// overloaded backend server.
+	OverloadRounds = 2
 	// ShedRecovery is the time after which a bound that was lowered because
 	// the backend server shed rises by one.
 	ShedRecovery = 500 * time.Millisecond
@@ -24,8 +30,12 @@
 
 // The orders of a queue.
 const (
+	// OrderAdaptive is OrderDeadline until the backend server is overloaded,
+	// and OrderNewest from then on: what has waited least can still be
+	// answered in time, and what gives way is refused early.
+	OrderAdaptive Order = iota
 	// OrderDeadline starts the request with the nearest deadline first.
-	OrderDeadline Order = iota
+	OrderDeadline
 	// OrderArrival starts the oldest request first.
 	OrderArrival
 	// OrderNewest starts the newest request first.
@@ -58,6 +68,9 @@
 	Queue int
 	// SlowStart is the time over which the bound rises to Slots from Started.
 	SlowStart time.Duration
+	// Alone lifts the slow start: no other backend server could take what a
+	// cold one refuses.
+	Alone bool
 	// Started is when the backend server began to take work.
 	Started time.Time
 	// LongAfter is the running time from which on a request counts as long.
@@ -74,6 +87,8 @@
 
 	running map[gooseberrymast.WorkID]run
 	waiting []Entry
+	// filledAt is since when short requests have waited.
+	filledAt time.Time
 	// shedBound is the bound that shedding left, or zero for none.
 	shedBound int
 	shedAt    time.Time
@@ -92,7 +107,7 @@
 		return 0
 	}
 	bound := a.Slots
-	if age := now.Sub(a.Started); a.SlowStart > 0 && age < a.SlowStart {
+	if age := now.Sub(a.Started); a.SlowStart > 0 && age < a.SlowStart && !a.Alone {
 		bound = 1 + int(float64(a.Slots-1)*float64(age)/float64(a.SlowStart))
 	}
 	if a.shedBound > 0 {
--- a/coordination/admitter/queue.go
+++ b/coordination/admitter/queue.go
@@ -16,6 +16,8 @@
 	VerdictQueued Verdict = iota
 	// VerdictFull: the queue holds all the requests it may.
 	VerdictFull
+	// VerdictDisplaced: the request waits, and another was given up for it.
+	VerdictDisplaced
 	// VerdictTooClose: the request can't be answered before its deadline.
 	VerdictTooClose
 )
@@ -26,59 +28,68 @@
 		return 0
 	}
 	ahead := a.Typical
+	newestFirst := a.newestFirst(now)
 	for _, other := range a.waiting {
-		if a.before(entry, other) {
-			break
+		if a.before(other, entry, newestFirst) {
+			ahead += other.Mean
 		}
-		ahead += other.Mean
 	}
-	return ahead / time.Duration(max(1, a.Bound(now)))
+	forShort := a.Bound(now) - a.longRunning(now)
+	return ahead / time.Duration(max(1, forShort))
 }
 
-// Offer puts a request into the queue, or says why it can't wait.
-func (a *Admitter) Offer(now time.Time, entry Entry) Verdict {
-	if a.Queue >= 0 && len(a.waiting) >= a.Queue {
-		return VerdictFull
-	}
+// Offer puts a request into the queue, or says why it can't wait. An
+// overloaded queue that is full makes room by giving up the request that is
+// last to start.
+func (a *Admitter) Offer(now time.Time, entry Entry) (verdict Verdict, givenUp Entry) {
 	if !a.KeepDoomed && now.Add(a.Wait(now, entry)+entry.Safe).After(entry.Deadline) {
-		return VerdictTooClose
+		return VerdictTooClose, Entry{}
+	}
+	if a.Queue < 0 || len(a.waiting) < a.Queue {
+		a.Requeue(now, entry)
+		return VerdictQueued, Entry{}
 	}
-	a.Requeue(entry)
-	return VerdictQueued
+	last := a.last(now)
+	if last < 0 || !a.newestFirst(now) || !a.before(entry, a.waiting[last], true) {
+		return VerdictFull, Entry{}
+	}
+	givenUp = a.take(last)
+	a.Requeue(now, entry)
+	return VerdictDisplaced, givenUp
 }
 
 // Requeue puts a request back whose attempt at a peer came to nothing. It had
 // its place in the queue before, so the bound isn't applied again.
-func (a *Admitter) Requeue(entry Entry) {
-	at := len(a.waiting)
-	for at > 0 && a.before(entry, a.waiting[at-1]) {
-		at--
+func (a *Admitter) Requeue(now time.Time, entry Entry) {
+	if !entry.Long && !a.shortWaiting() {
+		a.filledAt = now
 	}
-	a.waiting = slices.Insert(a.waiting, at, entry)
+	a.waiting = append(a.waiting, entry)
 }
 
 // Next takes the next request out of the queue that may start now.
 func (a *Admitter) Next(now time.Time) (Entry, bool) {
-	if at := a.starvedLong(now); at >= 0 {
-		return a.take(at), true
+	if len(a.running) >= a.Bound(now) {
+		return Entry{}, false
 	}
-	for at, entry := range a.waiting {
-		if a.CanStart(now, entry) {
-			return a.take(at), true
-		}
+	at := a.starvedLong(now)
+	if at < 0 {
+		at = a.first(now, func(entry Entry) bool { return a.CanStart(now, entry) })
 	}
-	return Entry{}, false
+	if at < 0 {
+		return Entry{}, false
+	}
+	return a.take(at), true
 }
 
 // First gives the request that is next to start and satisfies the condition,
 // and leaves it in the queue.
-func (a *Admitter) First(condition func(Entry) bool) (Entry, bool) {
-	for _, entry := range a.waiting {
-		if condition(entry) {
-			return entry, true
-		}
+func (a *Admitter) First(now time.Time, condition func(Entry) bool) (Entry, bool) {
+	at := a.first(now, condition)
+	if at < 0 {
+		return Entry{}, false
 	}
-	return Entry{}, false
+	return a.waiting[at], true
 }
 
 // Remove takes a request out of the queue and reports whether it waited.
@@ -128,23 +139,54 @@
 	return entry
 }
 
+// first finds the request that is next to start and satisfies the condition.
+func (a *Admitter) first(now time.Time, condition func(Entry) bool) int {
+	newestFirst := a.newestFirst(now)
+	first := -1
+	for at, entry := range a.waiting {
+		if (first < 0 || a.before(entry, a.waiting[first], newestFirst)) && condition(entry) {
+			first = at
+		}
+	}
+	return first
+}
+
+// last finds the request that is last to start.
+func (a *Admitter) last(now time.Time) int {
+	newestFirst := a.newestFirst(now)
+	last := -1
+	for at, entry := range a.waiting {
+		if last < 0 || a.before(a.waiting[last], entry, newestFirst) {
+			last = at
+		}
+	}
+	return last
+}
+
+// newestFirst reports whether the queue's order is by arrival, newest first.
+func (a *Admitter) newestFirst(now time.Time) bool {
+	if a.Order == OrderNewest {
+		return true
+	}
+	return a.Order == OrderAdaptive && len(a.waiting) > OverloadRounds*a.Slots && now.Sub(a.filledAt) >= OverloadAfter
+}
+
 // before is the queue's order: short requests before long ones, then by Order.
-func (a *Admitter) before(one, other Entry) bool {
+func (a *Admitter) before(one, other Entry, newestFirst bool) bool {
 	if one.Long != other.Long && !a.MixLong {
 		return other.Long
 	}
-	switch a.Order {
-	case OrderArrival:
-		return one.Arrived.Before(other.Arrived)
-	case OrderNewest:
+	if newestFirst {
 		return one.Arrived.After(other.Arrived)
-	default:
-		return one.Deadline.Before(other.Deadline)
 	}
+	if a.Order == OrderArrival {
+		return one.Arrived.Before(other.Arrived)
+	}
+	return one.Deadline.Before(other.Deadline)
 }
 
 func (a *Admitter) shortWaiting() bool {
-	return len(a.waiting) > 0 && !a.waiting[0].Long
+	return slices.ContainsFunc(a.waiting, func(entry Entry) bool { return !entry.Long })
 }
 
 // starvedLong finds a long request that has waited for longer than a long
--- a/coordination/dispatcher/finish.go
+++ b/coordination/dispatcher/finish.go
@@ -36,7 +36,7 @@
 		d.streams--
 	} else {
 		d.admitter.Stop(now, r.work.ID)
-		d.learn(r, result, took)
+		d.learn(now, r, result, took)
 	}
 	if result == gooseberrymast.ResultShed {
 		d.admitter.Shed(now)
@@ -48,11 +48,11 @@
 
 // learn takes a service time. An attempt that was cut short counts when it had
 // run for longer than expected already.
-func (d *Dispatcher) learn(r *request, result gooseberrymast.Result, took time.Duration) {
+func (d *Dispatcher) learn(now time.Time, r *request, result gooseberrymast.Result, took time.Duration) {
 	whole := result == gooseberrymast.ResultAnswered
 	cut := result == gooseberrymast.ResultTimedOut || result == gooseberrymast.ResultCancelled
 	if whole || (cut && took > r.expected.Mean) {
-		d.estimator.Observe(r.work.Path, took)
+		d.estimator.Observe(now, r.work.Path, took)
 		d.admitter.Typical = d.estimator.Typical()
 		d.admitter.LongAfter = d.estimator.LongAfter()
 	}
@@ -197,7 +197,7 @@
 		return
 	}
 	r.stage = stageQueued
-	d.admitter.Requeue(r.entry())
+	d.admitter.Requeue(now, r.entry())
 }
 
 // retry sends a request again if it may be, or refuses it for the cause.
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -22,7 +22,7 @@
 		d.placeStream(now, r)
 		return
 	}
-	if d.admitter.CanStart(now, r.entry()) {
+	if d.admitter.CanStart(now, r.entry()) && !d.tooSlow(now, r) {
 		d.run(now, r)
 		return
 	}
@@ -32,6 +32,19 @@
 	d.enqueue(now, r)
 }
 
+// estimateAge is the time for which a service time is believed that rules a
+// request out. After it one request may run to measure again.
+const estimateAge = time.Second
+
+// tooSlow reports whether the own backend server has been too slow of late to
+// answer the request before its deadline.
+func (d *Dispatcher) tooSlow(now time.Time, r *request) bool {
+	if d.admitter.KeepDoomed || !r.expected.Known || now.Sub(r.expected.At) >= estimateAge {
+		return false
+	}
+	return now.Add(r.expected.Mean).After(r.work.Deadline)
+}
+
 // usable reports whether the own backend server may be given the request.
 func (d *Dispatcher) usable(now time.Time, r *request) bool {
 	if d.drainer.Leaving() {
@@ -131,14 +144,17 @@
 	return need
 }
 
-// queueForPeers is the length of the queue up to which a peer's request may
-// wait here although the peer could run it later.
-const queueForPeers = 1
+// shortWait reports whether a peer's request would wait so briefly here that
+// its way back and to another server would take longer.
+func (d *Dispatcher) shortWait(now time.Time, r *request) bool {
+	return d.admitter.Wait(now, r.entry()) <= d.estimator.Typical()/2
+}
 
 // enqueue lets a request wait for a slot here. A peer's request waits only if
-// the peer can't run it, or if the queue is nearly empty.
+// the peer can't run it, or if the wait is short.
 func (d *Dispatcher) enqueue(now time.Time, r *request) {
-	if !r.own && !r.work.Displaced && d.admitter.Waiting() >= queueForPeers {
+	displaced := r.work.Displaced || d.placer.Leaving(r.work.Origin)
+	if !r.own && !displaced && !d.shortWait(now, r) {
 		d.refuse(now, r, cause{
 			reason: gooseberrymast.ReasonInProgressLimit,
 			limit:  "slots",
@@ -146,15 +162,20 @@
 		})
 		return
 	}
-	switch d.admitter.Offer(now, r.entry()) {
+	full := cause{
+		reason: gooseberrymast.ReasonQueueFull,
+		limit:  "queue",
+		value:  strconv.Itoa(d.service.Limits.Queue),
+	}
+	verdict, givenUp := d.admitter.Offer(now, r.entry())
+	switch verdict {
 	case admitter.VerdictQueued:
 		r.stage = stageQueued
+	case admitter.VerdictDisplaced:
+		r.stage = stageQueued
+		d.refuse(now, d.requests[givenUp.ID], full)
 	case admitter.VerdictFull:
-		d.refuse(now, r, cause{
-			reason: gooseberrymast.ReasonQueueFull,
-			limit:  "queue",
-			value:  strconv.Itoa(d.service.Limits.Queue),
-		})
+		d.refuse(now, r, full)
 	case admitter.VerdictTooClose:
 		d.refuse(now, r, cause{reason: gooseberrymast.ReasonDeadlineTooClose})
 	}
--- a/coordination/dispatcher/request.go
+++ b/coordination/dispatcher/request.go
@@ -59,11 +59,6 @@
 	cancelled bool
 }
 
-// idempotent reports whether a second run does no harm.
-func (r *request) idempotent() bool {
-	return r.work.Idempotent
-}
-
 // needsTicket reports whether the request's one run depends on its ticket.
 func (r *request) needsTicket() bool {
 	return r.own && !r.work.Idempotent && !r.work.Ticket.IsZero()
--- a/coordination/dispatcher/tick.go
+++ b/coordination/dispatcher/tick.go
@@ -89,7 +89,7 @@
 func (d *Dispatcher) clearQueue(now time.Time) {
 	mayStay := d.drainer.Leaving() && d.drainer.MayStart(now)
 	for {
-		entry, ok := d.admitter.First(func(entry admitter.Entry) bool {
+		entry, ok := d.admitter.First(now, func(entry admitter.Entry) bool {
 			r := d.requests[entry.ID]
 			return !mayStay || (r.own && d.placer.Any(now, d.need(now, r)))
 		})
@@ -124,7 +124,7 @@
 }
 
 func (d *Dispatcher) spreadOne(now time.Time) bool {
-	entry, ok := d.admitter.First(func(entry admitter.Entry) bool { return d.requests[entry.ID].own })
+	entry, ok := d.admitter.First(now, func(entry admitter.Entry) bool { return d.requests[entry.ID].own })
 	if !ok {
 		return false
 	}
--- a/coordination/estimator/estimator.go
+++ b/coordination/estimator/estimator.go
@@ -35,6 +35,8 @@
 	Safe time.Duration
 	// Long is set when the path's requests are mostly stragglers.
 	Long bool
+	// At is the time of the path's latest measurement.
+	At time.Time
 }
 
 // Estimator holds the service times of one service. The zero value works.
@@ -53,16 +55,18 @@
 	// long is the moving share of requests that were long.
 	long float64
 	used uint64
+	at   time.Time
 }
 
 // Observe takes the measured service time of one request.
-func (e *Estimator) Observe(path string, took time.Duration) {
+func (e *Estimator) Observe(now time.Time, path string, took time.Duration) {
 	limit := e.LongAfter()
 	long := e.all.samples >= minSamples && took > limit
 	e.all.add(float64(min(took, limit)), long)
 	e.age++
 	one := e.track(Key(path))
 	one.used = e.age
+	one.at = now
 	one.add(float64(took), long)
 }
 
@@ -77,6 +81,7 @@
 		Mean:  time.Duration(one.mean),
 		Safe:  e.safe(one),
 		Long:  one.long > longShare,
+		At:    one.at,
 	}
 }
 
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"gooseberrymast"
@@ -58,9 +59,8 @@
 
 type peer struct {
 	gooseberrymast.Member
-	load   gooseberrymast.Load
-	heard  time.Time
-	probes int
+	load  gooseberrymast.Load
+	heard time.Time
 	// given counts the requests given since the load was heard.
 	given int
 }
@@ -92,6 +92,20 @@
 	one.given = 0
 }
 
+// Leaving reports whether the agent is known to be leaving.
+func (p *Placer) Leaving(identity gooseberrymast.Identity) bool {
+	one := p.byAddress[identity.Address]
+	if one == nil || one.Identity != identity {
+		return false
+	}
+	return one.State == gooseberrymast.StateLeaving || one.load.Leaving
+}
+
+// Alone reports whether no peer may be given requests.
+func (p *Placer) Alone() bool {
+	return !slices.ContainsFunc(p.peers, func(one *peer) bool { return one.Routable() })
+}
+
 // Superseded reports whether a later life of the agent's address is known.
 func (p *Placer) Superseded(identity gooseberrymast.Identity) bool {
 	one := p.byAddress[identity.Address]
