--- a/caller/send.go
+++ b/caller/send.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/encoder"
@@ -128,7 +130,7 @@
 		if ctx.Err() != nil {
 			return nil, fmt.Errorf("Client.send: %w", outcome(mayHaveRun, ctx.Err()))
 		}
-		if !prepared.mayResend(mayHaveRun) {
+		if wasReset(err) || !prepared.mayResend(mayHaveRun) {
 			return nil, fmt.Errorf("Client.send: %w", outcome(mayHaveRun, err))
 		}
 		if err := pause(ctx, resendPause<<prepared.sends); err != nil {
@@ -149,10 +151,22 @@
 }
 
 // neverSent reports whether an error came before anything of the request went
-// out.
+// out, or says that the agent did not take it.
 func neverSent(err error) bool {
 	var dial *dialError
-	return errors.As(err, &dial)
+	return errors.As(err, &dial) || wasRejected(err)
+}
+
+func wasRejected(err error) bool {
+	var failure *http3.Error
+	return errors.As(err, &failure) && failure.ErrorCode == http3.ErrCodeRequestRejected
+}
+
+// wasReset reports whether the agent gave the request up while the flow lives.
+// The agent has then done all that can be done for it.
+func wasReset(err error) bool {
+	var reset *quic.StreamError
+	return errors.As(err, &reset) && !wasRejected(err)
 }
 
 func outcome(mayHaveRun bool, err error) error {
--- a/state/directory/suspicion.go
+++ b/state/directory/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,10 +22,30 @@
 	return true
 }
 
-// Tell sets the suspicion of a key as a registrar told it. An agent uses it,
-// since it doesn't hold the records of all registrars.
-func (d *Directory) Tell(now time.Time, key Key, suspect bool) {
-	if known, found := d.get(key); found {
+// MarkUnreachable makes a process suspect in this directory alone. A balancer
+// that is cut off judges the others so without telling anyone.
+func (d *Directory) MarkUnreachable(now time.Time, key Key) {
+	if d.unreachable == nil {
+		d.unreachable = map[Key]struct{}{}
+	}
+	d.unreachable[key] = struct{}{}
+	d.judge(now, key)
+}
+
+// ClearUnreachable takes back all that MarkUnreachable set.
+func (d *Directory) ClearUnreachable(now time.Time) {
+	keys := slices.Sorted(maps.Keys(d.unreachable))
+	d.unreachable = nil
+	for _, key := range keys {
+		d.judge(now, key)
+	}
+}
+
+// Tell sets the suspicion of a record as a registrar told it. What is told of
+// another version of the record has no effect.
+func (d *Directory) Tell(now time.Time, record gooseberrymast.Record, suspect bool) {
+	known, found := d.get(KeyOf(record.Identity.Address))
+	if found && known.incarnation == record.Identity.Incarnation && known.sequence == record.Sequence {
 		d.setSuspect(now, known, suspect)
 	}
 }
@@ -56,15 +77,15 @@
 	if !found {
 		return
 	}
-	if p.state == gooseberrymast.StateGone {
-		d.setSuspect(now, p, false)
+	if p.state == gooseberrymast.StateGone || d.Told {
+		d.setSuspect(now, p, p.suspect && d.Told)
 		return
 	}
 	d.setSuspect(now, p, d.abandoned(now, p))
 }
 
 func (d *Directory) abandoned(now time.Time, p packed) bool {
-	if p.loss&LossUnreachable != 0 {
+	if _, unreachable := d.unreachable[p.key]; unreachable || p.loss&LossUnreachable != 0 {
 		return true
 	}
 	named := 0
