--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -53,8 +53,6 @@
 	Mean time.Duration
 	// Safe is a service time that few such requests exceed.
 	Safe time.Duration
-	// Known is set when Mean was measured for the request's own path.
-	Known bool
 	// Long is set when the request is expected to be a straggler.
 	Long bool
 }
@@ -142,12 +140,10 @@
 	if a.MixLong {
 		return true
 	}
-	long := a.longRunning(now)
-	if entry.Long {
-		return long+1 < bound || (bound == 1 && !a.shortWaiting())
+	if !entry.Long {
+		return true
 	}
-	// The slot that is kept from long requests goes to none of unknown length.
-	return long+1 < bound || entry.Known || long == 0
+	return a.longRunning(now)+1 < bound || (bound == 1 && !a.shortWaiting())
 }
 
 // Start takes a slot.
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -134,9 +134,16 @@
 	return d.recorder
 }
 
-// Drain reports how far the agent's departure has come.
+// Drain reports how far the agent's departure has come. What was handed over
+// remains too, since its callers' flows are here.
 func (d *Dispatcher) Drain(now time.Time) drainer.Status {
-	return d.drainer.Status(now, len(d.requests)-d.streams, d.streams)
+	streams := 0
+	for _, r := range d.requests {
+		if r.work.Stream {
+			streams++
+		}
+	}
+	return d.drainer.Status(now, len(d.requests)-streams, streams)
 }
 
 // Configure puts the limits of a revision in force. The service's defaults
@@ -163,6 +170,8 @@
 	d.admitter.SlowStart = limits.SlowStart.Std()
 	d.admitter.Order = policy.Order
 	d.admitter.MixLong = policy.MixLong
+	d.admitter.Typical = d.estimator.Typical()
+	d.admitter.LongAfter = d.estimator.LongAfter()
 	if policy.UnboundedQueue {
 		d.admitter.Queue = -1
 		d.admitter.Order = admitter.OrderArrival
--- a/coordination/dispatcher/request.go
+++ b/coordination/dispatcher/request.go
@@ -80,7 +80,6 @@
 		Deadline: r.work.Deadline,
 		Mean:     r.expected.Mean,
 		Safe:     r.expected.Safe,
-		Known:    r.expected.Known,
 		Long:     r.expected.Long,
 	}
 }
