Let a newcomer wait for the store before it takes new flows

Cause: a balancer that heard a stale revision from a peer was ready half a second later, whether or not the store had answered; and balancers that a lone one had found unreachable kept each other suspect after they were met again. Change: with a store it waits for the answer for up to 3 s; judgements of a lone balancer are all taken back before any is made anew.

--- a/coordination/member/actions.go
+++ b/coordination/member/actions.go
@@ -11,8 +11,10 @@
 // The times of a member.
 const (
 	// gatherTime is the time for which a newcomer that heard of a revision
-	// waits for a higher one, unless the store has answered.
+	// waits for a higher one from other peers.
 	gatherTime = 500 * time.Millisecond
+	// storeTime is the time for which it waits for the store, when it has one.
+	storeTime = 3 * time.Second
 	// repairInterval is the least time between two repairs with peers whose
 	// digest differs.
 	repairInterval = 30 * time.Second
--- a/coordination/member/attach.go
+++ b/coordination/member/attach.go
@@ -41,7 +41,7 @@
 			ready = append(ready, s)
 		}
 	}
-	if len(ready) == len(desired) {
+	if len(ready) > 0 && len(ready) == len(desired) {
 		m.closeOthers(now, ready)
 	}
 	m.choosePrimary(now, ready)
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -220,13 +220,17 @@
 	}
 }
 
-// gathered reports whether a revision is in force that peers or the store had
+// gathered reports whether a revision is in force that peers and the store had
 // time to supersede.
 func (m *Member) gathered(now time.Time) bool {
 	if m.adopter.Current.Number == 0 {
 		return false
 	}
-	return m.document.Read() || now.Sub(m.inForce) >= gatherTime
+	waited := now.Sub(m.inForce)
+	if m.Store && !m.document.Read() {
+		return waited >= storeTime
+	}
+	return waited >= gatherTime
 }
 
 func (m *Member) isBalancer() bool {
--- a/coordination/member/random_test.go
+++ b/coordination/member/random_test.go
@@ -62,10 +62,6 @@
 			w.repairAll()
 			w.run(settleTime)
 			w.checkAll()
-			if t.Failed() && testing.Verbose() {
-				w.debug()
-				w.debugKey(6)
-			}
 		})
 	}
 }
--- a/state/directory/suspicion.go
+++ b/state/directory/suspicion.go
@@ -32,10 +32,17 @@
 	d.judge(now, key)
 }
 
-// ClearUnreachable takes back all that MarkUnreachable set.
+// ClearUnreachable takes back all that MarkUnreachable set. The processes are
+// judged only after all of them were cleared: they may name each other as
+// registrars, and one that still looks lost would keep the others so.
 func (d *Directory) ClearUnreachable(now time.Time) {
 	keys := slices.Sorted(maps.Keys(d.unreachable))
 	d.unreachable = nil
+	for _, key := range keys {
+		if p, found := d.get(key); found {
+			d.setSuspect(now, p, false)
+		}
+	}
 	for _, key := range keys {
 		d.judge(now, key)
 	}
