--- a/coordination/member/world_test.go
+++ b/coordination/member/world_test.go
@@ -39,12 +39,12 @@
 	// accepted holds the text of each revision that the store took.
 	accepted map[uint64]string
 	// linkDelay and linkJitter are those of a link between zones.
-	linkDelay  time.Duration
-	linkJitter time.Duration
-	cells      int
-	wireBytes  int
-	watchCalls int
-	peeks      int
+	linkDelay   time.Duration
+	linkJitter  time.Duration
+	cells       int
+	watchCalls  int
+	peeks       int
+	callsBefore platform.Calls
 }
 
 // callTimeout is the time after which the caller of the store gives up.
@@ -66,8 +66,10 @@
 	// revision is the highest that was ever in force in this life.
 	revision  uint64
 	adoptedAt time.Time
-	sent      int
-	received  int
+	// sent and received count bytes of messages, messages their number.
+	sent     int
+	received int
+	messages int
 }
 
 // end is one side of a session.
@@ -297,10 +299,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.wireBytes += len(raw)
 	from.owner.sent += len(raw)
+	from.owner.messages++
 	w.arrive(from, func(to *end) {
 		to.owner.received += len(raw)
+		to.owner.messages++
 		var frame control.Message
 		if err := proto.Unmarshal(raw, &frame); err != nil {
 			w.t.Fatal(err)
