--- a/protocol/parser/parser_test.go
+++ b/protocol/parser/parser_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -111,7 +113,24 @@
 	is.Equal(faults[2].Line, 0)
 }
 
+// addExamples adds the example files to a corpus.
+func addExamples(f *testing.F) {
+	f.Helper()
+	files, err := filepath.Glob("../../examples/*.toml")
+	if err != nil || len(files) == 0 {
+		f.Fatalf("no examples: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(string(text))
+	}
+}
+
 func FuzzDocument(f *testing.F) {
+	addExamples(f)
 	f.Add(good)
 	f.Add("zones = 1\nservices.\"a.b\" = {limits = 3}\n")
 	f.Add("[[services]]\na=1\n[[zones]]\n")
@@ -126,6 +145,7 @@
 }
 
 func FuzzSettings(f *testing.F) {
+	addExamples(f)
 	f.Add("environment = \"trial\"\nseeds = [\"10.0.0.1:1\"]\n[service-addresses]\nledger = []\n")
 	f.Add("backend.address = \"[::1]:80\"\nweight = -1\nshards = 99999999999999999999")
 	f.Fuzz(func(t *testing.T, text string) {
