--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -56,6 +56,8 @@
 	ModeCrash Mode = "crash"
 	// ModeTear runs the request and breaks the connection within the answer.
 	ModeTear Mode = "tear"
+	// ModeTearLong is ModeTear with an answer of 1 MiB.
+	ModeTearLong Mode = "tear-long"
 	// ModeFail runs the request and answers 503.
 	ModeFail Mode = "fail"
 )
@@ -118,7 +120,10 @@
 		Protocols:   protocols,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	go func() { b.done <- b.server.Serve(socket) }()
+	go func() {
+		b.done <- b.server.Serve(socket)
+		close(b.done)
+	}()
 	return socket.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
@@ -129,7 +134,8 @@
 	}
 	b.cancel()
 	err := b.server.Close()
-	if served := <-b.done; err == nil && !errors.Is(served, http.ErrServerClosed) {
+	served, first := <-b.done
+	if first && err == nil && !errors.Is(served, http.ErrServerClosed) {
 		err = served
 	}
 	if err != nil {
@@ -145,6 +151,13 @@
 	b.mode = mode
 }
 
+// SetSlots bounds the unary requests run at once; more are shed.
+func (b *Backend) SetSlots(slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Slots = slots
+}
+
 // SetHealthy sets what PathHealth says, after ReportLag.
 func (b *Backend) SetHealthy(healthy bool) {
 	b.mu.Lock()
