--- a/cmd/gooseberrymast/explain.go
+++ b/cmd/gooseberrymast/explain.go
@@ -46,7 +46,7 @@
 			return fmt.Errorf("refusal %s is not kept at %s: it is too old, or the agent was restarted or is another one", args[0], address)
 		}
 		if err != nil {
-			return err
+			return fmt.Errorf("the agent can't be asked; if it was stopped, its refusals are gone with it: %w", err)
 		}
 		out := newPrinter(command)
 		if *asJSON {
