--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -30,11 +30,16 @@
 	})
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
+		newAgent(),
 		newApply(open),
+		newBackend(),
+		newBalancer(),
+		newCall(),
 		newCheck(),
 		newDiff(open),
 		newExplain(),
 		newHistory(open),
+		newPlatform(),
 		newPromote(open),
 		newStatus(),
 		newTry(),
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -77,12 +77,14 @@
 	differing  map[messenger.Session]bool
 	nextRepair time.Time
 	nextProbe  time.Time
-	document   watcher.Watcher
-	leasers    map[directory.CellID]*leaser.Leaser
-	ranks      map[directory.CellID]int
-	ranked     []directory.Balancer
-	cells      int
-	tree       tree
+	// reprobe is the address of a probe that failed, or zero.
+	reprobe  netip.AddrPort
+	document watcher.Watcher
+	leasers  map[directory.CellID]*leaser.Leaser
+	ranks    map[directory.CellID]int
+	ranked   []directory.Balancer
+	cells    int
+	tree     tree
 	// advisedOf is the list that agents were last advised from.
 	advisedOf []directory.Balancer
 	calls     map[uint64]string
@@ -218,13 +220,17 @@
 	}
 }
 
-// gathered reports whether a revision is in force that peers or the store had
+// gathered reports whether a revision is in force that peers and the store had
 // time to supersede.
 func (m *Member) gathered(now time.Time) bool {
 	if m.adopter.Current.Number == 0 {
 		return false
 	}
-	return m.document.Read() || now.Sub(m.inForce) >= gatherTime
+	waited := now.Sub(m.inForce)
+	if m.Store && !m.document.Read() {
+		return waited >= storeTime
+	}
+	return waited >= gatherTime
 }
 
 func (m *Member) isBalancer() bool {
--- a/transport/driver/attempt.go
+++ b/transport/driver/attempt.go
@@ -58,6 +58,9 @@
 		r.held = response
 		return d.afterAttempt(ctx, r, result, gooseberrymast.Refusal{})
 	}
+	if result = executor.Hold(attemptCtx, response); result != 0 {
+		return d.afterAttempt(ctx, r, result, gooseberrymast.Refusal{})
+	}
 	return d.pass(attemptCtx, r, response)
 }
 
@@ -106,7 +109,7 @@
 	if ctx.Err() != nil {
 		return executor.StatusCancelled
 	}
-	if r.held != nil && !r.waiting() {
+	if result == gooseberrymast.ResultFailed && r.held != nil && !r.waiting() {
 		return d.passHeld(r)
 	}
 	return 0
--- a/transport/terminator/rig_test.go
+++ b/transport/terminator/rig_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -20,7 +21,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 
 	"gooseberrymast"
 	"gooseberrymast/caller"
@@ -35,11 +38,16 @@
 	"gooseberrymast/transport/terminator"
 )
 
+func TestMain(m *testing.M) {
+	log.DefaultLogger.SetLevel(log.ErrorLevel)
+	os.Exit(m.Run())
+}
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // service is one service in one process: agents with their stand-ins.
 type service struct {
-	t      *testing.T
+	t      testing.TB
 	keys   *keyer.Keys
 	tls    *tls.Config
 	roots  *x509.CertPool
@@ -48,6 +56,8 @@
 
 	mu     sync.Mutex
 	agents []*agent
+	// via overrides the control addresses of agents.
+	via map[gooseberrymast.Identity]netip.AddrPort
 }
 
 // agent is one agent and its backend server.
@@ -64,7 +74,7 @@
 
 const serviceName = "ledger"
 
-func newService(t *testing.T, agents int, change func(*gooseberrymast.Service)) *service {
+func newService(t testing.TB, agents int, change func(*gooseberrymast.Service)) *service {
 	t.Helper()
 	var document gooseberrymast.Service
 	document.Streams = []string{backend.PathPush, backend.PathConverse}
@@ -91,6 +101,13 @@
 	address, err := server.Start(loopback)
 	is.NoErr(err)
 	s.t.Cleanup(func() { server.Close() })
+	return s.startBefore(address, server)
+}
+
+// startBefore adds an agent in front of a stand-in that runs already.
+func (s *service) startBefore(address netip.AddrPort, server *backend.Backend) *agent {
+	s.t.Helper()
+	is := is.New(s.t)
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 	is.NoErr(err)
 	listener, err := linker.Listen(loopback, linker.Fixed(s.keys))
@@ -103,8 +120,8 @@
 		transport: &quic.Transport{Conn: socket},
 	}
 	s.assemble(a, address)
-	go listener.Serve(context.Background())
-	go a.terminator.Serve()
+	go func() { _ = listener.Serve(context.Background()) }()
+	go func() { _ = a.terminator.Serve() }()
 	s.t.Cleanup(func() {
 		a.terminator.Close()
 		a.transport.Close()
@@ -168,6 +185,9 @@
 func (s *service) locate(peer gooseberrymast.Identity) (netip.AddrPort, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if address, ok := s.via[peer]; ok {
+		return address, true
+	}
 	at := slices.IndexFunc(s.agents, func(a *agent) bool { return a.self == peer })
 	if at < 0 {
 		return netip.AddrPort{}, false
@@ -185,6 +205,31 @@
 	return client
 }
 
+// doer is a connect.HTTPClient.
+type doer interface {
+	Do(request *http.Request) (*http.Response, error)
+}
+
+// plainClient is an HTTP/3 client that knows nothing of tickets.
+type plainClient struct {
+	*http3.Transport
+}
+
+func (p plainClient) Do(request *http.Request) (*http.Response, error) {
+	return p.RoundTrip(request)
+}
+
+func (s *service) plain(a *agent) plainClient {
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: s.roots, MinVersion: tls.VersionTLS13},
+		Dial: func(ctx context.Context, _ string, secure *tls.Config, config *quic.Config) (*quic.Conn, error) {
+			return quic.DialAddr(ctx, a.self.Address.String(), secure, config)
+		},
+	}
+	s.t.Cleanup(func() { transport.Close() })
+	return plainClient{transport}
+}
+
 // ran gives the runs of a request over all stand-ins.
 func (s *service) ran(id string) int {
 	s.mu.Lock()
@@ -217,7 +262,7 @@
 	return string(body), err
 }
 
-func certificate(t *testing.T) (*tls.Config, *x509.CertPool) {
+func certificate(t testing.TB) (*tls.Config, *x509.CertPool) {
 	is := is.New(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	is.NoErr(err)
@@ -243,3 +288,33 @@
 func newBackend() *backend.Backend {
 	return &backend.Backend{Push: 5 * time.Millisecond}
 }
+
+// eventually waits for something that happens in another goroutine. It fails
+// only when that never happens.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > time.Minute {
+			t.Fatal("it did not happen within a minute")
+		}
+	}
+}
+
+func (s *service) cancelled() int {
+	total := 0
+	for _, a := range s.agents {
+		total += a.backend.Counts().Cancelled
+	}
+	return total
+}
+
+// idle reports whether no request is left at any agent or stand-in.
+func (s *service) idle() bool {
+	for _, a := range s.agents {
+		unary, streams := a.backend.InProgress()
+		if unary+streams+a.driver.InProgress() > 0 {
+			return false
+		}
+	}
+	return true
+}
