Let slow start shift requests between servers, and never refuse for it

Every backend server was cold, and the slow start held each to one to three of its four slots for the first ten seconds, with the rest refused. Change: the slow start lowers a server's share, which counts for hand-overs and for the load that peers see. A request that no peer with room takes may use every slot. Conclusion: a cold fleet serves with all its slots; a single cold server still takes less while others have room.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -64,11 +64,8 @@
 	Slots int
 	// Queue is the number of requests that may wait; below zero is no bound.
 	Queue int
-	// SlowStart is the time over which the bound rises to Slots from Started.
+	// SlowStart is the time over which the share rises to Slots from Started.
 	SlowStart time.Duration
-	// Alone lifts the slow start: no other backend server could take what a
-	// cold one refuses.
-	Alone bool
 	// Started is when the backend server began to take work.
 	Started time.Time
 	// LongAfter is the running time from which on a request counts as long.
@@ -105,9 +102,6 @@
 		return 0
 	}
 	bound := a.Slots
-	if age := now.Sub(a.Started); a.SlowStart > 0 && age < a.SlowStart && !a.Alone {
-		bound = 1 + int(float64(a.Slots-1)*float64(age)/float64(a.SlowStart))
-	}
 	if a.shedBound > 0 {
 		recovered := int(now.Sub(a.shedAt) / ShedRecovery)
 		bound = min(bound, a.shedBound+recovered)
@@ -115,9 +109,20 @@
 	return bound
 }
 
-// Free gives the number of slots that are neither held nor waited for.
+// Share gives the number of requests that a cold backend server should run
+// while others could take the rest. It is the bound once the server is warm.
+func (a *Admitter) Share(now time.Time) int {
+	share := a.Bound(now)
+	if age := now.Sub(a.Started); age < a.SlowStart {
+		share = min(share, 1+int(float64(a.Slots-1)*float64(age)/float64(a.SlowStart)))
+	}
+	return share
+}
+
+// Free gives the number of slots of the share that are neither held nor
+// waited for.
 func (a *Admitter) Free(now time.Time) int {
-	return max(0, a.Bound(now)-len(a.running)-len(a.waiting))
+	return max(0, a.Share(now)-len(a.running)-len(a.waiting))
 }
 
 // Running gives the number of slots held.
@@ -131,9 +136,8 @@
 }
 
 // CanStart reports whether the request may take a slot now, leaving aside the
-// requests that wait.
-func (a *Admitter) CanStart(now time.Time, entry Entry) bool {
-	bound := a.Bound(now)
+// requests that wait. The bound is Bound or Share.
+func (a *Admitter) CanStart(now time.Time, entry Entry, bound int) bool {
 	if len(a.running) >= bound {
 		return false
 	}
--- a/coordination/admitter/queue.go
+++ b/coordination/admitter/queue.go
@@ -24,7 +24,7 @@
 
 // Wait estimates how long the request would wait for a slot.
 func (a *Admitter) Wait(now time.Time, entry Entry) time.Duration {
-	if len(a.waiting) == 0 && a.CanStart(now, entry) {
+	if len(a.waiting) == 0 && a.CanStart(now, entry, a.Bound(now)) {
 		return 0
 	}
 	ahead := a.Typical
@@ -67,14 +67,15 @@
 	a.waiting = append(a.waiting, entry)
 }
 
-// Next takes the next request out of the queue that may start now.
-func (a *Admitter) Next(now time.Time) (Entry, bool) {
-	if len(a.running) >= a.Bound(now) {
+// Next takes the next request out of the queue that may start now. The bound is
+// Bound or Share.
+func (a *Admitter) Next(now time.Time, bound int) (Entry, bool) {
+	if len(a.running) >= bound {
 		return Entry{}, false
 	}
 	at := a.starvedLong(now)
 	if at < 0 {
-		at = a.first(now, func(entry Entry) bool { return a.CanStart(now, entry) })
+		at = a.first(now, func(entry Entry) bool { return a.CanStart(now, entry, bound) })
 	}
 	if at < 0 {
 		return Entry{}, false
@@ -192,7 +193,7 @@
 // starvedLong finds a long request that has waited for longer than a long
 // request runs while none runs, so that short ones can't starve it.
 func (a *Admitter) starvedLong(now time.Time) int {
-	if a.MixLong || len(a.running) >= a.Bound(now) || a.longRunning(now) > 0 {
+	if a.MixLong || a.longRunning(now) > 0 {
 		return -1
 	}
 	for at, entry := range a.waiting {
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -211,7 +211,6 @@
 		members = append(members, peer.Identity.Address)
 	}
 	d.placer.Update(others)
-	d.admitter.Alone = d.placer.Alone()
 	d.ejector.Retain(members)
 	d.stirred = true
 }
--- a/coordination/dispatcher/finish.go
+++ b/coordination/dispatcher/finish.go
@@ -130,7 +130,7 @@
 // settleFailure retries an idempotent request at once where it can start;
 // otherwise the caller gets the backend server's own answer.
 func (d *Dispatcher) settleFailure(now time.Time, r *request) {
-	here := !r.work.Stream && d.usable(now, r) && d.admitter.CanStart(now, r.entry())
+	here := !r.work.Stream && d.usable(now, r) && d.canStart(now, r, d.admitter.Bound(now))
 	elsewhere := !d.config.Policy.NoHandOver && d.placer.Any(now, d.need(now, r))
 	if !(here || elsewhere) || !r.work.Idempotent || !d.mayRetry(now, r) {
 		d.end(now, r)
@@ -192,7 +192,7 @@
 		d.retry(now, r, recorder.RetryRefused, why)
 		return
 	}
-	if d.admitter.CanStart(now, r.entry()) {
+	if d.canStart(now, r, d.admitter.Bound(now)) {
 		d.run(now, r)
 		return
 	}
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -22,16 +22,32 @@
 		d.placeStream(now, r)
 		return
 	}
-	if d.admitter.CanStart(now, r.entry()) && !d.tooSlow(now, r) {
+	if d.canStart(now, r, d.admitter.Share(now)) {
 		d.run(now, r)
 		return
 	}
 	if d.handOverToRoom(now, r) {
 		return
 	}
+	if d.mayWait(r) && d.canStart(now, r, d.admitter.Bound(now)) {
+		d.run(now, r)
+		return
+	}
 	d.enqueue(now, r)
 }
 
+// canStart reports whether the own backend server may run the request now and
+// answer in time.
+func (d *Dispatcher) canStart(now time.Time, r *request, bound int) bool {
+	return d.admitter.CanStart(now, r.entry(), bound) && !d.tooSlow(now, r)
+}
+
+// mayWait reports whether the request may take more than this server's share:
+// it is an own one, or its origin can't run it.
+func (d *Dispatcher) mayWait(r *request) bool {
+	return r.own || r.work.Displaced || d.placer.Leaving(r.work.Origin)
+}
+
 // estimateAge is the time for which a service time is believed that rules a
 // request out. After it one request may run to measure again.
 const estimateAge = time.Second
@@ -147,14 +163,14 @@
 // shortWait reports whether a peer's request would wait so briefly here that
 // its way back and to another server would take longer.
 func (d *Dispatcher) shortWait(now time.Time, r *request) bool {
-	return d.admitter.Wait(now, r.entry()) <= d.estimator.Typical()/2
+	warm := d.admitter.Share(now) == d.admitter.Bound(now)
+	return warm && d.admitter.Wait(now, r.entry()) <= d.estimator.Typical()/2
 }
 
 // enqueue lets a request wait for a slot here. A peer's request waits only if
 // the peer can't run it, or if the wait is short.
 func (d *Dispatcher) enqueue(now time.Time, r *request) {
-	displaced := r.work.Displaced || d.placer.Leaving(r.work.Origin)
-	if !r.own && !displaced && !d.shortWait(now, r) {
+	if !d.mayWait(r) && !d.shortWait(now, r) {
 		d.refuse(now, r, cause{
 			reason: gooseberrymast.ReasonInProgressLimit,
 			limit:  "slots",
--- a/coordination/dispatcher/tick.go
+++ b/coordination/dispatcher/tick.go
@@ -65,8 +65,9 @@
 	} else if d.selfEjected() && !d.config.Policy.NoHandOver {
 		d.clearQueue(now)
 	}
-	d.startWaiting(now)
+	d.startWaiting(now, d.admitter.Share(now))
 	d.spread(now)
+	d.startWaiting(now, d.admitter.Bound(now))
 	d.nextPump = now.Add(pumpInterval)
 }
 
@@ -101,12 +102,13 @@
 	}
 }
 
-func (d *Dispatcher) startWaiting(now time.Time) {
+// startWaiting fills the slots up to a bound.
+func (d *Dispatcher) startWaiting(now time.Time, bound int) {
 	if !d.drainer.MayStart(now) {
 		return
 	}
 	for {
-		entry, ok := d.admitter.Next(now)
+		entry, ok := d.admitter.Next(now, bound)
 		if !ok {
 			return
 		}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"gooseberrymast"
@@ -101,11 +100,6 @@
 	return one.State == gooseberrymast.StateLeaving || one.load.Leaving
 }
 
-// Alone reports whether no peer may be given requests.
-func (p *Placer) Alone() bool {
-	return !slices.ContainsFunc(p.peers, func(one *peer) bool { return one.Routable() })
-}
-
 // Superseded reports whether a later life of the agent's address is known.
 func (p *Placer) Superseded(identity gooseberrymast.Identity) bool {
 	one := p.byAddress[identity.Address]
