Offer one slot of a cold server beyond its share before anything waits

Change: a cold server reports one free slot beyond its share and runs what is handed over up to its slots. Conclusion: nothing waits while a slot elsewhere is free, cold or not.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -120,9 +120,11 @@
 }
 
 // Free gives the number of slots of the share that are neither held nor
-// waited for.
+// waited for. A cold backend server offers one beyond its share, so that it is
+// used before anything waits, but after the others.
 func (a *Admitter) Free(now time.Time) int {
-	return max(0, a.Share(now)-len(a.running)-len(a.waiting))
+	taken := len(a.running) + len(a.waiting)
+	return max(0, a.Share(now)-taken, min(1, a.Bound(now)-taken))
 }
 
 // Running gives the number of slots held.
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -29,7 +29,7 @@
 	if d.handOverToRoom(now, r) {
 		return
 	}
-	if d.mayWait(r) && d.canStart(now, r, d.admitter.Bound(now)) {
+	if d.canStart(now, r, d.admitter.Bound(now)) {
 		d.run(now, r)
 		return
 	}
@@ -42,8 +42,8 @@
 	return d.admitter.CanStart(now, r.entry(), bound) && !d.tooSlow(now, r)
 }
 
-// mayWait reports whether the request may take more than this server's share:
-// it is an own one, or its origin can't run it.
+// mayWait reports whether the request may wait here for as long as it takes: it
+// is an own one, or its origin can't run it.
 func (d *Dispatcher) mayWait(r *request) bool {
 	return r.own || r.work.Displaced || d.placer.Leaving(r.work.Origin)
 }
@@ -163,8 +163,7 @@
 // shortWait reports whether a peer's request would wait so briefly here that
 // its way back and to another server would take longer.
 func (d *Dispatcher) shortWait(now time.Time, r *request) bool {
-	warm := d.admitter.Share(now) == d.admitter.Bound(now)
-	return warm && d.admitter.Wait(now, r.entry()) <= d.estimator.Typical()/2
+	return d.admitter.Wait(now, r.entry()) <= d.estimator.Typical()/2
 }
 
 // enqueue lets a request wait for a slot here. A peer's request waits only if
