--- a/transport/hander/client.go
+++ b/transport/hander/client.go
@@ -82,6 +82,13 @@
 	return true, reply.GetSpent().GetGranted()
 }
 
+// Measure asks a peer for its load, which OnLoad is given. It reports whether
+// the peer answered.
+func (c *Client) Measure(ctx context.Context, peer gooseberrymast.Identity) bool {
+	_, err := c.question(ctx, peer, &handover.Request{Frame: &handover.Request_Measure{Measure: &handover.Measure{}}})
+	return err == nil
+}
+
 // question sends one frame on a stream of its own and reads one reply.
 func (c *Client) question(ctx context.Context, peer gooseberrymast.Identity, question *handover.Request) (*handover.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, QuestionTimeout)
@@ -91,7 +98,7 @@
 		return nil, fmt.Errorf("Client.question: %w", err)
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := linker.WriteMessage(stream, question); err != nil {
 		return nil, fmt.Errorf("Client.question %s: %w", peer, err)
--- a/transport/terminator/rig_test.go
+++ b/transport/terminator/rig_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
@@ -36,11 +38,16 @@
 	"gooseberrymast/transport/terminator"
 )
 
+func TestMain(m *testing.M) {
+	log.DefaultLogger.SetLevel(log.ErrorLevel)
+	os.Exit(m.Run())
+}
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // service is one service in one process: agents with their stand-ins.
 type service struct {
-	t      *testing.T
+	t      testing.TB
 	keys   *keyer.Keys
 	tls    *tls.Config
 	roots  *x509.CertPool
@@ -67,7 +74,7 @@
 
 const serviceName = "ledger"
 
-func newService(t *testing.T, agents int, change func(*gooseberrymast.Service)) *service {
+func newService(t testing.TB, agents int, change func(*gooseberrymast.Service)) *service {
 	t.Helper()
 	var document gooseberrymast.Service
 	document.Streams = []string{backend.PathPush, backend.PathConverse}
@@ -94,6 +101,13 @@
 	address, err := server.Start(loopback)
 	is.NoErr(err)
 	s.t.Cleanup(func() { server.Close() })
+	return s.startBefore(address, server)
+}
+
+// startBefore adds an agent in front of a stand-in that runs already.
+func (s *service) startBefore(address netip.AddrPort, server *backend.Backend) *agent {
+	s.t.Helper()
+	is := is.New(s.t)
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 	is.NoErr(err)
 	listener, err := linker.Listen(loopback, linker.Fixed(s.keys))
@@ -106,8 +120,8 @@
 		transport: &quic.Transport{Conn: socket},
 	}
 	s.assemble(a, address)
-	go listener.Serve(context.Background())
-	go a.terminator.Serve()
+	go func() { _ = listener.Serve(context.Background()) }()
+	go func() { _ = a.terminator.Serve() }()
 	s.t.Cleanup(func() {
 		a.terminator.Close()
 		a.transport.Close()
@@ -248,7 +262,7 @@
 	return string(body), err
 }
 
-func certificate(t *testing.T) (*tls.Config, *x509.CertPool) {
+func certificate(t testing.TB) (*tls.Config, *x509.CertPool) {
 	is := is.New(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	is.NoErr(err)
