Send a revision to each agent once, and ask for one that isn't sent

Cause: of the bytes that a revision cost a balancer most were headers of messages to its agents: two copies and two acknowledgements for each. And a process whose first peer was silently dead waited for its session to time out. Change: an agent is told over its first session only, at most every 2 s, and acknowledges with a heartbeat at most every 2 s; a process that hears of a higher revision in a heartbeat, and isn't sent it within a second, asks.

--- a/coordination/member/actions.go
+++ b/coordination/member/actions.go
@@ -31,6 +31,16 @@
 	maxRedial = 10 * time.Second
 	// renewInterval is the least time between two refutations of a loss.
 	renewInterval = time.Second
+	// agentRevisionInterval is the least time between two revisions that one
+	// agent is sent.
+	agentRevisionInterval = 2 * time.Second
+	// acknowledgeInterval is the least time between two messages of an agent
+	// that acknowledge a revision.
+	acknowledgeInterval = 2 * time.Second
+	// catchUpDelay is the time that a peer with a higher revision has to send
+	// it, and askInterval the time between two requests.
+	catchUpDelay = time.Second
+	askInterval  = 5 * time.Second
 	// maxQueryHops bounds the way of a query to the root.
 	maxQueryHops = 16
 )
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -155,6 +155,8 @@
 	m.closeProbes(now)
 	m.advise()
 	m.useStore(now)
+	m.acknowledge(now)
+	m.catchUp(now)
 	m.beat(now)
 	m.report(now)
 	m.renewOwn(now)
--- a/coordination/member/news.go
+++ b/coordination/member/news.go
@@ -258,12 +258,45 @@
 	}
 }
 
-// offer notes the revision in force for a peer that has a lower one.
+// offer notes the revision in force for a peer that has a lower one. An agent
+// is told over one of its sessions.
 func (m *Member) offer(s *registrar.Session) {
 	number := m.adopter.Current.Number
-	if s.Ready() && s.Revision < number && m.offered[s.ID] < number {
-		m.offered[s.ID] = number
-		m.spreader.NoteRevision(s.ID)
+	if !s.Ready() || s.Revision >= number || m.offered[s.ID] >= number {
+		return
+	}
+	gap := time.Duration(0)
+	if s.Role == gooseberrymast.RoleAgent {
+		if !s.TakesNews {
+			return
+		}
+		gap = agentRevisionInterval
+	}
+	m.offered[s.ID] = number
+	m.spreader.NoteRevision(s.ID, gap)
+}
+
+// catchUp asks for the revision of a peer that has a higher one and doesn't
+// send it by itself, as when the peer that news is taken from is dead but
+// not yet known to be.
+func (m *Member) catchUp(now time.Time) {
+	for _, s := range m.registrar.Sessions() {
+		if s.Ready() && s.Revision > m.adopter.Current.Number && now.Sub(s.Received) >= catchUpDelay && now.Sub(s.Asked) >= askInterval {
+			s.Asked = now
+			m.sendHeartbeat(now, s, true)
+		}
+	}
+}
+
+// acknowledge tells the peer that news is taken from which revision is in
+// force, unless it was told something a moment ago.
+func (m *Member) acknowledge(now time.Time) {
+	s := m.registrar.Get(m.primary)
+	if m.isBalancer() || s == nil {
+		return
+	}
+	if s.Told != m.adopter.Current.Number && now.Sub(s.Sent) >= acknowledgeInterval {
+		m.sendHeartbeat(now, s, false)
 	}
 }
 
@@ -303,9 +336,6 @@
 	m.actions.Adopted = &Adopted{Revision: m.adopter.Current, Document: m.adopter.Document}
 	for _, s := range m.registrar.Sessions() {
 		m.offer(s)
-		if !m.isBalancer() && s.Ready() {
-			m.sendHeartbeat(now, s, false)
-		}
 	}
 }
 
--- a/coordination/member/sessions.go
+++ b/coordination/member/sessions.go
@@ -226,7 +226,7 @@
 		beat.Digest = m.Directory.Digest()
 	}
 	s.Sent = now
-	s.GivesNews = beat.Primary
+	s.Told = beat.Revision
 	m.send(s.ID, &messenger.Message{Heartbeat: beat})
 }
 
--- a/coordination/registrar/registrar.go
+++ b/coordination/registrar/registrar.go
@@ -42,8 +42,10 @@
 	Revision uint64
 	// TakesNews is set when the peer takes its news from this process.
 	TakesNews bool
-	// GivesNews is set when this process told the peer so.
-	GivesNews bool
+	// Told is the revision that the last heartbeat to the peer named.
+	Told uint64
+	// Asked is when the peer was last asked for its revision.
+	Asked time.Time
 	// Received is when the last message came.
 	Received time.Time
 	// Sent is when the last message went.
--- a/coordination/reporter/reporter.go
+++ b/coordination/reporter/reporter.go
@@ -21,7 +21,7 @@
 )
 
 // DefaultInterval is the least time between two reports upwards.
-const DefaultInterval = time.Second
+const DefaultInterval = 2 * time.Second
 
 // Reporter holds the last report of each session that reports here.
 type Reporter struct {
--- a/coordination/spreader/spreader.go
+++ b/coordination/spreader/spreader.go
@@ -44,7 +44,11 @@
 type queue struct {
 	keys     map[directory.Key]struct{}
 	revision bool
-	flushed  time.Time
+	// gap is the least time between two revisions, revised when the last
+	// one was sent.
+	gap     time.Duration
+	revised time.Time
+	flushed time.Time
 }
 
 // NoteKey notes an entry for a session.
@@ -56,9 +60,12 @@
 	q.keys[key] = struct{}{}
 }
 
-// NoteRevision notes the revision in force for a session.
-func (s *Spreader) NoteRevision(session messenger.Session) {
-	s.queue(session).revision = true
+// NoteRevision notes the revision in force for a session. Two revisions are
+// sent at least the gap apart, so that the one between them is skipped.
+func (s *Spreader) NoteRevision(session messenger.Session, gap time.Duration) {
+	q := s.queue(session)
+	q.revision = true
+	q.gap = gap
 }
 
 // Drop forgets a session that ended.
@@ -70,11 +77,11 @@
 func (s *Spreader) Due(now time.Time) []Batch {
 	var batches []Batch
 	for id, q := range s.queues {
-		if q.empty() || now.Before(q.flushed.Add(s.wait(q))) {
+		at, due := s.at(q)
+		if !due || now.Before(at) {
 			continue
 		}
-		q.flushed = now
-		batches = append(batches, q.take(id))
+		batches = append(batches, q.take(id, now))
 	}
 	slices.SortFunc(batches, func(a, b Batch) int { return cmp.Compare(a.Session, b.Session) })
 	return batches
@@ -84,17 +91,26 @@
 func (s *Spreader) Next() time.Time {
 	var next time.Time
 	for _, q := range s.queues {
-		if q.empty() {
-			continue
-		}
-		at := q.flushed.Add(s.wait(q))
-		if next.IsZero() || at.Before(next) {
+		at, due := s.at(q)
+		if due && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
 	return next
 }
 
+// at gives the time of a queue's next batch, if it has any news.
+func (s *Spreader) at(q *queue) (time.Time, bool) {
+	at := q.flushed.Add(s.wait(q))
+	if len(q.keys) > 0 {
+		return at, true
+	}
+	if revision := q.revised.Add(q.gap); revision.After(at) {
+		at = revision
+	}
+	return at, q.revision
+}
+
 func (s *Spreader) queue(session messenger.Session) *queue {
 	if s.queues == nil {
 		s.queues = map[messenger.Session]*queue{}
@@ -117,13 +133,14 @@
 	return s.Interval
 }
 
-func (q *queue) empty() bool {
-	return len(q.keys) == 0 && !q.revision
-}
-
-func (q *queue) take(id messenger.Session) Batch {
-	batch := Batch{Session: id, Revision: q.revision}
-	q.revision = false
+func (q *queue) take(id messenger.Session, now time.Time) Batch {
+	q.flushed = now
+	batch := Batch{Session: id}
+	if q.revision && !now.Before(q.revised.Add(q.gap)) {
+		batch.Revision = true
+		q.revision = false
+		q.revised = now
+	}
 	for key := range q.keys {
 		batch.Keys = append(batch.Keys, key)
 	}
