--- /dev/null
+++ b/cmd/gooseberrymast/explain.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/spf13/cobra"
+
+	"gooseberrymast"
+	"gooseberrymast/state/recorder"
+	"gooseberrymast/transport/operator"
+)
+
+// defaultOperatorsPort is the port of the operators' addresses in the examples.
+const defaultOperatorsPort = 7002
+
+const explainHelp = `Says why a request was refused, in the words that the caller was given. The
+identifier stands in the caller's error and names the agent that refused. That
+agent keeps its last few thousand refusals until it stops.
+
+The agent is asked at the IP address in the identifier, at the port that --port
+gives, by GET /refusals/ID on its operators' address. --agent names another
+address to ask.
+
+Exit codes: 0 explained, 1 the agent can't be reached or keeps it no longer,
+2 invalid input.`
+
+func newExplain() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "explain ID",
+		Short: "Say why a request was refused",
+		Long:  explainHelp,
+		Args:  invalidArgs(cobra.ExactArgs(1)),
+	}
+	agent := command.Flags().String("agent", "", "operators' `address` of the agent, when it isn't on the identifier's IP address")
+	port := command.Flags().Uint16("port", defaultOperatorsPort, "`port` of the agents' operators' addresses")
+	asJSON := command.Flags().Bool("json", false, "print one JSON object")
+	command.RunE = func(command *cobra.Command, args []string) error {
+		address, err := explainer(args[0], *agent, *port)
+		if err != nil {
+			return err
+		}
+		report, err := operator.Client{Address: address}.Refusal(command.Context(), args[0])
+		if errors.Is(err, operator.ErrNotFound) {
+			return fmt.Errorf("refusal %s is not kept at %s: it is too old, or the agent was restarted or is another one", args[0], address)
+		}
+		if err != nil {
+			return fmt.Errorf("the agent can't be asked; if it was stopped, its refusals are gone with it: %w", err)
+		}
+		out := newPrinter(command)
+		if *asJSON {
+			out.printJSON(report)
+		} else {
+			printRefusal(out, report)
+		}
+		return out.err
+	}
+	return command
+}
+
+// explainer gives the operators' address of the agent to ask.
+func explainer(id, agent string, port uint16) (netip.AddrPort, error) {
+	origin, err := recorder.Origin(id)
+	if err != nil {
+		return netip.AddrPort{}, gooseberrymast.Faults{{Key: "ID", Value: gooseberrymast.FaultValue(id), Want: "the identifier of a refusal"}}
+	}
+	if agent != "" {
+		return parseAddress("agent", agent)
+	}
+	return netip.AddrPortFrom(origin.Address.Addr(), port), nil
+}
+
+func printRefusal(out *printer, report operator.RefusalReport) {
+	out.printf("%s\n", printable(report.Sentence))
+	out.printf("id %s, reason %s, at %s\n", printable(report.ID), printable(report.Reason), formatTime(report.Time))
+}
