--- a/coordination/announcer/choose.go
+++ b/coordination/announcer/choose.go
@@ -23,16 +23,25 @@
 func Parents(self directory.Key, zone string, balancers []directory.Balancer) []directory.Balancer {
 	others := slices.DeleteFunc(slices.Clone(balancers), func(b directory.Balancer) bool { return b.Key == self })
 	level := directory.LevelOf(self.Hash())
-	above := lowestAbove(others, level)
-	if len(above) > 0 {
-		return best(self, zone, above, directory.RegistrarCount)
+	parents := best(self, zone, lowestAbove(others, level), directory.RegistrarCount)
+	if len(parents) > 0 {
+		return fill(parents, self, zone, others)
 	}
 	peers := atLevel(others, level)
-	if len(peers) > 0 {
-		slices.SortFunc(peers, byHash)
-		return peers[:min(len(peers), directory.RegistrarCount)]
+	slices.SortFunc(peers, byHash)
+	return fill(peers[:min(len(peers), directory.RegistrarCount)], self, zone, others)
+}
+
+// fill adds the best of the highest balancers to a list of parents that is too
+// short.
+func fill(parents []directory.Balancer, self directory.Key, zone string, others []directory.Balancer) []directory.Balancer {
+	rest := slices.DeleteFunc(slices.Clone(others), func(b directory.Balancer) bool { return slices.Contains(parents, b) })
+	for len(parents) < directory.RegistrarCount && len(rest) > 0 {
+		parents = append(parents, best(self, zone, highest(rest), 1)...)
+		last := parents[len(parents)-1]
+		rest = slices.DeleteFunc(rest, func(b directory.Balancer) bool { return b == last })
 	}
-	return best(self, zone, highest(others), directory.RegistrarCount)
+	return parents
 }
 
 // IsRoot reports whether a balancer is the root of the tree.
