Refuse texts that are nested too deeply before they are decoded

Cause: the TOML library's time grows with more than the square of the nesting.

Change: a scan before the decoding finds keys and values of more than 16 levels; documents need 4.

--- a/protocol/parser/decoder.go
+++ b/protocol/parser/decoder.go
@@ -20,6 +20,8 @@
 	meta   toml.MetaData
 	root   table
 	faults gooseberrymast.Faults
+	// faulty has the paths of faults.
+	faulty map[string]bool
 	// keys has the value of each key in the text by its path, once a line is
 	// asked for.
 	keys map[string]toml.Primitive
@@ -37,6 +39,10 @@
 }
 
 func (d *decoder) open(text []byte) bool {
+	if fault, found := depthFault(d.file, text); found {
+		d.faults = append(d.faults, fault)
+		return false
+	}
 	meta, err := toml.Decode(string(text), &d.root)
 	if err != nil {
 		d.faults = append(d.faults, syntaxFault(d.file, err))
@@ -136,19 +142,29 @@
 }
 
 func (d *decoder) report(path []string, value, want string) {
-	d.faults = append(d.faults, gooseberrymast.Fault{Key: gooseberrymast.KeyPath(path...), Value: value, Want: want})
+	key := gooseberrymast.KeyPath(path...)
+	d.faults = append(d.faults, gooseberrymast.Fault{Key: key, Value: value, Want: want})
+	if d.faulty == nil {
+		d.faulty = map[string]bool{}
+	}
+	d.faulty[key] = true
 }
 
 // reported tells whether the key, or a table around it, could not be decoded.
 func (d *decoder) reported(key string) bool {
-	for _, fault := range d.faults {
-		if key == fault.Key || strings.HasPrefix(key, fault.Key+".") {
+	for ; key != ""; key = parentOf(key) {
+		if d.faulty[key] {
 			return true
 		}
 	}
 	return false
 }
 
+// parentOf cuts the last part off a path.
+func parentOf(key string) string {
+	return key[:max(0, strings.LastIndexByte(key, '.'))]
+}
+
 // locate sets the line of the key or of the nearest table around it.
 func (d *decoder) locate(faults gooseberrymast.Faults) gooseberrymast.Faults {
 	if len(faults) == 0 {
@@ -159,10 +175,8 @@
 	located := make(gooseberrymast.Faults, 0, len(faults))
 	for i, fault := range faults {
 		fault.File = d.file
-		for key := fault.Key; key != "" && fault.Line == 0 && i < MaxLocated; {
+		for key := fault.Key; key != "" && fault.Line == 0 && i < MaxLocated; key = parentOf(key) {
 			fault.Line = d.line(key)
-			cut := strings.LastIndexByte(key, '.')
-			key = key[:max(cut, 0)]
 		}
 		located = append(located, fault)
 	}
