--- a/standin/backend/serve.go
+++ b/standin/backend/serve.go
@@ -81,7 +81,8 @@
 // service time starts.
 const heldBytes = 64 << 10
 
-// serveUnary waits for the service time and echoes the body and its trailers.
+// serveUnary waits for the service time and echoes the body, its type and its
+// trailers.
 func (b *Backend) serveUnary(w http.ResponseWriter, r *http.Request) {
 	http.NewResponseController(w).EnableFullDuplex()
 	start, err := io.ReadAll(io.LimitReader(r.Body, heldBytes))
@@ -89,6 +90,9 @@
 		b.countCancelled()
 		return
 	}
+	if contentType := r.Header.Get("Content-Type"); contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
 	if r.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
--- /dev/null
+++ b/transport/driver/driver_test.go
@@ -0,0 +1,246 @@
+package driver
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/standin/backend"
+	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/executor"
+)
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	self     = gooseberrymast.Identity{Address: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 1}
+)
+
+// script is a dispatcher that answers each event as its test says.
+type script struct {
+	gooseberrymast.Dispatcher
+	arrive func(work gooseberrymast.Work) []gooseberrymast.Action
+	finish func(id gooseberrymast.WorkID, result gooseberrymast.Result) []gooseberrymast.Action
+	cancel func(id gooseberrymast.WorkID) []gooseberrymast.Action
+	tick   func(now time.Time) []gooseberrymast.Action
+	next   time.Time
+
+	mu       sync.Mutex
+	finished []gooseberrymast.Result
+	ticks    []time.Time
+}
+
+func (s *script) Arrive(_ time.Time, work gooseberrymast.Work) []gooseberrymast.Action {
+	return s.arrive(work)
+}
+
+func (s *script) Finish(_ time.Time, id gooseberrymast.WorkID, result gooseberrymast.Result, _ gooseberrymast.Refusal) []gooseberrymast.Action {
+	s.mu.Lock()
+	s.finished = append(s.finished, result)
+	s.mu.Unlock()
+	if s.finish == nil {
+		return nil
+	}
+	return s.finish(id, result)
+}
+
+func (s *script) Cancel(_ time.Time, id gooseberrymast.WorkID) []gooseberrymast.Action {
+	if s.cancel == nil {
+		return nil
+	}
+	return s.cancel(id)
+}
+
+func (s *script) Tick(now time.Time) []gooseberrymast.Action {
+	s.mu.Lock()
+	s.ticks = append(s.ticks, now)
+	s.mu.Unlock()
+	s.next = time.Time{}
+	if s.tick == nil {
+		return nil
+	}
+	return s.tick(now)
+}
+
+func (s *script) NextTick() time.Time {
+	return s.next
+}
+
+func (s *script) results() []gooseberrymast.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.finished)
+}
+
+func newDriver(t *testing.T, s *script, clock gooseberrymast.Timer) (*Driver, *backend.Backend) {
+	t.Helper()
+	server := &backend.Backend{}
+	address, err := server.Start(loopback)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { server.Close() })
+	return &Driver{Self: self, Dispatcher: s, Timer: clock, Executor: &executor.Executor{Address: address}}, server
+}
+
+func run(work gooseberrymast.Work) []gooseberrymast.Action {
+	return []gooseberrymast.Action{{Kind: gooseberrymast.ActionRun, Work: work.ID}}
+}
+
+func exchange(clock gooseberrymast.Timer, mode backend.Mode, recorder *httptest.ResponseRecorder) *executor.Exchange {
+	return &executor.Exchange{
+		Work: gooseberrymast.Work{Deadline: clock.Now().Add(time.Minute)},
+		Request: &executor.Request{
+			Method:    http.MethodPost,
+			URI:       "/loans",
+			Authority: "ledger.example",
+			Header:    http.Header{backend.HeaderMode: {string(mode)}, backend.HeaderRequestID: {"id"}},
+			Body:      &executor.Body{Held: []byte("body")},
+		},
+		Writer: writerWithDeadline{recorder},
+		Refuse: func(refusal gooseberrymast.Refusal) { recorder.WriteHeader(http.StatusTeapot) },
+	}
+}
+
+// writerWithDeadline is a recorder whose writes can be bounded.
+type writerWithDeadline struct {
+	*httptest.ResponseRecorder
+}
+
+func (writerWithDeadline) SetWriteDeadline(time.Time) error {
+	return nil
+}
+
+func TestEveryAttemptIsFinishedOnce(t *testing.T) {
+	tests := []struct {
+		mode backend.Mode
+		want gooseberrymast.Result
+		end  executor.Status
+		code int
+	}{
+		{"", gooseberrymast.ResultAnswered, executor.StatusAnswered, http.StatusOK},
+		{backend.ModeFail, gooseberrymast.ResultFailed, executor.StatusAnswered, http.StatusServiceUnavailable},
+		{backend.ModeTearLong, gooseberrymast.ResultTorn, executor.StatusTorn, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(string(test.mode), func(t *testing.T) {
+			is := is.New(t)
+			s := &script{arrive: run}
+			d, _ := newDriver(t, s, timer.System{})
+			recorder := httptest.NewRecorder()
+			is.Equal(d.Serve(t.Context(), exchange(timer.System{}, test.mode, recorder)), test.end)
+			is.Equal(s.results(), []gooseberrymast.Result{test.want})
+			is.Equal(recorder.Code, test.code)
+			is.Equal(d.InProgress(), 0)
+		})
+	}
+}
+
+func TestRefusalStopsTheAttempt(t *testing.T) {
+	is := is.New(t)
+	s := &script{arrive: run}
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	d, server := newDriver(t, s, clock)
+	s.tick = func(time.Time) []gooseberrymast.Action {
+		return []gooseberrymast.Action{{Kind: gooseberrymast.ActionRefuse, Work: 1}}
+	}
+	s.next = clock.Now().Add(10 * time.Second)
+	recorder := httptest.NewRecorder()
+	ended := make(chan executor.Status)
+	go func() { ended <- d.Serve(t.Context(), exchange(clock, backend.ModeHang, recorder)) }()
+	for server.Counts().Unary == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Advance(10 * time.Second)
+	is.Equal(<-ended, executor.StatusRefused)
+	is.Equal(recorder.Code, http.StatusTeapot)
+	is.Equal(s.results(), []gooseberrymast.Result{gooseberrymast.ResultCancelled})
+}
+
+func TestDeadlineEndsTheAttempt(t *testing.T) {
+	is := is.New(t)
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	s := &script{arrive: run}
+	s.finish = func(id gooseberrymast.WorkID, _ gooseberrymast.Result) []gooseberrymast.Action {
+		return []gooseberrymast.Action{{Kind: gooseberrymast.ActionRefuse, Work: id}}
+	}
+	d, server := newDriver(t, s, clock)
+	ended := make(chan executor.Status)
+	go func() {
+		ended <- d.Serve(t.Context(), exchange(clock, backend.ModeHang, httptest.NewRecorder()))
+	}()
+	for server.Counts().Unary == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Advance(59 * time.Second)
+	is.Equal(len(s.results()), 0)
+	clock.Advance(time.Second)
+	is.Equal(<-ended, executor.StatusRefused)
+	is.Equal(s.results(), []gooseberrymast.Result{gooseberrymast.ResultTimedOut})
+}
+
+func TestCallerThatLeavesFreesWhatWasDecided(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(t.Context())
+	s := &script{}
+	// The decision to run falls at the moment at which the caller leaves.
+	s.arrive = func(gooseberrymast.Work) []gooseberrymast.Action {
+		leave()
+		return nil
+	}
+	s.cancel = func(id gooseberrymast.WorkID) []gooseberrymast.Action {
+		return []gooseberrymast.Action{
+			{Kind: gooseberrymast.ActionRun, Work: id},
+			{Kind: gooseberrymast.ActionCancel, Work: id},
+		}
+	}
+	d, server := newDriver(t, s, timer.System{})
+	status := d.Serve(ctx, exchange(timer.System{}, "", httptest.NewRecorder()))
+	is.Equal(status, executor.StatusCancelled)
+	is.Equal(s.results(), []gooseberrymast.Result{gooseberrymast.ResultCancelled}) // the slot is free again
+	is.Equal(server.Counts().Unary, 0)
+}
+
+func TestDecisionForAnEndedRequestIsFinished(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	clock := &timer.Manual{}
+	d, server := newDriver(t, s, clock)
+	s.tick = func(time.Time) []gooseberrymast.Action {
+		return []gooseberrymast.Action{{Kind: gooseberrymast.ActionRun, Work: 99}}
+	}
+	s.next = clock.Now().Add(time.Second)
+	d.Observe(true, 0) // any event schedules the tick
+	clock.Advance(time.Second)
+	is.Equal(s.results(), []gooseberrymast.Result{gooseberrymast.ResultCancelled})
+	is.Equal(server.Counts().Unary, 0)
+}
+
+func (s *script) Observe(time.Time, bool, int32) {}
+
+func TestTicksComeWhenAskedFor(t *testing.T) {
+	is := is.New(t)
+	s := &script{}
+	clock := &timer.Manual{}
+	d, _ := newDriver(t, s, clock)
+	start := clock.Now()
+	s.next = start.Add(10 * time.Second)
+	d.Observe(true, 0)
+	s.next = start.Add(3 * time.Second) // an earlier wish replaces a later one
+	d.Observe(true, 0)
+	clock.Advance(5 * time.Second)
+	is.Equal(s.ticks, []time.Time{start.Add(3 * time.Second)})
+	s.next = start.Add(4 * time.Second) // the past is due at once
+	d.Observe(true, 0)
+	clock.Advance(0)
+	is.Equal(len(s.ticks), 2)
+	clock.Advance(time.Hour)
+	is.Equal(len(s.ticks), 2) // none without a wish
+}
--- /dev/null
+++ b/transport/hander/hander_test.go
@@ -0,0 +1,381 @@
+package hander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/encoder"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/protocol/messages/handover"
+	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/executor"
+	"gooseberrymast/transport/linker"
+)
+
+var (
+	near = gooseberrymast.Identity{Address: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 3}
+	far  = gooseberrymast.Identity{Address: netip.MustParseAddrPort("10.0.0.2:7000"), Incarnation: 5}
+	tag  = gooseberrymast.TagOf("ledger")
+)
+
+// local is the deciding side of the agent that is given requests.
+type local struct {
+	serve func(ctx context.Context, exchange *executor.Exchange) executor.Status
+
+	mu     sync.Mutex
+	served int
+	asked  []gooseberrymast.WorkID
+	spent  []gooseberrymast.Ticket
+}
+
+func (l *local) ServeHandOver(ctx context.Context, exchange *executor.Exchange) executor.Status {
+	l.mu.Lock()
+	l.served++
+	l.mu.Unlock()
+	return l.serve(ctx, exchange)
+}
+
+func (l *local) Ask(_ gooseberrymast.Identity, id gooseberrymast.WorkID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = append(l.asked, id)
+	return id%2 == 1
+}
+
+func (l *local) Spend(ticket gooseberrymast.Ticket) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spent = append(l.spent, ticket)
+	return len(l.spent) == 1
+}
+
+func (l *local) Load() gooseberrymast.Load {
+	return gooseberrymast.Load{FreeSlots: 3, Queued: 2, Streams: 1, Leaving: true}
+}
+
+func (l *local) Refusal(reason gooseberrymast.Reason) gooseberrymast.Refusal {
+	return gooseberrymast.Refusal{ID: "r1", Reason: reason, Ran: gooseberrymast.RanNo, Time: time.Unix(1, 0)}
+}
+
+// pair is a client at near and a server at far.
+type pair struct {
+	client  *Client
+	server  *Server
+	local   *local
+	pool    *linker.Pool
+	address netip.AddrPort
+	loads   chan gooseberrymast.Load
+}
+
+func newPair(t *testing.T, serve func(ctx context.Context, exchange *executor.Exchange) executor.Status) *pair {
+	t.Helper()
+	keys := linker.Fixed(keyer.Random())
+	listener, err := linker.Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys)
+	is.New(t).NoErr(err)
+	p := &pair{local: &local{serve: serve}, address: listener.Address(), loads: make(chan gooseberrymast.Load, 100)}
+	p.server = &Server{Self: far, Service: tag, Local: p.local, Timer: timer.System{}, Metrics: NewMetrics(prometheus.NewRegistry())}
+	listener.Handle(linker.KindHandOver, p.server.Handle)
+	go func() { _ = listener.Serve(context.Background()) }()
+	p.pool = &linker.Pool{Keys: keys}
+	p.client = &Client{
+		Self:    near,
+		Service: tag,
+		Pool:    p.pool,
+		Locate:  func(gooseberrymast.Identity) (netip.AddrPort, bool) { return p.address, true },
+		OnLoad:  func(_ gooseberrymast.Identity, load gooseberrymast.Load) { p.loads <- load },
+	}
+	t.Cleanup(func() {
+		p.pool.Close()
+		listener.Close()
+	})
+	return p
+}
+
+func work(id gooseberrymast.WorkID) gooseberrymast.Work {
+	return gooseberrymast.Work{Origin: near, OriginID: id, Caller: netip.MustParseAddr("192.0.2.1"), Idempotent: true}
+}
+
+func request(body string) *executor.Request {
+	return &executor.Request{
+		Method:    http.MethodPost,
+		URI:       "/loans?kind=pall",
+		Authority: "ledger.example",
+		Header:    http.Header{"X-Many": {"a", "b"}},
+		Body:      &executor.Body{Held: []byte(body)},
+		Timeout:   time.Minute,
+	}
+}
+
+func answer(w http.ResponseWriter, body string) executor.Status {
+	_, err := io.WriteString(w, body)
+	if err != nil {
+		return executor.StatusCancelled
+	}
+	return executor.StatusAnswered
+}
+
+func TestHandOverCarriesEverything(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, func(_ context.Context, exchange *executor.Exchange) executor.Status {
+		body, err := io.ReadAll(exchange.Request.Body.Open())
+		if err != nil {
+			return executor.StatusTorn
+		}
+		w := exchange.Writer
+		w.Header().Set("X-Got", fmt.Sprintln(exchange.Request.Method, exchange.Request.URI, exchange.Request.Authority,
+			exchange.Request.Header["X-Many"], exchange.Work.Caller, exchange.Work.Idempotent, exchange.Work.Path))
+		w.WriteHeader(http.StatusCreated)
+		status := answer(w, "got "+string(body))
+		w.Header().Set(http.TrailerPrefix+"X-End", "done")
+		return status
+	})
+	response, result, _ := p.client.HandOver(t.Context(), far, work(1), request("a pall"))
+	is.Equal(result, gooseberrymast.Result(0))
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusCreated)
+	is.Equal(string(body), "got a pall")
+	is.Equal(strings.TrimSpace(response.Header.Get("X-Got")), "POST /loans?kind=pall ledger.example [a b] 192.0.2.1 true /loans")
+	is.Equal(response.Trailer.Get("X-End"), "done")
+	is.Equal(<-p.loads, p.local.Load()) // with the head
+	is.Equal(<-p.loads, p.local.Load()) // and with the end
+}
+
+func TestHandOverResults(t *testing.T) {
+	tests := []struct {
+		name  string
+		serve func(ctx context.Context, exchange *executor.Exchange) executor.Status
+		want  gooseberrymast.Result
+		ran   gooseberrymast.Ran
+	}{
+		{"refused", func(_ context.Context, exchange *executor.Exchange) executor.Status {
+			exchange.Refuse(gooseberrymast.Refusal{Ran: gooseberrymast.RanNo, Time: time.Unix(1, 0)})
+			return executor.StatusRefused
+		}, gooseberrymast.ResultRefused, gooseberrymast.RanNo},
+		{"refused after a run", func(_ context.Context, exchange *executor.Exchange) executor.Status {
+			exchange.Refuse(gooseberrymast.Refusal{Ran: gooseberrymast.RanUnknown, Time: time.Unix(1, 0)})
+			return executor.StatusRefused
+		}, gooseberrymast.ResultRefused, gooseberrymast.RanUnknown},
+		{"cancelled at the peer", func(context.Context, *executor.Exchange) executor.Status {
+			return executor.StatusCancelled
+		}, gooseberrymast.ResultBroken, ""},
+		{"torn before the head", func(context.Context, *executor.Exchange) executor.Status {
+			return executor.StatusTorn
+		}, gooseberrymast.ResultBroken, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, test.serve)
+			response, result, refusal := p.client.HandOver(t.Context(), far, work(1), request("body"))
+			is.Equal(response, nil)
+			is.Equal(result, test.want)
+			is.Equal(refusal.Ran, test.ran)
+		})
+	}
+}
+
+func TestTornAnswerIsNeverWhole(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, func(_ context.Context, exchange *executor.Exchange) executor.Status {
+		answer(exchange.Writer, "a part")
+		return executor.StatusTorn
+	})
+	response, _, _ := p.client.HandOver(t.Context(), far, work(1), request("body"))
+	_, err := io.ReadAll(response.Body)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.NoErr(response.Body.Close())
+}
+
+func TestUnreachablePeerIsNotSent(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, nil)
+	p.client.Locate = func(gooseberrymast.Identity) (netip.AddrPort, bool) { return netip.AddrPort{}, false }
+	_, result, _ := p.client.HandOver(t.Context(), far, work(1), request("body"))
+	is.Equal(result, gooseberrymast.ResultNotSent)
+	known, _ := p.client.Ask(t.Context(), far, 1)
+	is.True(!known)
+}
+
+func TestRequestsForOthersAreRefusedAndCounted(t *testing.T) {
+	other := far
+	other.Incarnation--
+	tests := []struct {
+		name   string
+		tag    gooseberrymast.ServiceTag
+		target gooseberrymast.Identity
+		want   gooseberrymast.Reason
+		reason string
+	}{
+		{"another service", gooseberrymast.TagOf("receipts"), far, gooseberrymast.ReasonWrongService, refusedService},
+		{"an earlier life", tag, other, gooseberrymast.ReasonPeerBroke, refusedTarget},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, nil)
+			p.client.Service = test.tag
+			_, result, refusal := p.client.HandOver(t.Context(), test.target, work(1), request("body"))
+			is.Equal(result, gooseberrymast.ResultRefused)
+			is.Equal(refusal.Reason, test.want)
+			is.Equal(refusal.Ran, gooseberrymast.RanNo)
+			is.Equal(p.local.served, 0)
+			is.Equal(testutil.ToFloat64(p.server.Metrics.Refused.WithLabelValues(test.reason)), 1.0)
+		})
+	}
+}
+
+func TestQuestionsReachOnlyTheLifeThatIsMeant(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, nil)
+	for id := range gooseberrymast.WorkID(2) {
+		known, ran := p.client.Ask(t.Context(), far, id)
+		is.True(known)
+		is.Equal(ran, id == 1)
+	}
+	earlier := far
+	earlier.Incarnation--
+	known, _ := p.client.Ask(t.Context(), earlier, 1)
+	is.True(!known) // this life can't speak for that one
+	ticket := gooseberrymast.Ticket{Issuer: far, Service: tag, Sequence: 9}
+	known, granted := p.client.Spend(t.Context(), ticket)
+	is.True(known && granted)
+	known, granted = p.client.Spend(t.Context(), ticket)
+	is.True(known && !granted)
+	ticket.Issuer = earlier
+	known, _ = p.client.Spend(t.Context(), ticket)
+	is.True(!known)
+	ticket = gooseberrymast.Ticket{Issuer: far, Service: tag + 1, Sequence: 9}
+	known, _ = p.client.Spend(t.Context(), ticket)
+	is.True(!known)
+	is.Equal(p.local.asked, []gooseberrymast.WorkID{0, 1})
+	is.Equal(len(p.local.spent), 2)
+}
+
+func TestSecondCopyIsNotServed(t *testing.T) {
+	is := is.New(t)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	p := newPair(t, func(_ context.Context, exchange *executor.Exchange) executor.Status {
+		close(entered)
+		<-leave
+		return answer(exchange.Writer, "once")
+	})
+	first := make(chan *http.Response)
+	go func() {
+		response, _, _ := p.client.HandOver(t.Context(), far, work(1), request("body"))
+		first <- response
+	}()
+	<-entered
+	_, result, _ := p.client.HandOver(t.Context(), far, work(1), request("body"))
+	is.Equal(result, gooseberrymast.ResultBroken)
+	close(leave)
+	body, err := io.ReadAll((<-first).Body)
+	is.NoErr(err)
+	is.Equal(string(body), "once")
+	is.Equal(p.local.served, 1)
+}
+
+func TestRefusedBodyStaysAtTheOrigin(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, func(_ context.Context, exchange *executor.Exchange) executor.Status {
+		exchange.Refuse(gooseberrymast.Refusal{Ran: gooseberrymast.RanNo, Time: time.Unix(1, 0)})
+		return executor.StatusRefused
+	})
+	sent := request("")
+	sent.Body = &executor.Body{Stream: strings.NewReader("large"), Length: -1}
+	_, result, _ := p.client.HandOver(t.Context(), far, work(1), sent)
+	is.Equal(result, gooseberrymast.ResultRefused)
+	is.True(sent.Body.Whole()) // it can be given to another
+}
+
+func TestCancellationPassesABodyThatNobodyReads(t *testing.T) {
+	is := is.New(t)
+	entered, cancelled := make(chan struct{}), make(chan struct{})
+	p := newPair(t, func(ctx context.Context, exchange *executor.Exchange) executor.Status {
+		var piece [1]byte
+		_, _ = exchange.Request.Body.Open().Read(piece[:]) // asks for the body and then stalls
+		close(entered)
+		<-ctx.Done()
+		close(cancelled)
+		return executor.StatusCancelled
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	sent := request("")
+	sent.Body = &executor.Body{Stream: endless{}, Length: -1}
+	ended := make(chan gooseberrymast.Result)
+	go func() {
+		_, result, _ := p.client.HandOver(ctx, far, work(1), sent)
+		ended <- result
+	}()
+	<-entered
+	cancel()
+	is.Equal(<-ended, gooseberrymast.ResultCancelled)
+	<-cancelled // although frames of the body are in its way
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	return len(p), nil
+}
+
+func TestBadFramesAreDropped(t *testing.T) {
+	tests := []struct {
+		name   string
+		frames []*handover.Request
+	}{
+		{"no frame", []*handover.Request{{}}},
+		{"body first", []*handover.Request{{Frame: &handover.Request_Body{Body: []byte("x")}}}},
+		{"begin without origin", []*handover.Request{{Frame: &handover.Request_Begin{Begin: &handover.Begin{}}}}},
+		{"begin twice", []*handover.Request{
+			{Frame: &handover.Request_Begin{Begin: begin()}},
+			{Frame: &handover.Request_Begin{Begin: begin()}},
+		}},
+		{"held body too large", append([]*handover.Request{{Frame: &handover.Request_Begin{Begin: begin()}}},
+			pieces(maxHeldBytes/pieceBytes+1)...)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, nil)
+			stream, err := p.pool.Open(t.Context(), p.address, linker.KindHandOver)
+			is.NoErr(err)
+			for _, frame := range test.frames {
+				is.NoErr(linker.WriteMessage(stream, frame))
+			}
+			is.Equal(linker.ReadMessage(stream, &handover.Reply{}), io.EOF)
+			is.Equal(p.local.served, 0)
+		})
+	}
+}
+
+func begin() *handover.Begin {
+	return &handover.Begin{
+		Target:      encoder.Identity(far),
+		Origin:      encoder.Identity(near),
+		OriginId:    1,
+		Service:     uint32(tag),
+		BodyFollows: true,
+	}
+}
+
+func pieces(count int) []*handover.Request {
+	var frames []*handover.Request
+	for range count {
+		frames = append(frames, &handover.Request{Frame: &handover.Request_Body{Body: make([]byte, pieceBytes)}})
+	}
+	return frames
+}
