Bound the waits for peers that vanish and callers that dawdle

Cause: a hand-over to a host that vanished lasted until the request's deadline; a peer that accepts no streams could hold up a request past its deadline; a small body that never comes held a request for ever.

Change: TCP_USER_TIMEOUT of 4 s on sessions, where the machine has it; streams are opened under the request's context; a held body is read until the deadline and then refused as not run.

Conclusion: tests of the last two; the first needs a link that drops packets, which these tests do not have.

--- a/transport/linker/linker.go
+++ b/transport/linker/linker.go
@@ -56,6 +56,10 @@
 	// WriteTimeout is the time without progress after which a session is
 	// considered broken.
 	WriteTimeout = 5 * time.Second
+	// UnacknowledgedTimeout is the time after which data that the peer's host
+	// has not acknowledged breaks the session. It is what tells of a host
+	// that vanished while a request is with it.
+	UnacknowledgedTimeout = 4 * time.Second
 	// StreamOpenTimeout is the time within which a peer must accept a stream.
 	StreamOpenTimeout = 10 * time.Second
 )
--- a/transport/linker/linker_test.go
+++ b/transport/linker/linker_test.go
@@ -201,3 +201,36 @@
 	_, err = pool.Open(t.Context(), address, KindHandOver)
 	is.True(errors.Is(err, ErrClosed))
 }
+
+// TestOpenGivesUpOnAPeerThatAcceptsNothing opens streams until the peer's
+// backlog is full.
+func TestOpenGivesUpOnAPeerThatAcceptsNothing(t *testing.T) {
+	is := is.New(t)
+	keys := keyer.Random()
+	socket, err := net.Listen("tcp", loopback.String())
+	is.NoErr(err)
+	defer socket.Close()
+	accepted := make(chan *Session, 1)
+	go func() {
+		conn, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		session, _ := accept(context.Background(), conn, Fixed(keys))
+		accepted <- session // Its streams are never accepted.
+	}()
+	session, err := Dial(t.Context(), socket.Addr().(*net.TCPAddr).AddrPort(), Fixed(keys))
+	is.NoErr(err)
+	defer session.Close()
+	peer := <-accepted
+	defer peer.Close()
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err := session.OpenStreamContext(ctx, KindHandOver)
+		cancel()
+		if err != nil {
+			is.True(errors.Is(err, context.DeadlineExceeded))
+			return
+		}
+	}
+}
--- a/transport/linker/listener.go
+++ b/transport/linker/listener.go
@@ -54,7 +54,9 @@
 
 // Listen binds the TCP address; Serve accepts sessions on it.
 func Listen(address netip.AddrPort, keys KeySource) (*Listener, error) {
-	socket, err := net.Listen("tcp", address.String())
+	// Accepted sockets inherit the option.
+	config := net.ListenConfig{Control: limitUnacknowledged}
+	socket, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("linker.Listen %s: %w", address, err)
 	}
--- a/transport/linker/pool.go
+++ b/transport/linker/pool.go
@@ -63,17 +63,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("Pool.Open: %w", err)
 	}
-	stream, err := session.OpenStream(kind)
+	stream, err := session.OpenStreamContext(ctx, kind)
 	if err == nil {
 		return stream, nil
 	}
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("Pool.Open: %w", err)
+	}
 	// The session broke while it was idle; a fresh one is tried once.
 	session.Close()
 	session, err = p.Session(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("Pool.Open: %w", err)
 	}
-	stream, err = session.OpenStream(kind)
+	stream, err = session.OpenStreamContext(ctx, kind)
 	if err != nil {
 		return nil, fmt.Errorf("Pool.Open: %w", err)
 	}
--- a/transport/linker/session.go
+++ b/transport/linker/session.go
@@ -39,7 +39,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
-	dialer := net.Dialer{}
+	dialer := net.Dialer{Control: limitUnacknowledged}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("linker.Dial %s: connect: %w", address, err)
@@ -92,6 +92,32 @@
 	return &Stream{Stream: stream, Kind: kind, Peer: s.Peer}, nil
 }
 
+// OpenStreamContext is OpenStream for a peer that may have stopped accepting
+// streams: it gives up when the context ends.
+func (s *Session) OpenStreamContext(ctx context.Context, kind Kind) (*Stream, error) {
+	opened := make(chan *Stream, 1)
+	var fault error
+	go func() {
+		var stream *Stream
+		stream, fault = s.OpenStream(kind)
+		opened <- stream
+	}()
+	select {
+	case stream := <-opened:
+		return stream, fault
+	case <-ctx.Done():
+		go closeLate(opened)
+		return nil, fmt.Errorf("Session.OpenStreamContext %s %s: %w", kind, s.Peer, ctx.Err())
+	}
+}
+
+// closeLate closes a stream that nobody waits for any more.
+func closeLate(opened <-chan *Stream) {
+	if stream := <-opened; stream != nil {
+		stream.Close()
+	}
+}
+
 // Accept waits for a stream that the peer opens.
 func (s *Session) Accept(ctx context.Context) (*Stream, error) {
 	stream, err := s.mux.AcceptStreamWithContext(ctx)
--- a/transport/terminator/request.go
+++ b/transport/terminator/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -53,7 +54,7 @@
 		return nil, err
 	}
 	work.Ticket = ticket
-	request.Body, err = body(r)
+	request.Body, err = t.body(w, r, work.Deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -89,12 +90,17 @@
 	return nil
 }
 
-// errBody means that the caller went away within the body.
-var errBody = errors.New("the request's body broke off")
+// The errors of a request's body.
+var (
+	// errBody means that the caller went away within it.
+	errBody = errors.New("the request's body broke off")
+	// errSlowBody means that it did not come before the deadline.
+	errSlowBody = errors.New("the request's body did not come before the deadline")
+)
 
 // body holds a small body and leaves a large one, or one of unknown length, in
 // its stream.
-func body(r *http.Request) (*executor.Body, error) {
+func (t *Terminator) body(w http.ResponseWriter, r *http.Request, deadline time.Time) (*executor.Body, error) {
 	unknown := r.ContentLength < 0
 	small := r.ContentLength >= 0 && r.ContentLength <= MaxHeldBytes
 	if unknown && usuallyEmpty(r.Method) {
@@ -103,9 +109,9 @@
 	if !small {
 		return streamedBody(r, r.Body), nil
 	}
-	held, err := io.ReadAll(io.LimitReader(r.Body, MaxHeldBytes+1))
+	held, err := t.readHeld(w, r, deadline)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errBody, err)
+		return nil, err
 	}
 	if len(held) > MaxHeldBytes {
 		return streamedBody(r, io.MultiReader(strings.NewReader(string(held)), r.Body)), nil
@@ -120,6 +126,22 @@
 	}, nil
 }
 
+func (t *Terminator) readHeld(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	stop := t.Timer.After(deadline.Sub(t.Timer.Now()), func(time.Time) {
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	})
+	defer stop()
+	held, err := io.ReadAll(io.LimitReader(r.Body, MaxHeldBytes+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errSlowBody
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", errBody, err)
+	}
+	return held, nil
+}
+
 // usuallyEmpty reports whether requests of a method have no body as a rule,
 // also when they don't say so by a length of zero.
 func usuallyEmpty(method string) bool {
--- a/transport/terminator/requests_test.go
+++ b/transport/terminator/requests_test.go
@@ -261,3 +261,47 @@
 	is.NoErr(<-done)
 	is.Equal(staying.backend.Counts().Unary, 20) // no new work at the leaving server
 }
+
+func TestSlowBodyIsRefusedAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	s := newService(t, 1, nil)
+	client := s.plain(s.agents[0])
+	reader, writer := io.Pipe()
+	defer writer.Close()
+	sent := request(t.Context(), http.MethodPost, "/loans", "slow", "")
+	sent.Body = reader
+	sent.ContentLength = 10
+	sent.Header.Set(encoder.HeaderConnectTimeout, "50")
+	response, err := client.Do(sent)
+	is.NoErr(err)
+	refusal, _ := caller.RefusalOf(response, nil)
+	is.Equal(refusal.Reason, gooseberrymast.ReasonDeadlinePassed)
+	is.Equal(refusal.Ran, gooseberrymast.RanNo)
+	is.Equal(s.ran("slow"), 0)
+}
+
+func TestBadRequestsAreTurnedDown(t *testing.T) {
+	s := newService(t, 1, nil)
+	client := s.plain(s.agents[0])
+	tests := []struct {
+		name   string
+		change func(sent *http.Request)
+		want   int
+	}{
+		{"bad timeout", func(sent *http.Request) { sent.Header.Set(encoder.HeaderConnectTimeout, "soon") }, http.StatusBadRequest},
+		{"bad ticket", func(sent *http.Request) { sent.Header.Set(encoder.HeaderTicket, "AAAA") }, http.StatusBadRequest},
+		{"neither", func(*http.Request) {}, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sent := request(t.Context(), http.MethodPost, "/loans", test.name, "body")
+			test.change(sent)
+			response, err := client.Do(sent)
+			is.NoErr(err)
+			response.Body.Close()
+			is.Equal(response.StatusCode, test.want)
+			is.Equal(s.ran(test.name) == 1, test.want == http.StatusOK)
+		})
+	}
+}
--- a/transport/terminator/tickets.go
+++ b/transport/terminator/tickets.go
@@ -31,6 +31,8 @@
 	switch {
 	case errors.Is(err, errTicket):
 		_ = encoder.WriteRefusal(w, r, t.Driver.Refusal(gooseberrymast.ReasonTicketUnknown))
+	case errors.Is(err, errSlowBody):
+		_ = encoder.WriteRefusal(w, r, t.Driver.Refusal(gooseberrymast.ReasonDeadlinePassed))
 	case errors.Is(err, errBody):
 		panic(http.ErrAbortHandler)
 	default:
