--- a/coordination/leaser/leaser_test.go
+++ b/coordination/leaser/leaser_test.go
@@ -119,6 +119,7 @@
 		Object: gooseberrymast.Object{Key: messenger.CellKey("trial", cellName), WriteID: "late", Value: translator.EncodeCell(messenger.Cell{Holder: first.identity})}}
 	c.run(time.Minute, 3, second)
 	is.True(second.leaser.Holding(c.now))
+	is.True(!first.leaser.Holding(c.now))      // by its own clock, before any answer
 	is.True(execute(c.store, cell).Err != nil) // the late write of the cell fails by its version
 	is.Equal(c.holder(t), second.identity)
 	first.leaser.Done(c.now, first.identity, execute(c.store, late))
@@ -168,6 +169,19 @@
 	is.True(second.leaser.Holding(c.now))
 }
 
+func TestReadsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	var v versioned
+	is.True(v.accept(3))
+	is.True(!v.accept(2))
+	is.True(v.accept(3))
+	v.failed(3, gooseberrymast.ErrStoreUnknown)
+	is.True(v.accept(3)) // the write may not have taken effect
+	v.failed(3, gooseberrymast.ErrStoreConflict)
+	is.True(!v.accept(3)) // a conflict proves a later version
+	is.True(v.accept(4))
+}
+
 func TestReleaseHandsOver(t *testing.T) {
 	is := is.New(t)
 	c := newClock()
