--- a/cmd/gooseberrymast/promote.go
+++ b/cmd/gooseberrymast/promote.go
@@ -63,6 +63,8 @@
 		if err != nil {
 			return err
 		}
+		out := newPrinter(command)
+		out.printf("%s: promoting %s\n", *from, describeRevision(source))
 		return applyAndReport(command, access, &applier.Applier{
 			Environment: *to,
 			Text:        source.Text,
