--- a/cmd/gooseberrymast/agent.go
+++ b/cmd/gooseberrymast/agent.go
@@ -29,30 +29,14 @@
 settings are invalid.`
 
 func newAgent() *cobra.Command {
-	var config string
-	var check bool
-	command := &cobra.Command{
-		Use:   "agent --config FILE",
-		Short: "Run an agent beside a backend server",
-		Long:  agentLong,
-		Args:  invalidArgs(cobra.NoArgs),
-		RunE: func(command *cobra.Command, _ []string) error {
-			settings, err := readAgentSettings(config)
-			if err != nil {
-				return err
-			}
-			if check {
-				fmt.Fprintf(command.OutOrStdout(), "%s is valid\n", config)
-				return nil
-			}
-			setLogLevel(settings.LogLevel)
-			return again(assembler.IncarnationAt(time.Now()), func(incarnation gooseberrymast.Incarnation) error {
-				return runAgent(command.Context(), settings, incarnation)
-			})
-		},
-	}
-	addConfigFlags(command, &config, &check)
-	return command
+	return newProcess(processCommand[gooseberrymast.AgentSettings]{
+		use:   "agent --config FILE",
+		short: "Run an agent beside a backend server",
+		long:  agentLong,
+		read:  readAgentSettings,
+		level: func(settings gooseberrymast.AgentSettings) string { return settings.LogLevel },
+		run:   runAgent,
+	})
 }
 
 func runAgent(ctx context.Context, settings gooseberrymast.AgentSettings, incarnation gooseberrymast.Incarnation) error {
--- a/cmd/gooseberrymast/balancer.go
+++ b/cmd/gooseberrymast/balancer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -26,35 +24,14 @@
 settings are invalid.`
 
 func newBalancer() *cobra.Command {
-	var config string
-	var check bool
-	command := &cobra.Command{
-		Use:   "balancer --config FILE",
-		Short: "Run a balancer",
-		Long:  balancerLong,
-		Args:  invalidArgs(cobra.NoArgs),
-		RunE: func(command *cobra.Command, _ []string) error {
-			settings, err := readBalancerSettings(config)
-			if err != nil {
-				return err
-			}
-			if check {
-				fmt.Fprintf(command.OutOrStdout(), "%s is valid\n", config)
-				return nil
-			}
-			setLogLevel(settings.LogLevel)
-			return again(assembler.IncarnationAt(time.Now()), func(incarnation gooseberrymast.Incarnation) error {
-				return runBalancer(command.Context(), settings, incarnation)
-			})
-		},
-	}
-	addConfigFlags(command, &config, &check)
-	return command
-}
-
-func addConfigFlags(command *cobra.Command, config *string, check *bool) {
-	command.Flags().StringVar(config, "config", "", "the settings' `FILE`, in TOML")
-	command.Flags().BoolVar(check, "check", false, "check the settings and exit")
+	return newProcess(processCommand[gooseberrymast.BalancerSettings]{
+		use:   "balancer --config FILE",
+		short: "Run a balancer",
+		long:  balancerLong,
+		read:  readBalancerSettings,
+		level: func(settings gooseberrymast.BalancerSettings) string { return settings.LogLevel },
+		run:   runBalancer,
+	})
 }
 
 func runBalancer(ctx context.Context, settings gooseberrymast.BalancerSettings, incarnation gooseberrymast.Incarnation) error {
--- a/cmd/gooseberrymast/process.go
+++ b/cmd/gooseberrymast/process.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
 
 	"gooseberrymast"
 	"gooseberrymast/assembler"
@@ -31,6 +32,45 @@
 	Close() error
 }
 
+// processCommand is what the commands balancer and agent differ in.
+type processCommand[S any] struct {
+	use, short, long string
+	// read gives the settings of a file, checked against the instance.
+	read func(file string) (S, error)
+	// level gives the log level.
+	level func(settings S) string
+	// run serves until a signal.
+	run func(ctx context.Context, settings S, incarnation gooseberrymast.Incarnation) error
+}
+
+func newProcess[S any](chosen processCommand[S]) *cobra.Command {
+	var config string
+	var check bool
+	command := &cobra.Command{
+		Use:   chosen.use,
+		Short: chosen.short,
+		Long:  chosen.long,
+		Args:  invalidArgs(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			settings, err := chosen.read(config)
+			if err != nil {
+				return err
+			}
+			if check {
+				fmt.Fprintf(command.OutOrStdout(), "%s is valid\n", config)
+				return nil
+			}
+			log.DefaultLogger.Level = log.ParseLevel(chosen.level(settings))
+			return again(assembler.IncarnationAt(time.Now()), func(incarnation gooseberrymast.Incarnation) error {
+				return chosen.run(command.Context(), settings, incarnation)
+			})
+		},
+	}
+	command.Flags().StringVar(&config, "config", "", "the settings' `FILE`, in TOML")
+	command.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	return command
+}
+
 // serveProcess runs a process until it fails or a signal ends it. The first
 // signal begins a graceful shutdown, the second cuts it short.
 func serveProcess(ctx context.Context, running process) error {
@@ -91,7 +131,3 @@
 		start = raised.Identity.Incarnation
 	}
 }
-
-func setLogLevel(name string) {
-	log.DefaultLogger.Level = log.ParseLevel(name)
-}
