--- a/cmd/gooseberrymast/settings.go
+++ b/cmd/gooseberrymast/settings.go
@@ -52,7 +52,7 @@
 	return settings, joinFaults(err, parser.Locate(file, text, found))
 }
 
-// joinFaults puts the faults of the text and those of its surroundings into
+// joinFaults puts the faults of the text and those of the instance into
 // one report in the order of lines.
 func joinFaults(err error, found gooseberrymast.Faults) error {
 	var faults gooseberrymast.Faults
@@ -71,7 +71,7 @@
 		return faults
 	}
 	if _, err := keyer.Load(name); err != nil {
-		return append(faults, surrounding("key-file", name, err, "a file of keys with a current epoch"))
+		return append(faults, instanceFault("key-file", name, err, "a file of keys with a current epoch"))
 	}
 	return faults
 }
@@ -81,7 +81,7 @@
 		return faults
 	}
 	if _, err := os.ReadFile(name); err != nil {
-		return append(faults, surrounding(key, name, err, "the name of a file that can be read"))
+		return append(faults, instanceFault(key, name, err, "the name of a file that can be read"))
 	}
 	return faults
 }
@@ -94,7 +94,7 @@
 		return faults
 	}
 	if _, err := tls.LoadX509KeyPair(certificate, key); err != nil {
-		return append(faults, surrounding("certificate-file", certificate, err, "a certificate in PEM that matches certificate-key-file"))
+		return append(faults, instanceFault("certificate-file", certificate, err, "a certificate in PEM that matches certificate-key-file"))
 	}
 	return faults
 }
@@ -105,7 +105,7 @@
 	}
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return append(faults, surrounding(key, address.String(), err, "a UDP address that this instance can listen on"))
+		return append(faults, instanceFault(key, address.String(), err, "a UDP address that this instance can listen on"))
 	}
 	_ = conn.Close()
 	return faults
@@ -117,14 +117,14 @@
 	}
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
-		return append(faults, surrounding(key, address.String(), err, "a TCP address that this instance can listen on"))
+		return append(faults, instanceFault(key, address.String(), err, "a TCP address that this instance can listen on"))
 	}
 	_ = listener.Close()
 	return faults
 }
 
-// surrounding describes a setting that the instance does not bear out.
-func surrounding(key, value string, err error, want string) gooseberrymast.Fault {
+// instanceFault describes a setting that the instance does not bear out.
+func instanceFault(key, value string, err error, want string) gooseberrymast.Fault {
 	return gooseberrymast.Fault{
 		Key:   key,
 		Value: gooseberrymast.FaultValue(value) + " (" + cause(err) + ")",
--- a/coordination/applier/applier.go
+++ b/coordination/applier/applier.go
@@ -103,8 +103,8 @@
 	conflicted bool
 	// newest is the last revision that was read back.
 	newest gooseberrymast.Revision
-	// fruitless counts the calls that brought nothing new.
-	fruitless int
+	// failures counts the calls that brought nothing new.
+	failures int
 	lastErr   error
 }
 
@@ -161,7 +161,7 @@
 
 func (a *Applier) read(result Result) Step {
 	if result.Err != nil && !errors.Is(result.Err, gooseberrymast.ErrStoreNotFound) {
-		return a.again(result.Err, Step{Kind: StepReadDocument})
+		return a.retry(result.Err, Step{Kind: StepReadDocument})
 	}
 	a.base, a.baseVersion = result.Revision, result.Version
 	if a.Conditional && a.base.Number != a.Seen {
@@ -176,7 +176,7 @@
 
 func (a *Applier) savedBase(result Result) Step {
 	if failed(result.Err) {
-		return a.again(result.Err, Step{Kind: StepWriteHistory, Revision: a.base})
+		return a.retry(result.Err, Step{Kind: StepWriteHistory, Revision: a.base})
 	}
 	return a.write(0)
 }
@@ -201,7 +201,7 @@
 		a.unsure = true
 	}
 	a.stage = stageReadingBack
-	return a.again(result.Err, Step{Kind: StepReadDocument})
+	return a.retry(result.Err, Step{Kind: StepReadDocument})
 }
 
 func (a *Applier) saveOwn() Step {
@@ -220,18 +220,18 @@
 	}
 }
 
-// again repeats a step after a delay, or gives up.
-func (a *Applier) again(err error, step Step) Step {
+// retry repeats a step after a delay, or gives up.
+func (a *Applier) retry(err error, step Step) Step {
 	a.lastErr = err
-	a.fruitless++
+	a.failures++
 	attempts := a.Attempts
 	if attempts <= 0 {
 		attempts = DefaultAttempts
 	}
-	if a.fruitless >= attempts {
+	if a.failures >= attempts {
 		return a.giveUp()
 	}
-	step.Delay = min(MinDelay<<min(a.fruitless-1, 10), MaxDelay)
+	step.Delay = min(MinDelay<<min(a.failures-1, 10), MaxDelay)
 	return step
 }
 
--- a/coordination/applier/readback.go
+++ b/coordination/applier/readback.go
@@ -9,7 +9,7 @@
 // readBack looks for the own write in the newest revision.
 func (a *Applier) readBack(result Result) Step {
 	if result.Err != nil && !errors.Is(result.Err, gooseberrymast.ErrStoreNotFound) {
-		return a.again(result.Err, Step{Kind: StepReadDocument})
+		return a.retry(result.Err, Step{Kind: StepReadDocument})
 	}
 	if result.Err == nil && result.Revision.WriteID == a.WriteID {
 		return a.saveOwn()
@@ -18,7 +18,7 @@
 		return a.writeAgain()
 	}
 	if result.Version <= a.baseVersion || result.Revision.Number <= a.base.Number {
-		return a.again(ErrStale, Step{Kind: StepReadDocument})
+		return a.retry(ErrStale, Step{Kind: StepReadDocument})
 	}
 	a.newest = result.Revision
 	if result.Revision.Number == a.base.Number+1 {
@@ -32,7 +32,7 @@
 // whichever copy arrives first takes effect and the others conflict. Only so
 // can a write that is still under way be kept from landing after the report.
 func (a *Applier) writeAgain() Step {
-	step := a.again(a.lastErr, Step{})
+	step := a.retry(a.lastErr, Step{})
 	if step.Kind == StepDone {
 		return step
 	}
@@ -43,7 +43,7 @@
 // successor's author copied it to the history before writing.
 func (a *Applier) readHistory(result Result) Step {
 	if result.Err != nil {
-		return a.again(result.Err, Step{Kind: StepReadHistory, Number: a.base.Number + 1})
+		return a.retry(result.Err, Step{Kind: StepReadHistory, Number: a.base.Number + 1})
 	}
 	if result.Revision.WriteID == a.WriteID {
 		return a.finish(Report{Outcome: OutcomeApplied, Newest: a.newest})
