--- a/coordination/applier/applier.go
+++ b/coordination/applier/applier.go
@@ -105,7 +105,7 @@
 	newest gooseberrymast.Revision
 	// failures counts the calls that brought nothing new.
 	failures int
-	lastErr   error
+	lastErr  error
 }
 
 type stage uint8
