Send a small hand-over and its answer in one write each

Cause: a small request that is handed over cost twice the processor time of one served where its flow ends; begin, body and end were written one by one, each a TLS record and a system call, and so were the parts of the answer.

Change: the frames of a held body go out together, and so do those of an answer that the origin holds back anyway. A test of a late copy after "not run".

--- a/transport/hander/handover.go
+++ b/transport/hander/handover.go
@@ -1,10 +1,12 @@
 package hander
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -39,11 +41,10 @@
 // run sends the request and waits for the head of the answer.
 func (h *handOver) run(ctx context.Context) (*http.Response, gooseberrymast.Result, gooseberrymast.Refusal) {
 	h.stop = context.AfterFunc(ctx, h.abort)
-	h.send(h.begin())
 	if h.request.Body.Replayable() {
-		// A held body fits the stream's window, so this does not wait for
-		// the peer to read it.
-		h.sendBody(h.request.Body.Open())
+		h.sendWhole()
+	} else {
+		h.send(h.begin())
 	}
 	response, refusal, err := h.head(ctx)
 	if err != nil {
@@ -113,21 +114,49 @@
 	go h.sendBody(h.request.Body.Open())
 }
 
-// sendBody sends a body in pieces and its trailers. A body that breaks cancels
-// the request, so that nobody takes the part for the whole.
-func (h *handOver) sendBody(body io.Reader) {
-	piece := make([]byte, min(pieceBytes, max(h.request.Body.Size(), 0)+1))
-	if h.request.Body.Size() < 0 {
-		piece = make([]byte, pieceBytes)
+// sendWhole sends a request whose body is held, in one write: the body fits
+// the stream's window, so this does not wait for the peer to read it.
+func (h *handOver) sendWhole() {
+	var frames bytes.Buffer
+	body := h.request.Body
+	if err := linker.WriteMessage(&frames, h.begin()); err != nil {
+		h.abort()
+		return
+	}
+	if body != nil {
+		for piece := range slices.Chunk(body.Held, pieceBytes) {
+			_ = linker.WriteMessage(&frames, bodyFrame(piece)) // A buffer takes all.
+		}
+	}
+	_ = linker.WriteMessage(&frames, h.end())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		_, _ = h.stream.Write(frames.Bytes()) // A failure shows in the reading of the reply.
 	}
+}
+
+func bodyFrame(piece []byte) *handover.Request {
+	return &handover.Request{Frame: &handover.Request_Body{Body: piece}}
+}
+
+// end gives the frame that follows the body.
+func (h *handOver) end() *handover.Request {
+	trailers := &handover.Trailers{Fields: encoder.Fields(h.request.Body.Trailers())}
+	return &handover.Request{Frame: &handover.Request_End{End: trailers}}
+}
+
+// sendBody sends a streamed body in pieces and its trailers. A body that breaks
+// cancels the request, so that nobody takes the part for the whole.
+func (h *handOver) sendBody(body io.Reader) {
+	piece := make([]byte, pieceBytes)
 	for {
 		n, err := body.Read(piece)
-		if n > 0 && !h.send(&handover.Request{Frame: &handover.Request_Body{Body: piece[:n]}}) {
+		if n > 0 && !h.send(bodyFrame(piece[:n])) {
 			return
 		}
 		if errors.Is(err, io.EOF) {
-			end := &handover.Trailers{Fields: encoder.Fields(h.request.Body.Trailers())}
-			h.send(&handover.Request{Frame: &handover.Request_End{End: end}})
+			h.send(h.end())
 			h.mu.Lock()
 			h.sending = false
 			h.mu.Unlock()
--- a/transport/hander/incoming.go
+++ b/transport/hander/incoming.go
@@ -160,16 +160,22 @@
 	}
 }
 
-// send writes one frame, with the agent's load unless it is a piece of a body.
+// send writes one frame.
 func (i *incoming) send(reply *handover.Reply) error {
-	if _, piece := reply.GetFrame().(*handover.Reply_Body); !piece {
-		reply.Load = encoder.Load(i.server.Local.Load())
-	}
+	i.withLoad(reply)
 	i.writes.Lock()
 	defer i.writes.Unlock()
 	return linker.WriteMessage(i.stream, reply)
 }
 
+// withLoad adds the agent's load to every frame but the pieces of a body.
+func (i *incoming) withLoad(reply *handover.Reply) *handover.Reply {
+	if _, piece := reply.GetFrame().(*handover.Reply_Body); !piece {
+		reply.Load = encoder.Load(i.server.Local.Load())
+	}
+	return reply
+}
+
 // wantedBody tells the origin, at the first read, that the body is wanted, so
 // that a request that is refused leaves its body at the origin.
 type wantedBody struct {
--- a/transport/hander/writer.go
+++ b/transport/hander/writer.go
@@ -1,6 +1,7 @@
 package hander
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -8,15 +9,21 @@
 
 	"gooseberrymast/protocol/encoder"
 	"gooseberrymast/protocol/messages/handover"
+	"gooseberrymast/transport/executor"
+	"gooseberrymast/transport/linker"
 )
 
 // replyWriter is the http.ResponseWriter of a request that was handed over.
-// The head waits for the first piece of the body or a flush.
+// The head waits for the first piece of the body or a flush. A small answer of
+// known length goes out in one write, at its end.
 type replyWriter struct {
 	incoming *incoming
 	header   http.Header
 	status   int
 	headSent bool
+	// small is set while frames are gathered in pending.
+	small   bool
+	pending bytes.Buffer
 }
 
 // Header gives the fields of the head; those with http.TrailerPrefix that are
@@ -40,7 +47,7 @@
 	sent := 0
 	for sent < len(p) {
 		piece := p[sent:min(sent+pieceBytes, len(p))]
-		if err := w.incoming.send(&handover.Reply{Frame: &handover.Reply_Body{Body: piece}}); err != nil {
+		if err := w.send(&handover.Reply{Frame: &handover.Reply_Body{Body: piece}}); err != nil {
 			return sent, err
 		}
 		sent += len(piece)
@@ -48,9 +55,31 @@
 	return sent, nil
 }
 
-// FlushError sends the head if it has not gone yet.
+// FlushError sends what was written so far.
 func (w *replyWriter) FlushError() error {
-	return w.sendHead()
+	if err := w.sendHead(); err != nil {
+		return err
+	}
+	return w.sendPending()
+}
+
+// send sends a frame, or gathers it.
+func (w *replyWriter) send(reply *handover.Reply) error {
+	if w.small {
+		return linker.WriteMessage(&w.pending, w.incoming.withLoad(reply))
+	}
+	return w.incoming.send(reply)
+}
+
+func (w *replyWriter) sendPending() error {
+	if w.pending.Len() == 0 {
+		return nil
+	}
+	w.small = false
+	w.incoming.writes.Lock()
+	defer w.incoming.writes.Unlock()
+	_, err := w.pending.WriteTo(w.incoming.stream)
+	return err
 }
 
 // SetWriteDeadline bounds the writes to the origin.
@@ -68,7 +97,8 @@
 	if err != nil {
 		length = -1
 	}
-	return w.incoming.send(&handover.Reply{Frame: &handover.Reply_Head{Head: &handover.Head{
+	w.small = length >= 0 && length <= executor.MaxHeldAnswerBytes
+	return w.send(&handover.Reply{Frame: &handover.Reply_Head{Head: &handover.Head{
 		Status:    int32(w.status),
 		Headers:   encoder.Fields(w.header),
 		BodyBytes: length,
@@ -78,7 +108,7 @@
 // finish sends the trailers and so says that the answer is whole.
 func (w *replyWriter) finish() {
 	if err := w.sendHead(); err != nil {
-		return // The origin sees that the stream ended early.
+		return
 	}
 	trailers := http.Header{}
 	for name, values := range w.header {
@@ -87,5 +117,8 @@
 		}
 	}
 	end := &handover.Trailers{Fields: encoder.Fields(trailers)}
-	_ = w.incoming.send(&handover.Reply{Frame: &handover.Reply_End{End: end}})
+	if err := w.send(&handover.Reply{Frame: &handover.Reply_End{End: end}}); err != nil {
+		return
+	}
+	_ = w.sendPending() // The origin sees that the stream ended early.
 }
--- a/transport/terminator/broken_test.go
+++ b/transport/terminator/broken_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
@@ -17,6 +18,7 @@
 	"gooseberrymast/caller"
 	"gooseberrymast/protocol/encoder"
 	"gooseberrymast/standin/backend"
+	"gooseberrymast/transport/executor"
 )
 
 // outcome is what a caller was told of a request.
@@ -233,3 +235,38 @@
 	}
 	requests.Wait()
 }
+
+func TestLateCopyDoesNotRunAfterNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newService(t, 2, nil)
+	origin, peer := s.agents[0], s.agents[1]
+	const id = 1 << 40 // no request of the agent's own has it
+	known, ran := origin.driver.Peers.Ask(t.Context(), peer.self, id)
+	is.True(known)
+	is.True(!ran)
+	work := gooseberrymast.Work{
+		Origin:     origin.self,
+		OriginID:   id,
+		Path:       "/loans",
+		Idempotent: true,
+		Deadline:   time.Now().Add(time.Minute),
+	}
+	sent := &executor.Request{
+		Method:    http.MethodPost,
+		URI:       "/loans",
+		Authority: "ledger.example",
+		Header:    http.Header{backend.HeaderRequestID: {"late"}},
+		Body:      &executor.Body{Held: []byte("body")},
+		Timeout:   time.Minute,
+	}
+	_, result, refusal := origin.driver.Peers.HandOver(t.Context(), peer.self, work, sent)
+	is.Equal(result, gooseberrymast.ResultRefused)
+	is.Equal(refusal.Ran, gooseberrymast.RanNo)
+	is.Equal(s.ran("late"), 0)
+	work.OriginID++ // one that was not asked after runs
+	response, _, _ := origin.driver.Peers.HandOver(t.Context(), peer.self, work, sent)
+	is.NoErr(response.Body.Close())
+	is.Equal(s.ran("late"), 1)
+	known, ran = origin.driver.Peers.Ask(t.Context(), peer.self, work.OriginID)
+	is.True(known && ran)
+}
