--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -136,7 +136,7 @@
 		Refuse:  a.dispatcher.Refuse,
 		Metrics: driver.NewMetrics(a.Registry),
 	}
-	a.driver.Flows = func() int32 { return a.terminator.Flows() }
+	a.driver.Flows = func() int32 { return int32(a.terminator.Flows()) }
 	a.driver.Peers = &hander.Client{
 		Self:    self,
 		Service: a.tag,
@@ -323,7 +323,7 @@
 		Revision:    a.revision.Load(),
 		State:       a.controller.State().String(),
 		Healthy:     a.healthy.Load(),
-		Flows:       int(a.terminator.Flows()),
+		Flows:       a.terminator.Flows(),
 		Streams:     int(load.Streams),
 		Running:     a.driver.InProgress() - int(load.Streams) - int(load.Queued),
 		Queued:      int(load.Queued),
