Move single flows so that a server that joined gets its part

Cause: new flows alone even out a service only as flows end; after a rolling restart the last server held few of the flows that stay open.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -136,7 +136,7 @@
 		Refuse:  a.dispatcher.Refuse,
 		Metrics: driver.NewMetrics(a.Registry),
 	}
-	a.driver.Flows = func() int32 { return int32(a.terminator.Flows()) }
+	a.driver.Flows = func() int32 { return int32(a.terminator.Staying()) }
 	a.driver.Peers = &hander.Client{
 		Self:    self,
 		Service: a.tag,
@@ -144,7 +144,7 @@
 		Locate:  a.locate,
 		OnLoad:  a.heard,
 	}
-	a.evener.set(self, a.config.Seed, a.driver)
+	a.evener.set(self, a.config.Seed, a.driver, func(n int) int { return a.terminator.Retire(n) })
 	server := &hander.Server{
 		Self:    self,
 		Service: a.tag,
--- a/assembler/evener.go
+++ b/assembler/evener.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"gooseberrymast"
 	"gooseberrymast/coordination/evener"
 	"gooseberrymast/transport/driver"
@@ -19,14 +21,17 @@
 	mu     sync.Mutex
 	evener evener.Evener
 	driver *driver.Driver
+	// retire asks a number of flows to move.
+	retire func(n int) int
 }
 
-func (f *flowEvener) set(self gooseberrymast.Identity, seed uint64, driver *driver.Driver) {
+func (f *flowEvener) set(self gooseberrymast.Identity, seed uint64, driver *driver.Driver, retire func(n int) int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.evener.Self = self
 	f.evener.Random = rand.New(rand.NewPCG(seed, uint64(self.Address.Port())))
 	f.driver = driver
+	f.retire = retire
 }
 
 // start asks a round of questions each period until the returned function is
@@ -39,9 +44,25 @@
 		for _, peer := range asked {
 			f.driver.Peers.Measure(ctx, peer)
 		}
+		if len(asked) > 0 {
+			f.move()
+		}
 	})
 }
 
+// move asks callers to move when the agent holds more than its part.
+func (f *flowEvener) move() {
+	own := f.driver.Flows()
+	f.mu.Lock()
+	excess := f.evener.Excess(f.timer.Now(), own)
+	f.mu.Unlock()
+	if excess == 0 {
+		return
+	}
+	asked := f.retire(excess)
+	log.Debug().Int("flows", asked).Int32("own", own).Msg("asked flows to move to agents that hold fewer")
+}
+
 func (f *flowEvener) update(members []gooseberrymast.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coordination/evener/evener.go
+++ b/coordination/evener/evener.go
@@ -22,6 +22,14 @@
 	Questions = 2
 	// MaxAge is the age up to which a peer's count of flows is believed.
 	MaxAge = 10 * time.Second
+	// IdleRounds is the number of periods between two rounds while no new
+	// flows come.
+	IdleRounds = 5
+	// Tolerance is the share by which the own count may exceed the mean
+	// before flows are asked to move.
+	Tolerance = 0.1
+	// MaxMoved is the share of the own flows that may be asked in one round.
+	MaxMoved = 0.1
 	// Margin is the number of flows by which the own count must exceed the
 	// other's, so that two even agents pass nothing back and forth.
 	Margin = 1
@@ -39,6 +47,8 @@
 	index map[gooseberrymast.Identity]*peer
 	// stirred is set when a flow was offered since the last round.
 	stirred bool
+	// idle counts the periods without a round.
+	idle int
 }
 
 // peer is another agent of the service.
@@ -80,12 +90,15 @@
 	known.given = 0
 }
 
-// Round gives the peers to ask for their load, none while no flows come.
+// Round is called once a Period and gives the peers to ask for their load.
+// While no flows come it asks less often.
 func (e *Evener) Round() []gooseberrymast.Identity {
-	if !e.stirred {
+	e.idle++
+	if !e.stirred && e.idle < IdleRounds {
 		return nil
 	}
 	e.stirred = false
+	e.idle = 0
 	asked := make([]gooseberrymast.Identity, 0, Questions)
 	for _, i := range e.Random.Perm(len(e.peers)) {
 		if len(asked) == Questions {
@@ -96,12 +109,38 @@
 	return asked
 }
 
+// Excess gives the number of the own flows that should be asked to move now,
+// so that a server that joined gets its part of the flows that stay open.
+func (e *Evener) Excess(now time.Time, own int32) int {
+	total, known := float64(own), 1.0
+	for _, one := range e.peers {
+		if !one.believed(now) {
+			continue
+		}
+		total += float64(one.load.Flows + one.given)
+		known++
+	}
+	if known < float64(min(Questions, len(e.peers)))+1 {
+		return 0
+	}
+	mean := total / known
+	if float64(own) <= mean*(1+Tolerance)+Margin {
+		return 0
+	}
+	return max(1, min(int(float64(own)-mean), int(float64(own)*MaxMoved)))
+}
+
+// believed reports whether the peer's count is fresh and the peer stays.
+func (p *peer) believed(now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) <= MaxAge && !p.load.Leaving
+}
+
 // PassOn decides about a new flow that is offered to this agent first, whose
 // second candidate is other. Own is the number of flows open here.
 func (e *Evener) PassOn(now time.Time, own int32, other gooseberrymast.Identity) bool {
 	e.stirred = true
 	known := e.index[other]
-	if known == nil || known.heard.IsZero() || now.Sub(known.heard) > MaxAge || known.load.Leaving {
+	if known == nil || !known.believed(now) {
 		return false
 	}
 	if own <= known.load.Flows+known.given+Margin {
--- a/transport/terminator/flows.go
+++ b/transport/terminator/flows.go
@@ -65,6 +65,19 @@
 	return len(s.open)
 }
 
+// staying counts the flows that were not asked to move.
+func (s *flows) staying() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for f := range s.open {
+		if !f.asked {
+			n++
+		}
+	}
+	return n
+}
+
 // retire asks at most n flows to move that were not asked before.
 func (s *flows) retire(n int) (asked int) {
 	s.mu.Lock()
--- a/transport/terminator/terminator.go
+++ b/transport/terminator/terminator.go
@@ -138,6 +138,11 @@
 	return t.flows.count()
 }
 
+// Staying gives the number of open flows that were not asked to move.
+func (t *Terminator) Staying() int {
+	return t.flows.staying()
+}
+
 // Retire asks at most n flows, those that were not asked yet, to move by a
 // GOAWAY on each. What is in progress on them goes on to its end. It gives the
 // number of flows asked.
--- a/work.go
+++ b/work.go
@@ -111,7 +111,8 @@
 	Queued int32
 	// Streams is the number of open streams.
 	Streams int32
-	// Flows is the number of callers' flows that are open at the agent.
+	// Flows is the number of callers' flows that are open at the agent and
+	// were not asked to move.
 	Flows int32
 	// Leaving is set once the agent takes no new work.
 	Leaving bool
