--- a/coordination/applier/applier_test.go
+++ b/coordination/applier/applier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -12,6 +13,9 @@
 	"gooseberrymast/coordination/applier"
 )
 
+// seeds is the number of runs of TestRandomRaces.
+var seeds = flag.Uint64("seeds", 4000, "the number of random races")
+
 func revisionOf(number uint64, writeID, text string) gooseberrymast.Revision {
 	return gooseberrymast.Revision{Number: number, Environment: "trial", WriteID: writeID, Text: []byte(text)}
 }
@@ -99,7 +103,7 @@
 // must be true of what the store then holds.
 func TestRandomRaces(t *testing.T) {
 	outcomes := map[applier.Outcome]int{}
-	for seed := range uint64(4000) {
+	for seed := range *seeds {
 		store := &fakeStore{rng: rand.New(rand.NewPCG(seed, 1)), trouble: float64(seed%5) * 0.15}
 		reports := race(store, 2+int(seed%3))
 		store.landAll()
