Ask for a Retry from the first sign of a flood

Cause: new handshakes were taken off the count of open ones when QUIC asked whether their caller must prove its address.

Change: the receiver notes new flows itself. From the first one above the rate, or above half of the open handshakes allowed, QUIC answers each by a Retry for a second, and none of them counts. Sharded balancers take part in the end-to-end tests, a refused SO_REUSEPORT in batcher's.

Conclusion: 3,000 first packets with ids of their own leave at most 64 open handshakes at an agent whose bound is 64, and a caller still gets a flow.

--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -92,6 +92,8 @@
 // Decision is the opener's answer to one packet.
 type Decision struct {
 	Verdict Verdict
+	// New is set for VerdictTake at the first packet of a flow.
+	New bool
 	// Peer is set for VerdictPass and is never the agent itself.
 	Peer gooseberrymast.Identity
 	// Given and Declined are what the packet that is passed on must say.
@@ -257,7 +259,7 @@
 	}
 	o.halfOpen++
 	o.remember(key, flow{peer: o.Self, since: now, halfOpen: true})
-	return Decision{Verdict: VerdictTake}
+	return Decision{Verdict: VerdictTake, New: true}
 }
 
 // others gives the homes of a packet but for the agent itself.
--- a/protocol/framer/window_test.go
+++ b/protocol/framer/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -63,6 +64,23 @@
 	is.True(windows.Sequences() <= 2*windowShards)
 }
 
+// BenchmarkWindowsMemory reports the bytes that are kept for each sequence.
+func BenchmarkWindowsMemory(b *testing.B) {
+	const n = 100_000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		windows := Windows{MaxSequences: 2 * n}
+		for sender := range uint64(n) {
+			windows.Accept(Origin{Sender: sender, Counter: 1}, time.Unix(0, 0))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(windows.Sequences()), "bytes/sequence")
+	}
+}
+
 func TestSenderNeverRepeats(t *testing.T) {
 	is := is.New(t)
 	sender := NewSender()
--- a/transport/batcher/batcher.go
+++ b/transport/batcher/batcher.go
@@ -39,21 +39,28 @@
 // Listen opens up to shards sockets on one IPv4 address by SO_REUSEPORT, and
 // at least one.
 func Listen(address netip.AddrPort, shards int) ([]*Conn, error) {
+	return listenShards(address, shards, reusePort)
+}
+
+func listenShards(address netip.AddrPort, shards int, share control) ([]*Conn, error) {
 	if shards <= 1 {
 		conn, err := listen(address, nil)
-		return []*Conn{conn}, err
+		if err != nil {
+			return nil, err
+		}
+		return []*Conn{conn}, nil
 	}
-	first, err := listen(address, reusePort)
+	first, err := listen(address, share)
 	if refused(err) {
 		logPort.Do(func() { log.Warn().Err(err).Msg("SO_REUSEPORT refused; using one socket an address") })
-		return Listen(address, 1)
+		return listenShards(address, 1, share)
 	}
 	if err != nil {
 		return nil, err
 	}
 	conns := []*Conn{first}
 	for len(conns) < shards {
-		conn, err := listen(first.Address(), reusePort)
+		conn, err := listen(first.Address(), share)
 		if err != nil {
 			Close(conns)
 			return nil, err
@@ -144,7 +151,10 @@
 	logBatch.Do(func() { log.Warn().Err(err).Msg("batched reads and writes refused; using single ones") })
 }
 
-func listen(address netip.AddrPort, control func(network, address string, raw syscall.RawConn) error) (*Conn, error) {
+// control sets options of a socket before it is bound.
+type control func(network, address string, raw syscall.RawConn) error
+
+func listen(address netip.AddrPort, control control) (*Conn, error) {
 	config := net.ListenConfig{Control: control}
 	packets, err := config.ListenPacket(context.Background(), "udp4", address.String())
 	if err != nil {
--- a/transport/batcher/batcher_test.go
+++ b/transport/batcher/batcher_test.go
@@ -1,8 +1,10 @@
 package batcher
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -87,6 +89,27 @@
 	}
 }
 
+// Where the host refuses to share an address, there is one socket.
+func TestSharingRefused(t *testing.T) {
+	is := is.New(t)
+	refuse := func(string, string, syscall.RawConn) error { return unix.ENOPROTOOPT }
+	conns, err := listenShards(loopback, 4, refuse)
+	is.NoErr(err)
+	defer Close(conns)
+	is.Equal(len(conns), 1)
+	exchange(t, listenOn(t, 1)[0], conns[0])
+}
+
+func TestAddressInUseIsNotARefusal(t *testing.T) {
+	is := is.New(t)
+	taken := listenOn(t, 1)[0]
+	for _, shards := range []int{1, 4} {
+		conns, err := Listen(taken.Address(), shards)
+		is.True(errors.Is(err, unix.EADDRINUSE))
+		is.Equal(len(conns), 0)
+	}
+}
+
 // A datagram that can't be sent doesn't hold up the others.
 func TestUnsendableDatagramIsPassedOver(t *testing.T) {
 	is := is.New(t)
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -307,3 +308,33 @@
 	}
 	is.Equal(callers, 4) // the agent heard of the first address and of three others
 }
+
+// A flood of first packets from one socket leaves the handshakes bounded, and a
+// caller that proves its address still gets a flow.
+func TestFloodOfFirstPackets(t *testing.T) {
+	is := is.New(t)
+	const maxHalfOpen, flood = 64, 3000
+	b := newBench(t, 2, 2, func(_ int, config *receiver.Config) {
+		config.MaxHalfOpen = maxHalfOpen
+		config.RetryRate = 20
+	})
+	socket, err := net.ListenUDP("udp4", nil)
+	is.NoErr(err)
+	defer func() { _ = socket.Close() }()
+	packet := make([]byte, 1200)
+	copy(packet, []byte{0xc0, 0, 0, 0, 1, 8})
+	for i := range flood {
+		binary.BigEndian.PutUint64(packet[6:], uint64(i))
+		_, err := socket.WriteTo(packet, net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0)))
+		is.NoErr(err)
+		for _, a := range b.agents {
+			is.True(a.receiver.HalfOpen() <= maxHalfOpen)
+		}
+	}
+	echo(t, b.dial(), 1, func(int) {})
+	retries := uint64(0)
+	for _, a := range b.agents {
+		retries += a.receiver.Counters.Retries.Load()
+	}
+	is.True(retries > 0)
+}
--- a/transport/receiver/quic.go
+++ b/transport/receiver/quic.go
@@ -26,6 +26,9 @@
 	// KeepAlive is how often the agent sends on an idle flow. The caller's
 	// acknowledgement refreshes the memory of balancers.
 	KeepAlive = 15 * time.Second
+	// floodHold is how long callers must prove their address from the last
+	// sign of a flood.
+	floodHold = time.Second
 	// HandshakeTimeout bounds a handshake.
 	HandshakeTimeout = 5 * time.Second
 )
@@ -64,26 +67,34 @@
 	}
 }
 
-// mustVerify asks a caller to prove its address when new handshakes come fast
-// or half of the open ones allowed are in use. The flow then holds no memory
-// until the caller has proved it.
-func (r *Receiver) mustVerify(from net.Addr) bool {
-	limit := r.config.MaxHalfOpen
-	if limit == 0 {
-		limit = opener.DefaultMaxHalfOpen
-	}
-	if r.rate.Allow() && r.HalfOpen() < max(1, limit/2) {
+// mustVerify asks a caller to prove its address by a Retry while there is a
+// flood. The flow then holds no memory until the caller has proved it.
+func (r *Receiver) mustVerify(net.Addr) bool {
+	if !r.flooded() {
 		return false
 	}
 	r.Counters.Retries.Add(1)
-	udp, ok := from.(*net.UDPAddr)
-	if !ok {
-		return true
+	return true
+}
+
+// flooded reports whether there is a flood of new handshakes.
+func (r *Receiver) flooded() bool {
+	return r.config.Timer.Now().UnixNano() < r.floodEnd.Load()
+}
+
+// countNewFlow notes a new handshake. There is a flood for floodHold from the
+// last one that came faster than the rate or while half of the open ones
+// allowed were in use. It is called with the opener's lock held.
+func (r *Receiver) countNewFlow() {
+	limit := r.config.MaxHalfOpen
+	if limit == 0 {
+		limit = opener.DefaultMaxHalfOpen
 	}
-	if key := r.callers.opened(plain(udp.AddrPort())); key != 0 {
-		r.completeOpening(key)
+	now := r.config.Timer.Now()
+	if r.rate.AllowN(now, 1) && r.opener.HalfOpen() < max(1, limit/2) {
+		return
 	}
-	return true
+	r.floodEnd.Store(now.Add(floodHold).UnixNano())
 }
 
 func newLimiter(perSecond float64) *rate.Limiter {
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -154,7 +154,14 @@
 	r.openerMu.Lock()
 	defer r.openerMu.Unlock()
 	busy := !r.opener.Knows(first.Key) && r.declines(first)
-	return r.opener.FirstPacket(first, busy, r.config.Timer.Now())
+	decision := r.opener.FirstPacket(first, busy, r.config.Timer.Now())
+	if decision.New {
+		r.countNewFlow()
+		if r.flooded() {
+			r.opener.Complete(first.Key) // QUIC answers by a Retry and keeps nothing
+		}
+	}
+	return decision
 }
 
 // declines reports whether the agent would rather not take a new flow.
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -34,6 +34,9 @@
 const (
 	// batchDatagrams is the number of datagrams read by one call.
 	batchDatagrams = 16
+	// maxSequences bounds the memory for detecting replays: 17,000 balancers
+	// and the agents that pass flows on.
+	maxSequences = 1 << 16
 	// expireEvery is how often silent callers are looked for.
 	expireEvery = 30 * time.Second
 )
@@ -86,8 +89,11 @@
 	rate    *rate.Limiter
 	nonce   atomic.Uint32
 	leaving atomic.Bool
-	buffers sync.Pool // of *[writeBytes]byte
-	cancel  func()
+	// floodEnd is when callers need no longer prove their address, in
+	// nanoseconds of Unix time.
+	floodEnd atomic.Int64
+	buffers  sync.Pool // of *[writeBytes]byte
+	cancel   func()
 
 	openerMu sync.Mutex
 	opener   opener.Opener
@@ -123,6 +129,7 @@
 	rec.self = gooseberrymast.Identity{Address: rec.conn.Address(), Incarnation: config.Identity.Incarnation}
 	rec.opener = opener.Opener{Self: rec.self, MaxHalfOpen: config.MaxHalfOpen}
 	rec.callers.max = config.MaxCallers
+	rec.windows.MaxSequences = maxSequences
 	rec.rate = newLimiter(config.RetryRate)
 	rec.nonce.Store(randomNonce())
 	rec.buffers.New = func() any { return new([writeBytes]byte) }
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -156,6 +156,7 @@
 		},
 		Forward: loopback,
 		Keys:    b.keys,
+		Shards:  1 + b.started%2, // sharded balancers and others behind one fabric
 	})
 	is.NoErr(err)
 	fwd.SetTable(table)
