--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -196,7 +197,7 @@
 				frame = frame[:len(frame)-test.cut]
 			}
 			var header framer.Header
-			_, err := fwd.open(frame, &header)
+			_, err := fwd.open(frame, &header, time.Unix(0, 0))
 			is.True(err != nil)
 			is.Equal(dropOf(err), test.want)
 		})
@@ -208,10 +209,10 @@
 	fwd := newForwarder(t)
 	frame := answer(t, fwd, framer.NewSender(), nil)
 	var header framer.Header
-	payload, err := fwd.open(frame, &header)
+	payload, err := fwd.open(frame, &header, time.Unix(0, 0))
 	is.NoErr(err)
 	is.True(bytes.Equal(payload, []byte("answer")))
-	_, err = fwd.open(frame, &header)
+	_, err = fwd.open(frame, &header, time.Unix(0, 0))
 	is.Equal(dropOf(err), DropReplayed)
 }
 
@@ -223,7 +224,7 @@
 		h.Life, h.Index, h.Service = 0, framer.AnyIndex, gooseberrymast.TagOf(receipts)
 	})
 	var header framer.Header
-	_, err := fwd.open(frame, &header)
+	_, err := fwd.open(frame, &header, time.Unix(0, 0))
 	is.NoErr(err)
 	is.Equal(header.Index, uint16(1))
 }
--- a/transport/forwarder/outbound.go
+++ b/transport/forwarder/outbound.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"gooseberrymast/protocol/framer"
 	"gooseberrymast/transport/batcher"
@@ -44,9 +45,10 @@
 		return err
 	}
 	index := uint16(0)
+	now := out.fwd.config.Timer.Now()
 	for i := range n {
 		frame, _ := out.read.Datagram(i)
-		payload, err := out.fwd.open(frame, &out.header)
+		payload, err := out.fwd.open(frame, &out.header, now)
 		if err != nil {
 			out.fwd.Counters.drop(dropOf(err))
 			continue
@@ -79,7 +81,7 @@
 }
 
 // open verifies an agent's frame and gives the packet for the caller.
-func (f *Forwarder) open(frame []byte, header *framer.Header) ([]byte, error) {
+func (f *Forwarder) open(frame []byte, header *framer.Header, now time.Time) ([]byte, error) {
 	payload, err := f.framer.Open(frame, header)
 	if err != nil {
 		return nil, err
@@ -93,7 +95,7 @@
 	if int(header.Index) >= len(f.tags) || f.tags[header.Index] != header.Service {
 		return nil, framer.FaultWrongService
 	}
-	if !f.windows.Accept(header.Origin, f.config.Timer.Now()) {
+	if !f.windows.Accept(header.Origin, now) {
 		return nil, framer.FaultReplayed
 	}
 	return payload, nil
--- a/transport/receiver/quic.go
+++ b/transport/receiver/quic.go
@@ -84,17 +84,17 @@
 
 // countNewFlow notes a new handshake. There is a flood for floodHold from the
 // last one that came faster than the rate or while half of the open ones
-// allowed were in use. It is called with the opener's lock held.
+// allowed were in use. It is called by the reading
+// goroutine with the opener's lock held.
 func (r *Receiver) countNewFlow() {
 	limit := r.config.MaxHalfOpen
 	if limit == 0 {
 		limit = opener.DefaultMaxHalfOpen
 	}
-	now := r.config.Timer.Now()
-	if r.rate.AllowN(now, 1) && r.opener.HalfOpen() < max(1, limit/2) {
+	if r.rate.AllowN(r.now, 1) && r.opener.HalfOpen() < max(1, limit/2) {
 		return
 	}
-	r.floodEnd.Store(now.Add(floodHold).UnixNano())
+	r.floodEnd.Store(r.now.Add(floodHold).UnixNano())
 }
 
 func newLimiter(perSecond float64) *rate.Limiter {
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -21,6 +21,7 @@
 		if r.next == r.filled {
 			n, err := r.conn.Read(r.batch)
 			r.next, r.filled = 0, n
+			r.now = r.config.Timer.Now()
 			if err != nil {
 				return 0, nil, err
 			}
@@ -79,7 +80,7 @@
 	if header.Service != r.service {
 		return nil, framer.FaultWrongService
 	}
-	if !r.windows.Accept(header.Origin, r.config.Timer.Now()) {
+	if !r.windows.Accept(header.Origin, r.now) {
 		return nil, framer.FaultReplayed
 	}
 	return payload, nil
@@ -154,7 +155,7 @@
 	r.openerMu.Lock()
 	defer r.openerMu.Unlock()
 	busy := !r.opener.Knows(first.Key) && r.declines(first)
-	decision := r.opener.FirstPacket(first, busy, r.config.Timer.Now())
+	decision := r.opener.FirstPacket(first, busy, r.now)
 	if decision.New {
 		r.countNewFlow()
 		if r.flooded() {
@@ -217,7 +218,7 @@
 func (r *Receiver) heard() *net.UDPAddr {
 	via := path{balancer: r.header.Balancer, life: r.header.Life, index: r.header.Index}
 	proved := r.header.Kind == framer.KindFlow
-	return r.callers.heard(r.header.Caller, via, proved, r.config.Timer.Now())
+	return r.callers.heard(r.header.Caller, via, proved, r.now)
 }
 
 // dropOf gives the counter of a typed error.
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -33,6 +34,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = rec.Close() })
+	rec.now = time.Now()
 	return rec
 }
 
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -102,6 +102,7 @@
 	batch  *batcher.Batch
 	next   int
 	filled int
+	now    time.Time // when the batch was read
 	header framer.Header
 }
 
