Give no flow to a member without an IPv4 address

Cause: an IPv6 address in a record, or given to the agent's socket, would have ended the process: header and connection id have room for IPv4 only.

Change: the router passes such members over; the agent drops the answer. The table before is kept for 6 s at least, the time in which a change is to be known everywhere; it was 5 s.

--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -188,13 +188,13 @@
 }
 
 // rank gives the members with the highest scores in the query's zone and in
-// all zones.
+// all zones. Headers and connection ids have room for IPv4 addresses only.
 func rank(members []gooseberrymast.Member, query *Query) (local, all ranking) {
 	lenient := noneRoutable(members)
 	for i := range members {
 		member := &members[i]
 		willing := member.Routable() || lenient && member.State == gooseberrymast.StateReady
-		if !willing {
+		if !willing || !member.Identity.Address.Addr().Is4() {
 			continue
 		}
 		points := score(query.Key, member)
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -207,6 +207,17 @@
 	is.True(errors.Is(err, RefusalNoMember)) // a member that leaves gets no flow
 }
 
+func TestMemberWithoutIPv4AddressGetsNoFlow(t *testing.T) {
+	is := is.New(t)
+	all := members(2)
+	all[0].Identity.Address = netip.MustParseAddrPort("[2001:db8::1]:4000")
+	for key := range uint64(50) {
+		route, err := choose(Query{Key: key, Opens: true, Current: table(all)})
+		is.NoErr(err)
+		is.Equal(route.Takers, [2]gooseberrymast.Identity{all[1].Identity})
+	}
+}
+
 func TestChooseAllocatesNothing(t *testing.T) {
 	is := is.New(t)
 	query := Query{Service: service, Opens: true, Zone: "cairo-a", Current: table(members(7)), Previous: table(members(6))}
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -31,7 +31,7 @@
 const (
 	DefaultShards      = 1
 	DefaultBatch       = 32
-	DefaultPreviousAge = 5 * time.Second
+	DefaultPreviousAge = 6 * time.Second
 )
 
 // ServiceAddress is one address at which callers reach a service.
--- a/transport/receiver/callers.go
+++ b/transport/receiver/callers.go
@@ -101,7 +101,7 @@
 
 // setBalancers replaces the balancers that are known to run.
 func (c *callers) setBalancers(addresses []netip.AddrPort) {
-	next := append([]netip.AddrPort(nil), addresses...)
+	next := slices.DeleteFunc(slices.Clone(addresses), func(address netip.AddrPort) bool { return !address.Addr().Is4() })
 	c.balancers.Store(&next)
 }
 
@@ -264,8 +264,12 @@
 	}
 }
 
-// callerKey packs an IPv4 address and port.
+// callerKey packs an IPv4 address and port. Other addresses give zero, which no
+// caller has.
 func callerKey(address netip.AddrPort) uint64 {
+	if !address.Addr().Is4() {
+		return 0
+	}
 	ip := address.Addr().As4()
 	return uint64(binary.BigEndian.Uint32(ip[:]))<<16 | uint64(address.Port())
 }
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -173,6 +173,9 @@
 	is.NoErr(err)
 	is.Equal(n, len("answer"))
 	is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(1))
+	_, err = rec.WriteTo([]byte("answer"), &net.UDPAddr{IP: net.IPv6loopback, Port: 1})
+	is.NoErr(err)
+	is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(2))
 }
 
 func TestCountersCollect(t *testing.T) {
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -204,7 +204,7 @@
 	}
 	address := plain(udp.AddrPort())
 	via, alternate, known := r.callers.back(address, r.config.Timer.Now())
-	if !known {
+	if !known { // an IPv6 address is never known
 		r.Counters.drop(DropUnknownCaller)
 		return len(payload), nil
 	}
