Take a newcomer's first table for the one before as well

Cause: a balancer had no table before the one in force until its second timer period.

Change: the first table that a balancer gets is its previous one at once.

Conclusion: a balancer asks the older home from the moment it starts.

--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -157,7 +157,13 @@
 
 // SetTable puts a table in force. It may be called from any goroutine.
 func (f *Forwarder) SetTable(table *gooseberrymast.Table) {
-	f.change(func(next *view) { next.current = table })
+	f.change(func(next *view) {
+		next.current = table
+		if next.previous == nil {
+			// The first table is the oldest that a newcomer can know of.
+			next.previous, f.pending = table, table
+		}
+	})
 }
 
 // SetDocument puts the rules of a document in force. Before the first one,
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -27,7 +27,7 @@
 	conn := b.dial()
 	echo(t, conn, 400, func(i int) {
 		if i%100 == 50 && i < 350 {
-			b.startBalancer(fmt.Sprint("balancer-", i/100), nil)
+			b.startBalancer(fmt.Sprint("balancer-", i/100))
 		}
 	})
 }
@@ -45,6 +45,25 @@
 	}
 }
 
+// Each flow is served by one agent while balancers of several zones have
+// different tables.
+func TestFlowsOpenWhileTablesDiffer(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 0, nil)
+	before := b.table
+	b.startAgent(3, service, nil)
+	b.startAgent(4, service, nil)
+	for i := range 2 {
+		b.startBalancer(fmt.Sprint("balancer-", i), before)
+		b.startBalancer(fmt.Sprint("balancer-", i+2), before, b.table)
+	}
+	const flows = 60
+	for range flows {
+		echo(t, b.dial(), 1, func(int) {})
+	}
+	is.Equal(b.taken.Load(), int64(flows))
+}
+
 // opened gives the number of first packets that the agents took.
 func (b *bench) opened() uint64 {
 	n := uint64(0)
@@ -64,7 +83,7 @@
 	conn := b.dial()
 	echo(t, conn, 150, func(i int) {
 		if i%50 == 25 {
-			b.startBalancer(fmt.Sprint("balancer-", i/50), nil)
+			b.startBalancer(fmt.Sprint("balancer-", i/50))
 		}
 	})
 	is := is.New(t)
@@ -275,7 +294,7 @@
 	b.onlyThrough()
 	b.current["balancer-0"].Close()
 	b.current["balancer-1"].Close()
-	next := b.startBalancer("balancer-2", nil)
+	next := b.startBalancer("balancer-2")
 	b.onlyThrough() // the agent must speak first
 	b.agents[0].receiver.SetBalancers([]netip.AddrPort{next.ForwardAddress()})
 	_, err = io.ReadFull(stream, message)
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -56,6 +56,7 @@
 	agents  []*agent
 	current map[string]*forwarder.Forwarder
 	started int
+	taken   atomic.Int64 // flows that QUIC servers began to serve
 }
 
 // agent is a receiver under a QUIC server that echoes.
@@ -99,6 +100,10 @@
 	is.NoErr(err)
 	transport, err := rec.Transport()
 	is.NoErr(err)
+	transport.ConnContext = func(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+		b.taken.Add(1)
+		return ctx, nil
+	}
 	listener, err := transport.Listen(serverTLS(b.t), rec.QUICConfig())
 	is.NoErr(err)
 	a := &agent{receiver: rec, transport: transport, listener: listener}
@@ -144,8 +149,9 @@
 	}
 }
 
-// startBalancer replaces the balancer of that name.
-func (b *bench) startBalancer(name string, table *gooseberrymast.Table) *forwarder.Forwarder {
+// startBalancer replaces the balancer of that name. The new one gets the tables
+// one after the other.
+func (b *bench) startBalancer(name string, tables ...*gooseberrymast.Table) *forwarder.Forwarder {
 	is := is.New(b.t)
 	b.started++
 	fwd, err := forwarder.New(forwarder.Config{
@@ -159,7 +165,9 @@
 		Shards:  1 + b.started%2, // sharded balancers and others behind one fabric
 	})
 	is.NoErr(err)
-	fwd.SetTable(table)
+	for _, table := range tables {
+		fwd.SetTable(table)
+	}
 	done := make(chan error, 1)
 	go func() { done <- fwd.Run(b.ctx) }()
 	b.fabric.Add(fabric.Balancer{
