--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -26,7 +27,7 @@
 	conn := b.dial()
 	echo(t, conn, 400, func(i int) {
 		if i%100 == 50 && i < 350 {
-			b.startBalancer(fmt.Sprint("balancer-", i/100), nil)
+			b.startBalancer(fmt.Sprint("balancer-", i/100))
 		}
 	})
 }
@@ -44,6 +45,25 @@
 	}
 }
 
+// Each flow is served by one agent while balancers of several zones have
+// different tables.
+func TestFlowsOpenWhileTablesDiffer(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3, 0, nil)
+	before := b.table
+	b.startAgent(3, service, nil)
+	b.startAgent(4, service, nil)
+	for i := range 2 {
+		b.startBalancer(fmt.Sprint("balancer-", i), before)
+		b.startBalancer(fmt.Sprint("balancer-", i+2), before, b.table)
+	}
+	const flows = 60
+	for range flows {
+		echo(t, b.dial(), 1, func(int) {})
+	}
+	is.Equal(b.taken.Load(), int64(flows))
+}
+
 // opened gives the number of first packets that the agents took.
 func (b *bench) opened() uint64 {
 	n := uint64(0)
@@ -63,7 +83,7 @@
 	conn := b.dial()
 	echo(t, conn, 150, func(i int) {
 		if i%50 == 25 {
-			b.startBalancer(fmt.Sprint("balancer-", i/50), nil)
+			b.startBalancer(fmt.Sprint("balancer-", i/50))
 		}
 	})
 	is := is.New(t)
@@ -274,7 +294,7 @@
 	b.onlyThrough()
 	b.current["balancer-0"].Close()
 	b.current["balancer-1"].Close()
-	next := b.startBalancer("balancer-2", nil)
+	next := b.startBalancer("balancer-2")
 	b.onlyThrough() // the agent must speak first
 	b.agents[0].receiver.SetBalancers([]netip.AddrPort{next.ForwardAddress()})
 	_, err = io.ReadFull(stream, message)
@@ -307,3 +327,33 @@
 	}
 	is.Equal(callers, 4) // the agent heard of the first address and of three others
 }
+
+// A flood of first packets from one socket leaves the handshakes bounded, and a
+// caller that proves its address still gets a flow.
+func TestFloodOfFirstPackets(t *testing.T) {
+	is := is.New(t)
+	const maxHalfOpen, flood = 64, 3000
+	b := newBench(t, 2, 2, func(_ int, config *receiver.Config) {
+		config.MaxHalfOpen = maxHalfOpen
+		config.RetryRate = 20
+	})
+	socket, err := net.ListenUDP("udp4", nil)
+	is.NoErr(err)
+	defer func() { _ = socket.Close() }()
+	packet := make([]byte, 1200)
+	copy(packet, []byte{0xc0, 0, 0, 0, 1, 8})
+	for i := range flood {
+		binary.BigEndian.PutUint64(packet[6:], uint64(i))
+		_, err := socket.WriteTo(packet, net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0)))
+		is.NoErr(err)
+		for _, a := range b.agents {
+			is.True(a.receiver.HalfOpen() <= maxHalfOpen)
+		}
+	}
+	echo(t, b.dial(), 1, func(int) {})
+	retries := uint64(0)
+	for _, a := range b.agents {
+		retries += a.receiver.Counters.Retries.Load()
+	}
+	is.True(retries > 0)
+}
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -33,6 +34,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = rec.Close() })
+	rec.now = time.Now()
 	return rec
 }
 
@@ -171,6 +173,9 @@
 	is.NoErr(err)
 	is.Equal(n, len("answer"))
 	is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(1))
+	_, err = rec.WriteTo([]byte("answer"), &net.UDPAddr{IP: net.IPv6loopback, Port: 1})
+	is.NoErr(err)
+	is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(2))
 }
 
 func TestCountersCollect(t *testing.T) {
