Let a dispatcher count callers at a home agent

Cause: counting a caller over a whole service takes a message between agents. Change: ActionCount with Action.Caller and Action.Count, and the interface CallerCounter, additive; a transport that doesn't know the action may ignore it, since it is for no request.

--- a/work.go
+++ b/work.go
@@ -60,6 +60,9 @@
 	ActionCancel
 	// ActionSpend asks the ticket's issuer, Peer, for leave to run.
 	ActionSpend
+	// ActionCount reports Count admitted requests of Caller to Peer, the
+	// caller's home agent. It belongs to no request: Work is zero.
+	ActionCount
 )
 
 // Action is one instruction from the deciding code to the transport.
@@ -69,6 +72,9 @@
 	Work WorkID
 	// Peer is set for ActionHandOver, ActionAsk and ActionSpend.
 	Peer Identity
+	// Caller and Count are set for ActionCount.
+	Caller netip.Addr
+	Count  int
 	// Displaced is Work.Displaced for the receiver of ActionHandOver.
 	Displaced bool
 	// Refusal is set for ActionRefuse.
@@ -165,3 +171,14 @@
 	// Spend grants one run for a ticket that this agent issued.
 	Spend(now time.Time, ticket Ticket) (granted bool)
 }
+
+// CallerCounter counts callers over a whole service, each at its home agent. A
+// Dispatcher that implements it may give ActionCount, if it is told that the
+// transport carries it.
+type CallerCounter interface {
+	// Count answers a peer that has admitted so many requests of a caller: how
+	// many more it may admit, or the time after which it may admit one.
+	Count(now time.Time, caller netip.Addr, admitted int) (granted int, wait time.Duration)
+	// Counted takes the reply to ActionCount; known is false when none came.
+	Counted(now time.Time, caller netip.Addr, known bool, granted int, wait time.Duration)
+}
