Count callers at a home agent, in batches

Cause: with the full rate at each agent, a caller that is spread over agents and sends four times its rate is admitted all of it; with a share of the rate at each, callers within their rate are refused. Change: coordination/limiter counts each caller at the agent that rendezvous of its address names. Other agents admit a quarter of the burst between two reports and are charged for what they admitted; without a reply in 500 ms an agent counts alone for a second. Callers are forgotten once their buckets are full. Used when Config.CountAtHome is set; local counting otherwise.

--- a/coordination/dispatcher/arrive.go
+++ b/coordination/dispatcher/arrive.go
@@ -39,7 +39,7 @@
 		d.refuse(now, r, cause{reason: gooseberrymast.ReasonDeadlinePassed})
 		return
 	}
-	if r.own && !d.limiter.Allow(now, r.work.Caller) {
+	if r.own && !d.withinRate(now, r.work.Caller) {
 		d.refuse(now, r, d.rateCause())
 		return
 	}
--- a/coordination/dispatcher/decisions_test.go
+++ b/coordination/dispatcher/decisions_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -288,3 +289,47 @@
 	d.Configure(epoch, 1, limits())
 	is.New(t).Equal(d.Load().FreeSlots, int32(1))
 }
+
+func TestTicketOfACancelledRequestThatBroke(t *testing.T) {
+	for _, result := range []gooseberrymast.Result{gooseberrymast.ResultBroken, gooseberrymast.ResultCancelled, gooseberrymast.ResultTorn} {
+		d := ready(limits(), 0)
+		work := withTicket(d.Issue(epoch))
+		expect(t, d.Arrive(epoch, work), runs)
+		expect(t, d.Cancel(epoch, 1), cancels)
+		expect(t, d.Finish(epoch, 1, result, none))
+		work.ID, work.OriginID = 2, 2
+		expect(t, d.Arrive(epoch, work), refuses) // the first may have run
+	}
+}
+
+func TestRefusedHandOverIsKnownNotToRun(t *testing.T) {
+	is := is.New(t)
+	d := ready(limits(), 1)
+	d.Leave(epoch)
+	expect(t, d.Arrive(epoch, handedOver(1)), refuses)
+	is.True(!d.Ask(epoch, agentAt(2), 1)) // the refusal was lost
+}
+
+func TestCallerIsCountedAtItsHome(t *testing.T) {
+	is := is.New(t)
+	service := limits()
+	service.Limits.CallerRate, service.Limits.CallerBurst = 10, 4
+	service.Limits.Slots = 100
+	d := New(Config{Self: here, Service: "ledger", Seed: 1, CountAtHome: true})
+	d.Configure(epoch, 1, service)
+	peer := gooseberrymast.Member{Record: gooseberrymast.Record{Identity: agentAt(2), State: gooseberrymast.StateReady}}
+	d.Peers(epoch, []gooseberrymast.Member{peer})
+	work := request1(1)
+	work.Caller = callerAddress
+	for n := byte(1); d.callers.homeOf(work.Caller) != agentAt(2); n++ {
+		work.Caller = netip.AddrFrom4([4]byte{192, 0, 2, n})
+	}
+	first := d.Arrive(epoch, work)
+	expect(t, first, gooseberrymast.ActionCount, runs)
+	is.Equal(first[0].Count, 1)
+	d.Counted(epoch, work.Caller, true, 0, time.Second)
+	work.ID = 2
+	expect(t, d.Arrive(epoch, work), refuses)
+	work.ID, work.Deadline = 3, at(time.Minute)
+	expect(t, d.Arrive(at(time.Second), work), gooseberrymast.ActionCount, runs)
+}
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -13,7 +13,6 @@
 	"gooseberrymast/coordination/drainer"
 	"gooseberrymast/coordination/ejector"
 	"gooseberrymast/coordination/estimator"
-	"gooseberrymast/coordination/limiter"
 	"gooseberrymast/coordination/placer"
 	"gooseberrymast/coordination/retrier"
 	"gooseberrymast/coordination/ticketer"
@@ -52,6 +51,9 @@
 	Instance string
 	// Seed feeds the random choices.
 	Seed uint64
+	// CountAtHome counts callers over the whole service. It is set when the
+	// transport carries ActionCount and calls Count and Counted.
+	CountAtHome bool
 	// Policy is zero but for baselines.
 	Policy Policy
 	// Recorder keeps refusals and counts; nil makes one.
@@ -82,7 +84,7 @@
 	ejector   ejector.Ejector
 	issuer    ticketer.Issuer
 	memory    ticketer.Memory
-	limiter   limiter.Local
+	callers   callers
 	drainer   drainer.Drainer
 
 	// healthy is the backend server's own word, a hint.
@@ -182,8 +184,7 @@
 	d.budget.Share = limits.RetryBudget
 	d.budget.Unlimited = policy.UnbudgetedRetries
 	d.ejector.MaxEjected = limits.MaxEjected
-	d.limiter.Rate = limits.CallerRate
-	d.limiter.Burst = limits.CallerBurst
+	d.callers.configure(limits)
 	d.drainer.Grace = d.service.Drain.Grace.Std()
 	d.drainer.MaxWait = d.service.Drain.MaxWait.Std()
 }
@@ -212,6 +213,7 @@
 	}
 	d.placer.Update(others)
 	d.ejector.Retain(members)
+	d.callers.update(d.config.Self, others)
 	d.stirred = true
 }
 
--- a/coordination/dispatcher/network_test.go
+++ b/coordination/dispatcher/network_test.go
@@ -177,3 +177,13 @@
 	n.do(n.d.Leave(now))
 	n.world.publish(time.Second)
 }
+
+// report carries a caller's count to its home and the reply back.
+func (n *node) report(action gooseberrymast.Action) {
+	var granted int
+	var wait time.Duration
+	n.exchange(action.Peer, func(target *node, now time.Time) bool {
+		granted, wait = target.d.Count(now, action.Caller, action.Count)
+		return true
+	}, func(known, _ bool) { n.d.Counted(n.world.clock.Now(), action.Caller, known, granted, wait) })
+}
