--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -89,8 +89,6 @@
 
 	// healthy is the backend server's own word, a hint.
 	healthy bool
-	// reported is the load that the backend server reports, a hint.
-	reported int32
 	// now is the time of the latest event.
 	now time.Time
 	// refusals numbers the refusals of this life.
@@ -189,15 +187,15 @@
 	d.drainer.MaxWait = d.service.Drain.MaxWait.Std()
 }
 
-// Observe takes the backend server's word on its health and load. It decides
-// nothing alone: an ejection starts and ends by real answers, and the bound on
-// requests comes from the slots and from what the server sheds.
-func (d *Dispatcher) Observe(_ time.Time, healthy bool, load int32) {
+// Observe takes the backend server's word on its health and load. An ejection
+// starts and ends by real answers; word of health only lets a request that is
+// not idempotent try an ejected server. The bound on requests comes from the
+// slots and from what the server sheds, and not from the reported load.
+func (d *Dispatcher) Observe(_ time.Time, healthy bool, _ int32) {
 	if healthy && !d.healthy {
 		d.stirred = true
 	}
 	d.healthy = healthy
-	d.reported = load
 }
 
 // Peers replaces the members of the service other than this agent.
--- a/coordination/dispatcher/dispatcher_test.go
+++ b/coordination/dispatcher/dispatcher_test.go
@@ -81,3 +81,16 @@
 	is.Equal(late[0].Refusal.Reason, gooseberrymast.ReasonDeadlinePassed)
 	is.Equal(late[0].Refusal.Ran, gooseberrymast.RanNo)
 }
+
+// BenchmarkRequest measures one request that runs at once, with 100 peers.
+func BenchmarkRequest(b *testing.B) {
+	d := ready(limits(), 100)
+	b.ReportAllocs()
+	for id := gooseberrymast.WorkID(1); b.Loop(); id++ {
+		now := at(time.Duration(id) * time.Millisecond)
+		work := request1(id)
+		work.Deadline = now.Add(time.Second)
+		d.Arrive(now, work)
+		d.Finish(now.Add(time.Microsecond), id, gooseberrymast.ResultAnswered, gooseberrymast.Refusal{})
+	}
+}
--- a/coordination/dispatcher/finish.go
+++ b/coordination/dispatcher/finish.go
@@ -184,11 +184,8 @@
 // slot is no retry; a further hand-over is.
 func (d *Dispatcher) settleRefusal(now time.Time, r *request, refusal gooseberrymast.Refusal) {
 	why := cause{reason: refusal.Reason, limit: refusal.Limit, value: refusal.Value, from: refusal}
-	if r.given || !r.work.Replayable || !r.own {
-		d.retry(now, r, recorder.RetryRefused, why)
-		return
-	}
-	if r.work.Stream || !d.usable(now, r) {
+	mayWait := r.own && r.work.Replayable && !r.given && !r.work.Stream
+	if !mayWait || !d.open(now, r) {
 		d.retry(now, r, recorder.RetryRefused, why)
 		return
 	}
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -61,8 +61,18 @@
 	return now.Add(r.expected.Mean).After(r.work.Deadline)
 }
 
-// usable reports whether the own backend server may be given the request.
+// usable reports whether the own backend server is to be given the request. One
+// that it failed before goes to a peer, if there is any.
 func (d *Dispatcher) usable(now time.Time, r *request) bool {
+	if !d.open(now, r) {
+		return false
+	}
+	elsewhere := r.failedHere && r.own && !d.config.Policy.NoHandOver
+	return !elsewhere || !d.placer.Any(now, d.need(now, r))
+}
+
+// open reports whether the own backend server takes new requests.
+func (d *Dispatcher) open(now time.Time, r *request) bool {
 	if d.drainer.Leaving() {
 		return false
 	}
@@ -73,8 +83,7 @@
 		mayProbe := r.work.Idempotent || d.healthy
 		return mayProbe && d.ejector.ProbeDue(now, d.config.Self.Address)
 	}
-	elsewhere := r.failedHere && r.own
-	return !elsewhere || !d.placer.Any(now, d.need(now, r))
+	return true
 }
 
 // placeElsewhere hands over a request that the own backend server can't take.
@@ -236,7 +245,6 @@
 	asserter.Holds(!r.given || r.work.Idempotent, "no-second-run", "request %d may have run", r.work.ID)
 	r.stage = next
 	r.started = now
-	r.attempts++
 }
 
 func (d *Dispatcher) selfEjected() bool {
--- a/coordination/dispatcher/request.go
+++ b/coordination/dispatcher/request.go
@@ -45,8 +45,6 @@
 	given bool
 	// failedHere is set when the own backend server failed or shed the request.
 	failedHere bool
-	// attempts counts how often the request was run or handed over.
-	attempts int
 	// peer is the receiver of the present hand-over.
 	peer gooseberrymast.Identity
 	// probe is set while the hand-over goes to a peer of unknown load.
