--- a/coordination/member/measure_test.go
+++ b/coordination/member/measure_test.go
@@ -176,6 +176,22 @@
 	return b
 }
 
+// BenchmarkTick measures the processor time of one second at rest, in today's
+// sizes.
+func BenchmarkTick(b *testing.B) {
+	w := steadyFleet(b, 4)
+	for name, n := range map[string]*node{"balancer": w.nodes[0], "agent": w.nodes[5]} {
+		b.Run(name, func(b *testing.B) {
+			now := w.now
+			for b.Loop() {
+				now = now.Add(time.Second)
+				n.keepAlive(now)
+				n.m.Tick(now)
+			}
+		})
+	}
+}
+
 // BenchmarkLetter measures one balancer's processor time at the letter's size:
 // 187,000 records in 260 cells, and sessions with 8 peers and 20 agents.
 func BenchmarkLetter(b *testing.B) {
--- /dev/null
+++ b/coordination/member/revision.go
@@ -0,0 +1,104 @@
+package member
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/adopter"
+	"gooseberrymast/coordination/messenger"
+	"gooseberrymast/coordination/registrar"
+)
+
+// offer notes the revision in force for a peer that has a lower one. An agent
+// is told over one of its sessions.
+func (m *Member) offer(s *registrar.Session) {
+	number := m.adopter.Current.Number
+	if !s.Ready() || s.Revision >= number || m.offered[s.ID] >= number {
+		return
+	}
+	gap := time.Duration(0)
+	if s.Role == gooseberrymast.RoleAgent {
+		if !s.TakesNews {
+			return
+		}
+		gap = agentRevisionInterval
+	}
+	m.offered[s.ID] = number
+	m.spreader.NoteRevision(s.ID, gap)
+}
+
+// catchUp asks for the revision of a peer that has a higher one and doesn't
+// send it by itself, as when the peer that news is taken from is dead but
+// not yet known to be.
+func (m *Member) catchUp(now time.Time) {
+	for _, s := range m.registrar.Sessions() {
+		if s.Ready() && s.Revision > m.adopter.Current.Number && now.Sub(s.Received) >= catchUpDelay && now.Sub(s.Asked) >= askInterval {
+			s.Asked = now
+			m.sendHeartbeat(now, s, true)
+		}
+	}
+}
+
+// acknowledge tells the peer that news is taken from which revision is in
+// force, unless it was told something a moment ago.
+func (m *Member) acknowledge(now time.Time) {
+	s := m.registrar.Get(m.primary)
+	if m.isBalancer() || s == nil {
+		return
+	}
+	if s.Told != m.adopter.Current.Number && now.Sub(s.Sent) >= acknowledgeInterval {
+		m.sendHeartbeat(now, s, false)
+	}
+}
+
+func (m *Member) receiveRevision(now time.Time, s *registrar.Session, packed *messenger.Revision) {
+	s.Revision = max(s.Revision, packed.Number)
+	if packed.Number <= m.adopter.Current.Number {
+		return
+	}
+	revision, err := m.adopter.Unpack(packed)
+	if errors.Is(err, adopter.ErrNoBase) {
+		m.sendHeartbeat(now, s, true)
+		return
+	}
+	if err != nil {
+		m.Counters.Refusals++
+		m.fault(fmt.Errorf("Member.receiveRevision from %s: %w", s.Identity, err))
+		return
+	}
+	m.adopt(now, revision)
+}
+
+// adopt offers a revision to the adopter and passes it on when it came into
+// force.
+func (m *Member) adopt(now time.Time, revision gooseberrymast.Revision) {
+	adopted, err := m.adopter.Offer(revision)
+	if err != nil {
+		m.Counters.Refusals++
+		m.fault(fmt.Errorf("Member.adopt: %w", err))
+	}
+	if !adopted {
+		return
+	}
+	m.Counters.Adoptions++
+	if m.inForce.IsZero() {
+		m.inForce = now
+	}
+	m.actions.Adopted = &Adopted{Revision: m.adopter.Current, Document: m.adopter.Document}
+	for _, s := range m.registrar.Sessions() {
+		m.offer(s)
+	}
+}
+
+// report passes the counts of revisions on towards the root.
+func (m *Member) report(now time.Time) {
+	if !m.isBalancer() {
+		return
+	}
+	report, due := m.reporter.Due(now, m.primary, m.Identity(), m.adopter.Current.Number)
+	if due {
+		m.send(m.primary, &messenger.Message{Report: &report})
+	}
+}
--- a/transport/controller/controller.go
+++ b/transport/controller/controller.go
@@ -80,8 +80,10 @@
 	events chan event
 	ctx    context.Context
 	cancel context.CancelFunc
-	// running counts the goroutines that must end before Close returns.
+	// running counts the goroutines that must end before Close returns. The
+	// gate keeps any from starting after that.
 	running sync.WaitGroup
+	gate    sync.Mutex
 	counts  counts
 
 	// The fields below belong to the loop.
@@ -139,7 +141,9 @@
 
 // Start begins to announce the process and to follow the environment.
 func (c *Controller) Start() {
-	c.running.Add(1)
+	if !c.begin() {
+		return
+	}
 	go c.loop()
 	c.post(func(now time.Time) member.Actions { return c.member.Start(now) })
 	c.tickOff = c.timer.Every(TickInterval, func(time.Time) {
@@ -167,10 +171,23 @@
 	if c.tickOff != nil {
 		c.tickOff()
 	}
+	c.gate.Lock()
 	c.cancel()
+	c.gate.Unlock()
 	c.running.Wait()
 }
 
+// begin counts a goroutine, unless the controller is closed.
+func (c *Controller) begin() bool {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+	if c.ctx.Err() != nil {
+		return false
+	}
+	c.running.Add(1)
+	return true
+}
+
 // Table gives the newest snapshot of the members, or nil before any.
 func (c *Controller) Table() *gooseberrymast.Table {
 	return c.member.Directory.Table()
@@ -242,8 +259,9 @@
 	}
 	c.callBack(actions)
 	for _, address := range actions.Dials {
-		c.running.Add(1)
-		go c.dial(address)
+		if c.begin() {
+			go c.dial(address)
+		}
 	}
 	for _, send := range actions.Sends {
 		if l := c.links[send.Session]; l != nil {
@@ -257,8 +275,9 @@
 		}
 	}
 	for _, call := range actions.Calls {
-		c.running.Add(1)
-		go c.call(call)
+		if c.begin() {
+			go c.call(call)
+		}
 	}
 	for _, answer := range actions.Answers {
 		if waiting := c.answers[answer.ID]; waiting != nil {
--- a/transport/controller/controller_test.go
+++ b/transport/controller/controller_test.go
@@ -88,7 +88,7 @@
 	}
 	p := &process{Controller: New(config), listener: listener}
 	p.Attach(listener)
-	go listener.Serve(context.Background())
+	go func() { _ = listener.Serve(context.Background()) }() // It ends when the listener is closed.
 	p.Start()
 	f.t.Cleanup(p.kill)
 	return p
--- a/transport/controller/link.go
+++ b/transport/controller/link.go
@@ -63,10 +63,9 @@
 
 // accept serves a control session that a peer opened.
 func (c *Controller) accept(_ context.Context, _ netip.AddrPort, stream *linker.Stream) {
-	if c.ctx.Err() != nil {
+	if !c.begin() {
 		return
 	}
-	c.running.Add(1)
 	defer c.running.Done()
 	l := c.open(stream, nil)
 	c.register(l, netip.AddrPort{})
