Say not-sent also of an attempt that its caller left

Cause: an attempt that the caller's departure ended counted as cancelled although nothing of it had been sent, so a peer that was asked after it had to answer that it may have run.

Change: executor, hander and driver keep not-sent whatever ended the attempt.

Conclusion: the dispatcher is told of the departure apart, and remembers such a request as not run.

--- a/transport/driver/attempt.go
+++ b/transport/driver/attempt.go
@@ -103,7 +103,6 @@
 	d.Metrics.attempted(result)
 	if ctx.Err() != nil {
 		d.cancel(r)
-		result = gooseberrymast.ResultCancelled
 	}
 	d.finish(r, result, refusal)
 	if ctx.Err() != nil {
--- a/transport/executor/attempt.go
+++ b/transport/executor/attempt.go
@@ -90,12 +90,14 @@
 	cause := context.Cause(ctx)
 	timedOut := errors.Is(cause, context.DeadlineExceeded)
 	switch {
-	case !timedOut && (cause != nil || a.failed):
+	case a.failed && !timedOut:
 		return gooseberrymast.ResultCancelled
 	case a.unsent(err):
 		return gooseberrymast.ResultNotSent
 	case timedOut:
 		return gooseberrymast.ResultTimedOut
+	case cause != nil:
+		return gooseberrymast.ResultCancelled
 	}
 	return gooseberrymast.ResultBroken
 }
--- a/transport/executor/executor_test.go
+++ b/transport/executor/executor_test.go
@@ -225,14 +225,16 @@
 }
 
 func TestContextThatEndedBefore(t *testing.T) {
-	is := is.New(t)
-	address, received := server(t, func(_ *net.TCPConn, lines *bufio.Reader) { readRequest(lines) })
-	x := &Executor{Address: address}
-	ctx, cancel := context.WithCancelCause(t.Context())
-	cancel(context.DeadlineExceeded)
-	_, result := x.Run(ctx, post("body"))
-	is.Equal(result, gooseberrymast.ResultNotSent)
-	is.Equal(received.Load(), int64(0))
+	for _, cause := range []error{context.DeadlineExceeded, context.Canceled} {
+		is := is.New(t)
+		address, received := server(t, func(_ *net.TCPConn, lines *bufio.Reader) { readRequest(lines) })
+		x := &Executor{Address: address}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(cause)
+		_, result := x.Run(ctx, post("body"))
+		is.Equal(result, gooseberrymast.ResultNotSent)
+		is.Equal(received.Load(), int64(0))
+	}
 }
 
 func TestBodyThatBreaksIsCancelled(t *testing.T) {
--- a/transport/hander/client.go
+++ b/transport/hander/client.go
@@ -48,7 +48,7 @@
 func (c *Client) HandOver(ctx context.Context, peer gooseberrymast.Identity, work gooseberrymast.Work, request *executor.Request) (*http.Response, gooseberrymast.Result, gooseberrymast.Refusal) {
 	stream, err := c.open(ctx, peer)
 	if err != nil {
-		return nil, resultOf(ctx, gooseberrymast.ResultNotSent), gooseberrymast.Refusal{}
+		return nil, gooseberrymast.ResultNotSent, gooseberrymast.Refusal{}
 	}
 	handOver := &handOver{client: c, peer: peer, work: work, request: request, stream: stream}
 	return handOver.run(ctx)
@@ -129,15 +129,13 @@
 	}
 }
 
-// resultOf gives the result of an attempt that ended without an answer: a
-// cancellation or timeout if that was the cause, and otherwise the given one.
-func resultOf(ctx context.Context, otherwise gooseberrymast.Result) gooseberrymast.Result {
+// broken gives the result of an attempt that ended without an answer after the
+// request was sent.
+func broken(ctx context.Context) gooseberrymast.Result {
 	cause := context.Cause(ctx)
 	switch {
 	case cause == nil:
-		return otherwise
-	case otherwise == gooseberrymast.ResultNotSent && errors.Is(cause, context.DeadlineExceeded):
-		return otherwise
+		return gooseberrymast.ResultBroken
 	case errors.Is(cause, context.DeadlineExceeded):
 		return gooseberrymast.ResultTimedOut
 	}
--- a/transport/hander/handover.go
+++ b/transport/hander/handover.go
@@ -49,7 +49,7 @@
 	response, refusal, err := h.head(ctx)
 	if err != nil {
 		h.close()
-		return nil, resultOf(ctx, gooseberrymast.ResultBroken), gooseberrymast.Refusal{}
+		return nil, broken(ctx), gooseberrymast.Refusal{}
 	}
 	if response != nil {
 		return response, 0, gooseberrymast.Refusal{}
