Pass no new flow to an agent that is held for dead

Cause: a home remembers for ten seconds to whom it gave a flow. If that agent died in the meantime, the caller's retransmissions went there until the handshake's timeout, and a balancer with an older table named it again.

Change: Receiver.SetTable tells the opener the suspect members. They are neither asked nor given a flow, and what was given to them is forgotten.

Conclusion: the handshake goes on at the second taker as soon as the home knows.

--- a/coordination/opener/bounds_test.go
+++ b/coordination/opener/bounds_test.go
@@ -62,6 +62,30 @@
 	is.True(agent.HalfOpen() <= 10)
 }
 
+// A home turns from a dead taker to the other one, for flows that it had given
+// away as well, and doesn't ask a dead home.
+func TestSuspectsGetNoFlow(t *testing.T) {
+	is := is.New(t)
+	self, first, second := identity(1), identity(2), identity(3)
+	agent := opener.Opener{Self: self}
+	now := time.Unix(0, 0)
+	packet := opener.Packet{
+		Key:    1,
+		Takers: [2]gooseberrymast.Identity{first, second},
+		Homes:  [2]gooseberrymast.Identity{self},
+	}
+	is.Equal(agent.FirstPacket(&packet, false, now).Peer, first)
+	agent.SetSuspects([]gooseberrymast.Identity{first, identity(4)})
+	is.Equal(agent.FirstPacket(&packet, false, now).Peer, second)
+	packet.Key = 2
+	packet.Homes[1] = identity(4)
+	is.Equal(agent.FirstPacket(&packet, false, now).Peer, second)
+	agent.SetSuspects(nil)
+	is.Equal(agent.FirstPacket(&packet, false, now).Peer, second) // it stays where it is
+	packet.Key = 3
+	is.Equal(agent.FirstPacket(&packet, false, now).Peer, identity(4))
+}
+
 func TestPacketOfAnotherHomeIsDropped(t *testing.T) {
 	is := is.New(t)
 	agent := opener.Opener{Self: identity(3)}
--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -124,6 +124,7 @@
 	// Life is how long a flow's opening is remembered. Zero takes DefaultLife.
 	Life time.Duration
 
+	suspects map[gooseberrymast.Identity]bool
 	flows    map[uint64]flow
 	oldest   queue
 	halfOpen int
@@ -148,6 +149,7 @@
 	o.Expire(now)
 	home := o.isHome(packet)
 	known, ok := o.flows[packet.Key]
+	ok = ok && !o.suspects[known.peer]
 	switch {
 	case ok && known.peer == o.Self:
 		return Decision{Verdict: VerdictTake}
@@ -175,6 +177,16 @@
 	o.flows[key] = known
 }
 
+// SetSuspects replaces the agents that are held for dead. No flow is passed to
+// them, also if earlier packets of it were: the caller's retransmissions then
+// begin the flow elsewhere.
+func (o *Opener) SetSuspects(ids []gooseberrymast.Identity) {
+	o.suspects = make(map[gooseberrymast.Identity]bool, len(ids))
+	for _, id := range ids {
+		o.suspects[id] = id != o.Self
+	}
+}
+
 // Complete notes that the flow's handshake is complete or holds no memory, so
 // that it no longer counts as half open.
 func (o *Opener) Complete(key uint64) {
@@ -232,20 +244,25 @@
 
 // arbitrate is a home's decision about an unknown flow.
 func (o *Opener) arbitrate(packet *Packet, busy bool, now time.Time) Decision {
-	if packet.Hop == 0 && !packet.Homes[1].IsZero() {
+	if packet.Hop == 0 && !packet.Homes[1].IsZero() && !o.suspects[packet.Homes[1]] {
 		return o.pass(packet, flow{peer: packet.Homes[1], since: now, asked: true})
 	}
-	if packet.Takers[0] == o.Self {
+	first, second := packet.Takers[0], packet.Takers[1]
+	if o.suspects[first] && !second.IsZero() && !o.suspects[second] {
+		first = second
+	}
+	if first == o.Self {
 		return o.takeOrPass(packet, busy, now)
 	}
-	return o.pass(packet, flow{peer: packet.Takers[0], since: now})
+	return o.pass(packet, flow{peer: first, since: now})
 }
 
 // takeOrPass is the decision of an agent that a flow was given to.
 func (o *Opener) takeOrPass(packet *Packet, busy bool, now time.Time) Decision {
 	full := o.halfOpen >= o.maxHalfOpen()
 	other := packet.Takers[1]
-	if (busy || full) && packet.Hop < MaxHop && packet.Takers[0] == o.Self && !other.IsZero() {
+	offered := packet.Takers[0] == o.Self && !other.IsZero() && !o.suspects[other]
+	if (busy || full) && packet.Hop < MaxHop && offered {
 		decision := o.pass(packet, flow{peer: other, since: now, declined: true})
 		decision.Tell = o.others(packet)
 		return decision
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -219,3 +219,24 @@
 		}
 	}
 }
+
+// The agent takes a flow as the second candidate when its table holds the first
+// for suspect.
+func TestSuspectMemberGetsNoFlow(t *testing.T) {
+	is := is.New(t)
+	rec := newReceiver(t)
+	offered := func(h *framer.Header) {
+		h.Kind = framer.KindOpening
+		h.Takers = [2]gooseberrymast.Identity{other, rec.self}
+		h.Homes[0] = rec.self
+	}
+	_, ok := rec.accept(frameTo(t, rec, initial(), offered))
+	is.True(!ok)
+	is.Equal(rec.Counters.Passed.Load(), uint64(1))
+	tag := gooseberrymast.TagOf(ledger)
+	rec.SetTable(&gooseberrymast.Table{Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{
+		tag: {{Record: gooseberrymast.Record{Identity: other, Service: tag}, Suspect: true}},
+	}})
+	_, ok = rec.accept(frameTo(t, rec, initial(), offered))
+	is.True(ok)
+}
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -157,6 +157,20 @@
 	r.callers.setBalancers(addresses)
 }
 
+// SetTable puts a table in force. The agent passes no new flow to members that
+// the table holds for suspect.
+func (r *Receiver) SetTable(table *gooseberrymast.Table) {
+	var suspects []gooseberrymast.Identity
+	for _, member := range table.Members(r.service) {
+		if member.Suspect {
+			suspects = append(suspects, member.Identity)
+		}
+	}
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.SetSuspects(suspects)
+}
+
 // SetKeys replaces the fleet's keys with flows open.
 func (r *Receiver) SetKeys(keys *keyer.Keys) error {
 	if err := r.sealer.SetKeys(keys); err != nil {
