--- a/coordination/opener/opener_test.go
+++ b/coordination/opener/opener_test.go
@@ -214,6 +214,28 @@
 	}
 }
 
+// While the home moves twice in a row the datagrams may be taken by two agents,
+// but none is passed on too often, which the opener asserts as well.
+func TestTwoChangesKeepTheHopLimit(t *testing.T) {
+	for seed := range uint64(4000) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		members := make([]gooseberrymast.Member, 3)
+		for n := range members {
+			members[n] = member(n)
+		}
+		tables := []*gooseberrymast.Table{table(members), table(append(members, member(3))), table(append(members, member(3), member(4)))}
+		views := []view{
+			{current: tables[0], previous: tables[0]},
+			{current: tables[1], previous: tables[0]},
+			{current: tables[2], previous: tables[1]},
+		}
+		r := newRun(random, 5, 0.2)
+		if err := r.retransmit(random.Uint64(), views); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 // met reports whether one agent took the flow with all its datagrams.
 func (r *run) met() error {
 	if len(r.takers) != 1 {
@@ -234,7 +256,6 @@
 // retransmissions do: those go through where a busy agent's news came too late
 // for the first.
 func openFlow(random *rand.Rand, trial trial) (*run, error) {
-	const rounds = 4
 	members := make([]gooseberrymast.Member, 2+random.IntN(6))
 	for n := range members {
 		members[n] = member(n)
@@ -249,25 +270,28 @@
 	if trial.die {
 		r.kill(members, changed)
 	}
-	key := random.Uint64()
+	return r, r.retransmit(random.Uint64(), []view{other, {current: after, previous: before}})
+}
+
+// retransmit sends a flow's datagrams a few times, each through a balancer of
+// any zone with one of the views.
+func (r *run) retransmit(key uint64, views []view) error {
+	const rounds = 4
 	for range rounds {
 		for datagram := range datagrams {
-			balancer := other
-			if random.IntN(2) == 0 {
-				balancer = view{current: after, previous: before}
-			}
-			balancer.zone = zones[random.IntN(len(zones))]
+			balancer := views[r.random.IntN(len(views))]
+			balancer.zone = zones[r.random.IntN(len(zones))]
 			if err := r.send(balancer, key, datagram); err != nil {
-				return r, err
+				return err
 			}
 		}
 		for len(r.network) > 0 {
 			if err := r.deliver(time.Unix(0, 0)); err != nil {
-				return r, err
+				return err
 			}
 		}
 	}
-	return r, nil
+	return nil
 }
 
 // kill stops the agents that are no longer members.
--- /dev/null
+++ b/coordination/opener/packet.go
@@ -0,0 +1,61 @@
+package opener
+
+import "gooseberrymast"
+
+// Verdict tells what to do with a packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// VerdictTake gives the packet to the agent's own QUIC stack.
+	VerdictTake Verdict = iota + 1
+	// VerdictPass sends the packet to another agent.
+	VerdictPass
+	// VerdictDrop drops the packet for Decision.Reason.
+	VerdictDrop
+)
+
+// Reason says why a packet is dropped.
+type Reason string
+
+// The reasons of a drop.
+const (
+	// ReasonNotNamed is a packet whose first home is another agent.
+	ReasonNotNamed Reason = "not-named"
+	// ReasonHalfOpen is a flow above the bound of open handshakes.
+	ReasonHalfOpen Reason = "half-open-limit"
+	// ReasonHops is a packet that would have to be passed on once too often.
+	ReasonHops Reason = "hop-limit"
+)
+
+// Packet is what the opener knows of one packet that may open a flow.
+type Packet struct {
+	// Key is the hash of the id that the caller chose.
+	Key uint64
+	// Hop counts how often the packet was passed on.
+	Hop uint8
+	// Given is set when the packet was passed on to be taken, and clear when
+	// a home is asked.
+	Given bool
+	// Declined is set when the first taker passed the flow on: the agent that
+	// gets it must take it.
+	Declined bool
+	// Takers and Homes are the balancer's candidates, zero ones last.
+	Takers, Homes [2]gooseberrymast.Identity
+}
+
+// Decision is the opener's answer to one packet.
+type Decision struct {
+	Verdict Verdict
+	// New is set for VerdictTake at the first packet of a flow.
+	New bool
+	// Peer is set for VerdictPass and is never the agent itself.
+	Peer gooseberrymast.Identity
+	// Given and Declined are what the packet that is passed on must say.
+	Given, Declined bool
+	// Tell lists homes to be told that Peer takes the flow in the agent's
+	// place; see Moved. Unused ones are zero.
+	Tell [2]gooseberrymast.Identity
+	// Reason is set for VerdictDrop.
+	Reason Reason
+}
