--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -13,7 +13,6 @@
 	"gooseberrymast/coordination/drainer"
 	"gooseberrymast/coordination/ejector"
 	"gooseberrymast/coordination/estimator"
-	"gooseberrymast/coordination/limiter"
 	"gooseberrymast/coordination/placer"
 	"gooseberrymast/coordination/retrier"
 	"gooseberrymast/coordination/ticketer"
@@ -52,6 +51,9 @@
 	Instance string
 	// Seed feeds the random choices.
 	Seed uint64
+	// CountAtHome counts callers over the whole service. It is set when the
+	// transport carries ActionCount and calls Count and Counted.
+	CountAtHome bool
 	// Policy is zero but for baselines.
 	Policy Policy
 	// Recorder keeps refusals and counts; nil makes one.
@@ -82,13 +84,11 @@
 	ejector   ejector.Ejector
 	issuer    ticketer.Issuer
 	memory    ticketer.Memory
-	limiter   limiter.Local
+	callers   callers
 	drainer   drainer.Drainer
 
 	// healthy is the backend server's own word, a hint.
 	healthy bool
-	// reported is the load that the backend server reports, a hint.
-	reported int32
 	// now is the time of the latest event.
 	now time.Time
 	// refusals numbers the refusals of this life.
@@ -182,21 +182,20 @@
 	d.budget.Share = limits.RetryBudget
 	d.budget.Unlimited = policy.UnbudgetedRetries
 	d.ejector.MaxEjected = limits.MaxEjected
-	d.limiter.Rate = limits.CallerRate
-	d.limiter.Burst = limits.CallerBurst
+	d.callers.configure(limits)
 	d.drainer.Grace = d.service.Drain.Grace.Std()
 	d.drainer.MaxWait = d.service.Drain.MaxWait.Std()
 }
 
-// Observe takes the backend server's word on its health and load. It decides
-// nothing alone: an ejection starts and ends by real answers, and the bound on
-// requests comes from the slots and from what the server sheds.
-func (d *Dispatcher) Observe(_ time.Time, healthy bool, load int32) {
+// Observe takes the backend server's word on its health and load. An ejection
+// starts and ends by real answers; word of health only lets a request that is
+// not idempotent try an ejected server. The bound on requests comes from the
+// slots and from what the server sheds, and not from the reported load.
+func (d *Dispatcher) Observe(_ time.Time, healthy bool, _ int32) {
 	if healthy && !d.healthy {
 		d.stirred = true
 	}
 	d.healthy = healthy
-	d.reported = load
 }
 
 // Peers replaces the members of the service other than this agent.
@@ -212,6 +211,7 @@
 	}
 	d.placer.Update(others)
 	d.ejector.Retain(members)
+	d.callers.update(d.config.Self, others)
 	d.stirred = true
 }
 
--- a/transport/terminator/terminator.go
+++ b/transport/terminator/terminator.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
@@ -73,9 +73,7 @@
 	// Timer is the timer service.
 	Timer gooseberrymast.Timer
 
-	flows    atomic.Int32
-	once     sync.Once
-	server   *http3.Server
+	flows    flows
 	mu       sync.Mutex
 	listener *quic.Listener
 	closed   bool
@@ -98,7 +96,6 @@
 
 // Serve accepts flows until Shutdown or Close, when it gives nil.
 func (t *Terminator) Serve() error {
-	t.init()
 	config := t.QUIC
 	if config == nil {
 		config = QUICConfig()
@@ -110,25 +107,65 @@
 	if !t.setListener(listener) {
 		return nil
 	}
-	err = t.server.ServeListener(listener)
+	for {
+		conn, err := listener.Accept(context.Background())
+		if errors.Is(err, quic.ErrServerClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("Terminator.Serve: accept: %w", err)
+		}
+		go t.serveFlow(conn)
+	}
+}
+
+func (t *Terminator) serveFlow(conn *quic.Conn) {
+	f := &flow{conn: conn, server: &http3.Server{
+		Handler:        t,
+		MaxHeaderBytes: MaxHeaderBytes,
+		IdleTimeout:    RequestIdleTimeout,
+	}}
+	t.flows.add(f)
+	defer t.flows.remove(f)
+	err := f.server.ServeQUICConn(conn)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("Terminator.Serve: %w", err)
+		log.Debug().Err(err).Str("caller", conn.RemoteAddr().String()).Msg("a flow ended")
 	}
-	return nil
+}
+
+// Flows gives the number of open flows.
+func (t *Terminator) Flows() int {
+	return t.flows.count()
+}
+
+// Staying gives the number of open flows that were not asked to move.
+func (t *Terminator) Staying() int {
+	return t.flows.staying()
+}
+
+// Retire asks at most n flows, those that were not asked yet, to move by a
+// GOAWAY on each. What is in progress on them goes on to its end. It gives the
+// number of flows asked.
+func (t *Terminator) Retire(n int) int {
+	return t.flows.retire(n)
 }
 
 // Shutdown takes no new flows, sends GOAWAY on the open ones and waits until
 // their requests have ended. The end of the context cuts what is left.
 func (t *Terminator) Shutdown(ctx context.Context) error {
-	t.init()
 	t.closeListener()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := t.Timer.Every(settleTime, t.whenSettled(cancel))
 	defer stop()
-	err := t.server.Shutdown(ctx)
-	if err != nil && !errors.Is(context.Cause(ctx), errSettled) {
-		return fmt.Errorf("Terminator.Shutdown: %w", err)
+	select {
+	case <-t.flows.leave():
+		return nil
+	case <-ctx.Done():
+	}
+	t.flows.cut()
+	if cause := context.Cause(ctx); !errors.Is(cause, errSettled) {
+		return fmt.Errorf("Terminator.Shutdown: %w", cause)
 	}
 	return nil
 }
@@ -154,37 +191,12 @@
 
 // Close cuts every flow.
 func (t *Terminator) Close() error {
-	t.init()
 	t.closeListener()
-	if err := t.server.Close(); err != nil {
-		return fmt.Errorf("Terminator.Close: %w", err)
-	}
+	t.flows.leave()
+	t.flows.cut()
 	return nil
 }
 
-func (t *Terminator) init() {
-	t.once.Do(func() {
-		t.server = &http3.Server{
-			Handler:        t,
-			MaxHeaderBytes: MaxHeaderBytes,
-			IdleTimeout:    RequestIdleTimeout,
-			ConnContext:    t.countFlow,
-		}
-	})
-}
-
-// countFlow counts a flow until it ends.
-func (t *Terminator) countFlow(ctx context.Context, flow *quic.Conn) context.Context {
-	t.flows.Add(1)
-	context.AfterFunc(flow.Context(), func() { t.flows.Add(-1) })
-	return ctx
-}
-
-// Flows gives the number of open flows.
-func (t *Terminator) Flows() int32 {
-	return t.flows.Load()
-}
-
 func (t *Terminator) setListener(listener *quic.Listener) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
