Wait at a stop until the origins have read what was handed over

Change: the agent that was given a request waits up to 2 s for the origin to close its side of the stream; hander.Server.Settle waits until no such request is left. It takes the place of Driver.Settle, which ended too early.

Conclusion: Settle is to be called after Terminator.Shutdown and before the listener is closed.

--- a/transport/driver/driver.go
+++ b/transport/driver/driver.go
@@ -41,8 +41,6 @@
 	running    map[gooseberrymast.WorkID]*running
 	tickAt     time.Time
 	cancelTick func()
-	// settled is closed when no request is left; nil while nobody waits.
-	settled chan struct{}
 }
 
 // Serve treats a request that came on a caller's flow. It returns once the
@@ -168,10 +166,6 @@
 		d.dropAttempt(now, action)
 	}
 	d.schedule(now)
-	if len(d.running) == 0 && d.settled != nil {
-		close(d.settled)
-		d.settled = nil
-	}
 }
 
 func (d *Driver) dropAttempt(now time.Time, action gooseberrymast.Action) {
--- a/transport/driver/driver_test.go
+++ b/transport/driver/driver_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -245,28 +244,3 @@
 	clock.Advance(time.Hour)
 	is.Equal(len(s.ticks), 2) // none without a wish
 }
-
-func TestSettleWaitsForEveryRequest(t *testing.T) {
-	is := is.New(t)
-	s := &script{arrive: run}
-	d, server := newDriver(t, s, timer.System{})
-	is.NoErr(d.Settle(t.Context())) // nothing to wait for
-	caller, leave := context.WithCancel(t.Context())
-	ended := make(chan executor.Status, 2)
-	go func() { ended <- d.Serve(caller, exchange(timer.System{}, backend.ModeHang, httptest.NewRecorder())) }()
-	go func() {
-		ended <- d.ServeHandOver(caller, exchange(timer.System{}, backend.ModeHang, httptest.NewRecorder()))
-	}()
-	for server.Counts().Unary < 2 {
-		time.Sleep(time.Millisecond)
-	}
-	short, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-	defer cancel()
-	is.True(errors.Is(d.Settle(short), context.DeadlineExceeded))
-	settled := make(chan error)
-	go func() { settled <- d.Settle(t.Context()) }()
-	leave()
-	is.NoErr(<-settled)
-	is.Equal(<-ended, executor.StatusCancelled)
-	is.Equal(<-ended, executor.StatusCancelled)
-}
--- a/transport/driver/events.go
+++ b/transport/driver/events.go
@@ -1,8 +1,6 @@
 package driver
 
 import (
-	"context"
-	"fmt"
 	"time"
 
 	"gooseberrymast"
@@ -109,30 +107,3 @@
 	defer d.mu.Unlock()
 	return len(d.running)
 }
-
-// Settle waits until no request is in progress, those that peers handed over
-// included. A process that is to stop calls it once no new ones can come.
-func (d *Driver) Settle(ctx context.Context) error {
-	settled := d.whenSettled()
-	select {
-	case <-settled:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("Driver.Settle: %d requests in progress: %w", d.InProgress(), ctx.Err())
-	}
-}
-
-// whenSettled gives a channel that is closed when no request is left.
-func (d *Driver) whenSettled() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.running) == 0 {
-		none := make(chan struct{})
-		close(none)
-		return none
-	}
-	if d.settled == nil {
-		d.settled = make(chan struct{})
-	}
-	return d.settled
-}
--- a/transport/hander/incoming.go
+++ b/transport/hander/incoming.go
@@ -17,6 +17,9 @@
 // maxHeldBytes bounds a body that follows at once. Origins hold less.
 const maxHeldBytes = 128 << 10
 
+// lingerTimeout bounds the wait for an origin that has been sent its answer.
+const lingerTimeout = 2 * time.Second
+
 // incoming is one request at the agent that was given it.
 type incoming struct {
 	server *Server
@@ -62,7 +65,9 @@
 	<-read
 }
 
-// finish sends what is left and ends the reading of frames.
+// finish sends what is left and ends the reading of frames. The origin closes
+// its side once it has read the answer; that is waited for, so that a process
+// that stops does not cut an answer on its way.
 func (i *incoming) finish(writer *replyWriter, status executor.Status) {
 	switch status {
 	case executor.StatusAnswered:
@@ -71,7 +76,7 @@
 		_ = i.send(&handover.Reply{Frame: &handover.Reply_Torn{Torn: &handover.Torn{}}})
 	}
 	i.stream.Close()
-	i.stream.SetReadDeadline(time.Unix(1, 0))
+	i.stream.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
 func (i *incoming) request(body *executor.Body) *executor.Request {
--- a/transport/hander/server.go
+++ b/transport/hander/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -47,6 +48,8 @@
 
 	mu      sync.Mutex
 	running map[origin]context.CancelCauseFunc
+	// settled is closed when no request is left; nil while nobody waits.
+	settled chan struct{}
 }
 
 // origin names a request by the agent that holds its flow.
@@ -193,6 +196,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, key)
+	if len(s.running) == 0 && s.settled != nil {
+		close(s.settled)
+		s.settled = nil
+	}
+}
+
+// Settle waits until every request that was handed over has ended and its
+// origin has read the answer. A process that is to stop calls it before it
+// closes its sessions.
+func (s *Server) Settle(ctx context.Context) error {
+	select {
+	case <-s.whenSettled():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("Server.Settle: requests of peers are in progress: %w", ctx.Err())
+	}
+}
+
+// whenSettled gives a channel that is closed when no request is left.
+func (s *Server) whenSettled() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.running) == 0 {
+		none := make(chan struct{})
+		close(none)
+		return none
+	}
+	if s.settled == nil {
+		s.settled = make(chan struct{})
+	}
+	return s.settled
 }
 
 func (s *Server) refuse(stream *linker.Stream, refusal gooseberrymast.Refusal) {
--- a/transport/terminator/requests_test.go
+++ b/transport/terminator/requests_test.go
@@ -305,3 +305,19 @@
 		})
 	}
 }
+
+func TestStoppingAgentFinishesWhatPeersHandedOver(t *testing.T) {
+	is := is.New(t)
+	s := newService(t, 2, nil)
+	entry, peer := s.agents[0], s.agents[1]
+	entry.driver.Leave()
+	stream, err := s.caller(entry).Do(request(t.Context(), http.MethodGet, backend.PathPush+"?count=40", "screen", ""))
+	is.NoErr(err)
+	peer.driver.Leave()
+	is.NoErr(peer.terminator.Shutdown(t.Context())) // it has no flow of its own
+	is.NoErr(peer.hander.Settle(t.Context()))
+	is.NoErr(peer.listener.Close())
+	body, err := text(stream)
+	is.NoErr(err)
+	is.Equal(len(bytes.Split([]byte(body), []byte("\n"))), 41)
+}
--- a/transport/terminator/rig_test.go
+++ b/transport/terminator/rig_test.go
@@ -69,6 +69,7 @@
 	driver     *driver.Driver
 	terminator *terminator.Terminator
 	listener   *linker.Listener
+	hander     *hander.Server
 	transport  *quic.Transport
 }
 
@@ -152,8 +153,8 @@
 		Locate:  s.locate,
 		OnLoad:  a.driver.PeerLoad,
 	}
-	server := &hander.Server{Self: a.self, Service: gooseberrymast.TagOf(serviceName), Local: a.driver, Timer: timer.System{}}
-	a.listener.Handle(linker.KindHandOver, server.Handle)
+	a.hander = &hander.Server{Self: a.self, Service: gooseberrymast.TagOf(serviceName), Local: a.driver, Timer: timer.System{}}
+	a.listener.Handle(linker.KindHandOver, a.hander.Handle)
 	a.terminator = &terminator.Terminator{
 		Transport: a.transport,
 		TLS:       s.tls,
