Break hand-overs of streamed bodies too

Cause: only bodies that are held were cut.

Change: a body of 300 KiB, streamed both ways, cut at 6 points in each direction.

Conclusion: what the callers were told was true at every cut.

--- a/transport/terminator/broken_test.go
+++ b/transport/terminator/broken_test.go
@@ -133,9 +133,10 @@
 }
 
 func TestBrokenHandOversAreToldTruly(t *testing.T) {
-	body := strings.Repeat("reservation ", 500)
+	const small, large = 6 << 10, 300 << 10
 	tests := []struct {
 		name   string
+		size   int
 		path   string
 		agents int
 		ticket bool
@@ -145,17 +146,23 @@
 		// must lists the outcomes that the sweep has to meet.
 		must []outcome
 	}{
-		{"without a ticket", "/loans", 2, false, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
-		{"without a ticket, peer gone", "/loans", 2, false, true, 1, []outcome{outcomeUnknown}},
-		{"with a ticket", "/loans", 2, true, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
-		{"idempotent", "/idempotent", 3, false, false, 2, []outcome{outcomeAnswer}},
+		{"without a ticket", small, "/loans", 2, false, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
+		{"without a ticket, peer gone", small, "/loans", 2, false, true, 1, []outcome{outcomeUnknown}},
+		{"with a ticket", small, "/loans", 2, true, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
+		{"large", large, "/loans", 2, false, false, 1, []outcome{outcomeUnknown}},
+		{"idempotent", small, "/idempotent", 3, false, false, 2, []outcome{outcomeAnswer}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			body := strings.Repeat("x", test.size)
+			steps := 12
+			if test.size == large {
+				steps = 6
+			}
 			seen := map[outcome]int{}
 			cuts := 0
 			for side := range 2 {
-				for step := range 12 {
+				for step := range steps {
 					id := fmt.Sprintf("%d-%d", side, step)
 					is := is.New(t)
 					b := newBrokenHandOver(t, test.agents)
@@ -163,7 +170,7 @@
 						sent := request(t.Context(), http.MethodPost, test.path, id, body)
 						is.Equal(told(t, b.plain, sent, body), outcomeAnswer)
 					})
-					b.arm(side, bytes, float64(step)/12, test.refuse)
+					b.arm(side, bytes, float64(step)/float64(steps), test.refuse)
 					sent := request(t.Context(), http.MethodPost, test.path, id, body)
 					var client doer = b.client
 					if !test.ticket {
