Pass no new flow to a suspect agent

Cause: the data path has a hook for the members that are suspect, which nothing called. Change: the agent gives it each table.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -248,6 +248,7 @@
 func (a *Agent) setTable(table *gooseberrymast.Table) {
 	a.table.Store(table)
 	members := table.Members(a.tag)
+	a.receiver.SetTable(table)
 	a.driver.Members(members)
 	a.evener.update(members)
 }
