Let an overloaded agent's requests cross to another availability zone

Refusals printed with their surroundings showed one receipts agent with 32 waiting and a ready peer in another zone with four free slots, to which nothing went. A way to another zone is weighed against the wait of the request that is next to start, and with the newest first that wait is always short. Change: the way across is weighed against the time that the whole queue takes, and the request that would wait longest goes. A cold server reports all its free slots; peers count those of one that joined after them as less.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -110,7 +110,7 @@
 }
 
 // Share gives the number of requests that a cold backend server should run
-// while others could take the rest. It is the bound once the server is warm.
+// while others have room for the rest. It is the bound once the server is warm.
 func (a *Admitter) Share(now time.Time) int {
 	share := a.Bound(now)
 	if age := now.Sub(a.Started); age < a.SlowStart {
@@ -119,12 +119,9 @@
 	return share
 }
 
-// Free gives the number of slots of the share that are neither held nor
-// waited for. A cold backend server offers one beyond its share, so that it is
-// used before anything waits, but after the others.
+// Free gives the number of slots that are neither held nor waited for.
 func (a *Admitter) Free(now time.Time) int {
-	taken := len(a.running) + len(a.waiting)
-	return max(0, a.Share(now)-taken, min(1, a.Bound(now)-taken))
+	return max(0, a.Bound(now)-len(a.running)-len(a.waiting))
 }
 
 // Running gives the number of slots held.
--- a/coordination/admitter/queue.go
+++ b/coordination/admitter/queue.go
@@ -38,6 +38,16 @@
 	return ahead / time.Duration(max(1, forShort))
 }
 
+// Backlog estimates how long the last of the waiting requests and one more
+// would wait. It does not depend on the queue's order.
+func (a *Admitter) Backlog(now time.Time) time.Duration {
+	ahead := a.Typical
+	for _, other := range a.waiting {
+		ahead += other.Mean
+	}
+	return ahead / time.Duration(max(1, a.Bound(now)-a.longRunning(now)))
+}
+
 // Offer puts a request into the queue, or says why it can't wait. An
 // overloaded queue that is full makes room by giving up the request that is
 // last to start.
@@ -49,7 +59,7 @@
 		a.Requeue(now, entry)
 		return VerdictQueued, Entry{}
 	}
-	last := a.last(now)
+	last := a.last(now, func(Entry) bool { return true })
 	if last < 0 || !a.newestFirst(now) || !a.before(entry, a.waiting[last], true) {
 		return VerdictFull, Entry{}
 	}
@@ -93,6 +103,15 @@
 	return a.waiting[at], true
 }
 
+// Last is First for the request that is last to start.
+func (a *Admitter) Last(now time.Time, condition func(Entry) bool) (Entry, bool) {
+	at := a.last(now, condition)
+	if at < 0 {
+		return Entry{}, false
+	}
+	return a.waiting[at], true
+}
+
 // Remove takes a request out of the queue and reports whether it waited.
 func (a *Admitter) Remove(id gooseberrymast.WorkID) bool {
 	for at, entry := range a.waiting {
@@ -152,12 +171,12 @@
 	return first
 }
 
-// last finds the request that is last to start.
-func (a *Admitter) last(now time.Time) int {
+// last finds the request that is last to start and satisfies the condition.
+func (a *Admitter) last(now time.Time, condition func(Entry) bool) int {
 	newestFirst := a.newestFirst(now)
 	last := -1
 	for at, entry := range a.waiting {
-		if last < 0 || a.before(a.waiting[last], entry, newestFirst) {
+		if (last < 0 || a.before(a.waiting[last], entry, newestFirst)) && condition(entry) {
 			last = at
 		}
 	}
--- a/coordination/dispatcher/decisions_test.go
+++ b/coordination/dispatcher/decisions_test.go
@@ -333,3 +333,20 @@
 	work.ID, work.Deadline = 3, at(time.Minute)
 	expect(t, d.Arrive(at(time.Second), work), gooseberrymast.ActionCount, runs)
 }
+
+func TestOverloadedAgentUsesAnotherZone(t *testing.T) {
+	service := limits()
+	service.Limits.Queue = 32
+	d := ready(service, 0)
+	far := gooseberrymast.Member{Record: gooseberrymast.Record{Identity: agentAt(2), State: gooseberrymast.StateReady, Zone: "cairo-b"}}
+	d.Peers(epoch, []gooseberrymast.Member{far})
+	d.PeerLoad(epoch, agentAt(2), gooseberrymast.Load{})
+	for id := gooseberrymast.WorkID(1); id <= 10; id++ {
+		d.Arrive(epoch, request1(id))
+	}
+	overloaded := at(150 * time.Millisecond) // what arrives now would start next
+	d.PeerLoad(overloaded, agentAt(2), gooseberrymast.Load{FreeSlots: 1})
+	expect(t, d.Tick(overloaded), handsOn)
+	d.PeerLoad(overloaded, agentAt(2), gooseberrymast.Load{FreeSlots: 1})
+	expect(t, d.Arrive(overloaded, request1(11)), handsOn)
+}
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -179,6 +179,7 @@
 	}
 	d.placer.CrossZone = d.service.CrossZone != gooseberrymast.CrossZoneNever
 	d.placer.Connections = limits.Connections
+	d.placer.SlowStart = limits.SlowStart.Std()
 	d.budget.Share = limits.RetryBudget
 	d.budget.Unlimited = policy.UnbudgetedRetries
 	d.ejector.MaxEjected = limits.MaxEjected
@@ -199,7 +200,7 @@
 }
 
 // Peers replaces the members of the service other than this agent.
-func (d *Dispatcher) Peers(_ time.Time, peers []gooseberrymast.Member) {
+func (d *Dispatcher) Peers(now time.Time, peers []gooseberrymast.Member) {
 	members := []netip.AddrPort{d.config.Self.Address}
 	others := make([]gooseberrymast.Member, 0, len(peers))
 	for _, peer := range peers {
@@ -209,7 +210,7 @@
 		others = append(others, peer)
 		members = append(members, peer.Identity.Address)
 	}
-	d.placer.Update(others)
+	d.placer.Update(now, others)
 	d.ejector.Retain(members)
 	d.callers.update(d.config.Self, others)
 	d.stirred = true
--- a/coordination/dispatcher/finish.go
+++ b/coordination/dispatcher/finish.go
@@ -136,12 +136,10 @@
 		d.end(now, r)
 		return
 	}
-	if !d.budget.Take() {
-		d.recorder.Retried(recorder.RetryUnbudget)
+	if !d.takeRetry(recorder.RetryFailed) {
 		d.end(now, r)
 		return
 	}
-	d.recorder.Retried(recorder.RetryFailed)
 	if here {
 		d.run(now, r)
 		return
@@ -203,8 +201,7 @@
 		d.refuse(now, r, why)
 		return
 	}
-	if !d.budget.Take() {
-		d.recorder.Retried(recorder.RetryUnbudget)
+	if !d.takeRetry(reason) {
 		if reason == recorder.RetryRefused {
 			d.refuse(now, r, why)
 			return
@@ -213,7 +210,18 @@
 		d.refuse(now, r, cause{reason: gooseberrymast.ReasonRetryBudget, limit: "retry-budget", value: share})
 		return
 	}
-	d.again(now, r, reason)
+	r.stage = stageNew
+	d.place(now, r)
+}
+
+// takeRetry takes one retry from the budget and counts it.
+func (d *Dispatcher) takeRetry(reason recorder.RetryReason) bool {
+	if !d.budget.Take() {
+		d.recorder.Retried(recorder.RetryUnbudget)
+		return false
+	}
+	d.recorder.Retried(reason)
+	return true
 }
 
 // mayRetry reports whether a second attempt is safe and can be in time. Only
@@ -228,12 +236,6 @@
 	return now.Add(r.expected.Mean).Before(r.work.Deadline)
 }
 
-func (d *Dispatcher) again(now time.Time, r *request, reason recorder.RetryReason) {
-	d.recorder.Retried(reason)
-	r.stage = stageNew
-	d.place(now, r)
-}
-
 // Cancel reports that the caller of a request went away.
 func (d *Dispatcher) Cancel(now time.Time, id gooseberrymast.WorkID) []gooseberrymast.Action {
 	d.now = now
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -165,7 +165,7 @@
 		need.Must = true
 		return need
 	}
-	need.Wait = d.admitter.Wait(now, r.entry())
+	need.Wait = d.admitter.Backlog(now)
 	return need
 }
 
--- a/coordination/dispatcher/tick.go
+++ b/coordination/dispatcher/tick.go
@@ -7,6 +7,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/admitter"
+	"gooseberrymast/state/recorder"
 )
 
 // pumpInterval is how often waiting requests look for peers with room when
@@ -98,7 +99,12 @@
 			return
 		}
 		d.admitter.Remove(entry.ID)
-		d.placeElsewhere(now, d.requests[entry.ID])
+		r := d.requests[entry.ID]
+		if len(r.tried) > 0 && !d.takeRetry(recorder.RetryRefused) {
+			d.refuse(now, r, d.unavailable())
+			continue
+		}
+		d.placeElsewhere(now, r)
 	}
 }
 
@@ -125,17 +131,35 @@
 	}
 }
 
+// spreadOne hands over the request that is next to start within the availability
+// zone, or the one that would wait longest to another zone.
 func (d *Dispatcher) spreadOne(now time.Time) bool {
-	entry, ok := d.admitter.First(now, func(entry admitter.Entry) bool { return d.requests[entry.ID].own })
+	mayGo := func(entry admitter.Entry) bool {
+		r := d.requests[entry.ID]
+		return r.own && (len(r.tried) == 0 || d.budget.Left())
+	}
+	next, ok := d.admitter.First(now, mayGo)
 	if !ok {
 		return false
 	}
-	r := d.requests[entry.ID]
-	peer, ok := d.placer.Choose(now, d.need(now, r))
+	last, _ := d.admitter.Last(now, mayGo)
+	backlog := d.admitter.Backlog(now)
+	return d.spreadTo(now, d.requests[next.ID], 0) || d.spreadTo(now, d.requests[last.ID], backlog)
+}
+
+// spreadTo hands over a waiting request if a peer has room for it. The wait says
+// what a way to another availability zone is weighed against.
+func (d *Dispatcher) spreadTo(now time.Time, r *request, wait time.Duration) bool {
+	need := d.need(now, r)
+	need.Wait = wait
+	peer, ok := d.placer.Choose(now, need)
 	if !ok {
 		return false
 	}
-	d.admitter.Remove(entry.ID)
+	d.admitter.Remove(r.work.ID)
+	if len(r.tried) > 0 {
+		d.takeRetry(recorder.RetryRefused)
+	}
 	d.handOver(now, r, peer)
 	return true
 }
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -47,6 +47,8 @@
 	CrossZone bool
 	// Connections is the number of streams that one peer may hold.
 	Connections int
+	// SlowStart is the time over which a new peer comes to count like the others.
+	SlowStart time.Duration
 	// Ejected tells which peers must get no work; nil is none.
 	Ejected func(now time.Time, member netip.AddrPort) bool
 
@@ -60,18 +62,23 @@
 	gooseberrymast.Member
 	load  gooseberrymast.Load
 	heard time.Time
+	// since is when a peer joined that the others were known before, or zero.
+	since time.Time
 	// given counts the requests given since the load was heard.
 	given int
 }
 
 // Update replaces the peers and keeps the loads of those that stay.
-func (p *Placer) Update(members []gooseberrymast.Member) {
+func (p *Placer) Update(now time.Time, members []gooseberrymast.Member) {
 	peers := make([]*peer, 0, len(members))
 	byAddress := make(map[netip.AddrPort]*peer, len(members))
 	for _, member := range members {
 		one := p.byAddress[member.Identity.Address]
 		if one == nil || one.Identity != member.Identity {
 			one = &peer{}
+			if len(p.peers) > 0 {
+				one.since = now
+			}
 		}
 		one.Member = member
 		peers = append(peers, one)
@@ -184,12 +191,23 @@
 	if second >= first {
 		second++
 	}
-	if candidates[second].room(now, need) > candidates[first].room(now, need) {
+	if p.weight(now, candidates[second], need) > p.weight(now, candidates[first], need) {
 		return candidates[second]
 	}
 	return candidates[first]
 }
 
+// weight is a peer's room as it counts against another's: that of a cold peer
+// counts less.
+func (p *Placer) weight(now time.Time, one *peer, need Need) float64 {
+	room := float64(one.room(now, need))
+	age := now.Sub(one.since)
+	if room <= 0 || one.since.IsZero() || age >= p.SlowStart {
+		return room
+	}
+	return room * float64(age) / float64(p.SlowStart)
+}
+
 func (p *Placer) suits(now time.Time, one *peer, need Need) bool {
 	if !one.Routable() || one.load.Leaving {
 		return false
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -57,7 +57,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			p := Placer{Random: rand.New(rand.NewPCG(1, 1)), Zone: "a", CrossZone: !test.never, Connections: 10}
-			p.Update(test.members)
+			p.Update(epoch, test.members)
 			for i, load := range test.loads {
 				p.Heard(epoch, test.members[i].Identity, load)
 			}
@@ -73,7 +73,7 @@
 func TestGivenRequestsUseUpRoomAndProbes(t *testing.T) {
 	is := is.New(t)
 	p := Placer{Random: rand.New(rand.NewPCG(1, 1)), Zone: "a"}
-	p.Update([]gooseberrymast.Member{member(2, "a")})
+	p.Update(epoch, []gooseberrymast.Member{member(2, "a")})
 	for range MaxProbes {
 		is.True(p.Given(epoch, identity(2))) // its load is unknown
 	}
@@ -89,3 +89,18 @@
 	_, ok = p.Choose(epoch, Need{})
 	is.True(!ok) // the one free slot is taken by now
 }
+
+func TestNewPeerCountsLess(t *testing.T) {
+	is := is.New(t)
+	p := Placer{Random: rand.New(rand.NewPCG(1, 1)), Zone: "a", SlowStart: 10 * time.Second}
+	p.Update(epoch, []gooseberrymast.Member{member(2, "a")})
+	p.Update(epoch, []gooseberrymast.Member{member(2, "a"), member(3, "a")})
+	choose := func(now time.Time) byte {
+		p.Heard(now, identity(2), free(2))
+		p.Heard(now, identity(3), free(4))
+		chosen, _ := p.Choose(now, Need{})
+		return chosen.Address.Addr().As4()[3]
+	}
+	is.Equal(choose(epoch.Add(4*time.Second)), byte(2))
+	is.Equal(choose(epoch.Add(6*time.Second)), byte(3))
+}
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -26,12 +26,17 @@
 	b.spent = max(0, b.spent-b.Share)
 }
 
+// Left reports whether Take would allow a retry.
+func (b *Budget) Left() bool {
+	return b.Unlimited || b.spent <= Burst-1
+}
+
 // Take reports whether a retry may be made now, and counts it.
 func (b *Budget) Take() bool {
 	if b.Unlimited {
 		return true
 	}
-	if b.spent > Burst-1 {
+	if !b.Left() {
 		return false
 	}
 	b.spent++
