Keep flows that are open without a request

Cause: a flow without a request for five minutes was closed by the agent. Its caller still acknowledges, so the flow is established, and nothing asked for its end. A flow that was asked to move before its server started was left without a server until it timed out.

Change: no idle timeout above QUIC's own; a flow is closed once it is no longer served.

--- a/transport/hander/handover.go
+++ b/transport/hander/handover.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -223,75 +222,3 @@
 	h.ended = true
 	h.stream.Close()
 }
-
-func (h *handOver) response(ctx context.Context, head *handover.Head) *http.Response {
-	response := &http.Response{
-		StatusCode:    int(head.GetStatus()),
-		Status:        strconv.Itoa(int(head.GetStatus())) + " " + http.StatusText(int(head.GetStatus())),
-		Proto:         "HTTP/2.0",
-		ProtoMajor:    2,
-		Header:        encoder.ParseFields(head.GetHeaders()),
-		ContentLength: head.GetBodyBytes(),
-		Trailer:       http.Header{},
-	}
-	response.Body = &answerBody{handOver: h, ctx: ctx, response: response}
-	return response
-}
-
-// answerBody reads the body of an answer from frames.
-type answerBody struct {
-	handOver *handOver
-	ctx      context.Context
-	response *http.Response
-	piece    []byte
-	err      error
-}
-
-// Read gives io.EOF only after the peer said that the answer is whole.
-func (a *answerBody) Read(p []byte) (int, error) {
-	for len(a.piece) == 0 {
-		if a.err != nil {
-			return 0, a.err
-		}
-		a.err = a.next()
-	}
-	n := copy(p, a.piece)
-	a.piece = a.piece[n:]
-	return n, nil
-}
-
-func (a *answerBody) next() error {
-	reply := &handover.Reply{}
-	if err := linker.ReadMessage(a.handOver.stream, reply); err != nil {
-		if cause := context.Cause(a.ctx); cause != nil {
-			return cause
-		}
-		return io.ErrUnexpectedEOF
-	}
-	a.handOver.client.note(a.handOver.peer, reply)
-	switch frame := reply.GetFrame().(type) {
-	case *handover.Reply_Accepted:
-		a.handOver.accepted()
-	case *handover.Reply_Body:
-		a.piece = frame.Body
-	case *handover.Reply_End:
-		for name, values := range encoder.ParseFields(frame.End.GetFields()) {
-			a.response.Trailer[name] = values
-		}
-		return io.EOF
-	default:
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
-// Close cancels the request unless its answer was read to the end.
-func (a *answerBody) Close() error {
-	if errors.Is(a.err, io.EOF) {
-		a.handOver.close()
-		return nil
-	}
-	a.handOver.stop()
-	a.handOver.abort()
-	return nil
-}
--- a/transport/terminator/terminator.go
+++ b/transport/terminator/terminator.go
@@ -34,8 +34,6 @@
 	FlowIdleTimeout = time.Minute
 	// KeepAlivePeriod keeps flows in use through quiet times.
 	KeepAlivePeriod = 20 * time.Second
-	// RequestIdleTimeout ends a flow that has no request in progress.
-	RequestIdleTimeout = 5 * time.Minute
 	// MaxRequestsPerFlow bounds the requests of one flow at once.
 	MaxRequestsPerFlow = 256
 	// settleTime is how long a flow without requests may outlive a shutdown.
@@ -123,10 +121,11 @@
 	f := &flow{conn: conn, server: &http3.Server{
 		Handler:        t,
 		MaxHeaderBytes: MaxHeaderBytes,
-		IdleTimeout:    RequestIdleTimeout,
 	}}
 	t.flows.add(f)
 	defer t.flows.remove(f)
+	// A flow that was asked to move before it was served is not served at all.
+	defer conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 	err := f.server.ServeQUICConn(conn)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		log.Debug().Err(err).Str("caller", conn.RemoteAddr().String()).Msg("a flow ended")
