--- a/transport/linker/capacity_test.go
+++ b/transport/linker/capacity_test.go
@@ -151,3 +151,34 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc + stats.StackInuse
 }
+
+// BenchmarkQuestion measures the bytes that a connection carries for a short
+// question and its reply on a stream of their own.
+func BenchmarkQuestion(b *testing.B) {
+	for _, size := range []int{10, 100} {
+		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
+			is := is.New(b)
+			keys := keyer.Random()
+			m := startMeter(b, echoFor(b, keys).Address().String())
+			session, err := Dial(b.Context(), netip.MustParseAddrPort(m.listener.Addr().String()), Fixed(keys))
+			is.NoErr(err)
+			defer session.Close()
+			message := wrapperspb.Bytes(make([]byte, size))
+			ask := func() {
+				stream, err := session.OpenStream(KindControl)
+				is.NoErr(err)
+				is.NoErr(WriteMessage(stream, message))
+				var got wrapperspb.BytesValue
+				is.NoErr(ReadMessage(stream, &got))
+				is.NoErr(stream.Close())
+			}
+			ask()
+			before, reads := m.bytes.Load(), m.reads.Load()
+			for b.Loop() {
+				ask()
+			}
+			b.ReportMetric(float64(m.bytes.Load()-before)/float64(b.N), "B/question")
+			b.ReportMetric(float64(m.reads.Load()-reads)/float64(b.N), "reads/question")
+		})
+	}
+}
--- /dev/null
+++ b/transport/storer/capacity_test.go
@@ -0,0 +1,91 @@
+package storer
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/standin/platform"
+)
+
+// relayTo passes connections on to a target and counts their bytes and reads.
+func relayTo(b *testing.B, target string, bytes, reads *atomic.Int64) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(b).NoErr(err)
+	b.Cleanup(func() { listener.Close() })
+	pass := func(to, from net.Conn) {
+		buffer := make([]byte, 64<<10)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			bytes.Add(int64(n))
+			reads.Add(1)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				near.Close()
+				return
+			}
+			go pass(far, near)
+			go pass(near, far)
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// BenchmarkCallBytes measures the bytes that a connection carries for one call
+// and its answer, by the size of the value.
+func BenchmarkCallBytes(b *testing.B) {
+	for _, method := range []string{"get", "put"} {
+		for _, size := range []int{20, 1000, 35_270} {
+			b.Run(fmt.Sprintf("%s/value=%d", method, size), func(b *testing.B) {
+				is := is.New(b)
+				store := &platform.Platform{Seed: 1}
+				server := httptest.NewUnstartedServer(store.Handler())
+				server.Config.Protocols = platform.Protocols()
+				server.Start()
+				b.Cleanup(server.Close)
+				var bytes, reads atomic.Int64
+				client := &Storer{Address: relayTo(b, strings.TrimPrefix(server.URL, "http://"), &bytes, &reads)}
+				object := gooseberrymast.Object{
+					Key: "environments/production/cells/cairo-a/12", WriteID: "10.1.2.3:7000/1700000000/cairo-a/12/1000", Value: make([]byte, size),
+				}
+				version, err := client.Put(b.Context(), object, 0)
+				is.NoErr(err)
+				call := func() {
+					if method == "get" {
+						_, err = client.Get(b.Context(), object.Key)
+					} else {
+						version, err = client.Put(b.Context(), object, version)
+					}
+					is.NoErr(err)
+				}
+				call()
+				bytesBefore, readsBefore := bytes.Load(), reads.Load()
+				for b.Loop() {
+					call()
+				}
+				b.ReportMetric(float64(bytes.Load()-bytesBefore)/float64(b.N), "B/call")
+				b.ReportMetric(float64(reads.Load()-readsBefore)/float64(b.N), "reads/call")
+			})
+		}
+	}
+}
