--- a/transport/storer/capacity_test.go
+++ b/transport/storer/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -66,7 +67,7 @@
 				var bytes, reads atomic.Int64
 				client := &Storer{Address: relayTo(b, strings.TrimPrefix(server.URL, "http://"), &bytes, &reads)}
 				object := gooseberrymast.Object{
-					Key: "environments/production/cells/cairo-a/12", WriteID: "10.1.2.3:7000/1700000000/cairo-a/12/1000", Value: make([]byte, size),
+					Key: "environments/production/cells/cairo-a/12", WriteID: "10.1.2.3:7000/1700000000/cairo-a/12/1000", Value: noise(size),
 				}
 				version, err := client.Put(b.Context(), object, 0)
 				is.NoErr(err)
@@ -89,3 +90,13 @@
 		}
 	}
 }
+
+// noise gives bytes that don't compress.
+func noise(size int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	value := make([]byte, size)
+	for i := range value {
+		value[i] = byte(random.Uint32())
+	}
+	return value
+}
