Say that a flow was declined also once the home knows its place

Cause: after a home was told of a flow's new place it passed further packets there without saying that they must be taken; one that overtook the first could have been declined once more.

Change: what a home passes on after the news says so.

Conclusion: a second taker takes all packets of its flow, in any order.

--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -75,7 +75,7 @@
 	// asked is set while peer is a home that was asked: it may yet give the
 	// flow to this agent.
 	asked bool
-	// declined is set while peer is the second taker, in this agent's place.
+	// declined is set while peer is a second taker, which must take the flow.
 	declined bool
 	halfOpen bool
 }
@@ -116,6 +116,7 @@
 	}
 	known.peer = after
 	known.asked = false
+	known.declined = true
 	o.flows[key] = known
 }
 
