Count callers over the whole service

Cause: the deciding code counts a caller at a home agent, but no transport carried its reports, so each agent granted the full rate. Change: Count and Counted are questions between agents; the driver carries ActionCount; the agent turns the counting on. Conclusion: the whole way is wired; a test of the hand-over layer carries a report and its answer.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -123,6 +123,8 @@
 		Zone:    settings.Zone,
 		Seed:    a.config.Seed,
 		Policy:  a.config.Policy,
+
+		CountAtHome: true,
 	})
 	a.pool = &linker.Pool{Keys: a.keys.Load, Timer: a.config.Timer}
 	a.driver = &driver.Driver{
--- a/transport/driver/driver.go
+++ b/transport/driver/driver.go
@@ -185,6 +185,10 @@
 
 func (d *Driver) route(now time.Time, actions []gooseberrymast.Action) {
 	for _, action := range actions {
+		if action.Kind == gooseberrymast.ActionCount {
+			go d.report(action)
+			continue
+		}
 		if r := d.running[action.Work]; r != nil {
 			r.push(action)
 			continue
--- a/transport/driver/events.go
+++ b/transport/driver/events.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"context"
+	"net/netip"
 	"time"
 
 	"gooseberrymast"
@@ -84,6 +86,33 @@
 	return granted
 }
 
+// Count answers a peer that has admitted requests of a caller.
+func (d *Driver) Count(caller netip.Addr, admitted int) (granted int, wait time.Duration) {
+	counter, ok := d.Dispatcher.(gooseberrymast.CallerCounter)
+	if !ok {
+		return admitted, 0
+	}
+	d.decide(func(now time.Time) []gooseberrymast.Action {
+		granted, wait = counter.Count(now, caller, admitted)
+		return nil
+	})
+	return granted, wait
+}
+
+// report tells a caller's home agent what was admitted here, and the
+// dispatcher what it answered.
+func (d *Driver) report(action gooseberrymast.Action) {
+	counter, ok := d.Dispatcher.(gooseberrymast.CallerCounter)
+	if !ok {
+		return
+	}
+	known, granted, wait := d.Peers.Count(context.Background(), action.Peer, action.Caller, action.Count)
+	d.decide(func(now time.Time) []gooseberrymast.Action {
+		counter.Counted(now, action.Caller, known, granted, wait)
+		return nil
+	})
+}
+
 // Refusal makes a refusal that the transport itself decides. It is made before
 // any server was given the request.
 func (d *Driver) Refusal(reason gooseberrymast.Reason) gooseberrymast.Refusal {
--- a/transport/hander/client.go
+++ b/transport/hander/client.go
@@ -89,6 +89,22 @@
 	return err == nil
 }
 
+// Count reports admitted requests of a caller to the agent that counts it.
+// Known is false when that agent gave no answer.
+func (c *Client) Count(ctx context.Context, home gooseberrymast.Identity, caller netip.Addr, admitted int) (known bool, granted int, wait time.Duration) {
+	question := &handover.Request{Frame: &handover.Request_Count{Count: &handover.Count{
+		Target:   encoder.Identity(home),
+		Caller:   caller.String(),
+		Admitted: int32(admitted),
+	}}}
+	reply, err := c.question(ctx, home, question)
+	counted := reply.GetCounted()
+	if err != nil || !counted.GetKnown() {
+		return false, 0, 0
+	}
+	return true, int(counted.GetGranted()), time.Duration(counted.GetWaitNanos())
+}
+
 // question sends one frame on a stream of its own and reads one reply.
 func (c *Client) question(ctx context.Context, peer gooseberrymast.Identity, question *handover.Request) (*handover.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, QuestionTimeout)
--- a/transport/hander/hander_test.go
+++ b/transport/hander/hander_test.go
@@ -61,6 +61,10 @@
 	return len(l.spent) == 1
 }
 
+func (l *local) Count(_ netip.Addr, admitted int) (granted int, wait time.Duration) {
+	return 2 * admitted, time.Duration(admitted) * time.Second
+}
+
 func (l *local) Load() gooseberrymast.Load {
 	return gooseberrymast.Load{FreeSlots: 3, Queued: 2, Streams: 1, Leaving: true}
 }
@@ -265,6 +269,25 @@
 	is.Equal(len(p.local.spent), 2)
 }
 
+func TestCountAndMeasureGiveWhatThePeerSays(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, nil)
+	counted := netip.MustParseAddr("192.0.2.1")
+	known, granted, wait := p.client.Count(t.Context(), far, counted, 3)
+	is.True(known)
+	is.Equal(granted, 6)
+	is.Equal(wait, 3*time.Second)
+	is.Equal((<-p.loads).FreeSlots, int32(3)) // the load rides on the reply
+
+	earlier := gooseberrymast.Identity{Address: far.Address, Incarnation: far.Incarnation - 1}
+	known, _, _ = p.client.Count(t.Context(), earlier, counted, 3)
+	is.True(!known) // another life doesn't know the caller
+	<-p.loads
+
+	is.True(p.client.Measure(t.Context(), far))
+	is.Equal((<-p.loads).Queued, int32(2))
+}
+
 func TestSecondCopyIsNotServed(t *testing.T) {
 	is := is.New(t)
 	entered, leave := make(chan struct{}), make(chan struct{})
--- a/transport/hander/server.go
+++ b/transport/hander/server.go
@@ -23,6 +23,9 @@
 	Ask(origin gooseberrymast.Identity, originID gooseberrymast.WorkID) (ran bool)
 	// Spend grants one run for a ticket that this agent issued.
 	Spend(ticket gooseberrymast.Ticket) (granted bool)
+	// Count answers a peer that has admitted requests of a caller that is
+	// counted here.
+	Count(caller netip.Addr, admitted int) (granted int, wait time.Duration)
 	// Load gives the agent's own load.
 	Load() gooseberrymast.Load
 	// Refusal records a refusal that the transport itself decides.
@@ -74,6 +77,8 @@
 		s.reply(stream, &handover.Reply{Frame: &handover.Reply_Asked{Asked: s.ask(frame.Ask)}})
 	case *handover.Request_Spend:
 		s.reply(stream, &handover.Reply{Frame: &handover.Reply_Spent{Spent: s.spend(frame.Spend)}})
+	case *handover.Request_Count:
+		s.reply(stream, &handover.Reply{Frame: &handover.Reply_Counted{Counted: s.count(frame.Count)}})
 	case *handover.Request_Measure:
 		s.reply(stream, &handover.Reply{})
 	case *handover.Request_Cancel:
@@ -103,6 +108,19 @@
 	return &handover.Spent{Known: true, Granted: s.Local.Spend(ticket)}
 }
 
+func (s *Server) count(count *handover.Count) *handover.Counted {
+	target, err := encoder.ParseIdentity(count.GetTarget())
+	if err != nil || target != s.Self {
+		return &handover.Counted{}
+	}
+	caller, err := netip.ParseAddr(count.GetCaller())
+	if err != nil {
+		return &handover.Counted{}
+	}
+	granted, wait := s.Local.Count(caller, int(count.GetAdmitted()))
+	return &handover.Counted{Known: true, Granted: int32(granted), WaitNanos: int64(wait)}
+}
+
 func (s *Server) cancel(cancel *handover.Cancel) {
 	agent, err := encoder.ParseIdentity(cancel.GetOrigin())
 	if err != nil {
