--- a/coordination/member/capacity_test.go
+++ b/coordination/member/capacity_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/messenger"
 )
 
 // restTime is the time after which a fleet has taken in a planned restart.
@@ -112,3 +113,35 @@
 	}
 	return sum / count
 }
+
+// BenchmarkBurst measures one balancer's processor time for each record of a
+// delta, with 187,000 records known and 8 peers that take the news.
+func BenchmarkBurst(b *testing.B) {
+	w := newWorld(b, 1)
+	w.cells = letterCells
+	n := w.add(gooseberrymast.RoleBalancer, letterZone(0), "", nil)
+	n.life = 1
+	n.alive = true
+	n.config.Store = false
+	n.fillLetter()
+	now := w.now
+	sequence := uint32(10)
+	for _, records := range []int{1, 30, 1000} {
+		b.Run(fmt.Sprintf("records=%d", records), func(b *testing.B) {
+			for b.Loop() {
+				sequence++
+				delta := &messenger.Delta{}
+				for i := range records {
+					entry := letterEntry(letterBalancers + (i*7+int(sequence)*records)%letterAgents)
+					entry.Record.Sequence = sequence
+					delta.News = append(delta.News, messenger.News{Entry: entry})
+				}
+				now = now.Add(300 * time.Millisecond)
+				n.keepAlive(now)
+				n.m.Received(now, 1, &messenger.Message{Delta: delta})
+				n.m.Flush(now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*records), "us/record")
+		})
+	}
+}
