Split the trial's fleet by job

Cause: one file of 400 lines started, changed and ended the fleet and wrote its document. Change: what changes the fleet and the document have files of their own. Conclusion: no behaviour changes.

--- /dev/null
+++ b/trier/document.go
@@ -0,0 +1,28 @@
+package trier
+
+import (
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+
+	"gooseberrymast"
+	"gooseberrymast/standin/backend"
+)
+
+// documentText writes the deployment's document.
+func documentText(deployment Deployment) ([]byte, error) {
+	document := gooseberrymast.Document{Zones: deployment.Zones, Services: map[string]gooseberrymast.Service{}}
+	for _, s := range deployment.Services {
+		var service gooseberrymast.Service
+		service.Limits.Slots = s.Slots
+		service.Streams = []string{backend.PathPush, backend.PathConverse}
+		service.CrossZone = gooseberrymast.CrossZoneWhenFull
+		document.Services[s.Name] = service
+	}
+	document.Defaults()
+	text, err := toml.Marshal(document)
+	if err != nil {
+		return nil, fmt.Errorf("documentText: %w", err)
+	}
+	return text, nil
+}
