Tell agents only of revisions that concern their service

And heartbeats, which carry digests and acknowledgements, were put off by every other message, so that under steady churn lost news was never looked for; found when revisions told by heartbeat never came into force under churn. Change: a heartbeat to an agent names the revision and the hash of its service's part; an agent whose part is the same has it in force. Two agents of each balancer get every text, so that the document outlives all balancers. Heartbeats go at their interval whatever else is sent.

--- a/coordination/member/actions.go
+++ b/coordination/member/actions.go
@@ -34,13 +34,11 @@
 	// agentRevisionInterval is the least time between two revisions that one
 	// agent is sent.
 	agentRevisionInterval = 2 * time.Second
-	// acknowledgeInterval is the least time between two messages of an agent
-	// that acknowledge a revision.
+	// acknowledgeInterval is the least time before a heartbeat that only tells
+	// or acknowledges a revision's number.
 	acknowledgeInterval = 2 * time.Second
-	// catchUpDelay is the time that a peer with a higher revision has to send
-	// it, and askInterval the time between two requests.
-	catchUpDelay = time.Second
-	askInterval  = 5 * time.Second
+	// askInterval is the time between two requests for a peer's revision.
+	askInterval = 5 * time.Second
 	// maxQueryHops bounds the way of a query to the root.
 	maxQueryHops = 16
 )
@@ -69,7 +67,8 @@
 	Faults []error
 }
 
-// Adopted is a revision that came into force.
+// Adopted is a revision that came into force. An agent's document may be older
+// in what it says of other services.
 type Adopted struct {
 	Revision gooseberrymast.Revision
 	Document gooseberrymast.Document
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -156,6 +156,7 @@
 	m.advise()
 	m.useStore(now)
 	m.acknowledge(now)
+	m.tellNumbers(now)
 	m.catchUp(now)
 	m.beat(now)
 	m.report(now)
--- a/coordination/member/news.go
+++ b/coordination/member/news.go
@@ -168,7 +168,6 @@
 			continue
 		}
 		if delta := m.pack(s, batch); delta != nil {
-			s.Sent = now
 			m.send(s.ID, &messenger.Message{Delta: delta})
 		}
 	}
@@ -181,8 +180,8 @@
 			delta.News = append(delta.News, news)
 		}
 	}
-	if batch.Revision && s.Revision < m.adopter.Current.Number {
-		delta.Revision = m.adopter.Pack(s.Revision)
+	if batch.Revision && s.Text < m.adopter.Current.Number {
+		delta.Revision = m.adopter.Pack(s.Text)
 	}
 	if len(delta.News) == 0 && delta.Revision == nil {
 		return nil
--- a/coordination/member/revision.go
+++ b/coordination/member/revision.go
@@ -11,16 +11,21 @@
 	"gooseberrymast/coordination/registrar"
 )
 
-// offer notes the revision in force for a peer that has a lower one. An agent
-// is told over one of its sessions.
+// keepers is the number of agents of each balancer that hold the whole document
+// whatever it says of their service, so that it outlives all balancers.
+const keepers = 2
+
+// offer notes the revision in force for a peer that lacks its text. An agent
+// is told over one of its sessions; one whose service isn't concerned learns
+// the number alone, with a heartbeat.
 func (m *Member) offer(s *registrar.Session) {
 	number := m.adopter.Current.Number
-	if !s.Ready() || s.Revision >= number || m.offered[s.ID] >= number {
+	if !s.Ready() || s.Text >= number || m.offered[s.ID] >= number || m.adopter.TextNumber != number {
 		return
 	}
 	gap := time.Duration(0)
 	if s.Role == gooseberrymast.RoleAgent {
-		if !s.TakesNews {
+		if !s.TakesNews || s.Section == m.adopter.Section(s.Service) && !m.keeps(s) {
 			return
 		}
 		gap = agentRevisionInterval
@@ -29,18 +34,53 @@
 	m.spreader.NoteRevision(s.ID, gap)
 }
 
+// keeps reports whether an agent is one of the balancer's keepers.
+func (m *Member) keeps(s *registrar.Session) bool {
+	before := 0
+	for _, other := range m.registrar.Sessions() {
+		if other == s {
+			return before < keepers
+		}
+		if other.Role == gooseberrymast.RoleAgent && other.TakesNews {
+			before++
+		}
+	}
+	return false
+}
+
+// tellNumbers tells agents the number of a revision that doesn't concern their
+// service.
+func (m *Member) tellNumbers(now time.Time) {
+	number := m.adopter.Current.Number
+	for _, s := range m.registrar.Sessions() {
+		if s.Role == gooseberrymast.RoleAgent && s.TakesNews && s.Revision < number && s.Told < number &&
+			m.offered[s.ID] < number && now.Sub(s.Beat) >= acknowledgeInterval {
+			m.sendHeartbeat(now, s, false)
+		}
+	}
+}
+
 // catchUp asks for the revision of a peer that has a higher one and doesn't
 // send it by itself, as when the peer that news is taken from is dead but
 // not yet known to be.
 func (m *Member) catchUp(now time.Time) {
 	for _, s := range m.registrar.Sessions() {
-		if s.Ready() && s.Revision > m.adopter.Current.Number && now.Sub(s.Received) >= catchUpDelay && now.Sub(s.Asked) >= askInterval {
+		if s.Ready() && s.Revision > m.adopter.Current.Number && now.Sub(s.Received) >= m.catchUpDelay() && now.Sub(s.Asked) >= askInterval {
 			s.Asked = now
 			m.sendHeartbeat(now, s, true)
 		}
 	}
 }
 
+// catchUpDelay is the time that a peer with a higher revision has to send it. An
+// agent's balancer sends revisions less often than peers do.
+func (m *Member) catchUpDelay() time.Duration {
+	if m.isBalancer() {
+		return time.Second
+	}
+	return agentRevisionInterval + time.Second
+}
+
 // acknowledge tells the peer that news is taken from which revision is in
 // force, unless it was told something a moment ago.
 func (m *Member) acknowledge(now time.Time) {
@@ -48,14 +88,15 @@
 	if m.isBalancer() || s == nil {
 		return
 	}
-	if s.Told != m.adopter.Current.Number && now.Sub(s.Sent) >= acknowledgeInterval {
+	if s.Told != m.adopter.Current.Number && now.Sub(s.Beat) >= acknowledgeInterval {
 		m.sendHeartbeat(now, s, false)
 	}
 }
 
 func (m *Member) receiveRevision(now time.Time, s *registrar.Session, packed *messenger.Revision) {
 	s.Revision = max(s.Revision, packed.Number)
-	if packed.Number <= m.adopter.Current.Number {
+	s.Text = max(s.Text, packed.Number)
+	if packed.Number <= m.adopter.TextNumber || packed.Number < m.adopter.Current.Number {
 		return
 	}
 	revision, err := m.adopter.Unpack(packed)
@@ -79,9 +120,13 @@
 		m.Counters.Refusals++
 		m.fault(fmt.Errorf("Member.adopt: %w", err))
 	}
-	if !adopted {
-		return
+	if adopted {
+		m.inForceNow(now)
 	}
+}
+
+// inForceNow tells everyone of a revision that came into force.
+func (m *Member) inForceNow(now time.Time) {
 	m.Counters.Adoptions++
 	if m.inForce.IsZero() {
 		m.inForce = now
--- a/coordination/member/sessions.go
+++ b/coordination/member/sessions.go
@@ -117,7 +117,6 @@
 	if m.isBalancer() {
 		hello.Digest = m.Directory.Digest()
 	}
-	s.Sent = now
 	m.send(s.ID, &messenger.Message{Hello: hello})
 }
 
@@ -133,6 +132,7 @@
 	s.Service = record.Service
 	s.Zone = record.Zone
 	s.Revision = hello.Revision
+	s.Text = hello.Revision
 	if s.Peer == m.self {
 		m.hang(now, s)
 		return
@@ -192,11 +192,20 @@
 
 func (m *Member) heartbeat(now time.Time, s *registrar.Session, beat *messenger.Heartbeat) {
 	s.Revision = beat.Revision
+	s.Section = beat.Section
+	s.Text = beat.Text
+	if s.Text == 0 {
+		s.Text = beat.Revision
+	}
 	joined := beat.Primary && !s.TakesNews
 	s.TakesNews = beat.Primary
 	if beat.Full {
 		delete(m.offered, s.ID)
-		s.Revision = 0
+		s.Text = 0
+		s.Section = 0
+	}
+	if !m.isBalancer() && m.adopter.Advance(beat.Revision, m.Record.Service, beat.Section) {
+		m.inForceNow(now)
 	}
 	m.offer(s)
 	if !s.TakesNews {
@@ -213,7 +222,7 @@
 	}
 }
 
-// beat sends heartbeats on the sessions that were silent.
+// beat sends the heartbeats that are due.
 func (m *Member) beat(now time.Time) {
 	for _, s := range m.registrar.DueHeartbeats(now) {
 		m.sendHeartbeat(now, s, false)
@@ -224,8 +233,15 @@
 	beat := &messenger.Heartbeat{Revision: m.adopter.Current.Number, Primary: s.ID == m.primary, Full: full}
 	if m.isBalancer() && s.Role == gooseberrymast.RoleBalancer {
 		beat.Digest = m.Directory.Digest()
+	} else if m.isBalancer() {
+		beat.Section = m.adopter.Section(s.Service)
+	} else {
+		beat.Section = m.adopter.Section(m.Record.Service)
+	}
+	if m.adopter.TextNumber != beat.Revision {
+		beat.Text = m.adopter.TextNumber
 	}
-	s.Sent = now
+	s.Beat = now
 	s.Told = beat.Revision
 	m.send(s.ID, &messenger.Message{Heartbeat: beat})
 }
--- a/coordination/messenger/messenger.go
+++ b/coordination/messenger/messenger.go
@@ -47,8 +47,15 @@
 	Primary bool
 	// Full asks for the receiver's revision with its whole text.
 	Full bool
-	// Digest is the digest of the sender's directory; zero for an agent.
+	// Digest is the digest of the sender's directory; zero between a balancer
+	// and an agent.
 	Digest uint64
+	// Section is the hash of what the document in force says of the agent's
+	// service, on sessions between a balancer and an agent. An agent whose
+	// own is equal has the sender's revision in force without its text.
+	Section uint64
+	// Text is the revision whose text the sender holds; zero is Revision.
+	Text uint64
 }
 
 // News is one entry on its way to a peer.
--- a/coordination/registrar/registrar.go
+++ b/coordination/registrar/registrar.go
@@ -40,16 +40,21 @@
 	Zone string
 	// Revision is what the peer last said to have in force.
 	Revision uint64
+	// Text is the revision whose text the peer last said to hold.
+	Text uint64
+	// Section is the hash of its part of the document that an agent last told.
+	Section uint64
 	// TakesNews is set when the peer takes its news from this process.
 	TakesNews bool
 	// Told is the revision that the last heartbeat to the peer named.
 	Told uint64
+	// Beat is when the last heartbeat went to the peer. Other messages don't
+	// take its place: it carries digests and acknowledgements.
+	Beat time.Time
 	// Asked is when the peer was last asked for its revision.
 	Asked time.Time
 	// Received is when the last message came.
 	Received time.Time
-	// Sent is when the last message went.
-	Sent time.Time
 	// Opened is when the session began.
 	Opened time.Time
 }
@@ -61,7 +66,7 @@
 
 // Registrar holds the sessions. The zero value has none.
 type Registrar struct {
-	// HeartbeatInterval is the longest silence that this process keeps.
+	// HeartbeatInterval is the time between two heartbeats on one session.
 	HeartbeatInterval time.Duration
 	// SessionTimeout is the silence after which a session is closed.
 	SessionTimeout time.Duration
@@ -76,7 +81,7 @@
 
 // Open adds a session.
 func (r *Registrar) Open(now time.Time, id messenger.Session, address netip.AddrPort) *Session {
-	s := &Session{ID: id, Address: address, Received: now, Sent: now, Opened: now}
+	s := &Session{ID: id, Address: address, Received: now, Beat: now, Opened: now}
 	r.sessions = append(r.sessions, s)
 	return s
 }
@@ -140,13 +145,13 @@
 	return silent
 }
 
-// DueHeartbeats lists the ready sessions on which nothing was sent for the
-// heartbeat's interval.
+// DueHeartbeats lists the ready sessions on which no heartbeat was sent for its
+// interval.
 func (r *Registrar) DueHeartbeats(now time.Time) []*Session {
 	interval := orDefault(r.HeartbeatInterval, DefaultHeartbeatInterval)
 	var due []*Session
 	for _, s := range r.sessions {
-		if s.Ready() && now.Sub(s.Sent) >= interval {
+		if s.Ready() && now.Sub(s.Beat) >= interval {
 			due = append(due, s)
 		}
 	}
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -31,6 +31,7 @@
 		beat := message.Heartbeat
 		return &control.Message{Body: &control.Message_Heartbeat{Heartbeat: &control.Heartbeat{
 			Revision: beat.Revision, Primary: beat.Primary, Full: beat.Full, Digest: beat.Digest,
+			Section: beat.Section, Text: beat.Text,
 		}}}
 	case message.Delta != nil:
 		return &control.Message{Body: &control.Message_Delta{Delta: encodeDelta(message.Delta)}}
@@ -76,6 +77,7 @@
 		return &messenger.Message{Heartbeat: &messenger.Heartbeat{
 			Revision: body.Heartbeat.GetRevision(), Primary: body.Heartbeat.GetPrimary(),
 			Full: body.Heartbeat.GetFull(), Digest: body.Heartbeat.GetDigest(),
+			Section: body.Heartbeat.GetSection(), Text: body.Heartbeat.GetText(),
 		}}, nil
 	case *control.Message_Delta:
 		delta, err := decodeDelta(body.Delta)
