--- a/transport/linker/capacity_test.go
+++ b/transport/linker/capacity_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
-	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -69,12 +67,17 @@
 	}
 }
 
-// echoFor is echo for a benchmark.
+// echoFor answers each message on a control stream with the same.
 func echoFor(b *testing.B, keys *keyer.Keys) *Listener {
 	listener, err := Listen(loopback, Fixed(keys))
 	is.New(b).NoErr(err)
 	listener.Handle(KindControl, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
-		_, _ = io.Copy(stream, stream)
+		for {
+			var message wrapperspb.BytesValue
+			if ReadMessage(stream, &message) != nil || WriteMessage(stream, &message) != nil {
+				return
+			}
+		}
 	})
 	go func() { _ = listener.Serve(context.Background()) }()
 	b.Cleanup(func() { listener.Close() })
@@ -123,7 +126,7 @@
 			is := is.New(b)
 			keys := keyer.Random()
 			listener := echoFor(b, keys)
-			before := memoryInUse()
+			before := memory()
 			began := time.Now()
 			for range sessions {
 				session, err := Dial(b.Context(), listener.Address(), Fixed(keys))
@@ -136,22 +139,13 @@
 				is.NoErr(ReadMessage(stream, &got))
 			}
 			elapsed := time.Since(began)
-			b.ReportMetric(float64(memoryInUse()-before)/float64(2*sessions), "B/side")
+			b.ReportMetric(float64(memory()-before)/float64(2*sessions), "B/side")
 			b.ReportMetric(float64(elapsed.Microseconds())/float64(sessions), "us/handshake")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
 }
 
-func memoryInUse() uint64 {
-	for range 5 {
-		runtime.GC()
-	}
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc + stats.StackInuse
-}
-
 // BenchmarkQuestion measures the bytes that a connection carries for a short
 // question and its reply on a stream of their own.
 func BenchmarkQuestion(b *testing.B) {
