Share the export of counters by reason

The balancer's and the agent's data paths exported their counters by the same code. It is now in transport/counter; the names and labels of the metrics are as before. The tests TestCountersCollect of both packages now name the two metrics that they count, so that a changed name fails them.

--- a/transport/forwarder/counters.go
+++ b/transport/forwarder/counters.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrymast/transport/counter"
 )
 
 // Drop numbers the reasons for which the balancer drops a packet.
@@ -65,10 +67,7 @@
 	dropped [drops]atomic.Uint64
 }
 
-var (
-	packetsDesc = prometheus.NewDesc("gooseberrymast_balancer_packets_total", "Packets forwarded, by kind.", []string{"kind"}, nil)
-	dropsDesc   = prometheus.NewDesc("gooseberrymast_balancer_drops_total", "Packets dropped, by reason.", []string{"reason"}, nil)
-)
+var metrics = counter.New("balancer", "Packets forwarded, by kind.")
 
 // Dropped gives the number of packets dropped for a reason.
 func (c *Counters) Dropped(reason Drop) uint64 {
@@ -77,21 +76,15 @@
 
 // Describe implements prometheus.Collector.
 func (c *Counters) Describe(out chan<- *prometheus.Desc) {
-	out <- packetsDesc
-	out <- dropsDesc
+	metrics.Describe(out)
 }
 
 // Collect implements prometheus.Collector.
 func (c *Counters) Collect(out chan<- prometheus.Metric) {
-	counter := func(desc *prometheus.Desc, value uint64, label string) {
-		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), label)
-	}
-	counter(packetsDesc, c.Established.Load(), "established")
-	counter(packetsDesc, c.Opening.Load(), "opening")
-	counter(packetsDesc, c.Answers.Load(), "answer")
-	for reason := range drops {
-		counter(dropsDesc, c.Dropped(reason), reason.String())
-	}
+	metrics.Packets(out, "established", &c.Established)
+	metrics.Packets(out, "opening", &c.Opening)
+	metrics.Packets(out, "answer", &c.Answers)
+	metrics.Drops(out, dropNames[:], c.dropped[:])
 }
 
 func (c *Counters) drop(reason Drop) {
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -265,7 +265,7 @@
 	fwd.Counters.drop(DropForged)
 	registry := prometheus.NewRegistry()
 	is.NoErr(registry.Register(&fwd.Counters))
-	n, err := testutil.GatherAndCount(registry)
+	n, err := testutil.GatherAndCount(registry, "gooseberrymast_balancer_packets_total", "gooseberrymast_balancer_drops_total")
 	is.NoErr(err)
 	is.Equal(n, 3+int(drops))
 }
--- a/transport/receiver/counters.go
+++ b/transport/receiver/counters.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrymast/transport/counter"
 )
 
 // Drop numbers the reasons for which the agent drops a packet.
@@ -80,10 +82,7 @@
 	dropped [drops]atomic.Uint64
 }
 
-var (
-	packetsDesc = prometheus.NewDesc("gooseberrymast_agent_packets_total", "Packets handled, by kind.", []string{"kind"}, nil)
-	dropsDesc   = prometheus.NewDesc("gooseberrymast_agent_drops_total", "Packets dropped, by reason.", []string{"reason"}, nil)
-)
+var metrics = counter.New("agent", "Packets handled, by kind.")
 
 // Dropped gives the number of packets dropped for a reason.
 func (c *Counters) Dropped(reason Drop) uint64 {
@@ -92,25 +91,19 @@
 
 // Describe implements prometheus.Collector.
 func (c *Counters) Describe(out chan<- *prometheus.Desc) {
-	out <- packetsDesc
-	out <- dropsDesc
+	metrics.Describe(out)
 }
 
 // Collect implements prometheus.Collector.
 func (c *Counters) Collect(out chan<- prometheus.Metric) {
-	counter := func(desc *prometheus.Desc, value uint64, label string) {
-		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), label)
-	}
-	counter(packetsDesc, c.Established.Load(), "established")
-	counter(packetsDesc, c.Opening.Load(), "opening")
-	counter(packetsDesc, c.Passed.Load(), "passed")
-	counter(packetsDesc, c.Stale.Load(), "stale")
-	counter(packetsDesc, c.Answers.Load(), "answer")
-	counter(packetsDesc, c.Alternated.Load(), "alternated")
-	counter(packetsDesc, c.Retries.Load(), "retry")
-	for reason := range drops {
-		counter(dropsDesc, c.Dropped(reason), reason.String())
-	}
+	metrics.Packets(out, "established", &c.Established)
+	metrics.Packets(out, "opening", &c.Opening)
+	metrics.Packets(out, "passed", &c.Passed)
+	metrics.Packets(out, "stale", &c.Stale)
+	metrics.Packets(out, "answer", &c.Answers)
+	metrics.Packets(out, "alternated", &c.Alternated)
+	metrics.Packets(out, "retry", &c.Retries)
+	metrics.Drops(out, dropNames[:], c.dropped[:])
 }
 
 func (c *Counters) drop(reason Drop) {
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -182,7 +182,7 @@
 	is := is.New(t)
 	registry := prometheus.NewRegistry()
 	is.NoErr(registry.Register(&Counters{}))
-	n, err := testutil.GatherAndCount(registry)
+	n, err := testutil.GatherAndCount(registry, "gooseberrymast_agent_packets_total", "gooseberrymast_agent_drops_total")
 	is.NoErr(err)
 	is.Equal(n, 7+int(drops))
 }
