--- a/transport/linker/capacity_test.go
+++ b/transport/linker/capacity_test.go
@@ -1,9 +1,7 @@
 package linker
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"runtime"
@@ -69,75 +67,103 @@
 	}
 }
 
-// echoFor is echo for a benchmark.
-func echoFor(b *testing.B, keys *keyer.Keys) *Listener {
-	listener, err := Listen(loopback, Fixed(keys))
-	is.New(b).NoErr(err)
-	listener.Handle(KindControl, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
-		_, _ = io.Copy(stream, stream)
-	})
-	go func() { _ = listener.Serve(context.Background()) }()
-	b.Cleanup(func() { listener.Close() })
-	return listener
+// meteredSession opens a session through a meter.
+func meteredSession(b *testing.B) (*meter, *Session) {
+	keys := keyer.Random()
+	m := startMeter(b, echo(b, keys).Address().String())
+	return m, dial(b, netip.MustParseAddrPort(m.listener.Addr().String()), keys)
+}
+
+// exchange sends a message and reads its echo.
+func exchange(b *testing.B, stream *Stream, message *wrapperspb.BytesValue) {
+	is := is.New(b)
+	is.NoErr(WriteMessage(stream, message))
+	var got wrapperspb.BytesValue
+	is.NoErr(ReadMessage(stream, &got))
+}
+
+// measure runs a step once, and then reports the bytes and the reads of each
+// further run, divided by the parts of a step.
+func (m *meter) measure(b *testing.B, unit string, parts int, step func()) {
+	step()
+	before, reads := m.bytes.Load(), m.reads.Load()
+	for b.Loop() {
+		step()
+	}
+	n := float64(parts * b.N)
+	b.ReportMetric(float64(m.bytes.Load()-before)/n, "B/"+unit)
+	b.ReportMetric(float64(m.reads.Load()-reads)/n, "reads/"+unit)
 }
 
 // BenchmarkOverhead measures the bytes that a connection carries for a session
-// that opens with one stream, and for each message beside the message itself,
-// from its own length to the TLS record. IP, TCP and acknowledgements come on
-// top.
+// that opens with one stream and one exchange, and for each message, with its
+// length and the TLS record. IP, TCP and acknowledgements come on top.
 func BenchmarkOverhead(b *testing.B) {
 	for _, size := range []int{0, 100, 1000} {
 		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
-			is := is.New(b)
-			keys := keyer.Random()
-			m := startMeter(b, echoFor(b, keys).Address().String())
-			session, err := Dial(b.Context(), netip.MustParseAddrPort(m.listener.Addr().String()), Fixed(keys))
-			is.NoErr(err)
-			defer session.Close()
-			stream, err := session.OpenStream(KindControl)
-			is.NoErr(err)
+			m, session := meteredSession(b)
+			stream, err := session.OpenStream(KindHandOver)
+			is.New(b).NoErr(err)
 			message := wrapperspb.Bytes(make([]byte, size))
-			roundTrip := func() {
-				is.NoErr(WriteMessage(stream, message))
-				var got wrapperspb.BytesValue
-				is.NoErr(ReadMessage(stream, &got))
-			}
-			roundTrip()
-			opening, reads := m.bytes.Load(), m.reads.Load()
-			for b.Loop() {
-				roundTrip()
-			}
-			messages := float64(2 * b.N)
+			exchange(b, stream, message)
+			opening := m.bytes.Load()
+			m.measure(b, "message", 2, func() { exchange(b, stream, message) })
 			b.ReportMetric(float64(opening), "B/session")
-			b.ReportMetric(float64(m.bytes.Load()-opening)/messages, "B/message")
-			b.ReportMetric(float64(m.reads.Load()-reads)/messages, "reads/message")
 		})
 	}
 }
 
-// BenchmarkSessionMemory measures the heap and the stacks of both sides of an
-// idle session with one stream, and the time of its handshake on both sides.
+// BenchmarkQuestion measures the bytes that a connection carries for a short
+// question and its reply on a stream of their own.
+func BenchmarkQuestion(b *testing.B) {
+	for _, size := range []int{10, 100} {
+		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
+			is := is.New(b)
+			m, session := meteredSession(b)
+			message := wrapperspb.Bytes(make([]byte, size))
+			m.measure(b, "question", 1, func() {
+				stream, err := session.OpenStream(KindHandOver)
+				is.NoErr(err)
+				exchange(b, stream, message)
+				is.NoErr(stream.Close())
+			})
+		})
+	}
+}
+
+// BenchmarkSessionMemory measures the heap and the stacks of each side of an
+// idle session, without a stream and with one, and the time of its opening on
+// both sides.
 func BenchmarkSessionMemory(b *testing.B) {
-	for _, sessions := range []int{50, 200} {
-		b.Run(fmt.Sprintf("sessions=%d", sessions), func(b *testing.B) {
+	benchmarks := []struct {
+		name     string
+		sessions int
+		stream   bool
+	}{
+		{"sessions=50", 50, true},
+		{"sessions=200", 200, true},
+		{"idle sessions=500", 500, false},
+	}
+	for _, bench := range benchmarks {
+		b.Run(bench.name, func(b *testing.B) {
 			is := is.New(b)
 			keys := keyer.Random()
-			listener := echoFor(b, keys)
+			listener := echo(b, keys)
 			before := memoryInUse()
 			began := time.Now()
-			for range sessions {
+			for range bench.sessions {
 				session, err := Dial(b.Context(), listener.Address(), Fixed(keys))
 				is.NoErr(err)
 				defer session.Close()
-				stream, err := session.OpenStream(KindControl)
-				is.NoErr(err)
-				is.NoErr(WriteMessage(stream, wrapperspb.String("first")))
-				var got wrapperspb.StringValue
-				is.NoErr(ReadMessage(stream, &got))
+				if bench.stream {
+					stream, err := session.OpenStream(KindHandOver)
+					is.NoErr(err)
+					exchange(b, stream, wrapperspb.Bytes([]byte("first")))
+				}
 			}
 			elapsed := time.Since(began)
-			b.ReportMetric(float64(memoryInUse()-before)/float64(2*sessions), "B/side")
-			b.ReportMetric(float64(elapsed.Microseconds())/float64(sessions), "us/handshake")
+			b.ReportMetric(float64(memoryInUse()-before)/float64(2*bench.sessions), "B/side")
+			b.ReportMetric(float64(elapsed.Microseconds())/float64(bench.sessions), "us/handshake")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
@@ -151,34 +177,3 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc + stats.StackInuse
 }
-
-// BenchmarkQuestion measures the bytes that a connection carries for a short
-// question and its reply on a stream of their own.
-func BenchmarkQuestion(b *testing.B) {
-	for _, size := range []int{10, 100} {
-		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
-			is := is.New(b)
-			keys := keyer.Random()
-			m := startMeter(b, echoFor(b, keys).Address().String())
-			session, err := Dial(b.Context(), netip.MustParseAddrPort(m.listener.Addr().String()), Fixed(keys))
-			is.NoErr(err)
-			defer session.Close()
-			message := wrapperspb.Bytes(make([]byte, size))
-			ask := func() {
-				stream, err := session.OpenStream(KindControl)
-				is.NoErr(err)
-				is.NoErr(WriteMessage(stream, message))
-				var got wrapperspb.BytesValue
-				is.NoErr(ReadMessage(stream, &got))
-				is.NoErr(stream.Close())
-			}
-			ask()
-			before, reads := m.bytes.Load(), m.reads.Load()
-			for b.Loop() {
-				ask()
-			}
-			b.ReportMetric(float64(m.bytes.Load()-before)/float64(b.N), "B/question")
-			b.ReportMetric(float64(m.reads.Load()-reads)/float64(b.N), "reads/question")
-		})
-	}
-}
--- a/transport/linker/linker_test.go
+++ b/transport/linker/linker_test.go
@@ -20,7 +20,7 @@
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // echo starts a listener whose hand-over streams are echoed.
-func echo(t *testing.T, keys *keyer.Keys) *Listener {
+func echo(t testing.TB, keys *keyer.Keys) *Listener {
 	t.Helper()
 	listener, err := Listen(loopback, Fixed(keys))
 	is.New(t).NoErr(err)
@@ -36,22 +36,28 @@
 	return listener
 }
 
+func dial(t testing.TB, address netip.AddrPort, keys *keyer.Keys) *Session {
+	t.Helper()
+	session, err := Dial(t.Context(), address, Fixed(keys))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = session.Close() })
+	return session
+}
+
 func TestSessionCarriesMessages(t *testing.T) {
 	is := is.New(t)
 	keys := keyer.Random()
-	listener := echo(t, keys)
-	session, err := Dial(t.Context(), listener.Address(), Fixed(keys))
-	is.NoErr(err)
-	defer session.Close()
-	stream, err := session.OpenStream(KindHandOver)
+	stream, err := dial(t, echo(t, keys).Address(), keys).OpenStream(KindHandOver)
 	is.NoErr(err)
-	is.NoErr(WriteMessage(stream, wrapperspb.String("first")))
-	is.NoErr(WriteMessage(stream, wrapperspb.String("")))
+	want := []string{"first", ""}
+	for _, text := range want {
+		is.NoErr(WriteMessage(stream, wrapperspb.String(text)))
+	}
 	var got wrapperspb.StringValue
-	is.NoErr(ReadMessage(stream, &got))
-	is.Equal(got.Value, "first")
-	is.NoErr(ReadMessage(stream, &got))
-	is.Equal(got.Value, "")
+	for _, text := range want {
+		is.NoErr(ReadMessage(stream, &got))
+		is.Equal(got.Value, text)
+	}
 	stream.Close()
 	is.Equal(ReadMessage(stream, &got), io.EOF)
 }
@@ -59,11 +65,7 @@
 func TestStreamOfUnhandledKindIsClosed(t *testing.T) {
 	is := is.New(t)
 	keys := keyer.Random()
-	listener := echo(t, keys)
-	session, err := Dial(t.Context(), listener.Address(), Fixed(keys))
-	is.NoErr(err)
-	defer session.Close()
-	stream, err := session.OpenStream(KindControl)
+	stream, err := dial(t, echo(t, keys).Address(), keys).OpenStream(KindControl)
 	is.NoErr(err)
 	_, err = stream.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
@@ -219,9 +221,7 @@
 		session, _ := accept(context.Background(), conn, Fixed(keys))
 		accepted <- session // Its streams are never accepted.
 	}()
-	session, err := Dial(t.Context(), socket.Addr().(*net.TCPAddr).AddrPort(), Fixed(keys))
-	is.NoErr(err)
-	defer session.Close()
+	session := dial(t, socket.Addr().(*net.TCPAddr).AddrPort(), keys)
 	peer := <-accepted
 	defer peer.Close()
 	for {
