Learn of stragglers while they run, and leave half of the slots to short requests

A path counted as short until its first requests had ended, so the first stragglers took every slot, and later ones all slots but one. Change: a path is long once a request of it has run long, before that one ends; long requests hold at most half of the slots while short ones have come within 5 s, and never the last.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -3,6 +3,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrymast"
@@ -20,6 +21,9 @@
 	// OverloadRounds is the number of requests for each slot that wait at an
 	// overloaded backend server.
 	OverloadRounds = 2
+	// ShortMemory is how long after a short request long ones leave half of
+	// the slots to others like it, and not just one.
+	ShortMemory = 5 * time.Second
 	// ShedRecovery is the time after which a bound that was lowered because
 	// the backend server shed rises by one.
 	ShedRecovery = 500 * time.Millisecond
@@ -81,7 +85,9 @@
 	MixLong bool
 
 	running map[gooseberrymast.WorkID]run
-	waiting []Entry
+	// lastShort is when the latest request that is not long started.
+	lastShort time.Time
+	waiting   []Entry
 	// filledAt is since when short requests have waited.
 	filledAt time.Time
 	// shedBound is the bound that shedding left, or zero for none.
@@ -146,7 +152,7 @@
 	if !entry.Long {
 		return true
 	}
-	return a.longRunning(now)+1 < bound || (bound == 1 && !a.shortWaiting())
+	return a.longRunning(now)+a.reserve(now, bound) < bound || (bound == 1 && !a.shortWaiting())
 }
 
 // Start takes a slot.
@@ -154,6 +160,9 @@
 	if a.running == nil {
 		a.running = map[gooseberrymast.WorkID]run{}
 	}
+	if !entry.Long {
+		a.lastShort = now
+	}
 	a.running[entry.ID] = run{started: now, long: entry.Long}
 	asserter.Holds(len(a.running) <= a.Slots, "slots-not-exceeded", "%d running in %d slots", len(a.running), a.Slots)
 }
@@ -180,6 +189,30 @@
 	a.Started = now
 }
 
+// reserve gives the number of slots that long requests leave to short ones.
+func (a *Admitter) reserve(now time.Time, bound int) int {
+	if now.Sub(a.lastShort) >= ShortMemory {
+		return 1
+	}
+	return max(1, bound/2)
+}
+
+// Overdue gives the requests that have turned out long since the last call, in
+// the order of their numbers.
+func (a *Admitter) Overdue(now time.Time) []gooseberrymast.WorkID {
+	var overdue []gooseberrymast.WorkID
+	for id, held := range a.running {
+		if held.long || a.LongAfter <= 0 || now.Sub(held.started) <= a.LongAfter {
+			continue
+		}
+		held.long = true
+		a.running[id] = held
+		overdue = append(overdue, id)
+	}
+	slices.Sort(overdue)
+	return overdue
+}
+
 func (a *Admitter) longRunning(now time.Time) int {
 	long := 0
 	for _, held := range a.running {
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -76,7 +76,10 @@
 		next    Entry
 		starts  bool
 	}{
-		{"long beside two long", []Entry{long(1), long(2)}, 0, long(9), true},
+		{"long beside long without short", []Entry{long(1), long(2)}, 0, long(9), true},
+		{"long to half of the slots", []Entry{long(1), entry(2, time.Minute)}, 0, long(9), true},
+		{"long to more than half", []Entry{long(1), long(2), entry(3, time.Minute)}, 0, long(9), false},
+		{"long to the last slot, no short for long", []Entry{long(1), long(2), entry(3, time.Minute)}, ShortMemory, long(9), false},
 		{"long to the last slot", []Entry{long(1), long(2), long(3)}, 0, long(9), false},
 		{"short to the last slot", []Entry{long(1), long(2), long(3)}, 0, entry(9, time.Minute), true},
 		{"long beside what has run long", []Entry{entry(1, time.Minute), entry(2, time.Minute), entry(3, time.Minute)}, time.Second, long(9), false},
--- a/coordination/dispatcher/scenario_test.go
+++ b/coordination/dispatcher/scenario_test.go
@@ -99,7 +99,7 @@
 	deadline := l.shortest + time.Duration(l.random.Int64N(int64(l.spread)))
 	work := gooseberrymast.Work{Path: "/loans", Replayable: true, Idempotent: l.chance(0.5), Deadline: now.Add(deadline)}
 	if l.stragglers && l.random.IntN(stragglersIn) == 0 {
-		work.Caller, work.Deadline = callerAddress, now.Add(time.Minute) // marks a straggler
+		work.Caller, work.Deadline = callerAddress, now.Add(3*time.Second) // marks a straggler
 		if !l.hidden {
 			work.Path = "/sync"
 		}
--- a/coordination/dispatcher/tick.go
+++ b/coordination/dispatcher/tick.go
@@ -57,6 +57,9 @@
 func (d *Dispatcher) pump(now time.Time) {
 	d.now = now
 	d.stirred = false
+	for _, id := range d.admitter.Overdue(now) {
+		d.estimator.Overdue(d.requests[id].work.Path)
+	}
 	if d.admitter.Waiting() == 0 {
 		return
 	}
--- a/coordination/estimator/estimator.go
+++ b/coordination/estimator/estimator.go
@@ -54,8 +54,10 @@
 	deviation float64
 	// long is the moving share of requests that were long.
 	long float64
-	used uint64
-	at   time.Time
+	// overdue is set while one of the first requests ran long.
+	overdue bool
+	used    uint64
+	at      time.Time
 }
 
 // Observe takes the measured service time of one request.
@@ -70,11 +72,20 @@
 	one.add(float64(took), long)
 }
 
+// Overdue takes a request that has turned out long and still runs. Without it a
+// path of stragglers would count as short until the first of them ends.
+func (e *Estimator) Overdue(path string) {
+	one := e.track(Key(path))
+	if one.samples < minSamples {
+		one.overdue = true
+	}
+}
+
 // Expect estimates the service time of a request for the path.
 func (e *Estimator) Expect(path string) Estimate {
 	one := e.paths[Key(path)]
 	if one == nil || one.samples < minSamples {
-		return Estimate{Mean: e.Typical(), Safe: e.safe(&e.all)}
+		return Estimate{Mean: e.Typical(), Safe: e.safe(&e.all), Long: one != nil && one.overdue}
 	}
 	return Estimate{
 		Known: true,
--- a/coordination/estimator/estimator_test.go
+++ b/coordination/estimator/estimator_test.go
@@ -60,3 +60,14 @@
 	}
 	is.Equal(len(e.paths), MaxPaths)
 }
+
+func TestNewPathIsLongOnceARequestRunsLong(t *testing.T) {
+	is := is.New(t)
+	var e Estimator
+	e.Overdue("/sync")
+	is.True(e.Expect("/sync").Long)
+	for range minSamples {
+		e.Observe(epoch, "/sync", 20*time.Millisecond)
+	}
+	is.True(!e.Expect("/sync").Long) // the first was the exception
+}
