--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -123,6 +123,8 @@
 		Zone:    settings.Zone,
 		Seed:    a.config.Seed,
 		Policy:  a.config.Policy,
+
+		CountAtHome: true,
 	})
 	a.pool = &linker.Pool{Keys: a.keys.Load, Timer: a.config.Timer}
 	a.driver = &driver.Driver{
@@ -248,6 +250,7 @@
 func (a *Agent) setTable(table *gooseberrymast.Table) {
 	a.table.Store(table)
 	members := table.Members(a.tag)
+	a.receiver.SetTable(table)
 	a.driver.Members(members)
 	a.evener.update(members)
 }
--- a/transport/driver/events.go
+++ b/transport/driver/events.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"net/netip"
 	"time"
 
 	"gooseberrymast"
@@ -86,6 +86,33 @@
 	return granted
 }
 
+// Count answers a peer that has admitted requests of a caller.
+func (d *Driver) Count(caller netip.Addr, admitted int) (granted int, wait time.Duration) {
+	counter, ok := d.Dispatcher.(gooseberrymast.CallerCounter)
+	if !ok {
+		return admitted, 0
+	}
+	d.decide(func(now time.Time) []gooseberrymast.Action {
+		granted, wait = counter.Count(now, caller, admitted)
+		return nil
+	})
+	return granted, wait
+}
+
+// report tells a caller's home agent what was admitted here, and the
+// dispatcher what it answered.
+func (d *Driver) report(action gooseberrymast.Action) {
+	counter, ok := d.Dispatcher.(gooseberrymast.CallerCounter)
+	if !ok {
+		return
+	}
+	known, granted, wait := d.Peers.Count(context.Background(), action.Peer, action.Caller, action.Count)
+	d.decide(func(now time.Time) []gooseberrymast.Action {
+		counter.Counted(now, action.Caller, known, granted, wait)
+		return nil
+	})
+}
+
 // Refusal makes a refusal that the transport itself decides. It is made before
 // any server was given the request.
 func (d *Driver) Refusal(reason gooseberrymast.Reason) gooseberrymast.Refusal {
@@ -109,30 +136,3 @@
 	defer d.mu.Unlock()
 	return len(d.running)
 }
-
-// Settle waits until no request is in progress, those that peers handed over
-// included. A process that is to stop calls it once no new ones can come.
-func (d *Driver) Settle(ctx context.Context) error {
-	settled := d.whenSettled()
-	select {
-	case <-settled:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("Driver.Settle: %d requests in progress: %w", d.InProgress(), ctx.Err())
-	}
-}
-
-// whenSettled gives a channel that is closed when no request is left.
-func (d *Driver) whenSettled() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.running) == 0 {
-		none := make(chan struct{})
-		close(none)
-		return none
-	}
-	if d.settled == nil {
-		d.settled = make(chan struct{})
-	}
-	return d.settled
-}
