Send revisions along the tree only

Cause: a revision went over every session between balancers, and reports named up to 32 instances. Reports name 16.

--- a/coordination/member/attach.go
+++ b/coordination/member/attach.go
@@ -179,6 +179,7 @@
 	}
 	if next := m.registrar.Get(primary); next != nil {
 		m.sendHeartbeat(now, next, false)
+		m.offer(next)
 	}
 }
 
--- a/coordination/member/revision.go
+++ b/coordination/member/revision.go
@@ -15,17 +15,21 @@
 // whatever it says of their service, so that it outlives all balancers.
 const keepers = 2
 
-// offer notes the revision in force for a peer that lacks its text. An agent
-// is told over one of its sessions; one whose service isn't concerned learns
+// offer notes the revision in force for a peer that lacks its text, along the
+// tree; other peers ask when the tree fails them. An agent is told over one of
+// its sessions; one whose service isn't concerned learns
 // the number alone, with a heartbeat.
 func (m *Member) offer(s *registrar.Session) {
 	number := m.adopter.Current.Number
 	if !s.Ready() || s.Text >= number || m.offered[s.ID] >= number || m.adopter.TextNumber != number {
 		return
 	}
+	if !s.TakesNews && s.ID != m.primary {
+		return
+	}
 	gap := time.Duration(0)
 	if s.Role == gooseberrymast.RoleAgent {
-		if !s.TakesNews || s.Section == m.adopter.Section(s.Service) && !m.keeps(s) {
+		if s.Section == m.adopter.Section(s.Service) && !m.keeps(s) {
 			return
 		}
 		gap = agentRevisionInterval
--- a/coordination/reporter/reporter.go
+++ b/coordination/reporter/reporter.go
@@ -14,7 +14,7 @@
 // The bounds on the identities that a report names for one revision.
 const (
 	// MaxAll bounds a report that names all of its instances.
-	MaxAll = 32
+	MaxAll = 16
 	// MaxStragglers bounds the identities of a revision that isn't the
 	// highest of the report.
 	MaxStragglers = 8
