Turn from a flow that stays silent past a request's deadline

Cause: after an instance died each of its callers kept sending on the dead flow until the idle timeout, 20 s of requests that ended by their deadlines. The HTTP/3 library's transport, besides, dropped a living flow from its books whenever one request on it was reset, and left it open.

Change: the client keeps its flows itself. When a deadline passes without a head and no packet has come since the request was sent, the flow is retired: new requests open another, those in progress keep it, and it is closed with the last of them. At most one flow in 5 s is given up so. A request that a flow did not take goes out on the next flow.

Ruled out: doubting by the deadline alone, which opens a flow for each request to a slow server; sampling the packets a while after the request, which takes an agent for dead that waits for its server.

A packet that was on its way at the death can cost a second timeout. The test of Retire set the names of running stand-ins, which it did not use and the race detector reported; it no longer does.

--- a/caller/client.go
+++ b/caller/client.go
@@ -6,7 +6,6 @@
 package caller
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -17,10 +16,10 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/encoder"
+	"gooseberrymast/state/timer"
 )
 
 // The settings of a client's flow.
@@ -33,6 +32,9 @@
 	DialTimeout = 5 * time.Second
 	// MaxSends is the number of times that one request is sent.
 	MaxSends = 3
+	// DoubtInterval is the least time between two flows that are given up for
+	// their silence.
+	DoubtInterval = 5 * time.Second
 	// resendPause is the wait before a request is sent again; it doubles.
 	resendPause = 50 * time.Millisecond
 )
@@ -59,15 +61,23 @@
 	// OnFlow, unless nil, is called when a flow was opened.
 	OnFlow func(flow *quic.Conn)
 
+	// Timer is the timer service; nil means the system's.
+	Timer gooseberrymast.Timer
+
 	once      sync.Once
 	initErr   error
 	transport *quic.Transport
 	owned     net.PacketConn
-	http      *http3.Transport
 
 	mu      sync.Mutex
 	next    int
 	tickets []string
+	// current opens or holds the present flow.
+	current *dialing
+	// flows are those that were opened and perhaps still live.
+	flows []*flow
+	// doubtedAt is when a flow was last given up for its silence.
+	doubtedAt time.Time
 }
 
 // Do sends a request and gives its answer, which may be a refusal; RefusalOf
@@ -90,13 +100,20 @@
 	return c.send(prepared)
 }
 
-// Close ends the flow and the requests on it.
+// Close ends the flows and the requests on them.
 func (c *Client) Close() error {
 	c.once.Do(c.init)
-	if c.http == nil {
+	if c.transport == nil {
 		return nil
 	}
-	err := errors.Join(c.http.Close(), c.transport.Close())
+	c.mu.Lock()
+	flows := c.flows
+	c.flows = nil
+	c.mu.Unlock()
+	for _, f := range flows {
+		f.close()
+	}
+	err := c.transport.Close()
 	if c.owned != nil {
 		err = errors.Join(err, c.owned.Close())
 	}
@@ -109,9 +126,15 @@
 // CloseIdle ends the flow if it has no request, so that the next one opens a
 // new flow.
 func (c *Client) CloseIdle() {
-	c.once.Do(c.init)
-	if c.initErr == nil {
-		c.http.CloseIdleConnections()
+	c.mu.Lock()
+	current := c.current
+	c.mu.Unlock()
+	if current == nil {
+		return
+	}
+	<-current.done
+	if current.flow != nil {
+		current.flow.retireIfIdle()
 	}
 }
 
@@ -127,38 +150,6 @@
 		conn = socket
 	}
 	c.transport = &quic.Transport{Conn: conn}
-	config := c.QUIC
-	if config == nil {
-		config = &quic.Config{
-			MaxIdleTimeout:          FlowIdleTimeout,
-			KeepAlivePeriod:         KeepAlivePeriod,
-			DisablePathMTUDiscovery: true,
-		}
-	}
-	secure := c.TLS
-	if secure == nil {
-		secure = &tls.Config{MinVersion: tls.VersionTLS13}
-	}
-	c.http = &http3.Transport{TLSClientConfig: secure, QUICConfig: config, Dial: c.dial, DisableCompression: true}
-}
-
-// dial opens a flow. The tickets of the flow before it were issued by an agent
-// that is perhaps gone, so they are dropped.
-func (c *Client) dial(ctx context.Context, _ string, secure *tls.Config, config *quic.Config) (*quic.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
-	defer cancel()
-	address, err := c.address()
-	if err != nil {
-		return nil, err
-	}
-	flow, err := c.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), secure, config)
-	if err != nil {
-		return nil, &dialError{address: address, cause: err}
-	}
-	if c.OnFlow != nil {
-		c.OnFlow(flow)
-	}
-	return flow, nil
 }
 
 func (c *Client) address() (netip.AddrPort, error) {
@@ -167,13 +158,22 @@
 	if len(c.Addresses) == 0 {
 		return netip.AddrPort{}, &dialError{cause: errNoAddress}
 	}
-	c.tickets = nil
 	address := c.Addresses[c.next%len(c.Addresses)]
 	c.next++
 	return address, nil
 }
 
-var errNoAddress = errors.New("no address of the service is set")
+func (c *Client) timer() gooseberrymast.Timer {
+	if c.Timer == nil {
+		return timer.System{}
+	}
+	return c.Timer
+}
+
+var (
+	errNoAddress = errors.New("no address of the service is set")
+	errScheme    = errors.New("the URL's scheme is not https")
+)
 
 // dialError means that no flow could be opened.
 type dialError struct {
--- a/caller/send.go
+++ b/caller/send.go
@@ -115,7 +115,7 @@
 			return nil, fmt.Errorf("Client.send: %w", outcome(mayHaveRun, err))
 		}
 		prepared.sends++
-		response, err := c.http.RoundTrip(sent)
+		response, err := c.roundTrip(sent)
 		if err == nil {
 			if !mayHaveRun && prepared.staleTicket(response) {
 				response.Body.Close()
@@ -139,6 +139,48 @@
 	}
 }
 
+// maxFlows bounds the flows that one sending tries when each refuses it.
+const maxFlows = 3
+
+// roundTrip sends a request, on the present flow or on the next one if that
+// takes no new requests; an agent is given it at most once. The request's body is closed in any case.
+func (c *Client) roundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.tryFlows(request)
+	if err != nil && request.Body != nil {
+		request.Body.Close()
+	}
+	return response, err
+}
+
+func (c *Client) tryFlows(request *http.Request) (*http.Response, error) {
+	if request.URL.Scheme != "https" {
+		return nil, &dialError{cause: errScheme}
+	}
+	ctx := request.Context()
+	for range maxFlows {
+		f, err := c.flowFor(ctx, request.URL.Hostname())
+		if err != nil {
+			return nil, err
+		}
+		sent, received := time.Now(), f.received()
+		response, err := f.roundTrip(request)
+		if errors.Is(err, errNotSent) {
+			continue
+		}
+		if errors.Is(err, context.DeadlineExceeded) && f.silentSince(sent, received) {
+			c.doubt(f)
+		}
+		if wasRejected(err) {
+			f.retire()
+			if request.Body == nil {
+				continue
+			}
+		}
+		return response, err
+	}
+	return nil, errNotSent
+}
+
 // staleTicket reports whether the first sending was refused for a ticket that
 // came from an agent that is gone. A fresh one is then safe: no server was
 // given the request, which was sent this once.
@@ -154,7 +196,7 @@
 // out, or says that the agent did not take it.
 func neverSent(err error) bool {
 	var dial *dialError
-	return errors.As(err, &dial) || wasRejected(err)
+	return errors.As(err, &dial) || errors.Is(err, errNotSent) || wasRejected(err)
 }
 
 func wasRejected(err error) bool {
--- a/caller/tickets.go
+++ b/caller/tickets.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return "", fmt.Errorf("Client.takeTicket: %w", err)
 	}
-	response, err := c.http.RoundTrip(ask)
+	response, err := c.roundTrip(ask)
 	if err != nil {
 		return "", fmt.Errorf("Client.takeTicket: %w", err)
 	}
--- a/transport/terminator/retire_test.go
+++ b/transport/terminator/retire_test.go
@@ -21,7 +21,6 @@
 	)
 	is := is.New(t)
 	s := newService(t, 2, nil)
-	s.agents[0].backend.Name, s.agents[1].backend.Name = "first", "second"
 	var streams []*http.Response
 	var clients []interface {
 		Do(*http.Request) (*http.Response, error)
