--- a/coordination/member/capacity_test.go
+++ b/coordination/member/capacity_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/messenger"
+	"gooseberrymast/standin/platform"
 )
 
 // restTime is the time after which a fleet has taken in a planned restart.
@@ -145,3 +147,97 @@
 		})
 	}
 }
+
+// celledFleet is a fleet of balancers in three availability zones with a number
+// of cells each, at rest.
+func celledFleet(b *testing.B, balancers, cells int) *world {
+	w := newWorld(b, 1)
+	w.cells = cells
+	var seeds []netip.AddrPort
+	for i := range min(balancers, 5) {
+		seeds = append(seeds, controlOf(i))
+	}
+	for i := range balancers {
+		w.add(gooseberrymast.RoleBalancer, zoneOf(i), "", seeds)
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	w.apply("amina", 0)
+	w.run(restTime)
+	return w
+}
+
+// storeCalls gives the calls of all kinds since the counts were reset.
+func (w *world) storeCalls() (reads, writes float64) {
+	calls := w.store.Calls()
+	before := w.callsBefore
+	reads = float64(calls.Reads() - before.Reads() - uint64(w.peeks) + uint64(w.watchCalls))
+	return reads, float64(calls.Writes() - before.Writes())
+}
+
+// BenchmarkStoreDown measures the calls of each cell while the store is down,
+// and the most calls of one second after it is back.
+func BenchmarkStoreDown(b *testing.B) {
+	for _, cells := range []int{1, 5} {
+		b.Run(fmt.Sprintf("cells=%d", 3*cells), func(b *testing.B) {
+			for b.Loop() {
+				w := celledFleet(b, 30, cells)
+				w.store.SetFaults(platform.Faults{Down: true})
+				w.run(restTime)
+				w.resetCounts()
+				w.run(restTime)
+				reads, writes := w.storeCalls()
+				perSecond := 1 / restTime.Seconds() / float64(3*cells)
+				b.ReportMetric(reads*perSecond, "reads/s/cell")
+				b.ReportMetric(writes*perSecond, "writes/s/cell")
+				w.store.SetFaults(platform.Faults{})
+				worst := 0.0
+				for range 10 {
+					w.resetCounts()
+					w.run(time.Second)
+					reads, writes = w.storeCalls()
+					worst = max(worst, reads+writes)
+				}
+				b.ReportMetric(worst/float64(3*cells), "calls-in-a-second/cell")
+			}
+		})
+	}
+}
+
+// BenchmarkMassRestart measures the reads of the store in the busiest second
+// after all balancers began at once, for each balancer, and the time until the
+// last of them has a revision in force.
+func BenchmarkMassRestart(b *testing.B) {
+	for _, balancers := range []int{30, 100, 300} {
+		b.Run(fmt.Sprintf("balancers=%d", balancers), func(b *testing.B) {
+			for b.Loop() {
+				w := celledFleet(b, balancers, 1)
+				for _, n := range w.nodes {
+					w.kill(n, true)
+				}
+				w.run(time.Minute)
+				began := w.now
+				for _, n := range w.nodes {
+					n.start()
+				}
+				worst := 0.0
+				for range 30 {
+					w.resetCounts()
+					w.run(time.Second)
+					reads, _ := w.storeCalls()
+					worst = max(worst, reads)
+				}
+				last := began
+				for _, n := range w.nodes {
+					if n.adoptedAt.Before(began) {
+						b.Fatalf("node %d has no revision in force", n.index)
+					}
+					last = maxTime(last, n.adoptedAt)
+				}
+				b.ReportMetric(worst/float64(balancers), "reads-in-a-second/balancer")
+				b.ReportMetric(last.Sub(began).Seconds(), "s-in-force")
+			}
+		})
+	}
+}
