Share the set-up of the receiver's tests

Where the assertions went: - TestFlowsOpenThroughAnyBalancer, TestFlowsOpenWhileTablesDiffer, TestLeavingAgentKeepsItsFlows, TestBoundedAgentPassesFlowsOn, TestRetry: the loop that dials and echoes is openFlows, with the same numbers of flows. - TestRetry, TestCallerMovesToAnotherAddress, TestFloodOfFirstPackets, TestGarbageIsDropped: the loops over the agents' counters are sum; the bounds are the same. The three reasons of TestGarbageIsDropped are a slice. - TestPushSurvivesADeadBalancer, TestPushSurvivesTheDeathOfAllKnownBalancers: 30 echoes and the request for messages are in startPushes, and each read with its check in the function that it gives. - The sockets of the flood and of the random datagrams are bound to loopback. - read_test.go: frames and connection ids are sealed by the receiver's own framer and sealer, which hold the same keys as the separate ones did. An unused packet in TestDrops is gone.

--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -36,9 +35,7 @@
 // balancers, and all agents get some.
 func TestFlowsOpenThroughAnyBalancer(t *testing.T) {
 	b := newBench(t, 3, 3, nil)
-	for range 30 {
-		echo(t, b.dial(), 1, func(int) {})
-	}
+	b.openFlows(30)
 	is := is.New(t)
 	for _, a := range b.agents {
 		is.True(a.receiver.Counters.Opening.Load() > 0) // the agent took a flow
@@ -58,21 +55,10 @@
 		b.startBalancer(fmt.Sprint("balancer-", i+2), before, b.table)
 	}
 	const flows = 60
-	for range flows {
-		echo(t, b.dial(), 1, func(int) {})
-	}
+	b.openFlows(flows)
 	is.Equal(b.taken.Load(), int64(flows))
 }
 
-// opened gives the number of first packets that the agents took.
-func (b *bench) opened() uint64 {
-	n := uint64(0)
-	for _, a := range b.agents {
-		n += a.receiver.Counters.Opening.Load()
-	}
-	return n
-}
-
 // A stream goes on through loss, delay, reordering and duplication, while
 // balancers are replaced.
 func TestStreamSurvivesABadNetwork(t *testing.T) {
@@ -105,11 +91,9 @@
 	left.Leaving()
 	before := left.Counters.Opening.Load()
 	is.True(before > 0)
-	for range 8 {
-		echo(t, b.dial(), 1, func(int) {})
-	}
+	b.openFlows(8)
 	for _, conn := range conns {
-		echo(t, conn, 5, func(int) {})
+		echo(t, conn, 5, nil)
 	}
 	is.True(left.Counters.Passed.Load() > 0)
 	is.Equal(left.Counters.Opening.Load(), before) // it took no new flow
@@ -121,9 +105,7 @@
 	b := newBench(t, 2, 3, func(i int, config *receiver.Config) {
 		config.FlowBound = func() bool { return i == 0 }
 	})
-	for range 10 {
-		echo(t, b.dial(), 1, func(int) {})
-	}
+	b.openFlows(10)
 	is.Equal(b.agents[0].receiver.Counters.Opening.Load(), uint64(0))
 	is.True(b.agents[1].receiver.Counters.Opening.Load() >= 10)
 }
@@ -132,16 +114,9 @@
 func TestRetry(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, 3, 3, func(_ int, config *receiver.Config) { config.RetryRate = -1 })
-	for range 5 {
-		echo(t, b.dial(), 1, func(int) {})
-	}
-	retries, halfOpen := uint64(0), 0
-	for _, a := range b.agents {
-		retries += a.receiver.Counters.Retries.Load()
-		halfOpen += a.receiver.HalfOpen()
-	}
-	is.True(retries >= 5)
-	is.Equal(halfOpen, 0)
+	b.openFlows(5)
+	is.True(b.sum(retries) >= 5)
+	is.Equal(b.sum((*receiver.Receiver).HalfOpen), 0)
 }
 
 // The fleet's key is rotated in three steps with a flow open.
@@ -165,7 +140,7 @@
 			is.NoErr(a.receiver.SetKeys(steps[i/20]))
 		}
 	})
-	echo(t, b.dial(), 1, func(int) {})
+	echo(t, b.dial(), 1, nil)
 }
 
 // A restarted agent tells the callers of its earlier life that their flow is
@@ -174,7 +149,7 @@
 	is := is.New(t)
 	b := newBench(t, 1, 2, nil)
 	conn := b.dial()
-	echo(t, conn, 1, func(int) {})
+	echo(t, conn, 1, nil)
 	old := b.agents[0].receiver
 	address := old.Identity().Address
 	is.NoErr(old.Close())
@@ -201,27 +176,24 @@
 	is := is.New(t)
 	b := newBench(t, 2, 2, nil)
 	conn := b.dial()
-	garbage, err := net.ListenUDP("udp4", nil)
-	is.NoErr(err)
-	defer func() { _ = garbage.Close() }()
+	garbage := listenUDP(t)
 	fwd := b.startBalancer("balancer-0", b.table)
 	targets := []net.Addr{
 		net.UDPAddrFromAddrPort(b.fabric.ServiceAddress(0)),
 		net.UDPAddrFromAddrPort(fwd.ForwardAddress()),
 		b.agents[0].receiver.LocalAddr(),
 	}
-	opened := b.opened()
+	opened := b.sum(openings)
 	echo(t, conn, 50, func(i int) {
 		for _, target := range targets {
 			_, err := garbage.WriteTo(make([]byte, i*40), target)
 			is.NoErr(err)
 		}
 	})
-	is.Equal(b.opened(), opened)
-	agentCounters := &b.agents[0].receiver.Counters
-	is.True(agentCounters.Dropped(receiver.DropTruncated) > 0)
-	is.True(agentCounters.Dropped(receiver.DropBadVersion) > 0)
-	is.True(agentCounters.Dropped(receiver.DropOversized) > 0)
+	is.Equal(b.sum(openings), opened)
+	for _, reason := range []receiver.Drop{receiver.DropTruncated, receiver.DropBadVersion, receiver.DropOversized} {
+		is.True(b.agents[0].receiver.Counters.Dropped(reason) > 0)
+	}
 }
 
 // Packets of a flow that come to another service's address are refused and
@@ -236,13 +208,13 @@
 	conn := b.dial()
 	// The caller's last first packet may still be on its way to the fabric. An
 	// echo comes after it, so that none is left when the addresses are swapped.
-	echo(t, conn, 1, func(int) {})
+	echo(t, conn, 1, nil)
 	swapped := b.current["balancer-0"]
 	b.fabric.Add(fabric.Balancer{
 		Name:     "balancer-0",
 		Services: []netip.AddrPort{swapped.ServiceAddress(1), swapped.ServiceAddress(0)},
 	})
-	echo(t, conn, 40, func(int) {})
+	echo(t, conn, 40, nil)
 	is.True(swapped.Counters.Dropped(forwarder.DropWrongService) > 0)
 	is.Equal(receipts.receiver.Counters.Established.Load(), uint64(0))
 	is.Equal(receipts.receiver.Counters.Opening.Load(), uint64(0))
@@ -253,18 +225,10 @@
 func TestPushSurvivesADeadBalancer(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, 1, 3, nil)
-	conn := b.dialWith(nil)         // the caller sends nothing unless it has to
-	echo(t, conn, 30, func(int) {}) // all three balancers have delivered by now
-	stream, err := conn.OpenStream()
-	is.NoErr(err)
-	defer func() { _ = stream.Close() }()
-	_, err = stream.Write([]byte(pushRequest))
-	is.NoErr(err)
+	read := b.startPushes() // all three balancers have delivered by now
 	b.onlyThrough("balancer-0")
-	message := make([]byte, len(pushMessage))
 	for i := range pushes {
-		_, err := io.ReadFull(stream, message)
-		is.NoErr(err)
+		read()
 		switch i {
 		case 1:
 			b.onlyThrough() // no packet of the caller names another balancer
@@ -279,30 +243,19 @@
 // The same holds when every balancer that delivered the caller's packets is
 // gone, once the agent hears of others.
 func TestPushSurvivesTheDeathOfAllKnownBalancers(t *testing.T) {
-	is := is.New(t)
 	b := newBench(t, 1, 2, nil)
-	conn := b.dialWith(nil)
-	echo(t, conn, 30, func(int) {})
-	stream, err := conn.OpenStream()
-	is.NoErr(err)
-	defer func() { _ = stream.Close() }()
-	_, err = stream.Write([]byte(pushRequest))
-	is.NoErr(err)
-	message := make([]byte, len(pushMessage))
-	_, err = io.ReadFull(stream, message)
-	is.NoErr(err)
+	read := b.startPushes()
+	read()
 	b.onlyThrough()
 	b.current["balancer-0"].Close()
 	b.current["balancer-1"].Close()
 	next := b.startBalancer("balancer-2")
 	b.onlyThrough() // the agent must speak first
 	b.agents[0].receiver.SetBalancers([]netip.AddrPort{next.ForwardAddress()})
-	_, err = io.ReadFull(stream, message)
-	is.NoErr(err)
+	read()
 	b.onlyThrough("balancer-2")
 	for range pushes - 2 {
-		_, err = io.ReadFull(stream, message)
-		is.NoErr(err)
+		read()
 	}
 }
 
@@ -321,11 +274,7 @@
 			socket.move()
 		}
 	})
-	callers := 0
-	for _, a := range b.agents {
-		callers += a.receiver.Callers()
-	}
-	is.Equal(callers, 4) // the agent heard of the first address and of three others
+	is.Equal(b.sum((*receiver.Receiver).Callers), 4) // the agent heard of the first address and of three others
 }
 
 // A flood of first packets from one socket leaves the handshakes bounded, and a
@@ -337,9 +286,7 @@
 		config.MaxHalfOpen = maxHalfOpen
 		config.RetryRate = 20
 	})
-	socket, err := net.ListenUDP("udp4", nil)
-	is.NoErr(err)
-	defer func() { _ = socket.Close() }()
+	socket := listenUDP(t)
 	packet := make([]byte, 1200)
 	copy(packet, []byte{0xc0, 0, 0, 0, 1, 8})
 	for i := range flood {
@@ -350,10 +297,6 @@
 			is.True(a.receiver.HalfOpen() <= maxHalfOpen)
 		}
 	}
-	echo(t, b.dial(), 1, func(int) {})
-	retries := uint64(0)
-	for _, a := range b.agents {
-		retries += a.receiver.Counters.Retries.Load()
-	}
-	is.True(retries > 0)
+	echo(t, b.dial(), 1, nil)
+	is.True(b.sum(retries) > 0)
 }
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -18,34 +18,24 @@
 
 const ledger = "ledger"
 
-var (
-	testKeys = keyer.Random()
-	other    = gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:9"), Incarnation: 1}
-)
+var other = gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:9"), Incarnation: 1}
 
 func newReceiver(t testing.TB) *Receiver {
 	t.Helper()
 	rec, err := New(Config{
 		Identity: gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:0"), Incarnation: 5},
 		Service:  ledger,
-		Keys:     testKeys,
+		Keys:     keyer.Random(),
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = rec.Close() })
 	rec.now = time.Now()
 	return rec
 }
 
 // packetTo makes a short-header packet of a flow of the identity and service.
-func packetTo(t testing.TB, id gooseberrymast.Identity, service string) []byte {
-	t.Helper()
-	seal, err := sealer.New(testKeys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cid := seal.Seal(id, gooseberrymast.TagOf(service), 1)
+func packetTo(rec *Receiver, id gooseberrymast.Identity, service string) []byte {
+	cid := rec.sealer.Seal(id, gooseberrymast.TagOf(service), 1)
 	return append(append([]byte{0x40}, cid[:]...), make([]byte, 40)...)
 }
 
@@ -69,14 +59,8 @@
 	if edit != nil {
 		edit(&header)
 	}
-	seal, err := framer.New(testKeys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	frame, err := seal.Seal(&header, append(make([]byte, framer.MaxBytes), payload...), framer.MaxBytes)
-	if err != nil {
-		t.Fatal(err)
-	}
+	frame, err := rec.framer.Seal(&header, append(make([]byte, framer.MaxBytes), payload...), framer.MaxBytes)
+	is.New(t).NoErr(err)
 	return frame
 }
 
@@ -88,11 +72,9 @@
 
 func TestDrops(t *testing.T) {
 	rec := newReceiver(t)
-	own := packetTo(t, rec.self, ledger)
+	own := packetTo(rec, rec.self, ledger)
 	earlier := gooseberrymast.Identity{Address: rec.self.Address, Incarnation: rec.self.Incarnation - 1}
 	later := gooseberrymast.Identity{Address: rec.self.Address, Incarnation: rec.self.Incarnation + 1}
-	stale := packetTo(t, earlier, ledger)
-	stale[0] = 0x40
 	tests := []struct {
 		name  string
 		frame []byte
@@ -105,9 +87,9 @@
 		{"for another agent", frameTo(t, rec, own, func(h *framer.Header) { h.To = other }), DropWrongTarget},
 		{"an answer", frameTo(t, rec, own, func(h *framer.Header) { h.Kind = framer.KindAnswer }), DropWrongTarget},
 		{"addressed to another service", frameTo(t, rec, own, func(h *framer.Header) { h.Service++ }), DropWrongService},
-		{"id of another service", frameTo(t, rec, packetTo(t, rec.self, "receipts"), nil), DropWrongService},
-		{"id of another agent", frameTo(t, rec, packetTo(t, other, ledger), nil), DropWrongTarget},
-		{"id of a later life", frameTo(t, rec, packetTo(t, later, ledger), nil), DropWrongIncarnation},
+		{"id of another service", frameTo(t, rec, packetTo(rec, rec.self, "receipts"), nil), DropWrongService},
+		{"id of another agent", frameTo(t, rec, packetTo(rec, other, ledger), nil), DropWrongTarget},
+		{"id of a later life", frameTo(t, rec, packetTo(rec, later, ledger), nil), DropWrongIncarnation},
 		{"no packet", frameTo(t, rec, nil, nil), DropNotQUIC},
 		{"an id that an agent didn't make", frameTo(t, rec, make([]byte, 60), nil), DropNotQUIC},
 		{"opening for an earlier life", frameTo(t, rec, initial(), func(h *framer.Header) {
@@ -134,7 +116,7 @@
 func TestAccepts(t *testing.T) {
 	is := is.New(t)
 	rec := newReceiver(t)
-	own := packetTo(t, rec.self, ledger)
+	own := packetTo(rec, rec.self, ledger)
 	frame := frameTo(t, rec, own, nil)
 	payload, ok := rec.accept(frame)
 	is.True(ok)
@@ -156,7 +138,7 @@
 	is := is.New(t)
 	rec := newReceiver(t)
 	earlier := gooseberrymast.Identity{Address: rec.self.Address, Incarnation: 4}
-	short := packetTo(t, earlier, ledger)
+	short := packetTo(rec, earlier, ledger)
 	_, ok := rec.accept(frameTo(t, rec, short, nil))
 	is.True(ok)
 	is.Equal(rec.Counters.Stale.Load(), uint64(1))
@@ -193,7 +175,7 @@
 	sender := framer.NewSender()
 	frames := make([][]byte, 1002)
 	for i := range frames {
-		frames[i] = frameTo(t, rec, packetTo(t, rec.self, ledger), func(h *framer.Header) { h.Origin = sender.Next(rec.self.Address) })
+		frames[i] = frameTo(t, rec, packetTo(rec, rec.self, ledger), func(h *framer.Header) { h.Origin = sender.Next(rec.self.Address) })
 	}
 	i := 0
 	is.Equal(testing.AllocsPerRun(1000, func() {
@@ -207,7 +189,7 @@
 
 func BenchmarkWriteTo(b *testing.B) {
 	rec := newReceiver(b)
-	if _, ok := rec.accept(frameTo(b, rec, packetTo(b, rec.self, ledger), nil)); !ok {
+	if _, ok := rec.accept(frameTo(b, rec, packetTo(rec, rec.self, ledger), nil)); !ok {
 		b.Fatal("dropped")
 	}
 	to := rec.heard()
--- a/transport/receiver/setup_test.go
+++ b/transport/receiver/setup_test.go
@@ -141,14 +141,15 @@
 		b.fabric.Remove(name)
 	}
 	for _, name := range names {
-		fwd := b.current[name]
-		b.fabric.Add(fabric.Balancer{
-			Name:     name,
-			Services: []netip.AddrPort{fwd.ServiceAddress(0), fwd.ServiceAddress(1)},
-		})
+		b.addToFabric(name, b.current[name])
 	}
 }
 
+func (b *bench) addToFabric(name string, fwd *forwarder.Forwarder) {
+	addresses := []netip.AddrPort{fwd.ServiceAddress(0), fwd.ServiceAddress(1)}
+	b.fabric.Add(fabric.Balancer{Name: name, Services: addresses})
+}
+
 // startBalancer replaces the balancer of that name. The new one gets the tables
 // one after the other.
 func (b *bench) startBalancer(name string, tables ...*gooseberrymast.Table) *forwarder.Forwarder {
@@ -170,10 +171,7 @@
 	}
 	done := make(chan error, 1)
 	go func() { done <- fwd.Run(b.ctx) }()
-	b.fabric.Add(fabric.Balancer{
-		Name:     name,
-		Services: []netip.AddrPort{fwd.ServiceAddress(0), fwd.ServiceAddress(1)},
-	})
+	b.addToFabric(name, fwd)
 	if old := b.current[name]; old != nil {
 		old.Close()
 	}
@@ -197,6 +195,44 @@
 	return conn
 }
 
+// openFlows opens flows one after the other, and echoes a message over each.
+func (b *bench) openFlows(flows int) {
+	for range flows {
+		echo(b.t, b.dial(), 1, nil)
+	}
+}
+
+// startPushes lets a server send messages to a caller that sends nothing unless
+// it has to, after some echoes. It gives what reads one of the messages.
+func (b *bench) startPushes() (read func()) {
+	is := is.New(b.t)
+	conn := b.dialWith(nil)
+	echo(b.t, conn, 30, nil)
+	stream, err := conn.OpenStream()
+	is.NoErr(err)
+	b.t.Cleanup(func() { _ = stream.Close() })
+	_, err = stream.Write([]byte(pushRequest))
+	is.NoErr(err)
+	message := make([]byte, len(pushMessage))
+	return func() {
+		_, err := io.ReadFull(stream, message)
+		is.NoErr(err)
+	}
+}
+
+// sum adds up what the agents count.
+func (b *bench) sum(count func(*receiver.Receiver) int) int {
+	n := 0
+	for _, a := range b.agents {
+		n += count(a.receiver)
+	}
+	return n
+}
+
+func openings(rec *receiver.Receiver) int { return int(rec.Counters.Opening.Load()) }
+
+func retries(rec *receiver.Receiver) int { return int(rec.Counters.Retries.Load()) }
+
 func (a *agent) serve(ctx context.Context) {
 	for {
 		conn, err := a.listener.Accept(ctx)
@@ -236,6 +272,7 @@
 }
 
 // echo sends numbered messages over one stream and checks that each comes back.
+// It calls each, if any, before a message.
 func echo(t *testing.T, conn *quic.Conn, messages int, each func(i int)) {
 	is := is.New(t)
 	stream, err := conn.OpenStreamSync(t.Context())
@@ -243,7 +280,9 @@
 	defer func() { _ = stream.Close() }()
 	var sent, got [8]byte
 	for i := range messages {
-		each(i)
+		if each != nil {
+			each(i)
+		}
 		binary.BigEndian.PutUint64(sent[:], uint64(i)+1)
 		_, err := stream.Write(sent[:])
 		is.NoErr(err)
@@ -270,6 +309,13 @@
 	return &tls.Config{InsecureSkipVerify: true, NextProtos: []string{protocolName}}
 }
 
+func listenUDP(t *testing.T) *net.UDPConn {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 // movingSocket is a caller's socket whose address changes on the way, as behind
 // a NAT that forgot it.
 type movingSocket struct {
@@ -287,9 +333,7 @@
 
 // move takes another address. The old one is read no more.
 func (s *movingSocket) move() {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
-	is.New(s.t).NoErr(err)
-	s.t.Cleanup(func() { _ = conn.Close() })
+	conn := listenUDP(s.t)
 	if old := s.current.Swap(conn); old != nil {
 		_ = old.SetReadDeadline(time.Now())
 	}
