--- a/coordination/opener/bounds_test.go
+++ b/coordination/opener/bounds_test.go
@@ -10,8 +10,13 @@
 	"gooseberrymast/coordination/opener"
 )
 
+var (
+	self = identity(1)
+	now  = time.Unix(0, 0)
+)
+
 // toSelf is a packet of which the agent is the home and a taker.
-func toSelf(self gooseberrymast.Identity, key uint64) *opener.Packet {
+func toSelf(key uint64) *opener.Packet {
 	return &opener.Packet{
 		Key:    key,
 		Takers: [2]gooseberrymast.Identity{self, identity(2)},
@@ -21,28 +26,24 @@
 
 func TestHalfOpenLimit(t *testing.T) {
 	is := is.New(t)
-	self := identity(1)
 	agent := opener.Opener{Self: self, MaxHalfOpen: 2}
-	now := time.Unix(0, 0)
-	is.Equal(agent.FirstPacket(toSelf(self, 1), false, now).Verdict, opener.VerdictTake)
-	is.Equal(agent.FirstPacket(toSelf(self, 2), false, now).Verdict, opener.VerdictTake)
-	is.Equal(agent.FirstPacket(toSelf(self, 3), false, now).Peer, identity(2)) // a full agent passes on
-	alone := toSelf(self, 4)
+	is.Equal(agent.FirstPacket(toSelf(1), false, now).Verdict, opener.VerdictTake)
+	is.Equal(agent.FirstPacket(toSelf(2), false, now).Verdict, opener.VerdictTake)
+	is.Equal(agent.FirstPacket(toSelf(3), false, now).Peer, identity(2)) // a full agent passes on
+	alone := toSelf(4)
 	alone.Takers[1] = gooseberrymast.Identity{}
 	is.Equal(agent.FirstPacket(alone, false, now).Reason, opener.ReasonHalfOpen)
 	agent.Complete(1)
 	is.Equal(agent.HalfOpen(), 1)
 	is.Equal(agent.FirstPacket(alone, false, now).Verdict, opener.VerdictTake)
-	is.Equal(agent.FirstPacket(toSelf(self, 1), true, now).Verdict, opener.VerdictTake) // a retransmission stays
+	is.Equal(agent.FirstPacket(toSelf(1), true, now).Verdict, opener.VerdictTake) // a retransmission stays
 }
 
 func TestFlowsExpire(t *testing.T) {
 	is := is.New(t)
-	self := identity(1)
 	agent := opener.Opener{Self: self, Life: time.Second}
-	now := time.Unix(0, 0)
-	agent.FirstPacket(toSelf(self, 1), false, now)
-	agent.FirstPacket(toSelf(self, 2), true, now.Add(500*time.Millisecond))
+	agent.FirstPacket(toSelf(1), false, now)
+	agent.FirstPacket(toSelf(2), true, now.Add(500*time.Millisecond))
 	agent.Expire(now.Add(time.Second))
 	is.Equal(agent.Flows(), 1)
 	is.Equal(agent.HalfOpen(), 0)
@@ -52,11 +53,9 @@
 
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
-	self := identity(1)
 	agent := opener.Opener{Self: self, MaxFlows: 10}
-	now := time.Unix(0, 0)
 	for key := range uint64(1000) {
-		agent.FirstPacket(toSelf(self, key), key%2 == 0, now)
+		agent.FirstPacket(toSelf(key), key%2 == 0, now)
 	}
 	is.Equal(agent.Flows(), 10)
 	is.True(agent.HalfOpen() <= 10)
@@ -66,9 +65,8 @@
 // away as well, and doesn't ask a dead home.
 func TestSuspectsGetNoFlow(t *testing.T) {
 	is := is.New(t)
-	self, first, second := identity(1), identity(2), identity(3)
+	first, second := identity(2), identity(3)
 	agent := opener.Opener{Self: self}
-	now := time.Unix(0, 0)
 	packet := opener.Packet{
 		Key:    1,
 		Takers: [2]gooseberrymast.Identity{first, second},
@@ -89,6 +87,6 @@
 func TestPacketOfAnotherHomeIsDropped(t *testing.T) {
 	is := is.New(t)
 	agent := opener.Opener{Self: identity(3)}
-	decision := agent.FirstPacket(toSelf(identity(1), 1), false, time.Unix(0, 0))
+	decision := agent.FirstPacket(toSelf(1), false, now)
 	is.Equal(decision.Reason, opener.ReasonNotNamed)
 }
--- a/coordination/opener/opener_test.go
+++ b/coordination/opener/opener_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -29,6 +28,14 @@
 	}}
 }
 
+func firstMembers(n int) []gooseberrymast.Member {
+	members := make([]gooseberrymast.Member, n)
+	for i := range members {
+		members[i] = member(i)
+	}
+	return members
+}
+
 func table(members []gooseberrymast.Member) *gooseberrymast.Table {
 	return &gooseberrymast.Table{Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{service: members}}
 }
@@ -95,7 +102,7 @@
 }
 
 // deliver hands one message over, drawn at random, and sends what follows.
-func (r *run) deliver(now time.Time) error {
+func (r *run) deliver() error {
 	i := r.random.IntN(len(r.network))
 	next := r.network[i]
 	r.network = append(r.network[:i], r.network[i+1:]...)
@@ -219,10 +226,7 @@
 func TestTwoChangesKeepTheHopLimit(t *testing.T) {
 	for seed := range uint64(4000) {
 		random := rand.New(rand.NewPCG(seed, 3))
-		members := make([]gooseberrymast.Member, 3)
-		for n := range members {
-			members[n] = member(n)
-		}
+		members := firstMembers(3)
 		tables := []*gooseberrymast.Table{table(members), table(append(members, member(3))), table(append(members, member(3), member(4)))}
 		views := []view{
 			{current: tables[0], previous: tables[0]},
@@ -256,10 +260,7 @@
 // retransmissions do: those go through where a busy agent's news came too late
 // for the first.
 func openFlow(random *rand.Rand, trial trial) (*run, error) {
-	members := make([]gooseberrymast.Member, 2+random.IntN(6))
-	for n := range members {
-		members[n] = member(n)
-	}
+	members := firstMembers(2 + random.IntN(6))
 	changed := change(random, members, trial.die)
 	before, after := table(members), table(changed)
 	other := view{current: before, previous: before}
@@ -286,7 +287,7 @@
 			}
 		}
 		for len(r.network) > 0 {
-			if err := r.deliver(time.Unix(0, 0)); err != nil {
+			if err := r.deliver(); err != nil {
 				return err
 			}
 		}
--- a/protocol/framer/framer_test.go
+++ b/protocol/framer/framer_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -38,39 +38,29 @@
 
 // keys gives a key for each epoch; the last one is current.
 func keys(epochs ...keyer.Epoch) *keyer.Keys {
-	k := &keyer.Keys{}
+	k := &keyer.Keys{Current: epochs[len(epochs)-1]}
 	for _, epoch := range epochs {
-		secret := strings.Repeat(hex.EncodeToString([]byte{byte(epoch)}), keyer.SecretBytes)
+		secret := strings.Repeat(fmt.Sprintf("%02x", epoch), keyer.SecretBytes)
 		k.Keys = append(k.Keys, keyer.Key{Epoch: epoch, Secret: secret})
-		k.Current = epoch
 	}
 	return k
 }
 
 func newFramer(t testing.TB, k *keyer.Keys) *Framer {
-	t.Helper()
 	f, err := New(k)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	return f
 }
 
 func seal(t testing.TB, f *Framer, h Header, payload []byte) []byte {
-	t.Helper()
-	buffer := append(make([]byte, MaxBytes), payload...)
-	frame, err := f.Seal(&h, buffer, MaxBytes)
-	if err != nil {
-		t.Fatal(err)
-	}
+	frame, err := f.Seal(&h, append(make([]byte, MaxBytes), payload...), MaxBytes)
+	is.New(t).NoErr(err)
 	return frame
 }
 
 func TestOpenGivesWhatWasSealed(t *testing.T) {
 	token := header()
-	token.Kind = KindFlow
-	token.Takers = [2]gooseberrymast.Identity{}
-	token.Homes = [2]gooseberrymast.Identity{}
+	token.Kind, token.Takers, token.Homes = KindFlow, [2]gooseberrymast.Identity{}, [2]gooseberrymast.Identity{}
 	tests := []struct {
 		name   string
 		header Header
--- a/protocol/sealer/sealer_test.go
+++ b/protocol/sealer/sealer_test.go
@@ -1,8 +1,8 @@
 package sealer
 
 import (
-	"encoding/hex"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -20,21 +20,17 @@
 
 // keys gives a key for each epoch; the last one is current.
 func keys(epochs ...keyer.Epoch) *keyer.Keys {
-	k := &keyer.Keys{}
+	k := &keyer.Keys{Current: epochs[len(epochs)-1]}
 	for _, epoch := range epochs {
-		secret := strings.Repeat(hex.EncodeToString([]byte{byte(epoch)}), keyer.SecretBytes)
+		secret := strings.Repeat(fmt.Sprintf("%02x", epoch), keyer.SecretBytes)
 		k.Keys = append(k.Keys, keyer.Key{Epoch: epoch, Secret: secret})
-		k.Current = epoch
 	}
 	return k
 }
 
 func newSealer(t testing.TB, k *keyer.Keys) *Sealer {
-	t.Helper()
 	s, err := New(k)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	return s
 }
 
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -16,9 +16,7 @@
 func udp(t *testing.T) *net.UDPConn {
 	t.Helper()
 	conn, err := listen(loopback)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
@@ -53,9 +51,7 @@
 		config.Timer = manual
 	}
 	fab, err := New(config)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	t.Cleanup(fab.Close)
 	return fab
 }
--- a/transport/batcher/batcher_test.go
+++ b/transport/batcher/batcher_test.go
@@ -16,9 +16,7 @@
 func listenOn(t *testing.T, shards int) []*Conn {
 	t.Helper()
 	conns, err := Listen(loopback, shards)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	t.Cleanup(func() { Close(conns) })
 	return conns
 }
