Use the terms incarnation, sender and lifetime in the data path

Life stood for three things: an agent's incarnation, the random id of a balancer's sender, and a time to keep something. Header.Life is now Header.BalancerSender, opener.Opener.Life and DefaultLife are Lifetime and DefaultLifetime, receiver.CallerLife is CallerLifetime; the layout of frames is unchanged. Header.Kind said three kinds where there are four, the doc of the flood's bound left out that half the limit counts, and several comments used metaphors or left their subject unclear.

--- a/coordination/opener/bounds_test.go
+++ b/coordination/opener/bounds_test.go
@@ -41,7 +41,7 @@
 
 func TestFlowsExpire(t *testing.T) {
 	is := is.New(t)
-	agent := opener.Opener{Self: self, Life: time.Second}
+	agent := opener.Opener{Self: self, Lifetime: time.Second}
 	agent.FirstPacket(toSelf(1), false, now)
 	agent.FirstPacket(toSelf(2), true, now.Add(500*time.Millisecond))
 	agent.Expire(now.Add(time.Second))
--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -12,19 +12,19 @@
 //     passes the packet to the second taker instead, if a hop is left, and
 //     tells the homes.
 //
-// Each agent remembers, for the life of a handshake, where it passed a flow,
-// and this goes before what a later packet says. A packet is passed on at most
-// MaxHop times.
+// Each agent remembers, for the duration of a handshake, where it passed a flow,
+// and this takes precedence over the candidates in a later packet. A packet is
+// passed on at most MaxHop times.
 //
 // The packets of one flow meet if any two of the balancers that send them name
 // the same first home, or the first home of one is the second home of the
-// other, and that home lives. A home doesn't depend on the balancer's zone.
+// other, and that home runs. A home doesn't depend on the balancer's zone.
 // Balancers take for the second home's table one that is at least a
 // propagation time old, so this covers tables whose age differs by less than
 // that and between which the flow's home moved once.
 //
 // It does not cover a home that moved twice within that time, one that some
-// balancers hold for suspect while others still send to it, or one that died
+// balancers consider suspect while others still send to it, or one that died
 // or forgot the flow between two packets. There the handshake may start at two
 // agents; the caller goes on with the one that answers it first, or fails the
 // handshake by its timeout.
@@ -40,11 +40,11 @@
 // MaxHop is the number of times that a packet may be passed on.
 const MaxHop = 2
 
-// The bounds that stand in for zero fields of an Opener.
+// The defaults of the zero fields of an Opener.
 const (
 	DefaultMaxFlows    = 1 << 15
 	DefaultMaxHalfOpen = 4096
-	DefaultLife        = 10 * time.Second
+	DefaultLifetime    = 10 * time.Second
 )
 
 // Opener is the state machine of one agent. Its fields may be set before the
@@ -58,8 +58,8 @@
 	// MaxHalfOpen bounds the flows taken whose handshake isn't known to be
 	// complete. Zero takes DefaultMaxHalfOpen.
 	MaxHalfOpen int
-	// Life is how long a flow's opening is remembered. Zero takes DefaultLife.
-	Life time.Duration
+	// Lifetime is how long a flow's opening is remembered. Zero takes DefaultLifetime.
+	Lifetime time.Duration
 
 	suspects map[gooseberrymast.Identity]bool
 	flows    map[uint64]flow
@@ -119,9 +119,9 @@
 	o.flows[key] = known
 }
 
-// SetSuspects replaces the agents that are held for dead. No flow is passed to
-// them, also if earlier packets of it were: the caller's retransmissions then
-// begin the flow elsewhere.
+// SetSuspects replaces the agents that are considered dead. No packet is passed
+// to them, even if earlier packets of its flow were: the caller's retransmissions
+// then begin the flow at another agent.
 func (o *Opener) SetSuspects(ids []gooseberrymast.Identity) {
 	o.suspects = make(map[gooseberrymast.Identity]bool, len(ids))
 	for _, id := range ids {
@@ -157,18 +157,18 @@
 	return len(o.flows)
 }
 
-// Expire forgets the flows that are older than the handshake's life.
+// Expire forgets the flows that are older than Lifetime.
 func (o *Opener) Expire(now time.Time) {
 	for o.oldest.len() > 0 {
 		first := o.oldest.first()
-		if now.Sub(first.since) < o.life() {
+		if now.Sub(first.since) < o.lifetime() {
 			return
 		}
 		o.forget()
 	}
 }
 
-// isHome reports whether the packet came to be told who takes its flow.
+// isHome reports whether the agent decides, as a home, who takes the flow.
 func (o *Opener) isHome(packet *Packet) bool {
 	if packet.Hop == 0 {
 		return packet.Homes[0] == o.Self
@@ -184,7 +184,7 @@
 	return known.decision()
 }
 
-// arbitrate is a home's decision about an unknown flow.
+// arbitrate is a home's decision about a flow that it doesn't know.
 func (o *Opener) arbitrate(packet *Packet, busy bool, now time.Time) Decision {
 	if packet.Hop == 0 && !packet.Homes[1].IsZero() && !o.suspects[packet.Homes[1]] {
 		return o.pass(packet, flow{peer: packet.Homes[1], since: now, asked: true})
@@ -239,11 +239,11 @@
 	return to.decision()
 }
 
-func (o *Opener) life() time.Duration {
-	if o.Life == 0 {
-		return DefaultLife
+func (o *Opener) lifetime() time.Duration {
+	if o.Lifetime == 0 {
+		return DefaultLifetime
 	}
-	return o.Life
+	return o.Lifetime
 }
 
 func (o *Opener) maxHalfOpen() int {
--- a/coordination/opener/opener_test.go
+++ b/coordination/opener/opener_test.go
@@ -65,7 +65,7 @@
 	current, previous *gooseberrymast.Table
 }
 
-// message is a packet, or the news of a flow's new place, on its way.
+// message is a packet, or a notification of a flow's new agent, on its way.
 type message struct {
 	to       gooseberrymast.Identity
 	datagram int
@@ -257,7 +257,7 @@
 const datagrams = 3
 
 // openFlow sends the datagrams of a flow, and again as the caller's
-// retransmissions do: those go through where a busy agent's news came too late
+// retransmissions do: those go through where a busy agent's notification came too late
 // for the first.
 func openFlow(random *rand.Rand, trial trial) (*run, error) {
 	members := firstMembers(2 + random.IntN(6))
--- a/coordination/opener/packet.go
+++ b/coordination/opener/packet.go
@@ -24,7 +24,7 @@
 	ReasonNotNamed Reason = "not-named"
 	// ReasonHalfOpen is a flow above the bound of open handshakes.
 	ReasonHalfOpen Reason = "half-open-limit"
-	// ReasonHops is a packet that would have to be passed on once too often.
+	// ReasonHops is a packet that would be passed on more than MaxHop times.
 	ReasonHops Reason = "hop-limit"
 )
 
@@ -53,7 +53,7 @@
 	Peer gooseberrymast.Identity
 	// Given and Declined are what the packet that is passed on must say.
 	Given, Declined bool
-	// Tell lists homes to be told that Peer takes the flow in the agent's
+	// Tell lists the homes to notify that Peer takes the flow in the agent's
 	// place; see Moved. Unused ones are zero.
 	Tell [2]gooseberrymast.Identity
 	// Reason is set for VerdictDrop.
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -11,8 +11,8 @@
 // first, and up to two homes. The home is the first member over all zones. It
 // does not depend on the balancer, so the packets of one flow meet there even
 // if balancers of different zones got them; package opener says how. The
-// second home is the one by the table before this, so that they meet also
-// while tables differ.
+// second home is the first member by the previous table, so that the packets
+// meet even while the tables of balancers differ.
 package router
 
 import (
@@ -79,7 +79,8 @@
 	// Opening is set when the packet may open a flow; it is sent to Homes[0].
 	// Otherwise it is sent to Takers[0] and there are no homes.
 	Opening bool
-	// Takers may take the flow, in order; unused ones are zero and last.
+	// Takers are the agents that may take the flow, in order; unused ones are
+	// zero and last.
 	Takers [Candidates]gooseberrymast.Identity
 	// Homes decide between takers, in order; unused ones are zero and last.
 	Homes [Candidates]gooseberrymast.Identity
@@ -145,7 +146,7 @@
 }
 
 // noneRoutable reports whether every member is suspect or not ready. Then
-// suspicion is not believed.
+// suspicion is ignored.
 func noneRoutable(members []gooseberrymast.Member) bool {
 	for i := range members {
 		if members[i].Routable() {
@@ -155,7 +156,8 @@
 	return true
 }
 
-// answers reports whether the member is there to be asked for a flow's taker.
+// answers reports whether the agent is a member that runs and isn't suspect, so
+// that it can be asked who takes a flow.
 func answers(members []gooseberrymast.Member, id gooseberrymast.Identity) bool {
 	if id.IsZero() {
 		return false
--- a/protocol/framer/framer.go
+++ b/protocol/framer/framer.go
@@ -68,7 +68,7 @@
 
 // Open verifies a frame, fills the header from it and gives the payload, which
 // is part of the frame. The error is a Fault. It allocates nothing. Replays
-// are the matter of Windows.
+// are detected by Windows.
 func (f *Framer) Open(frame []byte, header *Header) ([]byte, error) {
 	if err := check(frame); err != nil {
 		return nil, err
--- a/protocol/framer/framer_test.go
+++ b/protocol/framer/framer_test.go
@@ -20,19 +20,19 @@
 
 func header() Header {
 	return Header{
-		Kind:     KindOpening,
-		Hop:      1,
-		Given:    true,
-		Declined: true,
-		Service:  77,
-		Index:    2,
-		Origin:   Origin{Sender: 1 << 60, Stripe: 5, Counter: 9},
-		To:       identity(1),
-		Caller:   netip.MustParseAddrPort("192.0.2.1:5555"),
-		Balancer: netip.MustParseAddrPort("10.9.9.9:4433"),
-		Life:     1 << 61,
-		Takers:   [2]gooseberrymast.Identity{identity(1), identity(2)},
-		Homes:    [2]gooseberrymast.Identity{identity(3), identity(4)},
+		Kind:           KindOpening,
+		Hop:            1,
+		Given:          true,
+		Declined:       true,
+		Service:        77,
+		Index:          2,
+		Origin:         Origin{Sender: 1 << 60, Stripe: 5, Counter: 9},
+		To:             identity(1),
+		Caller:         netip.MustParseAddrPort("192.0.2.1:5555"),
+		Balancer:       netip.MustParseAddrPort("10.9.9.9:4433"),
+		BalancerSender: 1 << 61,
+		Takers:         [2]gooseberrymast.Identity{identity(1), identity(2)},
+		Homes:          [2]gooseberrymast.Identity{identity(3), identity(4)},
 	}
 }
 
--- a/protocol/framer/header.go
+++ b/protocol/framer/header.go
@@ -15,7 +15,7 @@
 //	40 target (10): IPv4 address, port, incarnation
 //	50 caller (6): IPv4 address and port
 //	56 balancer (6)
-//	62 id of the balancer's life (8)
+//	62 id of the balancer's sender (8)
 //	70 candidates (10 each)
 //
 // With QUIC datagrams of 1,200 bytes the largest UDP payload is 1,310 bytes,
@@ -60,20 +60,20 @@
 
 // Offsets in the header.
 const (
-	versionAt  = 16
-	kindAt     = 17
-	epochAt    = 18
-	countsAt   = 19
-	serviceAt  = 20
-	indexAt    = 22
-	nonceAt    = 24
-	stripeAt   = 32
-	counterAt  = 34
-	nonceEnd   = 40
-	toAt       = 40
-	callerAt   = 50
-	balancerAt = 56
-	lifeAt     = 62
+	versionAt        = 16
+	kindAt           = 17
+	epochAt          = 18
+	countsAt         = 19
+	serviceAt        = 20
+	indexAt          = 22
+	nonceAt          = 24
+	stripeAt         = 32
+	counterAt        = 34
+	nonceEnd         = 40
+	toAt             = 40
+	callerAt         = 50
+	balancerAt       = 56
+	balancerSenderAt = 62
 )
 
 // Bits of the byte at countsAt.
@@ -83,7 +83,7 @@
 	declinedBit = 1 << 4
 )
 
-// Kind tells the frames apart.
+// Kind is the type of a frame.
 type Kind uint8
 
 // The kinds of frames.
@@ -99,8 +99,8 @@
 	KindMoved
 )
 
-// AnyIndex stands in an answer for the first address of the service, when the
-// balancer's numbering isn't known.
+// AnyIndex, in an answer, selects the first address of the service. An agent
+// uses it when it doesn't know the balancer's numbering.
 const AnyIndex = 1<<16 - 1
 
 // KeyBytes is the size of the payload of KindMoved.
@@ -129,11 +129,12 @@
 
 // Header is the content of a frame's header.
 type Header struct {
-	// Kind is one of the three kinds.
+	// Kind is one of the four kinds.
 	Kind Kind
 	// Epoch is set by Seal.
 	Epoch keyer.Epoch
-	// Hop counts the agents that passed the packet on, at most 3.
+	// Hop counts the agents that passed the packet on. The header has room
+	// for at most 3.
 	Hop uint8
 	// Given is set when an agent passed the packet on to be taken, and clear
 	// when it asks a home.
@@ -143,21 +144,22 @@
 	// Service is the service that the caller addressed.
 	Service gooseberrymast.ServiceTag
 	// Index numbers the balancer's service address; the agent's answers
-	// repeat it, or say AnyIndex.
+	// repeat it, or have AnyIndex.
 	Index uint16
 	// Origin names the sender and the place of the frame in its sequence.
 	Origin Origin
 	// To is the process that the frame is sent to. Answers to a balancer name
-	// no incarnation; Life stands in.
+	// no incarnation: BalancerSender is checked in its place.
 	To gooseberrymast.Identity
 	// Caller is the caller's address.
 	Caller netip.AddrPort
 	// Balancer is the address that answers are sent to.
 	Balancer netip.AddrPort
-	// Life is the id of the balancer's sender, which answers must repeat, so
-	// that a balancer that took over the address refuses old answers. Zero
-	// stands in an answer through a balancer that delivered nothing yet.
-	Life uint64
+	// BalancerSender is the Sender.ID of the balancer. Answers must repeat it,
+	// so that a balancer that is restarted at the same address refuses the
+	// answers to its predecessor. It is zero in an answer through a balancer
+	// that has delivered nothing yet.
+	BalancerSender uint64
 	// Takers are the agents that may take the flow, in order. Unused ones
 	// are zero and come last.
 	Takers [MaxTakers]gooseberrymast.Identity
@@ -169,7 +171,7 @@
 // Origin names one frame of one sender. No two frames of the fleet have equal
 // origins.
 type Origin struct {
-	// Sender is drawn at random for each life of a process.
+	// Sender is drawn at random when a process starts.
 	Sender uint64
 	// Stripe separates the sender's sequences.
 	Stripe uint16
@@ -240,7 +242,7 @@
 	putIdentity(frame[toAt:], h.To)
 	putAddress(frame[callerAt:], h.Caller)
 	putAddress(frame[balancerAt:], h.Balancer)
-	binary.BigEndian.PutUint64(frame[lifeAt:], h.Life)
+	binary.BigEndian.PutUint64(frame[balancerSenderAt:], h.BalancerSender)
 	rest := frame[MinBytes:]
 	for i := range takers {
 		rest = putIdentity(rest, h.Takers[i])
@@ -267,10 +269,10 @@
 			Stripe:  uint16(sequence >> 48),
 			Counter: sequence & maxCounter,
 		},
-		To:       to,
-		Caller:   getAddress(frame[callerAt:]),
-		Balancer: getAddress(frame[balancerAt:]),
-		Life:     binary.BigEndian.Uint64(frame[lifeAt:]),
+		To:             to,
+		Caller:         getAddress(frame[callerAt:]),
+		Balancer:       getAddress(frame[balancerAt:]),
+		BalancerSender: binary.BigEndian.Uint64(frame[balancerSenderAt:]),
 	}
 	rest := frame[MinBytes:]
 	for i := range takers {
--- a/protocol/framer/sender.go
+++ b/protocol/framer/sender.go
@@ -8,15 +8,15 @@
 )
 
 // Stripes is the number of sequences of one sender. A sender counts the frames
-// to different targets apart, as far as there are stripes, so that a target
-// sees small gaps and its window reaches far back in time.
+// to different targets separately, as far as there are stripes, so that a
+// target sees small gaps and its window covers a long time.
 const Stripes = 1024
 
 // maxCounter is the highest counter that the header holds.
 const maxCounter = 1<<48 - 1
 
-// Sender numbers the frames of one life of a process. It may be used from any
-// goroutine.
+// Sender numbers the frames that a process sends from its start to its end. It
+// may be used from any goroutine.
 type Sender struct {
 	// ID is drawn at random.
 	ID       uint64
--- a/protocol/framer/window.go
+++ b/protocol/framer/window.go
@@ -23,7 +23,7 @@
 // each sequence, in shards under their own locks. A sequence that has been
 // silent for IdleSequence is forgotten when room is needed, so a replay of its
 // frames would pass; QUIC then drops the packet by its packet number. Only
-// verified frames may be shown to it, so outsiders can't fill it. The zero
+// verified frames may be given to Accept, so that outsiders can't fill it. The zero
 // value works.
 type Windows struct {
 	// MaxSequences bounds the memory; zero takes DefaultMaxSequences.
--- a/protocol/inspector/inspector.go
+++ b/protocol/inspector/inspector.go
@@ -1,7 +1,7 @@
 // Package inspector reads from a QUIC datagram what a balancer needs: the
-// destination connection id and whether the packet can open a flow. It goes no
-// further than the version-independent properties of RFC 8999, but for the
-// packet types of the versions 1 and 2.
+// destination connection id and whether the packet can open a flow. It relies
+// on the version-independent properties of RFC 8999, and on the packet types of
+// versions 1 and 2.
 package inspector
 
 import "encoding/binary"
@@ -61,8 +61,8 @@
 	Long bool
 }
 
-// Parse reads a datagram. A short header doesn't tell the length of its id, so
-// it is given as idBytes. The error is a Fault.
+// Parse reads a datagram. A short header doesn't carry the length of its id, so
+// the caller gives it as idBytes. The error is a Fault.
 func Parse(datagram []byte, idBytes int) (Packet, error) {
 	if len(datagram) == 0 {
 		return Packet{}, FaultTruncated
@@ -110,7 +110,7 @@
 )
 
 // classify takes a packet of an unknown version for an Initial: the agent
-// answers it by naming the versions it speaks.
+// answers it with the versions that it supports.
 func classify(version uint32, first byte) kind {
 	bits := first >> typeShift & typeMask
 	switch version {
--- a/protocol/sealer/sealer.go
+++ b/protocol/sealer/sealer.go
@@ -1,7 +1,7 @@
 // Package sealer makes QUIC connection ids that carry the identity of the
 // agent which made them, encrypted under the fleet's key, and opens them
-// again. A balancer so routes a packet of an established flow with nothing
-// but the key.
+// again. With them a balancer routes a packet of an established flow by
+// nothing but the key.
 //
 // A connection id is one byte of key epoch and one AES-128 block over IPv4
 // address (4 bytes), port (2), incarnation (4), service tag (2) and nonce (4).
@@ -76,8 +76,8 @@
 	byEpoch [256]cipher.Block
 }
 
-// scratch keeps the cipher's operands off the stack of each call, from where
-// they would escape to the heap.
+// scratch holds the cipher's operands. As local variables they would escape to
+// the heap in each call.
 var scratch = sync.Pool{New: func() any { return new([aes.BlockSize]byte) }}
 
 // New makes a sealer from the fleet's keys.
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -1,4 +1,4 @@
-// Package fabric stands in for the network fabric, in tests and in try. Callers
+// Package fabric simulates the network fabric, in tests and in the try command. Callers
 // send to one address for each service; each packet goes to a balancer drawn
 // at random. Packets can be dropped, delayed, reordered and duplicated.
 package fabric
@@ -38,9 +38,9 @@
 	Drop float64
 	// Duplicate is the chance that a packet is delivered twice.
 	Duplicate float64
-	// Delay holds every packet up.
+	// Delay is the time by which every packet is delayed.
 	Delay time.Duration
-	// Reorder is the chance that a packet is held up by ReorderBy more.
+	// Reorder is the chance that a packet is delayed by ReorderBy more.
 	Reorder float64
 	// ReorderBy is the further delay of a reordered packet.
 	ReorderBy time.Duration
@@ -88,7 +88,7 @@
 	caller  netip.AddrPort
 }
 
-// New opens the service addresses and starts to hand packets on.
+// New opens the service addresses and starts to forward packets.
 func New(config Config) (*Fabric, error) {
 	fab := &Fabric{
 		timer:   config.Timer,
--- a/transport/forwarder/bench_test.go
+++ b/transport/forwarder/bench_test.go
@@ -125,12 +125,12 @@
 		out := newOutbound(fwd, 0)
 		sender := framer.NewSender()
 		header := framer.Header{
-			Kind:     framer.KindAnswer,
-			Service:  gooseberrymast.TagOf(ledger),
-			To:       gooseberrymast.Identity{Address: fwd.forward},
-			Caller:   p.sink.Address(),
-			Balancer: fwd.forward,
-			Life:     fwd.sender.ID,
+			Kind:           framer.KindAnswer,
+			Service:        gooseberrymast.TagOf(ledger),
+			To:             gooseberrymast.Identity{Address: fwd.forward},
+			Caller:         p.sink.Address(),
+			Balancer:       fwd.forward,
+			BalancerSender: fwd.sender.ID,
 		}
 		next := func() []byte {
 			header.Origin = sender.Next(fwd.forward)
--- a/transport/forwarder/counters.go
+++ b/transport/forwarder/counters.go
@@ -34,9 +34,11 @@
 	DropBadVersion
 	// DropForged is a frame whose MAC is wrong.
 	DropForged
-	// DropReplayed is a frame that was seen before, or is too late to tell.
+	// DropReplayed is a frame that was seen before, or arrives
+	// too late to be checked.
 	DropReplayed
-	// DropWrongTarget is a frame for another balancer or an earlier life.
+	// DropWrongTarget is a frame for another balancer, or for an earlier
+	// process at this address.
 	DropWrongTarget
 	// DropSend is a packet that the host refused to send.
 	DropSend
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -1,5 +1,5 @@
 // Package forwarder is the balancer's data path. It forwards callers' QUIC
-// packets to agents, and the agents' answers to callers. It keeps nothing of a
+// packets to agents, and the agents' answers to callers. It keeps no state of a
 // flow: the connection id names the agent, and for a flow's first packets the
 // table does.
 //
@@ -27,7 +27,7 @@
 	"gooseberrymast/transport/batcher"
 )
 
-// The values that stand in for zero fields of a Config.
+// The defaults of the zero fields of a Config.
 const (
 	DefaultShards      = 1
 	DefaultBatch       = 32
@@ -160,7 +160,7 @@
 	f.change(func(next *view) {
 		next.current = table
 		if next.previous == nil {
-			// The first table is the oldest that a newcomer can know of.
+			// A balancer that has just started knows of no older table.
 			next.previous, f.pending = table, table
 		}
 	})
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -143,13 +143,13 @@
 func answer(t testing.TB, fwd *Forwarder, sender *framer.Sender, edit func(header *framer.Header)) []byte {
 	t.Helper()
 	header := framer.Header{
-		Kind:     framer.KindAnswer,
-		Service:  gooseberrymast.TagOf(ledger),
-		Origin:   sender.Next(fwd.forward),
-		To:       gooseberrymast.Identity{Address: fwd.forward},
-		Caller:   caller,
-		Balancer: fwd.forward,
-		Life:     fwd.sender.ID,
+		Kind:           framer.KindAnswer,
+		Service:        gooseberrymast.TagOf(ledger),
+		Origin:         sender.Next(fwd.forward),
+		To:             gooseberrymast.Identity{Address: fwd.forward},
+		Caller:         caller,
+		Balancer:       fwd.forward,
+		BalancerSender: fwd.sender.ID,
 	}
 	if edit != nil {
 		edit(&header)
@@ -169,7 +169,7 @@
 		{"truncated", nil, 20, DropTruncated},
 		{"oversized", nil, -framer.MaxFrame, DropOversized},
 		{"forged", nil, 1, DropForged},
-		{"for an earlier life", func(h *framer.Header) { h.Life++ }, 0, DropWrongTarget},
+		{"for an earlier process", func(h *framer.Header) { h.BalancerSender++ }, 0, DropWrongTarget},
 		{"for another balancer", func(h *framer.Header) { h.To = agent }, 0, DropWrongTarget},
 		{"not an answer", func(h *framer.Header) { h.Kind = framer.KindFlow }, 0, DropWrongTarget},
 		{"of another service", func(h *framer.Header) { h.Index = 1 }, 0, DropWrongService},
@@ -211,7 +211,7 @@
 	is := is.New(t)
 	fwd := newForwarder(t)
 	frame := answer(t, fwd, framer.NewSender(), func(h *framer.Header) {
-		h.Life, h.Index, h.Service = 0, framer.AnyIndex, gooseberrymast.TagOf(receipts)
+		h.BalancerSender, h.Index, h.Service = 0, framer.AnyIndex, gooseberrymast.TagOf(receipts)
 	})
 	var header framer.Header
 	_, err := fwd.open(frame, &header, time.Unix(0, 0))
--- a/transport/forwarder/inbound.go
+++ b/transport/forwarder/inbound.go
@@ -118,13 +118,13 @@
 func (in *inbound) seal(buffer []byte, caller netip.AddrPort) []byte {
 	header := &in.header
 	*header = framer.Header{
-		Kind:     framer.KindFlow,
-		Service:  in.query.Service,
-		Index:    uint16(in.index),
-		To:       in.route.Takers[0],
-		Caller:   caller,
-		Balancer: in.fwd.forward,
-		Life:     in.fwd.sender.ID,
+		Kind:           framer.KindFlow,
+		Service:        in.query.Service,
+		Index:          uint16(in.index),
+		To:             in.route.Takers[0],
+		Caller:         caller,
+		Balancer:       in.fwd.forward,
+		BalancerSender: in.fwd.sender.ID,
 	}
 	if in.route.Opening {
 		header.Kind = framer.KindOpening
--- a/transport/forwarder/outbound.go
+++ b/transport/forwarder/outbound.go
@@ -74,10 +74,10 @@
 	out.write.Clear()
 }
 
-// isOwnLife tells an answer for this life of the balancer from one for an
-// earlier life. Zero is said by an agent that knows only the address.
-func (f *Forwarder) isOwnLife(life uint64) bool {
-	return life == f.sender.ID || life == 0
+// isOwnSender tells an answer for this process from one for an earlier process
+// at the same address. An agent that knows only the address sends zero.
+func (f *Forwarder) isOwnSender(id uint64) bool {
+	return id == f.sender.ID || id == 0
 }
 
 // open verifies an agent's frame and gives the packet for the caller.
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || !f.isOwnLife(header.Life) {
+	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || !f.isOwnSender(header.BalancerSender) {
 		return nil, framer.FaultWrongTarget
 	}
 	if header.Index == framer.AnyIndex {
--- a/transport/receiver/callers.go
+++ b/transport/receiver/callers.go
@@ -12,14 +12,14 @@
 	"gooseberrymast/protocol/framer"
 )
 
-// Bounds of the memory of callers.
+// Bounds of what is remembered of callers.
 const (
 	callerShards = 16
 	// DefaultMaxCallers is the number of callers that are remembered.
 	DefaultMaxCallers = 1 << 16
-	// CallerLife is how long a silent caller is remembered. It is well above
+	// CallerLifetime is how long a silent caller is remembered. It is well above
 	// the idle timeout of a flow.
-	CallerLife = 3 * time.Minute
+	CallerLifetime = 3 * time.Minute
 	// alternateAfter is the silence of a caller after which its answers take
 	// turns through several balancers, as the newest may be gone. It is above
 	// a round trip and a delayed acknowledgement.
@@ -31,7 +31,7 @@
 // path leads back to a caller through one balancer.
 type path struct {
 	balancer netip.AddrPort
-	life     uint64
+	sender   uint64
 	index    uint16
 }
 
@@ -45,7 +45,8 @@
 	proved  bool   // the caller has shown an id of the agent's making
 }
 
-// callers remembers, by caller's address, the balancers that last delivered.
+// callers remembers, by the caller's address, the balancers that last delivered
+// its packets.
 // It is sharded, each shard under its own lock. The zero value works.
 type callers struct {
 	max       int
@@ -60,9 +61,9 @@
 	lastScan time.Time
 }
 
-// heard notes that a balancer delivered a packet, which proved the caller's
-// address or didn't. It gives the address as a net.Addr, which is made once for
-// each caller.
+// heard notes that a balancer delivered a caller's packet. Proved says that the
+// packet proves the caller's address. It gives the address as a *net.UDPAddr that
+// is made once for each caller.
 func (c *callers) heard(address netip.AddrPort, via path, proved bool, now time.Time) *net.UDPAddr {
 	key := callerKey(address)
 	shard := c.shard(key)
@@ -169,7 +170,7 @@
 	return before
 }
 
-// expire forgets the callers that have been silent for CallerLife.
+// expire forgets the callers that have been silent for CallerLifetime.
 func (c *callers) expire(now time.Time) {
 	for i := range c.shards {
 		shard := &c.shards[i]
@@ -243,7 +244,7 @@
 func (s *callerShard) forgetSilent(now time.Time) {
 	s.lastScan = now
 	for key, known := range s.byKey {
-		if now.Sub(known.heard) > CallerLife {
+		if now.Sub(known.heard) > CallerLifetime {
 			delete(s.byKey, key)
 		}
 	}
--- a/transport/receiver/callers_test.go
+++ b/transport/receiver/callers_test.go
@@ -17,7 +17,7 @@
 }
 
 func pathVia(port uint16) path {
-	return path{balancer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port), life: uint64(port)}
+	return path{balancer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port), sender: uint64(port)}
 }
 
 func TestAnswersGoThroughTheNewestBalancer(t *testing.T) {
@@ -101,8 +101,8 @@
 	var known callers
 	now := time.Unix(100, 0)
 	known.heard(callerAddress(1), pathVia(1), true, now)
-	known.heard(callerAddress(2), pathVia(1), true, now.Add(CallerLife))
-	known.expire(now.Add(CallerLife + 1))
+	known.heard(callerAddress(2), pathVia(1), true, now.Add(CallerLifetime))
+	known.expire(now.Add(CallerLifetime + 1))
 	is.Equal(known.count(), 1)
 }
 
--- a/transport/receiver/counters.go
+++ b/transport/receiver/counters.go
@@ -23,14 +23,15 @@
 	DropUnknownEpoch
 	// DropForged is a frame whose MAC is wrong.
 	DropForged
-	// DropReplayed is a frame that was seen before, or is too late to tell.
+	// DropReplayed is a frame that was seen before, or arrives
+	// too late to be checked.
 	DropReplayed
 	// DropWrongTarget is a frame for another address or another kind of
 	// process.
 	DropWrongTarget
 	// DropWrongService is a packet for another service than the agent's.
 	DropWrongService
-	// DropWrongIncarnation is a packet for another life of this agent.
+	// DropWrongIncarnation is a packet for another incarnation of this agent.
 	DropWrongIncarnation
 	// DropNotQUIC is a frame that holds no packet of a flow.
 	DropNotQUIC
@@ -38,7 +39,8 @@
 	DropNotNamed
 	// DropHalfOpen is a new flow above the bound of open handshakes.
 	DropHalfOpen
-	// DropHops is a packet that was passed on too often.
+	// DropHops is a packet that would be passed on more than opener.MaxHop
+	// times.
 	DropHops
 	// DropUnknownCaller is an answer to a caller of whom no packet is
 	// remembered.
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -143,7 +143,7 @@
 	echo(t, b.dial(), 1, nil)
 }
 
-// A restarted agent tells the callers of its earlier life that their flow is
+// A restarted agent tells the callers of its earlier incarnation that their flow is
 // gone, by a stateless reset.
 func TestRestartedAgentResetsStaleFlows(t *testing.T) {
 	is := is.New(t)
--- a/transport/receiver/quic.go
+++ b/transport/receiver/quic.go
@@ -21,10 +21,10 @@
 	// PacketBytes is the size of the agent's QUIC datagrams, the least that
 	// QUIC allows, so that the header before them fits any path.
 	PacketBytes = 1200
-	// IdleTimeout ends a flow of which nothing is heard.
+	// IdleTimeout ends a flow from which no packet arrives.
 	IdleTimeout = 45 * time.Second
 	// KeepAlive is how often the agent sends on an idle flow. The caller's
-	// acknowledgement refreshes the memory of balancers.
+	// acknowledgement tells the agent of a balancer that still runs.
 	KeepAlive = 15 * time.Second
 	// floodHold is how long callers must prove their address from the last
 	// sign of a flood.
@@ -83,9 +83,9 @@
 }
 
 // countNewFlow notes a new handshake. There is a flood for floodHold from the
-// last one that came faster than the rate or while half of the open ones
-// allowed were in use. It is called by the reading
-// goroutine with the opener's lock held.
+// last one that came faster than the rate, or while at least half of
+// MaxHalfOpen were open. It is called by the reading goroutine with the opener's
+// lock held.
 func (r *Receiver) countNewFlow() {
 	limit := r.config.MaxHalfOpen
 	if limit == 0 {
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -86,9 +86,9 @@
 	return payload, nil
 }
 
-// isOwn checks that the connection id was made for this service by this life
-// of the agent. Packets of an earlier life pass if they have a short header:
-// QUIC knows no flow for them and tells the caller so by a stateless reset.
+// isOwn checks that the connection id was made for this service by this
+// incarnation of the agent. Packets of an earlier one pass if they have a short
+// header: QUIC knows no flow for them and answers with a stateless reset.
 func (r *Receiver) isOwn(packet *inspector.Packet) (Drop, bool) {
 	id, service, err := r.sealer.Open(packet.ID)
 	switch {
@@ -186,7 +186,7 @@
 	}
 }
 
-// tell lets the homes of a flow know that it was passed on.
+// tell notifies the homes of a flow that it was passed on.
 func (r *Receiver) tell(key uint64, decision *opener.Decision) {
 	for _, home := range decision.Tell {
 		if home.IsZero() {
@@ -216,7 +216,7 @@
 
 // heard remembers the balancer that delivered the last frame.
 func (r *Receiver) heard() *net.UDPAddr {
-	via := path{balancer: r.header.Balancer, life: r.header.Life, index: r.header.Index}
+	via := path{balancer: r.header.Balancer, sender: r.header.BalancerSender, index: r.header.Index}
 	proved := r.header.Kind == framer.KindFlow
 	return r.callers.heard(r.header.Caller, via, proved, r.now)
 }
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -48,13 +48,13 @@
 func frameTo(t testing.TB, rec *Receiver, payload []byte, edit func(header *framer.Header)) []byte {
 	t.Helper()
 	header := framer.Header{
-		Kind:     framer.KindFlow,
-		Service:  gooseberrymast.TagOf(ledger),
-		Origin:   framer.NewSender().Next(rec.self.Address),
-		To:       rec.self,
-		Caller:   netip.MustParseAddrPort("192.0.2.7:5555"),
-		Balancer: other.Address,
-		Life:     7,
+		Kind:           framer.KindFlow,
+		Service:        gooseberrymast.TagOf(ledger),
+		Origin:         framer.NewSender().Next(rec.self.Address),
+		To:             rec.self,
+		Caller:         netip.MustParseAddrPort("192.0.2.7:5555"),
+		Balancer:       other.Address,
+		BalancerSender: 7,
 	}
 	if edit != nil {
 		edit(&header)
@@ -89,10 +89,10 @@
 		{"addressed to another service", frameTo(t, rec, own, func(h *framer.Header) { h.Service++ }), DropWrongService},
 		{"id of another service", frameTo(t, rec, packetTo(rec, rec.self, "receipts"), nil), DropWrongService},
 		{"id of another agent", frameTo(t, rec, packetTo(rec, other, ledger), nil), DropWrongTarget},
-		{"id of a later life", frameTo(t, rec, packetTo(rec, later, ledger), nil), DropWrongIncarnation},
+		{"id of a later incarnation", frameTo(t, rec, packetTo(rec, later, ledger), nil), DropWrongIncarnation},
 		{"no packet", frameTo(t, rec, nil, nil), DropNotQUIC},
 		{"an id that an agent didn't make", frameTo(t, rec, make([]byte, 60), nil), DropNotQUIC},
-		{"opening for an earlier life", frameTo(t, rec, initial(), func(h *framer.Header) {
+		{"opening for an earlier incarnation", frameTo(t, rec, initial(), func(h *framer.Header) {
 			h.To = earlier
 			opening(h)
 		}), DropWrongIncarnation},
@@ -100,7 +100,7 @@
 			opening(h)
 			h.Homes[0] = other
 		}), DropNotNamed},
-		{"news without a flow", frameTo(t, rec, nil, func(h *framer.Header) { h.Kind = framer.KindMoved }), DropTruncated},
+		{"notification without a flow", frameTo(t, rec, nil, func(h *framer.Header) { h.Kind = framer.KindMoved }), DropTruncated},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -132,7 +132,7 @@
 	is.Equal(rec.HalfOpen(), 0)
 }
 
-// Packets of an earlier life reach QUIC with a short header only: it answers
+// Packets of an earlier incarnation reach QUIC with a short header only: it answers
 // them with a stateless reset.
 func TestStaleFlows(t *testing.T) {
 	is := is.New(t)
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -158,7 +158,7 @@
 }
 
 // SetTable puts a table in force. The agent passes no new flow to members that
-// the table holds for suspect.
+// are suspect in the table.
 func (r *Receiver) SetTable(table *gooseberrymast.Table) {
 	var suspects []gooseberrymast.Identity
 	for _, member := range table.Members(r.service) {
@@ -231,12 +231,12 @@
 
 func (r *Receiver) answer(payload []byte, to netip.AddrPort, via path) {
 	header := framer.Header{
-		Kind:     framer.KindAnswer,
-		Service:  r.service,
-		Index:    via.index,
-		Caller:   to,
-		Balancer: via.balancer,
-		Life:     via.life,
+		Kind:           framer.KindAnswer,
+		Service:        r.service,
+		Index:          via.index,
+		Caller:         to,
+		Balancer:       via.balancer,
+		BalancerSender: via.sender,
 	}
 	if r.sendFrame(&header, gooseberrymast.Identity{Address: via.balancer}, payload) {
 		r.Counters.Answers.Add(1)
