--- a/transport/forwarder/bench_test.go
+++ b/transport/forwarder/bench_test.go
@@ -135,7 +135,9 @@
 		next := func() []byte {
 			header.Origin = sender.Next(fwd.forward)
 			frame, err := fwd.framer.Seal(&header, make([]byte, framer.MaxBytes+1200), framer.MaxBytes)
-			is.New(b).NoErr(err)
+			if err != nil {
+				b.Fatal(err)
+			}
 			return frame
 		}
 		p.run(b, next, func() error { return out.step(p.in) })
