--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"gooseberrymast"
 	"gooseberrymast/state/timer"
 )
 
@@ -16,9 +17,7 @@
 func udp(t *testing.T) *net.UDPConn {
 	t.Helper()
 	conn, err := listen(loopback)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
@@ -46,16 +45,10 @@
 	return Balancer{Name: name, Services: []netip.AddrPort{addressOf(conn)}}, seen
 }
 
-func newFabric(t *testing.T, manual *timer.Manual) *Fabric {
+func newFabric(t *testing.T, timer gooseberrymast.Timer) *Fabric {
 	t.Helper()
-	config := Config{Services: []netip.AddrPort{loopback}, Seed: 1}
-	if manual != nil {
-		config.Timer = manual
-	}
-	fab, err := New(config)
-	if err != nil {
-		t.Fatal(err)
-	}
+	fab, err := New(Config{Services: []netip.AddrPort{loopback}, Seed: 1, Timer: timer})
+	is.New(t).NoErr(err)
 	t.Cleanup(fab.Close)
 	return fab
 }
@@ -100,6 +93,17 @@
 	}
 }
 
+func TestRebindChangesACallersAddress(t *testing.T) {
+	fab := newFabric(t, nil)
+	balancer, seen := echoer(t, "only")
+	fab.Add(balancer)
+	caller := udp(t)
+	ask(t, fab, caller)
+	fab.Rebind()
+	ask(t, fab, caller)
+	is.New(t).True(<-seen != <-seen)
+}
+
 func TestFaults(t *testing.T) {
 	is := is.New(t)
 	fab := newFabric(t, nil)
--- a/transport/forwarder/bench_test.go
+++ b/transport/forwarder/bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"gooseberrymast"
 	"gooseberrymast/protocol/framer"
 	"gooseberrymast/transport/batcher"
@@ -12,24 +14,11 @@
 
 // BenchmarkRouting is the cost of routing without the system calls.
 func BenchmarkRouting(b *testing.B) {
-	benchmarks := []struct {
-		name     string
-		datagram []byte
-	}{
-		{"established", short(b, ledger)},
-		{"opening", long(0xc0, make([]byte, 8))},
-	}
-	for _, bench := range benchmarks {
-		b.Run(bench.name, func(b *testing.B) {
-			fwd := newForwarder(b)
-			fwd.SetTable(tableOf(ledger, agent))
-			in := newInbound(fwd, 0)
-			buffer := withHeadroom(bench.datagram)
+	for name, route := range routings(b) {
+		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if in.forward(buffer, caller) == nil {
-					b.Fatal("dropped")
-				}
+				route()
 			}
 		})
 	}
@@ -48,9 +37,7 @@
 func openConn(b *testing.B) *batcher.Conn {
 	b.Helper()
 	conns, err := batcher.Listen(loopback, 1)
-	if err != nil {
-		b.Fatal(err)
-	}
+	is.New(b).NoErr(err)
 	b.Cleanup(func() { batcher.Close(conns) })
 	return conns[0]
 }
@@ -138,12 +125,12 @@
 		out := newOutbound(fwd, 0)
 		sender := framer.NewSender()
 		header := framer.Header{
-			Kind:     framer.KindAnswer,
-			Service:  gooseberrymast.TagOf(ledger),
-			To:       gooseberrymast.Identity{Address: fwd.forward},
-			Caller:   p.sink.Address(),
-			Balancer: fwd.forward,
-			Life:     fwd.sender.ID,
+			Kind:           framer.KindAnswer,
+			Service:        gooseberrymast.TagOf(ledger),
+			To:             gooseberrymast.Identity{Address: fwd.forward},
+			Caller:         p.sink.Address(),
+			Balancer:       fwd.forward,
+			BalancerSender: fwd.sender.ID,
 		}
 		next := func() []byte {
 			header.Origin = sender.Next(fwd.forward)
