Keep new flows and requests in a service's zones

Cause: a document's zones were checked as text only. An agent that announced another availability zone got flows and requests all the same.

Change: Document.Allows and Document.Restrict say which agents may be used. The forwarder restricts its table once for each table and document; a home that is barred is still asked, so that balancers with different documents agree on a flow's taker. The agent gives the dispatcher and the evener the allowed members only and passes no new flow to the others. An agent that is itself barred passes new flows on, hands its requests over while a peer takes them, and logs it once for each revision. Tokens still route without a table, so open flows go on.

Status doesn't show the reason yet.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -58,6 +58,7 @@
 	tag        gooseberrymast.ServiceTag
 	keys       atomic.Pointer[keyer.Keys]
 	service    atomic.Pointer[gooseberrymast.Service]
+	rules      atomic.Pointer[gooseberrymast.Document]
 	table      atomic.Pointer[gooseberrymast.Table]
 	receiver   *receiver.Receiver
 	transport  *quic.Transport
@@ -70,6 +71,7 @@
 	poller     *poller.Poller
 	evener     flowEvener
 	healthy    atomic.Bool
+	barred     atomic.Bool
 	revision   atomic.Uint64
 	raised     chan gooseberrymast.Identity
 	leave      sync.Once
@@ -247,10 +249,32 @@
 // setTable puts a snapshot of the members in force.
 func (a *Agent) setTable(table *gooseberrymast.Table) {
 	a.table.Store(table)
-	members := table.Members(a.tag)
 	a.receiver.SetTable(table)
-	a.driver.Members(members)
-	a.evener.update(members)
+	a.place()
+}
+
+// place gives new flows and requests to the members in zones that the document
+// allows. It is called for each table and each document, one at a time.
+func (a *Agent) place() {
+	table := a.table.Load()
+	allowed := a.rules.Load().Restrict(table, a.config.Settings.Service).Members(a.tag)
+	a.receiver.SetBarred(missing(table.Members(a.tag), allowed))
+	a.driver.Members(allowed)
+	a.evener.update(allowed)
+}
+
+// missing lists the members of all that are not among some, both sorted by
+// address.
+func missing(all, some []gooseberrymast.Member) []gooseberrymast.Identity {
+	var ids []gooseberrymast.Identity
+	for _, member := range all {
+		if len(some) > 0 && some[0].Identity == member.Identity {
+			some = some[1:]
+			continue
+		}
+		ids = append(ids, member.Identity)
+	}
+	return ids
 }
 
 // heard takes the load that came with a peer's reply.
@@ -262,17 +286,32 @@
 // setDocument puts a revision in force. A document without the agent's service
 // leaves the limits as they were.
 func (a *Agent) setDocument(revision uint64, document gooseberrymast.Document) {
+	a.setZones(revision, document)
 	service, ok := document.Services[a.config.Settings.Service]
 	if !ok {
 		log.Warn().Uint64("revision", revision).Str("service", a.config.Settings.Service).
 			Msg("the document does not name this agent's service; its limits stay as they were")
 		return
 	}
+	service.Zones = document.ZonesOf(a.config.Settings.Service)
 	a.service.Store(&service)
 	a.revision.Store(revision)
 	a.driver.Configure(revision, service)
 }
 
+// setZones puts the zones of a revision in force.
+func (a *Agent) setZones(revision uint64, document gooseberrymast.Document) {
+	settings := a.config.Settings
+	barred := !document.Allows(settings.Service, settings.Zone)
+	if barred {
+		log.Warn().Uint64("revision", revision).Str("service", settings.Service).Str("zone", settings.Zone).
+			Msg("the document does not allow the service in this agent's availability zone; it gets no new flows")
+	}
+	a.barred.Store(barred)
+	a.rules.Store(&document)
+	a.place()
+}
+
 // SetKeys puts a changed key file in force.
 func (a *Agent) SetKeys(keys *keyer.Keys) error {
 	a.keys.Store(keys)
@@ -406,7 +445,7 @@
 // atFlowBound reports whether the agent would rather pass a new flow on.
 func (a *Agent) atFlowBound() bool {
 	service := a.service.Load()
-	if service == nil {
+	if service == nil || a.barred.Load() {
 		return true
 	}
 	return int(a.driver.Load().Streams) >= service.Limits.Connections
--- /dev/null
+++ b/assembler/agent_test.go
@@ -0,0 +1,75 @@
+package assembler
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/state/timer"
+)
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// newAgent makes an agent of ledger in cairo-a that isn't run.
+func newAgent(t *testing.T) *Agent {
+	t.Helper()
+	settings := gooseberrymast.AgentSettings{
+		Environment: "trial", Service: "ledger", Zone: "cairo-a", Address: anyPort, ControlAddress: anyPort,
+		Backend: gooseberrymast.BackendSettings{Address: netip.MustParseAddrPort("127.0.0.1:9")},
+	}
+	settings.Defaults()
+	a, err := NewAgent(AgentConfig{
+		Settings: settings, Incarnation: 1, Keys: keyer.Random(), Timer: timer.System{}, Seed: 1,
+		Certificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, nil },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = a.Close() })
+	return a
+}
+
+// documentOf gives a document that allows ledger in some zones.
+func documentOf(zones ...string) gooseberrymast.Document {
+	var service gooseberrymast.Service
+	service.Defaults()
+	service.Zones = zones
+	return gooseberrymast.Document{
+		Zones:    []string{"cairo-a", "cairo-b"},
+		Services: map[string]gooseberrymast.Service{"ledger": service},
+	}
+}
+
+func TestAgentOutsideItsZonesPassesFlowsOn(t *testing.T) {
+	is := is.New(t)
+	a := newAgent(t)
+	a.setDocument(1, documentOf())
+	is.True(!a.atFlowBound())
+	a.setDocument(2, documentOf("cairo-b"))
+	is.True(a.atFlowBound())
+	a.setDocument(3, documentOf("cairo-a"))
+	is.True(!a.atFlowBound())
+	a.setDocument(4, gooseberrymast.Document{Zones: []string{"cairo-b"}}) // without the service
+	is.True(a.atFlowBound())
+}
+
+func TestMissing(t *testing.T) {
+	is := is.New(t)
+	var all []gooseberrymast.Member
+	for _, zone := range []string{"cairo-a", "cairo-b", "cairo-a", "cairo-c"} {
+		identity := gooseberrymast.Identity{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(all))}), 7000), Incarnation: 1}
+		all = append(all, gooseberrymast.Member{Record: gooseberrymast.Record{Identity: identity, Zone: zone}})
+	}
+	tag := gooseberrymast.TagOf("ledger")
+	table := &gooseberrymast.Table{Services: map[gooseberrymast.ServiceTag][]gooseberrymast.Member{tag: all}}
+	document := documentOf("cairo-a")
+	allowed := document.Restrict(table, "ledger").Members(tag)
+	is.Equal(len(allowed), 2)
+	is.Equal(missing(all, allowed), []gooseberrymast.Identity{all[1].Identity, all[3].Identity})
+	is.Equal(len(missing(all, all)), 0)
+	is.Equal(len(missing(all, nil)), 4)
+}
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,6 +19,9 @@
 		d.placeElsewhere(now, r)
 		return
 	}
+	if d.barred() && d.handOverAnywhere(now, r) {
+		return
+	}
 	if r.work.Stream {
 		d.placeStream(now, r)
 		return
@@ -71,6 +75,12 @@
 	return !elsewhere || !d.placer.Any(now, d.need(now, r))
 }
 
+// barred reports whether the document doesn't allow the service in the own zone.
+func (d *Dispatcher) barred() bool {
+	zones := d.service.Zones
+	return len(zones) > 0 && !slices.Contains(zones, d.config.Zone)
+}
+
 // open reports whether the own backend server takes new requests.
 func (d *Dispatcher) open(now time.Time, r *request) bool {
 	if d.drainer.Leaving() {
@@ -148,10 +158,22 @@
 
 // handOverToRoom hands an own request over when a peer seems to have a free slot.
 func (d *Dispatcher) handOverToRoom(now time.Time, r *request) bool {
+	return d.handOverFor(now, r, d.need(now, r))
+}
+
+// handOverAnywhere hands an own request over when any peer can be asked to run
+// it. The peer may decline it.
+func (d *Dispatcher) handOverAnywhere(now time.Time, r *request) bool {
+	need := d.need(now, r)
+	need.Must = true
+	return d.handOverFor(now, r, need)
+}
+
+func (d *Dispatcher) handOverFor(now time.Time, r *request, need placer.Need) bool {
 	if !r.own || d.config.Policy.NoHandOver {
 		return false
 	}
-	peer, ok := d.placer.Choose(now, d.need(now, r))
+	peer, ok := d.placer.Choose(now, need)
 	if !ok {
 		return false
 	}
--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -62,6 +62,7 @@
 	Life time.Duration
 
 	suspects map[gooseberrymast.Identity]bool
+	barred   map[gooseberrymast.Identity]bool
 	flows    map[uint64]flow
 	oldest   queue
 	halfOpen int
@@ -129,6 +130,20 @@
 	}
 }
 
+// SetBarred replaces the agents that may take no new flows though they live.
+// They are still asked as homes, and keep the flows that were passed to them.
+func (o *Opener) SetBarred(ids []gooseberrymast.Identity) {
+	o.barred = make(map[gooseberrymast.Identity]bool, len(ids))
+	for _, id := range ids {
+		o.barred[id] = id != o.Self
+	}
+}
+
+// unfit reports whether a new flow should not be passed to an agent.
+func (o *Opener) unfit(id gooseberrymast.Identity) bool {
+	return id.IsZero() || o.suspects[id] || o.barred[id]
+}
+
 // Complete notes that the flow's handshake is complete or holds no memory, so
 // that it no longer counts as half open.
 func (o *Opener) Complete(key uint64) {
@@ -190,7 +205,7 @@
 		return o.pass(packet, flow{peer: packet.Homes[1], since: now, asked: true})
 	}
 	first, second := packet.Takers[0], packet.Takers[1]
-	if o.suspects[first] && !second.IsZero() && !o.suspects[second] {
+	if o.unfit(first) && !o.unfit(second) {
 		first = second
 	}
 	if first == o.Self || packet.Hop >= MaxHop {
@@ -203,7 +218,7 @@
 func (o *Opener) takeOrPass(packet *Packet, busy bool, now time.Time) Decision {
 	full := o.halfOpen >= o.maxHalfOpen()
 	other := packet.Takers[1]
-	offered := packet.Takers[0] == o.Self && !other.IsZero() && !o.suspects[other]
+	offered := packet.Takers[0] == o.Self && !o.unfit(other)
 	if (busy || full) && packet.Hop < MaxHop && offered {
 		decision := o.pass(packet, flow{peer: other, since: now, declined: true})
 		decision.Tell = o.others(packet)
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -72,6 +72,10 @@
 	// Current and Previous are the table in force and the one before it;
 	// either may be nil.
 	Current, Previous *gooseberrymast.Table
+	// Known holds also the members that get no new flows under the document
+	// in force, but may still be asked for a flow's taker; nil stands for
+	// Current.
+	Known *gooseberrymast.Table
 }
 
 // Route names the agents that a packet goes to.
@@ -124,6 +128,9 @@
 		return nil
 	}
 	_, before := rank(query.Previous.Members(query.Service), query)
+	if query.Known != nil {
+		members = query.Known.Members(query.Service)
+	}
 	if before.ids[0] != route.Homes[0] && answers(members, before.ids[0]) {
 		route.Homes[1] = before.ids[0]
 	}
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -196,6 +196,24 @@
 	is.True(asked(leaving))
 }
 
+// A home that the document in force bars is still asked, as balancers with the
+// document before it send to it.
+func TestBarredHomeIsAsked(t *testing.T) {
+	is := is.New(t)
+	before := members(3)
+	asked := 0
+	for key := range uint64(200) {
+		query := Query{Key: key, Opens: true, Current: table(before[1:]), Previous: table(before), Known: table(before)}
+		route, err := choose(query)
+		is.NoErr(err)
+		is.True(route.Takers[0] != before[0].Identity && route.Takers[1] != before[0].Identity)
+		if route.Homes[1] == before[0].Identity {
+			asked++
+		}
+	}
+	is.True(asked > 0)
+}
+
 func TestAllSuspectCountAsReady(t *testing.T) {
 	is := is.New(t)
 	all := members(2)
--- a/document.go
+++ b/document.go
@@ -1,6 +1,9 @@
 package gooseberrymast
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Document is what operators write for one environment. It names no addresses.
 type Document struct {
@@ -78,3 +81,43 @@
 	CrossZoneNever     = "never"
 	CrossZoneWhenFull  = "when-full"
 )
+
+// Allows reports whether an availability zone may hold backend servers of a
+// service. A service without zones of its own, or that the document doesn't
+// name, has the document's; a document without any allows all.
+func (d *Document) Allows(service, zone string) bool {
+	zones := d.ZonesOf(service)
+	return len(zones) == 0 || slices.Contains(zones, zone)
+}
+
+// ZonesOf gives the availability zones that may hold backend servers of a
+// service; none stands for all.
+func (d *Document) ZonesOf(service string) []string {
+	if d == nil {
+		return nil
+	}
+	if zones := d.Services[service].Zones; len(zones) > 0 {
+		return zones
+	}
+	return d.Zones
+}
+
+// Restrict gives the table without the agents of the services that are in
+// availability zones where they are not allowed. It is the table itself when
+// there are none, and else shares all that it can with it.
+func (d *Document) Restrict(table *Table, services ...string) *Table {
+	restricted := table
+	for _, service := range services {
+		tag := TagOf(service)
+		members := restricted.Members(tag)
+		barred := func(member Member) bool { return !d.Allows(service, member.Zone) }
+		if !slices.ContainsFunc(members, barred) {
+			continue
+		}
+		if restricted == table {
+			restricted = table.clone()
+		}
+		restricted.Services[tag] = slices.DeleteFunc(slices.Clone(members), barred)
+	}
+	return restricted
+}
--- a/record.go
+++ b/record.go
@@ -1,6 +1,9 @@
 package gooseberrymast
 
-import "net/netip"
+import (
+	"maps"
+	"net/netip"
+)
 
 // Role tells a balancer's record from an agent's.
 type Role uint8
@@ -107,3 +110,10 @@
 	}
 	return t.Services[service]
 }
+
+// clone copies the table but for the members' lists.
+func (t *Table) clone() *Table {
+	other := *t
+	other.Services = maps.Clone(t.Services)
+	return &other
+}
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,7 @@
 	framer   *framer.Framer
 	sender   *framer.Sender
 	windows  framer.Windows
+	names    []string // of the services, each once
 	tags     []gooseberrymast.ServiceTag
 	view     atomic.Pointer[view]
 	services [][]*batcher.Conn // by service address, then by shard
@@ -93,9 +95,16 @@
 
 // view is what the shards read of the control side. It is immutable.
 type view struct {
-	current, previous *gooseberrymast.Table
-	document          *gooseberrymast.Document
-	crossZone         []string // by service address
+	known     *gooseberrymast.Table // all members
+	current   *gooseberrymast.Table // those that the document allows
+	previous  *gooseberrymast.Table // as current was
+	document  *gooseberrymast.Document
+	crossZone []string // by service address
+}
+
+// restrict makes the current table anew.
+func (v *view) restrict(services []string) {
+	v.current = v.document.Restrict(v.known, services...)
 }
 
 // New opens the sockets, so that an address in use is reported at once.
@@ -141,6 +150,9 @@
 		}
 		f.services = append(f.services, conns)
 		f.tags = append(f.tags, gooseberrymast.TagOf(service.Service))
+		if !slices.Contains(f.names, service.Service) {
+			f.names = append(f.names, service.Service)
+		}
 	}
 	return nil
 }
@@ -158,16 +170,19 @@
 // SetTable puts a table in force. It may be called from any goroutine.
 func (f *Forwarder) SetTable(table *gooseberrymast.Table) {
 	f.change(func(next *view) {
-		next.current = table
+		next.known = table
+		next.restrict(f.names)
 		if next.previous == nil {
 			// The first table is the oldest that a newcomer can know of.
-			next.previous, f.pending = table, table
+			next.previous, f.pending = next.current, next.current
 		}
 	})
 }
 
-// SetDocument puts the rules of a document in force. Before the first one,
-// flows may leave the balancer's zone when it has no backend server.
+// SetDocument puts the rules of a document in force. Agents in zones where it
+// doesn't allow their service get no new flows; established ones go on. Before
+// the first document, agents of every zone get flows, and flows may leave the
+// balancer's zone when it has no backend server.
 func (f *Forwarder) SetDocument(document *gooseberrymast.Document) {
 	f.change(func(next *view) {
 		next.document = document
@@ -175,6 +190,7 @@
 		for i, service := range f.config.Services {
 			next.crossZone[i] = document.Services[service.Service].CrossZone
 		}
+		next.restrict(f.names)
 	})
 }
 
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -259,6 +259,46 @@
 	is.Equal(fwd.Counters.Dropped(DropNoMember), uint64(1))
 }
 
+func TestDocumentBarsZones(t *testing.T) {
+	is := is.New(t)
+	fwd := newForwarder(t)
+	other := gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:10"), Incarnation: 1}
+	table := tableOf(ledger, agent, other)
+	table.Members(gooseberrymast.TagOf(ledger))[0].Zone = "cairo-a"
+	table.Members(gooseberrymast.TagOf(ledger))[1].Zone = "cairo-b"
+	document := func(zones ...string) *gooseberrymast.Document {
+		return &gooseberrymast.Document{Zones: []string{"cairo-a", "cairo-b", "cairo-c"}, Services: map[string]gooseberrymast.Service{ledger: {Zones: zones}}}
+	}
+	in := newInbound(fwd, 0)
+	takers := func() map[gooseberrymast.Identity]bool {
+		found := map[gooseberrymast.Identity]bool{}
+		for id := range byte(32) {
+			if in.forward(withHeadroom(long(0xc0, []byte{id, 1, 2, 3, 4, 5, 6, 7})), caller) == nil {
+				continue
+			}
+			for _, taker := range in.route.Takers {
+				found[taker] = true
+			}
+		}
+		delete(found, gooseberrymast.Identity{})
+		return found
+	}
+	fwd.SetTable(table)
+	is.Equal(takers(), map[gooseberrymast.Identity]bool{agent: true, other: true}) // no document yet
+	fwd.SetDocument(document("cairo-b"))
+	is.Equal(takers(), map[gooseberrymast.Identity]bool{other: true})
+	is.True(in.forward(withHeadroom(short(t, ledger)), caller) != nil) // an open flow of the barred agent
+	is.Equal(in.header.To, agent)
+	fwd.SetTable(tableOf(ledger, agent)) // in no zone
+	is.Equal(len(takers()), 0)
+	fwd.SetTable(table)
+	fwd.SetDocument(document())
+	is.Equal(takers(), map[gooseberrymast.Identity]bool{agent: true, other: true})
+	fwd.SetDocument(document("cairo-c"))
+	is.Equal(len(takers()), 0)
+	is.Equal(fwd.Counters.Dropped(DropNoMember), uint64(64))
+}
+
 func TestCountersCollect(t *testing.T) {
 	is := is.New(t)
 	fwd := newForwarder(t)
--- a/transport/forwarder/inbound.go
+++ b/transport/forwarder/inbound.go
@@ -101,6 +101,7 @@
 		CrossZone: now.crossZone[in.index],
 		Current:   now.current,
 		Previous:  now.previous,
+		Known:     now.known,
 	}
 	var fault error
 	query.Token.Identity, query.Token.Service, fault = in.fwd.sealer.Open(packet.ID)
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// A home gives no new flow to an agent that may take none.
+func TestBarredMemberGetsNoFlow(t *testing.T) {
+	is := is.New(t)
+	rec := newReceiver(t)
+	rec.SetBarred([]gooseberrymast.Identity{other})
+	_, ok := rec.accept(frameTo(t, rec, initial(), func(h *framer.Header) {
+		h.Kind = framer.KindOpening
+		h.Takers = [2]gooseberrymast.Identity{other, rec.self}
+		h.Homes[0] = rec.self
+	}))
+	is.True(ok)
+	is.Equal(rec.Counters.Passed.Load(), uint64(0))
+}
+
 // The agent takes a flow as the second candidate when its table holds the first
 // for suspect.
 func TestSuspectMemberGetsNoFlow(t *testing.T) {
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -171,6 +171,14 @@
 	r.opener.SetSuspects(suspects)
 }
 
+// SetBarred names the agents of the service that may take no new flows. The
+// agent passes none to them; those that they hold go on.
+func (r *Receiver) SetBarred(ids []gooseberrymast.Identity) {
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.SetBarred(ids)
+}
+
 // SetKeys replaces the fleet's keys with flows open.
 func (r *Receiver) SetKeys(keys *keyer.Keys) error {
 	if err := r.sealer.SetKeys(keys); err != nil {
