Set the number of cells of an availability zone

Cause: the controller takes CellsPerZone, but nothing set it: every zone had one cell, and a cell's holder at 187,000 instances writes all of a zone's records each time.

That every process of an environment has the same number is not checked between processes.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -169,8 +169,23 @@
 
 // join makes the agent's part in its environment.
 func (a *Agent) join() {
+	a.controller = controller.New(a.membership())
+	a.controller.Attach(a.listener)
+	a.healthy.Store(true)
+	backend := a.config.Settings.Backend
+	a.poller = &poller.Poller{
+		Address:    backend.Address,
+		HealthPath: backend.HealthPath,
+		LoadPath:   backend.LoadPath,
+		Timer:      a.config.Timer,
+		Observe:    a.observe,
+	}
+}
+
+// membership sets up the agent's controller.
+func (a *Agent) membership() controller.Config {
 	settings := a.config.Settings
-	a.controller = controller.New(controller.Config{
+	return controller.Config{
 		Environment: settings.Environment,
 		Record: gooseberrymast.Record{
 			Identity: a.receiver.Identity(),
@@ -180,23 +195,15 @@
 			Zone:     settings.Zone,
 			Weight:   uint16(settings.Weight),
 		},
-		Seeds:      settings.Seeds,
-		Keys:       a.keys.Load,
-		Timer:      a.config.Timer,
-		Seed:       a.config.Seed + uint64(a.receiver.Identity().Address.Port()),
-		Parse:      parser.Document,
-		OnTable:    a.setTable,
-		OnRevision: a.setDocument,
-		OnIdentity: func(identity gooseberrymast.Identity) { a.raised <- identity },
-	})
-	a.controller.Attach(a.listener)
-	a.healthy.Store(true)
-	a.poller = &poller.Poller{
-		Address:    settings.Backend.Address,
-		HealthPath: settings.Backend.HealthPath,
-		LoadPath:   settings.Backend.LoadPath,
-		Timer:      a.config.Timer,
-		Observe:    a.observe,
+		Seeds:        settings.Seeds,
+		CellsPerZone: settings.CellsPerZone,
+		Keys:         a.keys.Load,
+		Timer:        a.config.Timer,
+		Seed:         a.config.Seed + uint64(a.receiver.Identity().Address.Port()),
+		Parse:        parser.Document,
+		OnTable:      a.setTable,
+		OnRevision:   a.setDocument,
+		OnIdentity:   func(identity gooseberrymast.Identity) { a.raised <- identity },
 	}
 }
 
--- a/assembler/agent_test.go
+++ b/assembler/agent_test.go
@@ -57,6 +57,13 @@
 	is.True(a.atFlowBound())
 }
 
+func TestAgentCells(t *testing.T) {
+	is := is.New(t)
+	a := newAgent(t)
+	a.config.Settings.CellsPerZone = 3
+	is.Equal(a.membership().CellsPerZone, 3)
+}
+
 func TestMissing(t *testing.T) {
 	is := is.New(t)
 	var all []gooseberrymast.Member
--- a/assembler/balancer.go
+++ b/assembler/balancer.go
@@ -80,8 +80,14 @@
 
 // join makes the balancer's part in its environment.
 func (b *Balancer) join() {
+	b.controller = controller.New(b.membership())
+	b.controller.Attach(b.listener)
+}
+
+// membership sets up the balancer's controller.
+func (b *Balancer) membership() controller.Config {
 	settings := b.config.Settings
-	b.controller = controller.New(controller.Config{
+	return controller.Config{
 		Environment: settings.Environment,
 		Record: gooseberrymast.Record{
 			Identity: b.Identity(),
@@ -90,17 +96,17 @@
 			Zone:     settings.Zone,
 			Weight:   gooseberrymast.DefaultWeight,
 		},
-		Seeds:      settings.Seeds,
-		Keys:       b.keys.Load,
-		Store:      b.config.Store,
-		Timer:      b.config.Timer,
-		Seed:       b.config.Seed + uint64(b.Identity().Address.Port()),
-		Parse:      parser.Document,
-		OnTable:    b.forwarder.SetTable,
-		OnRevision: func(_ uint64, document gooseberrymast.Document) { b.forwarder.SetDocument(&document) },
-		OnIdentity: func(identity gooseberrymast.Identity) { b.raised <- identity },
-	})
-	b.controller.Attach(b.listener)
+		Seeds:        settings.Seeds,
+		CellsPerZone: settings.CellsPerZone,
+		Keys:         b.keys.Load,
+		Store:        b.config.Store,
+		Timer:        b.config.Timer,
+		Seed:         b.config.Seed + uint64(b.Identity().Address.Port()),
+		Parse:        parser.Document,
+		OnTable:      b.forwarder.SetTable,
+		OnRevision:   func(_ uint64, document gooseberrymast.Document) { b.forwarder.SetDocument(&document) },
+		OnIdentity:   func(identity gooseberrymast.Identity) { b.raised <- identity },
+	}
 }
 
 func (b *Balancer) register() error {
--- /dev/null
+++ b/assembler/balancer_test.go
@@ -0,0 +1,24 @@
+package assembler
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/keyer"
+	"gooseberrymast/state/timer"
+)
+
+func TestBalancerCells(t *testing.T) {
+	is := is.New(t)
+	settings := gooseberrymast.BalancerSettings{
+		Environment: "trial", Zone: "cairo-a", ForwardAddress: anyPort, ControlAddress: anyPort,
+		ServiceAddresses: map[string][]netip.AddrPort{"ledger": {anyPort}}, Shards: 1, CellsPerZone: 3,
+	}
+	b, err := NewBalancer(BalancerConfig{Settings: settings, Incarnation: 1, Keys: keyer.Random(), Timer: timer.System{}, Seed: 1})
+	is.NoErr(err)
+	defer func() { _ = b.Close() }()
+	is.Equal(b.membership().CellsPerZone, 3)
+}
--- a/settings.go
+++ b/settings.go
@@ -27,6 +27,9 @@
 	// Shards is the number of sockets and threads for each address; zero is
 	// the number of processors.
 	Shards int `toml:"shards"`
+	// CellsPerZone divides the membership of each availability zone. It must
+	// be the same in every process of an environment.
+	CellsPerZone int `toml:"cells-per-zone"`
 	// LogLevel is one of LogLevels.
 	LogLevel string `toml:"log-level"`
 }
@@ -58,6 +61,9 @@
 	OperatorsAddress netip.AddrPort `toml:"operators-address"`
 	// Weight is the share of new flows against the service's other agents.
 	Weight int `toml:"weight"`
+	// CellsPerZone divides the membership of each availability zone. It must
+	// be the same in every process of an environment.
+	CellsPerZone int `toml:"cells-per-zone"`
 	// LogLevel is one of LogLevels.
 	LogLevel string `toml:"log-level"`
 }
@@ -83,11 +89,13 @@
 
 // The defaults and ranges of settings.
 const (
-	DefaultWeight     = 1
-	DefaultHealthPath = "/healthz"
-	DefaultLogLevel   = "info"
-	MaxWeight         = 1000
-	MaxShards         = 256
+	DefaultWeight       = 1
+	DefaultCellsPerZone = 1
+	DefaultHealthPath   = "/healthz"
+	DefaultLogLevel     = "info"
+	MaxWeight           = 1000
+	MaxShards           = 256
+	MaxCellsPerZone     = 64
 )
 
 // LogLevels lists the log levels, the most talkative first.
@@ -95,6 +103,7 @@
 
 // Defaults sets every zero field that has a default.
 func (b *BalancerSettings) Defaults() {
+	setDefault(&b.CellsPerZone, DefaultCellsPerZone)
 	setDefault(&b.LogLevel, DefaultLogLevel)
 }
 
@@ -103,5 +112,6 @@
 	setDefault(&a.Backend.Protocol, ProtocolHTTP1)
 	setDefault(&a.Backend.HealthPath, DefaultHealthPath)
 	setDefault(&a.Weight, DefaultWeight)
+	setDefault(&a.CellsPerZone, DefaultCellsPerZone)
 	setDefault(&a.LogLevel, DefaultLogLevel)
 }
--- a/validate_settings.go
+++ b/validate_settings.go
@@ -27,6 +27,7 @@
 	validateURL(&faults, "store-address", b.StoreAddress)
 	validateFile(&faults, "key-file", b.KeyFile)
 	validateRange(&faults, "shards", b.Shards, 0, MaxShards)
+	validateRange(&faults, "cells-per-zone", b.CellsPerZone, 1, MaxCellsPerZone)
 	validateLogLevel(&faults, b.LogLevel)
 	validateDistinct(&faults, b.udpAddresses())
 	validateDistinct(&faults, []namedAddress{
@@ -93,6 +94,7 @@
 	validateFile(&faults, "certificate-key-file", a.CertificateKeyFile)
 	validateFile(&faults, "key-file", a.KeyFile)
 	validateRange(&faults, "weight", a.Weight, 1, MaxWeight)
+	validateRange(&faults, "cells-per-zone", a.CellsPerZone, 1, MaxCellsPerZone)
 	validateLogLevel(&faults, a.LogLevel)
 	validateDistinct(&faults, []namedAddress{
 		{"control-address", a.ControlAddress},
--- a/validate_settings_test.go
+++ b/validate_settings_test.go
@@ -68,6 +68,8 @@
 		{"store by name", func(b *gooseberrymast.BalancerSettings) { b.StoreAddress = "http://store.example:80" }, []string{"store-address: got"}},
 		{"store without port", func(b *gooseberrymast.BalancerSettings) { b.StoreAddress = "http://10.0.0.1" }, []string{"store-address: got"}},
 		{"log level", func(b *gooseberrymast.BalancerSettings) { b.LogLevel = "loud" }, []string{"log-level: got \"loud\", want one of debug, info, warn, error"}},
+		{"cells at the most", func(b *gooseberrymast.BalancerSettings) { b.CellsPerZone = 64 }, nil},
+		{"too many cells", func(b *gooseberrymast.BalancerSettings) { b.CellsPerZone = 65 }, []string{"cells-per-zone: got 65, want 1 to 64"}},
 		{"shards", func(b *gooseberrymast.BalancerSettings) { b.Shards = -1 }, []string{"shards: got -1"}},
 	}
 	for _, test := range tests {
@@ -93,6 +95,7 @@
 		{"protocol", func(a *gooseberrymast.AgentSettings) { a.Backend.Protocol = "http3" }, []string{`backend.protocol: got "http3", want "http1" or "h2c"`}},
 		{"load path", func(a *gooseberrymast.AgentSettings) { a.Backend.LoadPath = "load" }, []string{"backend.load-path: got \"load\""}},
 		{"weight", func(a *gooseberrymast.AgentSettings) { a.Weight = -1 }, []string{"weight: got -1, want 1 to 1000"}},
+		{"cells", func(a *gooseberrymast.AgentSettings) { a.CellsPerZone = -1 }, []string{"cells-per-zone: got -1, want 1 to 64"}},
 		{"no files", func(a *gooseberrymast.AgentSettings) { a.CertificateFile, a.CertificateKeyFile, a.KeyFile = "", "", "" },
 			[]string{"certificate-file: want", "certificate-key-file: want", "key-file: want"}},
 	}
