--- a/coordination/dispatcher/scenario_test.go
+++ b/coordination/dispatcher/scenario_test.go
@@ -270,6 +270,30 @@
 	})
 }
 
+// TestScenarioSmallDrain replaces two servers of three in turn while the third
+// has all the flows: one is leaving while another is cold, and nothing is refused.
+func TestScenarioSmallDrain(t *testing.T) {
+	receipts := deployment{"receipts", []string{"cairo-a", "cairo-b", "cairo-c"}, 4}
+	for seed := uint64(1); seed <= 3; seed++ {
+		l := newLoad(seed, receipts, Policy{})
+		l.service.Limits.SlowStart = gooseberrymast.Duration(gooseberrymast.DefaultSlowStart)
+		l.rate = steady(l, 0.4)
+		for i := range l.flowAt {
+			l.flowAt[i] = 2
+		}
+		for at := range 2 {
+			l.clock.After(time.Duration(1+4*at)*time.Second, func(time.Time) { l.roll(at) })
+		}
+		l.run(10 * time.Second)
+		l.check(t)
+		for _, one := range l.calls {
+			if !one.answer {
+				t.Errorf("seed %d: at %v after %v: %s", seed, one.sent.Sub(l.began), one.at.Sub(one.sent), one.refusal.Reason)
+			}
+		}
+	}
+}
+
 // roll drains an agent and starts its next life once nothing remains. The
 // flows' next requests come to the new life.
 func (l *load) roll(at int) {
