--- a/transport/linker/linker_test.go
+++ b/transport/linker/linker_test.go
@@ -20,13 +20,18 @@
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // echo starts a listener whose hand-over streams are echoed.
-func echo(t testing.TB, keys *keyer.Keys) *Listener {
+func echo(t *testing.T, keys *keyer.Keys) *Listener {
+	return serve(t, keys, KindHandOver, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
+		_, _ = io.Copy(stream, stream)
+	})
+}
+
+// serve starts a listener that handles streams of one kind.
+func serve(t testing.TB, keys *keyer.Keys, kind Kind, handler Handler) *Listener {
 	t.Helper()
 	listener, err := Listen(loopback, Fixed(keys))
 	is.New(t).NoErr(err)
-	listener.Handle(KindHandOver, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
-		_, _ = io.Copy(stream, stream)
-	})
+	listener.Handle(kind, handler)
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve(context.Background()) }()
 	t.Cleanup(func() {
