--- a/transport/linker/capacity_test.go
+++ b/transport/linker/capacity_test.go
@@ -68,11 +68,9 @@
 	}
 }
 
-// echoFor answers each message on a control stream with the same.
-func echoFor(b *testing.B, keys *keyer.Keys) *Listener {
-	listener, err := Listen(loopback, Fixed(keys))
-	is.New(b).NoErr(err)
-	listener.Handle(KindControl, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
+// echoMessages answers each message on a control stream with the same.
+func echoMessages(b *testing.B, keys *keyer.Keys) *Listener {
+	return serve(b, keys, KindControl, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
 		for {
 			var message wrapperspb.BytesValue
 			if ReadMessage(stream, &message) != nil || WriteMessage(stream, &message) != nil {
@@ -80,15 +78,12 @@
 			}
 		}
 	})
-	go func() { _ = listener.Serve(context.Background()) }()
-	b.Cleanup(func() { listener.Close() })
-	return listener
 }
 
 // meteredSession opens a session through a meter.
 func meteredSession(b *testing.B) (*meter, *Session) {
 	keys := keyer.Random()
-	m := startMeter(b, echo(b, keys).Address().String())
+	m := startMeter(b, echoMessages(b, keys).Address().String())
 	return m, dial(b, netip.MustParseAddrPort(m.listener.Addr().String()), keys)
 }
 
@@ -120,7 +115,7 @@
 	for _, size := range []int{0, 100, 1000} {
 		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
 			m, session := meteredSession(b)
-			stream, err := session.OpenStream(KindHandOver)
+			stream, err := session.OpenStream(KindControl)
 			is.New(b).NoErr(err)
 			message := wrapperspb.Bytes(make([]byte, size))
 			exchange(b, stream, message)
@@ -140,7 +135,7 @@
 			m, session := meteredSession(b)
 			message := wrapperspb.Bytes(make([]byte, size))
 			m.measure(b, "question", 1, func() {
-				stream, err := session.OpenStream(KindHandOver)
+				stream, err := session.OpenStream(KindControl)
 				is.NoErr(err)
 				exchange(b, stream, message)
 				is.NoErr(stream.Close())
@@ -160,13 +155,13 @@
 	}{
 		{"sessions=50", 50, true},
 		{"sessions=200", 200, true},
-		{"idle sessions=500", 500, false},
+		{"idle", 500, false},
 	}
 	for _, bench := range benchmarks {
 		b.Run(bench.name, func(b *testing.B) {
 			is := is.New(b)
 			keys := keyer.Random()
-			listener := echoFor(b, keys)
+			listener := echoMessages(b, keys)
 			before := memoryInUse()
 			began := time.Now()
 			for range bench.sessions {
