--- a/transport/counter/counter.go
+++ b/transport/counter/counter.go
@@ -13,13 +13,12 @@
 	packets, drops *prometheus.Desc
 }
 
-// New describes the metrics of a process that is called by its role, as in
-// gooseberrymast_agent_packets_total for the role agent.
-func New(role, packetsHelp string) *Metrics {
-	prefix := "gooseberrymast_" + role
+// New describes the metrics by their whole names, so that a search for one in
+// the code finds it.
+func New(packets, packetsHelp, drops string) *Metrics {
 	return &Metrics{
-		packets: prometheus.NewDesc(prefix+"_packets_total", packetsHelp, []string{"kind"}, nil),
-		drops:   prometheus.NewDesc(prefix+"_drops_total", "Packets dropped, by reason.", []string{"reason"}, nil),
+		packets: prometheus.NewDesc(packets, packetsHelp, []string{"kind"}, nil),
+		drops:   prometheus.NewDesc(drops, "Packets dropped, by reason.", []string{"reason"}, nil),
 	}
 }
 
--- a/transport/forwarder/counters.go
+++ b/transport/forwarder/counters.go
@@ -69,7 +69,7 @@
 	dropped [drops]atomic.Uint64
 }
 
-var metrics = counter.New("balancer", "Packets forwarded, by kind.")
+var metrics = counter.New("gooseberrymast_balancer_packets_total", "Packets forwarded, by kind.", "gooseberrymast_balancer_drops_total")
 
 // Dropped gives the number of packets dropped for a reason.
 func (c *Counters) Dropped(reason Drop) uint64 {
--- a/transport/receiver/counters.go
+++ b/transport/receiver/counters.go
@@ -84,7 +84,7 @@
 	dropped [drops]atomic.Uint64
 }
 
-var metrics = counter.New("agent", "Packets handled, by kind.")
+var metrics = counter.New("gooseberrymast_agent_packets_total", "Packets handled, by kind.", "gooseberrymast_agent_drops_total")
 
 // Dropped gives the number of packets dropped for a reason.
 func (c *Counters) Dropped(reason Drop) uint64 {
