Ask one peer every two seconds for its flows

Cause: the evener's questions were 3.3 KB of an agent's 5.2 KB a second of control (docs/CAPACITY.md). Change: one peer every 2 s while flows come, every 6 s otherwise; counts are believed for 30 s.

--- a/coordination/evener/evener.go
+++ b/coordination/evener/evener.go
@@ -17,14 +17,16 @@
 
 const (
 	// Period is the time between two rounds of questions.
-	Period = time.Second
+	Period = 2 * time.Second
 	// Questions is the number of peers that are asked in a round.
-	Questions = 2
+	Questions = 1
+	// MinKnown is the number of peers whose counts make a mean.
+	MinKnown = 2
 	// MaxAge is the age up to which a peer's count of flows is believed.
-	MaxAge = 10 * time.Second
+	MaxAge = 30 * time.Second
 	// IdleRounds is the number of periods between two rounds while no new
 	// flows come.
-	IdleRounds = 5
+	IdleRounds = 3
 	// Tolerance is the share by which the own count may exceed the mean
 	// before flows are asked to move.
 	Tolerance = 0.1
@@ -120,7 +122,7 @@
 		total += float64(one.load.Flows + one.given)
 		known++
 	}
-	if known < float64(min(Questions, len(e.peers)))+1 {
+	if known < float64(min(MinKnown, len(e.peers)))+1 {
 		return 0
 	}
 	mean := total / known
