--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -58,6 +58,7 @@
 	tag        gooseberrymast.ServiceTag
 	keys       atomic.Pointer[keyer.Keys]
 	service    atomic.Pointer[gooseberrymast.Service]
+	rules      atomic.Pointer[gooseberrymast.Document]
 	table      atomic.Pointer[gooseberrymast.Table]
 	receiver   *receiver.Receiver
 	transport  *quic.Transport
@@ -70,6 +71,7 @@
 	poller     *poller.Poller
 	evener     flowEvener
 	healthy    atomic.Bool
+	barred     atomic.Bool
 	revision   atomic.Uint64
 	raised     chan gooseberrymast.Identity
 	leave      sync.Once
@@ -169,8 +171,23 @@
 
 // join makes the agent's part in its environment.
 func (a *Agent) join() {
+	a.controller = controller.New(a.membership())
+	a.controller.Attach(a.listener)
+	a.healthy.Store(true)
+	backend := a.config.Settings.Backend
+	a.poller = &poller.Poller{
+		Address:    backend.Address,
+		HealthPath: backend.HealthPath,
+		LoadPath:   backend.LoadPath,
+		Timer:      a.config.Timer,
+		Observe:    a.observe,
+	}
+}
+
+// membership sets up the agent's controller.
+func (a *Agent) membership() controller.Config {
 	settings := a.config.Settings
-	a.controller = controller.New(controller.Config{
+	return controller.Config{
 		Environment: settings.Environment,
 		Record: gooseberrymast.Record{
 			Identity: a.receiver.Identity(),
@@ -180,23 +197,15 @@
 			Zone:     settings.Zone,
 			Weight:   uint16(settings.Weight),
 		},
-		Seeds:      settings.Seeds,
-		Keys:       a.keys.Load,
-		Timer:      a.config.Timer,
-		Seed:       a.config.Seed + uint64(a.receiver.Identity().Address.Port()),
-		Parse:      parser.Document,
-		OnTable:    a.setTable,
-		OnRevision: a.setDocument,
-		OnIdentity: func(identity gooseberrymast.Identity) { a.raised <- identity },
-	})
-	a.controller.Attach(a.listener)
-	a.healthy.Store(true)
-	a.poller = &poller.Poller{
-		Address:    settings.Backend.Address,
-		HealthPath: settings.Backend.HealthPath,
-		LoadPath:   settings.Backend.LoadPath,
-		Timer:      a.config.Timer,
-		Observe:    a.observe,
+		Seeds:        settings.Seeds,
+		CellsPerZone: settings.CellsPerZone,
+		Keys:         a.keys.Load,
+		Timer:        a.config.Timer,
+		Seed:         a.config.Seed + uint64(a.receiver.Identity().Address.Port()),
+		Parse:        parser.Document,
+		OnTable:      a.setTable,
+		OnRevision:   a.setDocument,
+		OnIdentity:   func(identity gooseberrymast.Identity) { a.raised <- identity },
 	}
 }
 
@@ -249,10 +258,32 @@
 // setTable puts a snapshot of the members in force.
 func (a *Agent) setTable(table *gooseberrymast.Table) {
 	a.table.Store(table)
-	members := table.Members(a.tag)
 	a.receiver.SetTable(table)
-	a.driver.Members(members)
-	a.evener.update(members)
+	a.place()
+}
+
+// place gives new flows and requests to the members in zones that the document
+// allows. It is called for each table and each document, one at a time.
+func (a *Agent) place() {
+	table := a.table.Load()
+	allowed := a.rules.Load().Restrict(table, a.config.Settings.Service).Members(a.tag)
+	a.receiver.SetBarred(missing(table.Members(a.tag), allowed))
+	a.driver.Members(allowed)
+	a.evener.update(allowed)
+}
+
+// missing lists the members of all that are not among some, both sorted by
+// address.
+func missing(all, some []gooseberrymast.Member) []gooseberrymast.Identity {
+	var ids []gooseberrymast.Identity
+	for _, member := range all {
+		if len(some) > 0 && some[0].Identity == member.Identity {
+			some = some[1:]
+			continue
+		}
+		ids = append(ids, member.Identity)
+	}
+	return ids
 }
 
 // heard takes the load that came with a peer's reply.
@@ -264,17 +295,32 @@
 // setDocument puts a revision in force. A document without the agent's service
 // leaves the limits as they were.
 func (a *Agent) setDocument(revision uint64, document gooseberrymast.Document) {
+	a.setZones(revision, document)
 	service, ok := document.Services[a.config.Settings.Service]
 	if !ok {
 		log.Warn().Uint64("revision", revision).Str("service", a.config.Settings.Service).
 			Msg("the document does not name this agent's service; its limits stay as they were")
 		return
 	}
+	service.Zones = document.ZonesOf(a.config.Settings.Service)
 	a.service.Store(&service)
 	a.revision.Store(revision)
 	a.driver.Configure(revision, service)
 }
 
+// setZones puts the zones of a revision in force.
+func (a *Agent) setZones(revision uint64, document gooseberrymast.Document) {
+	settings := a.config.Settings
+	barred := !document.Allows(settings.Service, settings.Zone)
+	if barred {
+		log.Warn().Uint64("revision", revision).Str("service", settings.Service).Str("zone", settings.Zone).
+			Msg("the document does not allow the service in this agent's availability zone; it gets no new flows")
+	}
+	a.barred.Store(barred)
+	a.rules.Store(&document)
+	a.place()
+}
+
 // SetKeys puts a changed key file in force.
 func (a *Agent) SetKeys(keys *keyer.Keys) error {
 	a.keys.Store(keys)
@@ -408,7 +454,7 @@
 // atFlowBound reports whether the agent would rather pass a new flow on.
 func (a *Agent) atFlowBound() bool {
 	service := a.service.Load()
-	if service == nil {
+	if service == nil || a.barred.Load() {
 		return true
 	}
 	return int(a.driver.Load().Streams) >= service.Limits.Connections
--- a/transport/receiver/read_test.go
+++ b/transport/receiver/read_test.go
@@ -18,34 +18,24 @@
 
 const ledger = "ledger"
 
-var (
-	testKeys = keyer.Random()
-	other    = gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:9"), Incarnation: 1}
-)
+var other = gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:9"), Incarnation: 1}
 
 func newReceiver(t testing.TB) *Receiver {
 	t.Helper()
 	rec, err := New(Config{
 		Identity: gooseberrymast.Identity{Address: netip.MustParseAddrPort("127.0.0.1:0"), Incarnation: 5},
 		Service:  ledger,
-		Keys:     testKeys,
+		Keys:     keyer.Random(),
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = rec.Close() })
 	rec.now = time.Now()
 	return rec
 }
 
 // packetTo makes a short-header packet of a flow of the identity and service.
-func packetTo(t testing.TB, id gooseberrymast.Identity, service string) []byte {
-	t.Helper()
-	seal, err := sealer.New(testKeys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cid := seal.Seal(id, gooseberrymast.TagOf(service), 1)
+func packetTo(rec *Receiver, id gooseberrymast.Identity, service string) []byte {
+	cid := rec.sealer.Seal(id, gooseberrymast.TagOf(service), 1)
 	return append(append([]byte{0x40}, cid[:]...), make([]byte, 40)...)
 }
 
@@ -58,25 +48,19 @@
 func frameTo(t testing.TB, rec *Receiver, payload []byte, edit func(header *framer.Header)) []byte {
 	t.Helper()
 	header := framer.Header{
-		Kind:     framer.KindFlow,
-		Service:  gooseberrymast.TagOf(ledger),
-		Origin:   framer.NewSender().Next(rec.self.Address),
-		To:       rec.self,
-		Caller:   netip.MustParseAddrPort("192.0.2.7:5555"),
-		Balancer: other.Address,
-		Life:     7,
+		Kind:           framer.KindFlow,
+		Service:        gooseberrymast.TagOf(ledger),
+		Origin:         framer.NewSender().Next(rec.self.Address),
+		To:             rec.self,
+		Caller:         netip.MustParseAddrPort("192.0.2.7:5555"),
+		Balancer:       other.Address,
+		BalancerSender: 7,
 	}
 	if edit != nil {
 		edit(&header)
 	}
-	seal, err := framer.New(testKeys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	frame, err := seal.Seal(&header, append(make([]byte, framer.MaxBytes), payload...), framer.MaxBytes)
-	if err != nil {
-		t.Fatal(err)
-	}
+	frame, err := rec.framer.Seal(&header, append(make([]byte, framer.MaxBytes), payload...), framer.MaxBytes)
+	is.New(t).NoErr(err)
 	return frame
 }
 
@@ -88,11 +72,10 @@
 
 func TestDrops(t *testing.T) {
 	rec := newReceiver(t)
-	own := packetTo(t, rec.self, ledger)
+	own := packetTo(rec, rec.self, ledger)
 	earlier := gooseberrymast.Identity{Address: rec.self.Address, Incarnation: rec.self.Incarnation - 1}
 	later := gooseberrymast.Identity{Address: rec.self.Address, Incarnation: rec.self.Incarnation + 1}
-	stale := packetTo(t, earlier, ledger)
-	stale[0] = 0x40
+	long := append([]byte{0xe0, 0, 0, 0, 1, sealer.Bytes}, packetTo(rec, earlier, ledger)[1:]...)
 	tests := []struct {
 		name  string
 		frame []byte
@@ -105,12 +88,13 @@
 		{"for another agent", frameTo(t, rec, own, func(h *framer.Header) { h.To = other }), DropWrongTarget},
 		{"an answer", frameTo(t, rec, own, func(h *framer.Header) { h.Kind = framer.KindAnswer }), DropWrongTarget},
 		{"addressed to another service", frameTo(t, rec, own, func(h *framer.Header) { h.Service++ }), DropWrongService},
-		{"id of another service", frameTo(t, rec, packetTo(t, rec.self, "receipts"), nil), DropWrongService},
-		{"id of another agent", frameTo(t, rec, packetTo(t, other, ledger), nil), DropWrongTarget},
-		{"id of a later life", frameTo(t, rec, packetTo(t, later, ledger), nil), DropWrongIncarnation},
+		{"id of another service", frameTo(t, rec, packetTo(rec, rec.self, "receipts"), nil), DropWrongService},
+		{"id of another agent", frameTo(t, rec, packetTo(rec, other, ledger), nil), DropWrongTarget},
+		{"id of a later incarnation", frameTo(t, rec, packetTo(rec, later, ledger), nil), DropWrongIncarnation},
 		{"no packet", frameTo(t, rec, nil, nil), DropNotQUIC},
 		{"an id that an agent didn't make", frameTo(t, rec, make([]byte, 60), nil), DropNotQUIC},
-		{"opening for an earlier life", frameTo(t, rec, initial(), func(h *framer.Header) {
+		{"long header of an earlier incarnation", frameTo(t, rec, long, nil), DropWrongIncarnation},
+		{"opening for an earlier incarnation", frameTo(t, rec, initial(), func(h *framer.Header) {
 			h.To = earlier
 			opening(h)
 		}), DropWrongIncarnation},
@@ -118,7 +102,7 @@
 			opening(h)
 			h.Homes[0] = other
 		}), DropNotNamed},
-		{"news without a flow", frameTo(t, rec, nil, func(h *framer.Header) { h.Kind = framer.KindMoved }), DropTruncated},
+		{"notification without a flow", frameTo(t, rec, nil, func(h *framer.Header) { h.Kind = framer.KindMoved }), DropTruncated},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -134,7 +118,7 @@
 func TestAccepts(t *testing.T) {
 	is := is.New(t)
 	rec := newReceiver(t)
-	own := packetTo(t, rec.self, ledger)
+	own := packetTo(rec, rec.self, ledger)
 	frame := frameTo(t, rec, own, nil)
 	payload, ok := rec.accept(frame)
 	is.True(ok)
@@ -150,39 +134,33 @@
 	is.Equal(rec.HalfOpen(), 0)
 }
 
-// Packets of an earlier life reach QUIC with a short header only: it answers
-// them with a stateless reset.
+// Packets of an earlier incarnation reach QUIC with a short header only, see
+// TestDrops for a long one: it answers them with a stateless reset.
 func TestStaleFlows(t *testing.T) {
 	is := is.New(t)
 	rec := newReceiver(t)
 	earlier := gooseberrymast.Identity{Address: rec.self.Address, Incarnation: 4}
-	short := packetTo(t, earlier, ledger)
-	_, ok := rec.accept(frameTo(t, rec, short, nil))
+	_, ok := rec.accept(frameTo(t, rec, packetTo(rec, earlier, ledger), nil))
 	is.True(ok)
 	is.Equal(rec.Counters.Stale.Load(), uint64(1))
-	long := append([]byte{0xe0, 0, 0, 0, 1, sealer.Bytes}, short[1:]...)
-	_, ok = rec.accept(frameTo(t, rec, long, nil))
-	is.True(!ok)
-	is.Equal(rec.Counters.Dropped(DropWrongIncarnation), uint64(1))
 }
 
 func TestAnswerToAnUnknownCallerIsDropped(t *testing.T) {
 	is := is.New(t)
 	rec := newReceiver(t)
-	n, err := rec.WriteTo([]byte("answer"), &net.UDPAddr{IP: net.IPv4(192, 0, 2, 1), Port: 1})
-	is.NoErr(err)
-	is.Equal(n, len("answer"))
-	is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(1))
-	_, err = rec.WriteTo([]byte("answer"), &net.UDPAddr{IP: net.IPv6loopback, Port: 1})
-	is.NoErr(err)
-	is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(2))
+	for i, ip := range []net.IP{net.IPv4(192, 0, 2, 1), net.IPv6loopback} {
+		n, err := rec.WriteTo([]byte("answer"), &net.UDPAddr{IP: ip, Port: 1})
+		is.NoErr(err)
+		is.Equal(n, len("answer"))
+		is.Equal(rec.Counters.Dropped(DropUnknownCaller), uint64(i+1))
+	}
 }
 
 func TestCountersCollect(t *testing.T) {
 	is := is.New(t)
 	registry := prometheus.NewRegistry()
 	is.NoErr(registry.Register(&Counters{}))
-	n, err := testutil.GatherAndCount(registry)
+	n, err := testutil.GatherAndCount(registry, "gooseberrymast_agent_packets_total", "gooseberrymast_agent_drops_total")
 	is.NoErr(err)
 	is.Equal(n, 7+int(drops))
 }
@@ -193,7 +171,7 @@
 	sender := framer.NewSender()
 	frames := make([][]byte, 1002)
 	for i := range frames {
-		frames[i] = frameTo(t, rec, packetTo(t, rec.self, ledger), func(h *framer.Header) { h.Origin = sender.Next(rec.self.Address) })
+		frames[i] = frameTo(t, rec, packetTo(rec, rec.self, ledger), func(h *framer.Header) { h.Origin = sender.Next(rec.self.Address) })
 	}
 	i := 0
 	is.Equal(testing.AllocsPerRun(1000, func() {
@@ -207,7 +185,7 @@
 
 func BenchmarkWriteTo(b *testing.B) {
 	rec := newReceiver(b)
-	if _, ok := rec.accept(frameTo(b, rec, packetTo(b, rec.self, ledger), nil)); !ok {
+	if _, ok := rec.accept(frameTo(b, rec, packetTo(rec, rec.self, ledger), nil)); !ok {
 		b.Fatal("dropped")
 	}
 	to := rec.heard()
@@ -220,6 +198,20 @@
 	}
 }
 
+// A home gives no new flow to an agent that may take none.
+func TestBarredMemberGetsNoFlow(t *testing.T) {
+	is := is.New(t)
+	rec := newReceiver(t)
+	rec.SetBarred([]gooseberrymast.Identity{other})
+	_, ok := rec.accept(frameTo(t, rec, initial(), func(h *framer.Header) {
+		h.Kind = framer.KindOpening
+		h.Takers = [2]gooseberrymast.Identity{other, rec.self}
+		h.Homes[0] = rec.self
+	}))
+	is.True(ok)
+	is.Equal(rec.Counters.Passed.Load(), uint64(0))
+}
+
 // The agent takes a flow as the second candidate when its table holds the first
 // for suspect.
 func TestSuspectMemberGetsNoFlow(t *testing.T) {
