--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,6 +19,9 @@
 		d.placeElsewhere(now, r)
 		return
 	}
+	if d.barred() && d.handOverAnywhere(now, r) {
+		return
+	}
 	if r.work.Stream {
 		d.placeStream(now, r)
 		return
@@ -61,8 +65,24 @@
 	return now.Add(r.expected.Mean).After(r.work.Deadline)
 }
 
-// usable reports whether the own backend server may be given the request.
+// usable reports whether the own backend server is to be given the request. One
+// that it failed before goes to a peer, if there is any.
 func (d *Dispatcher) usable(now time.Time, r *request) bool {
+	if !d.open(now, r) {
+		return false
+	}
+	elsewhere := r.failedHere && r.own && !d.config.Policy.NoHandOver
+	return !elsewhere || !d.placer.Any(now, d.need(now, r))
+}
+
+// barred reports whether the document doesn't allow the service in the own zone.
+func (d *Dispatcher) barred() bool {
+	zones := d.service.Zones
+	return len(zones) > 0 && !slices.Contains(zones, d.config.Zone)
+}
+
+// open reports whether the own backend server takes new requests.
+func (d *Dispatcher) open(now time.Time, r *request) bool {
 	if d.drainer.Leaving() {
 		return false
 	}
@@ -73,8 +93,7 @@
 		mayProbe := r.work.Idempotent || d.healthy
 		return mayProbe && d.ejector.ProbeDue(now, d.config.Self.Address)
 	}
-	elsewhere := r.failedHere && r.own
-	return !elsewhere || !d.placer.Any(now, d.need(now, r))
+	return true
 }
 
 // placeElsewhere hands over a request that the own backend server can't take.
@@ -139,10 +158,22 @@
 
 // handOverToRoom hands an own request over when a peer seems to have a free slot.
 func (d *Dispatcher) handOverToRoom(now time.Time, r *request) bool {
+	return d.handOverFor(now, r, d.need(now, r))
+}
+
+// handOverAnywhere hands an own request over when any peer can be asked to run
+// it. The peer may decline it.
+func (d *Dispatcher) handOverAnywhere(now time.Time, r *request) bool {
+	need := d.need(now, r)
+	need.Must = true
+	return d.handOverFor(now, r, need)
+}
+
+func (d *Dispatcher) handOverFor(now time.Time, r *request, need placer.Need) bool {
 	if !r.own || d.config.Policy.NoHandOver {
 		return false
 	}
-	peer, ok := d.placer.Choose(now, d.need(now, r))
+	peer, ok := d.placer.Choose(now, need)
 	if !ok {
 		return false
 	}
@@ -156,7 +187,7 @@
 		need.Must = true
 		return need
 	}
-	need.Wait = d.admitter.Wait(now, r.entry())
+	need.Wait = d.admitter.Backlog(now)
 	return need
 }
 
@@ -236,7 +267,6 @@
 	asserter.Holds(!r.given || r.work.Idempotent, "no-second-run", "request %d may have run", r.work.ID)
 	r.stage = next
 	r.started = now
-	r.attempts++
 }
 
 func (d *Dispatcher) selfEjected() bool {
--- a/coordination/opener/opener.go
+++ b/coordination/opener/opener.go
@@ -12,19 +12,19 @@
 //     passes the packet to the second taker instead, if a hop is left, and
 //     tells the homes.
 //
-// Each agent remembers, for the life of a handshake, where it passed a flow,
-// and this goes before what a later packet says. A packet is passed on at most
-// MaxHop times.
+// Each agent remembers, for the duration of a handshake, where it passed a flow,
+// and this takes precedence over the candidates in a later packet. A packet is
+// passed on at most MaxHop times.
 //
 // The packets of one flow meet if any two of the balancers that send them name
 // the same first home, or the first home of one is the second home of the
-// other, and that home lives. A home doesn't depend on the balancer's zone.
+// other, and that home runs. A home doesn't depend on the balancer's zone.
 // Balancers take for the second home's table one that is at least a
 // propagation time old, so this covers tables whose age differs by less than
 // that and between which the flow's home moved once.
 //
 // It does not cover a home that moved twice within that time, one that some
-// balancers hold for suspect while others still send to it, or one that died
+// balancers consider suspect while others still send to it, or one that died
 // or forgot the flow between two packets. There the handshake may start at two
 // agents; the caller goes on with the one that answers it first, or fails the
 // handshake by its timeout.
@@ -40,74 +40,13 @@
 // MaxHop is the number of times that a packet may be passed on.
 const MaxHop = 2
 
-// The bounds that stand in for zero fields of an Opener.
+// The defaults of the zero fields of an Opener.
 const (
 	DefaultMaxFlows    = 1 << 15
 	DefaultMaxHalfOpen = 4096
-	DefaultLife        = 10 * time.Second
+	DefaultLifetime    = 10 * time.Second
 )
 
-// Verdict tells what to do with a packet.
-type Verdict uint8
-
-// The verdicts.
-const (
-	// VerdictTake gives the packet to the agent's own QUIC stack.
-	VerdictTake Verdict = iota + 1
-	// VerdictPass sends the packet to another agent.
-	VerdictPass
-	// VerdictDrop drops the packet for Decision.Reason.
-	VerdictDrop
-)
-
-// Reason says why a packet is dropped.
-type Reason string
-
-// The reasons of a drop.
-const (
-	// ReasonNotNamed is a packet whose first home is another agent.
-	ReasonNotNamed Reason = "not-named"
-	// ReasonHalfOpen is a flow above the bound of open handshakes.
-	ReasonHalfOpen Reason = "half-open-limit"
-	// ReasonHops is a packet that would have to be passed on once too often.
-	ReasonHops Reason = "hop-limit"
-)
-
-// Packet is what the opener knows of one packet that may open a flow.
-type Packet struct {
-	// Key is the hash of the id that the caller chose.
-	Key uint64
-	// Hop counts how often the packet was passed on.
-	Hop uint8
-	// Given is set when the packet was passed on to be taken, and clear when
-	// a home is asked.
-	Given bool
-	// Declined is set when the first taker passed the flow on: the agent that
-	// gets it must take it.
-	Declined bool
-	// Takers and Homes are the balancer's candidates, zero ones last.
-	Takers, Homes [2]gooseberrymast.Identity
-}
-
-// Decision is the opener's answer to one packet.
-type Decision struct {
-	Verdict Verdict
-	// Peer is set for VerdictPass and is never the agent itself.
-	Peer gooseberrymast.Identity
-	// Given and Declined are what the packet that is passed on must say.
-	Given, Declined bool
-	// Tell lists homes to be told that Peer takes the flow in the agent's
-	// place; see Moved. Unused ones are zero.
-	Tell [2]gooseberrymast.Identity
-	// Reason is set for VerdictDrop.
-	Reason Reason
-}
-
-// decision passes a packet to where the flow went.
-func (f flow) decision() Decision {
-	return Decision{Verdict: VerdictPass, Peer: f.peer, Given: !f.asked, Declined: f.declined}
-}
-
 // Opener is the state machine of one agent. Its fields may be set before the
 // first event. It is not safe for concurrent use.
 type Opener struct {
@@ -119,9 +58,11 @@
 	// MaxHalfOpen bounds the flows taken whose handshake isn't known to be
 	// complete. Zero takes DefaultMaxHalfOpen.
 	MaxHalfOpen int
-	// Life is how long a flow's opening is remembered. Zero takes DefaultLife.
-	Life time.Duration
+	// Lifetime is how long a flow's opening is remembered. Zero takes DefaultLifetime.
+	Lifetime time.Duration
 
+	suspects map[gooseberrymast.Identity]bool
+	barred   map[gooseberrymast.Identity]bool
 	flows    map[uint64]flow
 	oldest   queue
 	halfOpen int
@@ -135,17 +76,23 @@
 	// asked is set while peer is a home that was asked: it may yet give the
 	// flow to this agent.
 	asked bool
-	// declined is set while peer is the second taker, in this agent's place.
+	// declined is set while peer is a second taker, which must take the flow.
 	declined bool
 	halfOpen bool
 }
 
+// decision passes a packet to where the flow went.
+func (f flow) decision() Decision {
+	return Decision{Verdict: VerdictPass, Peer: f.peer, Given: !f.asked, Declined: f.declined}
+}
+
 // FirstPacket decides about one packet. Busy says that the agent would rather
 // not take a new flow: it is leaving, cold or over its bound.
 func (o *Opener) FirstPacket(packet *Packet, busy bool, now time.Time) Decision {
 	o.Expire(now)
 	home := o.isHome(packet)
 	known, ok := o.flows[packet.Key]
+	ok = ok && !o.suspects[known.peer]
 	switch {
 	case ok && known.peer == o.Self:
 		return Decision{Verdict: VerdictTake}
@@ -170,9 +117,34 @@
 	}
 	known.peer = after
 	known.asked = false
+	known.declined = true
 	o.flows[key] = known
 }
 
+// SetSuspects replaces the agents that are considered dead. No packet is passed
+// to them, even if earlier packets of its flow were: the caller's retransmissions
+// then begin the flow at another agent.
+func (o *Opener) SetSuspects(ids []gooseberrymast.Identity) {
+	o.suspects = make(map[gooseberrymast.Identity]bool, len(ids))
+	for _, id := range ids {
+		o.suspects[id] = id != o.Self
+	}
+}
+
+// SetBarred replaces the agents that may take no new flows though they live.
+// They are still asked as homes, and keep the flows that were passed to them.
+func (o *Opener) SetBarred(ids []gooseberrymast.Identity) {
+	o.barred = make(map[gooseberrymast.Identity]bool, len(ids))
+	for _, id := range ids {
+		o.barred[id] = id != o.Self
+	}
+}
+
+// unfit reports whether a new flow should not be passed to an agent.
+func (o *Opener) unfit(id gooseberrymast.Identity) bool {
+	return id.IsZero() || o.suspects[id] || o.barred[id]
+}
+
 // Complete notes that the flow's handshake is complete or holds no memory, so
 // that it no longer counts as half open.
 func (o *Opener) Complete(key uint64) {
@@ -201,18 +173,18 @@
 	return len(o.flows)
 }
 
-// Expire forgets the flows that are older than the handshake's life.
+// Expire forgets the flows that are older than Lifetime.
 func (o *Opener) Expire(now time.Time) {
 	for o.oldest.len() > 0 {
 		first := o.oldest.first()
-		if now.Sub(first.since) < o.life() {
+		if now.Sub(first.since) < o.lifetime() {
 			return
 		}
 		o.forget()
 	}
 }
 
-// isHome reports whether the packet came to be told who takes its flow.
+// isHome reports whether the agent decides, as a home, who takes the flow.
 func (o *Opener) isHome(packet *Packet) bool {
 	if packet.Hop == 0 {
 		return packet.Homes[0] == o.Self
@@ -228,22 +200,27 @@
 	return known.decision()
 }
 
-// arbitrate is a home's decision about an unknown flow.
+// arbitrate is a home's decision about a flow that it doesn't know.
 func (o *Opener) arbitrate(packet *Packet, busy bool, now time.Time) Decision {
-	if packet.Hop == 0 && !packet.Homes[1].IsZero() {
+	if packet.Hop == 0 && !packet.Homes[1].IsZero() && !o.suspects[packet.Homes[1]] {
 		return o.pass(packet, flow{peer: packet.Homes[1], since: now, asked: true})
 	}
-	if packet.Takers[0] == o.Self {
+	first, second := packet.Takers[0], packet.Takers[1]
+	if o.unfit(first) && !o.unfit(second) {
+		first = second
+	}
+	if first == o.Self || packet.Hop >= MaxHop {
 		return o.takeOrPass(packet, busy, now)
 	}
-	return o.pass(packet, flow{peer: packet.Takers[0], since: now})
+	return o.pass(packet, flow{peer: first, since: now})
 }
 
 // takeOrPass is the decision of an agent that a flow was given to.
 func (o *Opener) takeOrPass(packet *Packet, busy bool, now time.Time) Decision {
 	full := o.halfOpen >= o.maxHalfOpen()
 	other := packet.Takers[1]
-	if (busy || full) && packet.Hop < MaxHop && packet.Takers[0] == o.Self && !other.IsZero() {
+	offered := packet.Takers[0] == o.Self && !o.unfit(other)
+	if (busy || full) && packet.Hop < MaxHop && offered {
 		decision := o.pass(packet, flow{peer: other, since: now, declined: true})
 		decision.Tell = o.others(packet)
 		return decision
@@ -257,7 +234,7 @@
 	}
 	o.halfOpen++
 	o.remember(key, flow{peer: o.Self, since: now, halfOpen: true})
-	return Decision{Verdict: VerdictTake}
+	return Decision{Verdict: VerdictTake, New: true}
 }
 
 // others gives the homes of a packet but for the agent itself.
@@ -278,11 +255,11 @@
 	return to.decision()
 }
 
-func (o *Opener) life() time.Duration {
-	if o.Life == 0 {
-		return DefaultLife
+func (o *Opener) lifetime() time.Duration {
+	if o.Lifetime == 0 {
+		return DefaultLifetime
 	}
-	return o.Life
+	return o.Lifetime
 }
 
 func (o *Opener) maxHalfOpen() int {
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -11,8 +11,8 @@
 // first, and up to two homes. The home is the first member over all zones. It
 // does not depend on the balancer, so the packets of one flow meet there even
 // if balancers of different zones got them; package opener says how. The
-// second home is the one by the table before this, so that they meet also
-// while tables differ.
+// second home is the first member by the previous table, so that the packets
+// meet even while the tables of balancers differ.
 package router
 
 import (
@@ -72,6 +72,10 @@
 	// Current and Previous are the table in force and the one before it;
 	// either may be nil.
 	Current, Previous *gooseberrymast.Table
+	// Known holds also the members that get no new flows under the document
+	// in force, but may still be asked for a flow's taker; nil stands for
+	// Current.
+	Known *gooseberrymast.Table
 }
 
 // Route names the agents that a packet goes to.
@@ -79,7 +83,8 @@
 	// Opening is set when the packet may open a flow; it is sent to Homes[0].
 	// Otherwise it is sent to Takers[0] and there are no homes.
 	Opening bool
-	// Takers may take the flow, in order; unused ones are zero and last.
+	// Takers are the agents that may take the flow, in order; unused ones are
+	// zero and last.
 	Takers [Candidates]gooseberrymast.Identity
 	// Homes decide between takers, in order; unused ones are zero and last.
 	Homes [Candidates]gooseberrymast.Identity
@@ -124,6 +129,9 @@
 		return nil
 	}
 	_, before := rank(query.Previous.Members(query.Service), query)
+	if query.Known != nil {
+		members = query.Known.Members(query.Service)
+	}
 	if before.ids[0] != route.Homes[0] && answers(members, before.ids[0]) {
 		route.Homes[1] = before.ids[0]
 	}
@@ -145,7 +153,7 @@
 }
 
 // noneRoutable reports whether every member is suspect or not ready. Then
-// suspicion is not believed.
+// suspicion is ignored.
 func noneRoutable(members []gooseberrymast.Member) bool {
 	for i := range members {
 		if members[i].Routable() {
@@ -155,7 +163,8 @@
 	return true
 }
 
-// answers reports whether the member is there to be asked for a flow's taker.
+// answers reports whether the agent is a member that runs and isn't suspect, so
+// that it can be asked who takes a flow.
 func answers(members []gooseberrymast.Member, id gooseberrymast.Identity) bool {
 	if id.IsZero() {
 		return false
@@ -188,13 +197,13 @@
 }
 
 // rank gives the members with the highest scores in the query's zone and in
-// all zones.
+// all zones. Headers and connection ids have room for IPv4 addresses only.
 func rank(members []gooseberrymast.Member, query *Query) (local, all ranking) {
 	lenient := noneRoutable(members)
 	for i := range members {
 		member := &members[i]
 		willing := member.Routable() || lenient && member.State == gooseberrymast.StateReady
-		if !willing {
+		if !willing || !member.Identity.Address.Addr().Is4() {
 			continue
 		}
 		points := score(query.Key, member)
--- a/transport/forwarder/counters.go
+++ b/transport/forwarder/counters.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrymast/transport/counter"
 )
 
 // Drop numbers the reasons for which the balancer drops a packet.
@@ -32,9 +34,11 @@
 	DropBadVersion
 	// DropForged is a frame whose MAC is wrong.
 	DropForged
-	// DropReplayed is a frame that was seen before, or is too late to tell.
+	// DropReplayed is a frame that was seen before, or arrives
+	// too late to be checked.
 	DropReplayed
-	// DropWrongTarget is a frame for another balancer or an earlier life.
+	// DropWrongTarget is a frame for another balancer, or for an earlier
+	// process at this address.
 	DropWrongTarget
 	// DropSend is a packet that the host refused to send.
 	DropSend
@@ -65,10 +69,7 @@
 	dropped [drops]atomic.Uint64
 }
 
-var (
-	packetsDesc = prometheus.NewDesc("gooseberrymast_balancer_packets_total", "Packets forwarded, by kind.", []string{"kind"}, nil)
-	dropsDesc   = prometheus.NewDesc("gooseberrymast_balancer_drops_total", "Packets dropped, by reason.", []string{"reason"}, nil)
-)
+var metrics = counter.New("balancer", "Packets forwarded, by kind.")
 
 // Dropped gives the number of packets dropped for a reason.
 func (c *Counters) Dropped(reason Drop) uint64 {
@@ -77,21 +78,15 @@
 
 // Describe implements prometheus.Collector.
 func (c *Counters) Describe(out chan<- *prometheus.Desc) {
-	out <- packetsDesc
-	out <- dropsDesc
+	metrics.Describe(out)
 }
 
 // Collect implements prometheus.Collector.
 func (c *Counters) Collect(out chan<- prometheus.Metric) {
-	counter := func(desc *prometheus.Desc, value uint64, label string) {
-		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), label)
-	}
-	counter(packetsDesc, c.Established.Load(), "established")
-	counter(packetsDesc, c.Opening.Load(), "opening")
-	counter(packetsDesc, c.Answers.Load(), "answer")
-	for reason := range drops {
-		counter(dropsDesc, c.Dropped(reason), reason.String())
-	}
+	metrics.Packets(out, "established", &c.Established)
+	metrics.Packets(out, "opening", &c.Opening)
+	metrics.Packets(out, "answer", &c.Answers)
+	metrics.Drops(out, dropNames[:], c.dropped[:])
 }
 
 func (c *Counters) drop(reason Drop) {
--- a/transport/forwarder/outbound.go
+++ b/transport/forwarder/outbound.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"gooseberrymast/protocol/framer"
 	"gooseberrymast/transport/batcher"
@@ -44,9 +45,10 @@
 		return err
 	}
 	index := uint16(0)
+	now := out.fwd.config.Timer.Now()
 	for i := range n {
 		frame, _ := out.read.Datagram(i)
-		payload, err := out.fwd.open(frame, &out.header)
+		payload, err := out.fwd.open(frame, &out.header, now)
 		if err != nil {
 			out.fwd.Counters.drop(dropOf(err))
 			continue
@@ -72,19 +74,19 @@
 	out.write.Clear()
 }
 
-// isOwnLife tells an answer for this life of the balancer from one for an
-// earlier life. Zero is said by an agent that knows only the address.
-func (f *Forwarder) isOwnLife(life uint64) bool {
-	return life == f.sender.ID || life == 0
+// isOwnSender tells an answer for this process from one for an earlier process
+// at the same address. An agent that knows only the address sends zero.
+func (f *Forwarder) isOwnSender(id uint64) bool {
+	return id == f.sender.ID || id == 0
 }
 
 // open verifies an agent's frame and gives the packet for the caller.
-func (f *Forwarder) open(frame []byte, header *framer.Header) ([]byte, error) {
+func (f *Forwarder) open(frame []byte, header *framer.Header, now time.Time) ([]byte, error) {
 	payload, err := f.framer.Open(frame, header)
 	if err != nil {
 		return nil, err
 	}
-	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || !f.isOwnLife(header.Life) {
+	if header.Kind != framer.KindAnswer || header.To.Address != f.forward || !f.isOwnSender(header.BalancerSender) {
 		return nil, framer.FaultWrongTarget
 	}
 	if header.Index == framer.AnyIndex {
@@ -93,7 +95,7 @@
 	if int(header.Index) >= len(f.tags) || f.tags[header.Index] != header.Service {
 		return nil, framer.FaultWrongService
 	}
-	if !f.windows.Accept(header.Origin, f.config.Timer.Now()) {
+	if !f.windows.Accept(header.Origin, now) {
 		return nil, framer.FaultReplayed
 	}
 	return payload, nil
--- a/transport/hander/client.go
+++ b/transport/hander/client.go
@@ -48,7 +48,7 @@
 func (c *Client) HandOver(ctx context.Context, peer gooseberrymast.Identity, work gooseberrymast.Work, request *executor.Request) (*http.Response, gooseberrymast.Result, gooseberrymast.Refusal) {
 	stream, err := c.open(ctx, peer)
 	if err != nil {
-		return nil, resultOf(ctx, gooseberrymast.ResultNotSent), gooseberrymast.Refusal{}
+		return nil, gooseberrymast.ResultNotSent, gooseberrymast.Refusal{}
 	}
 	handOver := &handOver{client: c, peer: peer, work: work, request: request, stream: stream}
 	return handOver.run(ctx)
@@ -89,6 +89,22 @@
 	return err == nil
 }
 
+// Count reports admitted requests of a caller to the agent that counts it.
+// Known is false when that agent gave no answer.
+func (c *Client) Count(ctx context.Context, home gooseberrymast.Identity, caller netip.Addr, admitted int) (known bool, granted int, wait time.Duration) {
+	question := &handover.Request{Frame: &handover.Request_Count{Count: &handover.Count{
+		Target:   encoder.Identity(home),
+		Caller:   caller.String(),
+		Admitted: int32(admitted),
+	}}}
+	reply, err := c.question(ctx, home, question)
+	counted := reply.GetCounted()
+	if err != nil || !counted.GetKnown() {
+		return false, 0, 0
+	}
+	return true, int(counted.GetGranted()), time.Duration(counted.GetWaitNanos())
+}
+
 // question sends one frame on a stream of its own and reads one reply.
 func (c *Client) question(ctx context.Context, peer gooseberrymast.Identity, question *handover.Request) (*handover.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, QuestionTimeout)
@@ -129,15 +145,13 @@
 	}
 }
 
-// resultOf gives the result of an attempt that ended without an answer: a
-// cancellation or timeout if that was the cause, and otherwise the given one.
-func resultOf(ctx context.Context, otherwise gooseberrymast.Result) gooseberrymast.Result {
+// broken gives the result of an attempt that ended without an answer after the
+// request was sent.
+func broken(ctx context.Context) gooseberrymast.Result {
 	cause := context.Cause(ctx)
 	switch {
 	case cause == nil:
-		return otherwise
-	case otherwise == gooseberrymast.ResultNotSent && errors.Is(cause, context.DeadlineExceeded):
-		return otherwise
+		return gooseberrymast.ResultBroken
 	case errors.Is(cause, context.DeadlineExceeded):
 		return gooseberrymast.ResultTimedOut
 	}
--- a/transport/hander/handover.go
+++ b/transport/hander/handover.go
@@ -1,11 +1,12 @@
 package hander
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,16 +40,15 @@
 // run sends the request and waits for the head of the answer.
 func (h *handOver) run(ctx context.Context) (*http.Response, gooseberrymast.Result, gooseberrymast.Refusal) {
 	h.stop = context.AfterFunc(ctx, h.abort)
-	h.send(h.begin())
 	if h.request.Body.Replayable() {
-		// A held body fits the stream's window, so this does not wait for
-		// the peer to read it.
-		h.sendBody(h.request.Body.Open())
+		h.sendWhole()
+	} else {
+		h.send(h.begin())
 	}
 	response, refusal, err := h.head(ctx)
 	if err != nil {
 		h.close()
-		return nil, resultOf(ctx, gooseberrymast.ResultBroken), gooseberrymast.Refusal{}
+		return nil, broken(ctx), gooseberrymast.Refusal{}
 	}
 	if response != nil {
 		return response, 0, gooseberrymast.Refusal{}
@@ -113,21 +113,49 @@
 	go h.sendBody(h.request.Body.Open())
 }
 
-// sendBody sends a body in pieces and its trailers. A body that breaks cancels
-// the request, so that nobody takes the part for the whole.
-func (h *handOver) sendBody(body io.Reader) {
-	piece := make([]byte, min(pieceBytes, max(h.request.Body.Size(), 0)+1))
-	if h.request.Body.Size() < 0 {
-		piece = make([]byte, pieceBytes)
+// sendWhole sends a request whose body is held, in one write: the body fits
+// the stream's window, so this does not wait for the peer to read it.
+func (h *handOver) sendWhole() {
+	var frames bytes.Buffer
+	body := h.request.Body
+	if err := linker.WriteMessage(&frames, h.begin()); err != nil {
+		h.abort()
+		return
+	}
+	if body != nil {
+		for piece := range slices.Chunk(body.Held, pieceBytes) {
+			_ = linker.WriteMessage(&frames, bodyFrame(piece)) // A buffer takes all.
+		}
 	}
+	_ = linker.WriteMessage(&frames, h.end())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		_, _ = h.stream.Write(frames.Bytes()) // A failure shows in the reading of the reply.
+	}
+}
+
+func bodyFrame(piece []byte) *handover.Request {
+	return &handover.Request{Frame: &handover.Request_Body{Body: piece}}
+}
+
+// end gives the frame that follows the body.
+func (h *handOver) end() *handover.Request {
+	trailers := &handover.Trailers{Fields: encoder.Fields(h.request.Body.Trailers())}
+	return &handover.Request{Frame: &handover.Request_End{End: trailers}}
+}
+
+// sendBody sends a streamed body in pieces and its trailers. A body that breaks
+// cancels the request, so that nobody takes the part for the whole.
+func (h *handOver) sendBody(body io.Reader) {
+	piece := make([]byte, pieceBytes)
 	for {
 		n, err := body.Read(piece)
-		if n > 0 && !h.send(&handover.Request{Frame: &handover.Request_Body{Body: piece[:n]}}) {
+		if n > 0 && !h.send(bodyFrame(piece[:n])) {
 			return
 		}
 		if errors.Is(err, io.EOF) {
-			end := &handover.Trailers{Fields: encoder.Fields(h.request.Body.Trailers())}
-			h.send(&handover.Request{Frame: &handover.Request_End{End: end}})
+			h.send(h.end())
 			h.mu.Lock()
 			h.sending = false
 			h.mu.Unlock()
@@ -194,75 +222,3 @@
 	h.ended = true
 	h.stream.Close()
 }
-
-func (h *handOver) response(ctx context.Context, head *handover.Head) *http.Response {
-	response := &http.Response{
-		StatusCode:    int(head.GetStatus()),
-		Status:        strconv.Itoa(int(head.GetStatus())) + " " + http.StatusText(int(head.GetStatus())),
-		Proto:         "HTTP/2.0",
-		ProtoMajor:    2,
-		Header:        encoder.ParseFields(head.GetHeaders()),
-		ContentLength: head.GetBodyBytes(),
-		Trailer:       http.Header{},
-	}
-	response.Body = &answerBody{handOver: h, ctx: ctx, response: response}
-	return response
-}
-
-// answerBody reads the body of an answer from frames.
-type answerBody struct {
-	handOver *handOver
-	ctx      context.Context
-	response *http.Response
-	piece    []byte
-	err      error
-}
-
-// Read gives io.EOF only after the peer said that the answer is whole.
-func (a *answerBody) Read(p []byte) (int, error) {
-	for len(a.piece) == 0 {
-		if a.err != nil {
-			return 0, a.err
-		}
-		a.err = a.next()
-	}
-	n := copy(p, a.piece)
-	a.piece = a.piece[n:]
-	return n, nil
-}
-
-func (a *answerBody) next() error {
-	reply := &handover.Reply{}
-	if err := linker.ReadMessage(a.handOver.stream, reply); err != nil {
-		if cause := context.Cause(a.ctx); cause != nil {
-			return cause
-		}
-		return io.ErrUnexpectedEOF
-	}
-	a.handOver.client.note(a.handOver.peer, reply)
-	switch frame := reply.GetFrame().(type) {
-	case *handover.Reply_Accepted:
-		a.handOver.accepted()
-	case *handover.Reply_Body:
-		a.piece = frame.Body
-	case *handover.Reply_End:
-		for name, values := range encoder.ParseFields(frame.End.GetFields()) {
-			a.response.Trailer[name] = values
-		}
-		return io.EOF
-	default:
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
-// Close cancels the request unless its answer was read to the end.
-func (a *answerBody) Close() error {
-	if errors.Is(a.err, io.EOF) {
-		a.handOver.close()
-		return nil
-	}
-	a.handOver.stop()
-	a.handOver.abort()
-	return nil
-}
--- a/transport/hander/server.go
+++ b/transport/hander/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	Ask(origin gooseberrymast.Identity, originID gooseberrymast.WorkID) (ran bool)
 	// Spend grants one run for a ticket that this agent issued.
 	Spend(ticket gooseberrymast.Ticket) (granted bool)
+	// Count answers a peer that has admitted requests of a caller that is
+	// counted here.
+	Count(caller netip.Addr, admitted int) (granted int, wait time.Duration)
 	// Load gives the agent's own load.
 	Load() gooseberrymast.Load
 	// Refusal records a refusal that the transport itself decides.
@@ -47,6 +51,8 @@
 
 	mu      sync.Mutex
 	running map[origin]context.CancelCauseFunc
+	// settled is closed when no request is left; nil while nobody waits.
+	settled chan struct{}
 }
 
 // origin names a request by the agent that holds its flow.
@@ -71,6 +77,8 @@
 		s.reply(stream, &handover.Reply{Frame: &handover.Reply_Asked{Asked: s.ask(frame.Ask)}})
 	case *handover.Request_Spend:
 		s.reply(stream, &handover.Reply{Frame: &handover.Reply_Spent{Spent: s.spend(frame.Spend)}})
+	case *handover.Request_Count:
+		s.reply(stream, &handover.Reply{Frame: &handover.Reply_Counted{Counted: s.count(frame.Count)}})
 	case *handover.Request_Measure:
 		s.reply(stream, &handover.Reply{})
 	case *handover.Request_Cancel:
@@ -100,6 +108,19 @@
 	return &handover.Spent{Known: true, Granted: s.Local.Spend(ticket)}
 }
 
+func (s *Server) count(count *handover.Count) *handover.Counted {
+	target, err := encoder.ParseIdentity(count.GetTarget())
+	if err != nil || target != s.Self {
+		return &handover.Counted{}
+	}
+	caller, err := netip.ParseAddr(count.GetCaller())
+	if err != nil {
+		return &handover.Counted{}
+	}
+	granted, wait := s.Local.Count(caller, int(count.GetAdmitted()))
+	return &handover.Counted{Known: true, Granted: int32(granted), WaitNanos: int64(wait)}
+}
+
 func (s *Server) cancel(cancel *handover.Cancel) {
 	agent, err := encoder.ParseIdentity(cancel.GetOrigin())
 	if err != nil {
@@ -193,6 +214,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, key)
+	if len(s.running) == 0 && s.settled != nil {
+		close(s.settled)
+		s.settled = nil
+	}
+}
+
+// Settle waits until every request that was handed over has ended and its
+// origin has read the answer. A process that is to stop calls it before it
+// closes its sessions.
+func (s *Server) Settle(ctx context.Context) error {
+	select {
+	case <-s.whenSettled():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("Server.Settle: requests of peers are in progress: %w", ctx.Err())
+	}
+}
+
+// whenSettled gives a channel that is closed when no request is left.
+func (s *Server) whenSettled() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.running) == 0 {
+		none := make(chan struct{})
+		close(none)
+		return none
+	}
+	if s.settled == nil {
+		s.settled = make(chan struct{})
+	}
+	return s.settled
 }
 
 func (s *Server) refuse(stream *linker.Stream, refusal gooseberrymast.Refusal) {
--- /dev/null
+++ b/transport/linker/capacity_test.go
@@ -0,0 +1,197 @@
+package linker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"gooseberrymast/protocol/keyer"
+)
+
+// meter relays connections and counts the bytes and the segments that a host
+// would send for them. A read of the relay counts as one segment.
+type meter struct {
+	listener net.Listener
+	target   string
+	bytes    atomic.Int64
+	reads    atomic.Int64
+}
+
+func startMeter(b *testing.B, target string) *meter {
+	listener, err := net.Listen("tcp", loopback.String())
+	is.New(b).NoErr(err)
+	m := &meter{listener: listener, target: target}
+	b.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go m.relay(conn)
+		}
+	}()
+	return m
+}
+
+func (m *meter) relay(conn net.Conn) {
+	defer conn.Close()
+	far, err := net.Dial("tcp", m.target)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	go m.pass(far, conn)
+	m.pass(conn, far)
+}
+
+func (m *meter) pass(to, from net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		m.bytes.Add(int64(n))
+		m.reads.Add(1)
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// echoFor answers each message on a control stream with the same.
+func echoFor(b *testing.B, keys *keyer.Keys) *Listener {
+	listener, err := Listen(loopback, Fixed(keys))
+	is.New(b).NoErr(err)
+	listener.Handle(KindControl, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
+		for {
+			var message wrapperspb.BytesValue
+			if ReadMessage(stream, &message) != nil || WriteMessage(stream, &message) != nil {
+				return
+			}
+		}
+	})
+	go func() { _ = listener.Serve(context.Background()) }()
+	b.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// meteredSession opens a session through a meter.
+func meteredSession(b *testing.B) (*meter, *Session) {
+	keys := keyer.Random()
+	m := startMeter(b, echo(b, keys).Address().String())
+	return m, dial(b, netip.MustParseAddrPort(m.listener.Addr().String()), keys)
+}
+
+// exchange sends a message and reads its echo.
+func exchange(b *testing.B, stream *Stream, message *wrapperspb.BytesValue) {
+	is := is.New(b)
+	is.NoErr(WriteMessage(stream, message))
+	var got wrapperspb.BytesValue
+	is.NoErr(ReadMessage(stream, &got))
+}
+
+// measure runs a step once, and then reports the bytes and the reads of each
+// further run, divided by the parts of a step.
+func (m *meter) measure(b *testing.B, unit string, parts int, step func()) {
+	step()
+	before, reads := m.bytes.Load(), m.reads.Load()
+	for b.Loop() {
+		step()
+	}
+	n := float64(parts * b.N)
+	b.ReportMetric(float64(m.bytes.Load()-before)/n, "B/"+unit)
+	b.ReportMetric(float64(m.reads.Load()-reads)/n, "reads/"+unit)
+}
+
+// BenchmarkOverhead measures the bytes that a connection carries for a session
+// that opens with one stream and one exchange, and for each message, with its
+// length and the TLS record. IP, TCP and acknowledgements come on top.
+func BenchmarkOverhead(b *testing.B) {
+	for _, size := range []int{0, 100, 1000} {
+		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
+			m, session := meteredSession(b)
+			stream, err := session.OpenStream(KindHandOver)
+			is.New(b).NoErr(err)
+			message := wrapperspb.Bytes(make([]byte, size))
+			exchange(b, stream, message)
+			opening := m.bytes.Load()
+			m.measure(b, "message", 2, func() { exchange(b, stream, message) })
+			b.ReportMetric(float64(opening), "B/session")
+		})
+	}
+}
+
+// BenchmarkQuestion measures the bytes that a connection carries for a short
+// question and its reply on a stream of their own.
+func BenchmarkQuestion(b *testing.B) {
+	for _, size := range []int{10, 100} {
+		b.Run(fmt.Sprintf("message=%d", size), func(b *testing.B) {
+			is := is.New(b)
+			m, session := meteredSession(b)
+			message := wrapperspb.Bytes(make([]byte, size))
+			m.measure(b, "question", 1, func() {
+				stream, err := session.OpenStream(KindHandOver)
+				is.NoErr(err)
+				exchange(b, stream, message)
+				is.NoErr(stream.Close())
+			})
+		})
+	}
+}
+
+// BenchmarkSessionMemory measures the heap and the stacks of each side of an
+// idle session, without a stream and with one, and the time of its opening on
+// both sides.
+func BenchmarkSessionMemory(b *testing.B) {
+	benchmarks := []struct {
+		name     string
+		sessions int
+		stream   bool
+	}{
+		{"sessions=50", 50, true},
+		{"sessions=200", 200, true},
+		{"idle sessions=500", 500, false},
+	}
+	for _, bench := range benchmarks {
+		b.Run(bench.name, func(b *testing.B) {
+			is := is.New(b)
+			keys := keyer.Random()
+			listener := echoFor(b, keys)
+			before := memoryInUse()
+			began := time.Now()
+			for range bench.sessions {
+				session, err := Dial(b.Context(), listener.Address(), Fixed(keys))
+				is.NoErr(err)
+				defer session.Close()
+				if bench.stream {
+					stream, err := session.OpenStream(KindControl)
+					is.NoErr(err)
+					exchange(b, stream, wrapperspb.Bytes([]byte("first")))
+				}
+			}
+			elapsed := time.Since(began)
+			b.ReportMetric(float64(memoryInUse()-before)/float64(2*bench.sessions), "B/side")
+			b.ReportMetric(float64(elapsed.Microseconds())/float64(bench.sessions), "us/handshake")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func memoryInUse() uint64 {
+	for range 5 {
+		runtime.GC()
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
--- a/transport/receiver/quic.go
+++ b/transport/receiver/quic.go
@@ -21,11 +21,14 @@
 	// PacketBytes is the size of the agent's QUIC datagrams, the least that
 	// QUIC allows, so that the header before them fits any path.
 	PacketBytes = 1200
-	// IdleTimeout ends a flow of which nothing is heard.
+	// IdleTimeout ends a flow from which no packet arrives.
 	IdleTimeout = 45 * time.Second
 	// KeepAlive is how often the agent sends on an idle flow. The caller's
-	// acknowledgement refreshes the memory of balancers.
+	// acknowledgement tells the agent of a balancer that still runs.
 	KeepAlive = 15 * time.Second
+	// floodHold is how long callers must prove their address from the last
+	// sign of a flood.
+	floodHold = time.Second
 	// HandshakeTimeout bounds a handshake.
 	HandshakeTimeout = 5 * time.Second
 )
@@ -64,26 +67,34 @@
 	}
 }
 
-// mustVerify asks a caller to prove its address when new handshakes come fast
-// or half of the open ones allowed are in use. The flow then holds no memory
-// until the caller has proved it.
-func (r *Receiver) mustVerify(from net.Addr) bool {
-	limit := r.config.MaxHalfOpen
-	if limit == 0 {
-		limit = opener.DefaultMaxHalfOpen
-	}
-	if r.rate.Allow() && r.HalfOpen() < max(1, limit/2) {
+// mustVerify asks a caller to prove its address by a Retry while there is a
+// flood. The flow then holds no memory until the caller has proved it.
+func (r *Receiver) mustVerify(net.Addr) bool {
+	if !r.flooded() {
 		return false
 	}
 	r.Counters.Retries.Add(1)
-	udp, ok := from.(*net.UDPAddr)
-	if !ok {
-		return true
+	return true
+}
+
+// flooded reports whether there is a flood of new handshakes.
+func (r *Receiver) flooded() bool {
+	return r.config.Timer.Now().UnixNano() < r.floodEnd.Load()
+}
+
+// countNewFlow notes a new handshake. There is a flood for floodHold from the
+// last one that came faster than the rate, or while at least half of
+// MaxHalfOpen were open. It is called by the reading goroutine with the opener's
+// lock held.
+func (r *Receiver) countNewFlow() {
+	limit := r.config.MaxHalfOpen
+	if limit == 0 {
+		limit = opener.DefaultMaxHalfOpen
 	}
-	if key := r.callers.opened(plain(udp.AddrPort())); key != 0 {
-		r.completeOpening(key)
+	if r.rate.AllowN(r.now, 1) && r.opener.HalfOpen() < max(1, limit/2) {
+		return
 	}
-	return true
+	r.floodEnd.Store(r.now.Add(floodHold).UnixNano())
 }
 
 func newLimiter(perSecond float64) *rate.Limiter {
--- a/transport/receiver/read.go
+++ b/transport/receiver/read.go
@@ -21,6 +21,7 @@
 		if r.next == r.filled {
 			n, err := r.conn.Read(r.batch)
 			r.next, r.filled = 0, n
+			r.now = r.config.Timer.Now()
 			if err != nil {
 				return 0, nil, err
 			}
@@ -79,15 +80,15 @@
 	if header.Service != r.service {
 		return nil, framer.FaultWrongService
 	}
-	if !r.windows.Accept(header.Origin, r.config.Timer.Now()) {
+	if !r.windows.Accept(header.Origin, r.now) {
 		return nil, framer.FaultReplayed
 	}
 	return payload, nil
 }
 
-// isOwn checks that the connection id was made for this service by this life
-// of the agent. Packets of an earlier life pass if they have a short header:
-// QUIC knows no flow for them and tells the caller so by a stateless reset.
+// isOwn checks that the connection id was made for this service by this
+// incarnation of the agent. Packets of an earlier one pass if they have a short
+// header: QUIC knows no flow for them and answers with a stateless reset.
 func (r *Receiver) isOwn(packet *inspector.Packet) (Drop, bool) {
 	id, service, err := r.sealer.Open(packet.ID)
 	switch {
@@ -154,7 +155,14 @@
 	r.openerMu.Lock()
 	defer r.openerMu.Unlock()
 	busy := !r.opener.Knows(first.Key) && r.declines(first)
-	return r.opener.FirstPacket(first, busy, r.config.Timer.Now())
+	decision := r.opener.FirstPacket(first, busy, r.now)
+	if decision.New {
+		r.countNewFlow()
+		if r.flooded() {
+			r.opener.Complete(first.Key) // QUIC answers by a Retry and keeps nothing
+		}
+	}
+	return decision
 }
 
 // declines reports whether the agent would rather not take a new flow.
@@ -178,7 +186,7 @@
 	}
 }
 
-// tell lets the homes of a flow know that it was passed on.
+// tell notifies the homes of a flow that it was passed on.
 func (r *Receiver) tell(key uint64, decision *opener.Decision) {
 	for _, home := range decision.Tell {
 		if home.IsZero() {
@@ -208,9 +216,9 @@
 
 // heard remembers the balancer that delivered the last frame.
 func (r *Receiver) heard() *net.UDPAddr {
-	via := path{balancer: r.header.Balancer, life: r.header.Life, index: r.header.Index}
+	via := path{balancer: r.header.Balancer, sender: r.header.BalancerSender, index: r.header.Index}
 	proved := r.header.Kind == framer.KindFlow
-	return r.callers.heard(r.header.Caller, via, proved, r.config.Timer.Now())
+	return r.callers.heard(r.header.Caller, via, proved, r.now)
 }
 
 // dropOf gives the counter of a typed error.
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -34,6 +34,9 @@
 const (
 	// batchDatagrams is the number of datagrams read by one call.
 	batchDatagrams = 16
+	// maxSequences bounds the memory for detecting replays: 17,000 balancers
+	// and the agents that pass flows on.
+	maxSequences = 1 << 16
 	// expireEvery is how often silent callers are looked for.
 	expireEvery = 30 * time.Second
 )
@@ -86,8 +89,11 @@
 	rate    *rate.Limiter
 	nonce   atomic.Uint32
 	leaving atomic.Bool
-	buffers sync.Pool // of *[writeBytes]byte
-	cancel  func()
+	// floodEnd is when callers need no longer prove their address, in
+	// nanoseconds of Unix time.
+	floodEnd atomic.Int64
+	buffers  sync.Pool // of *[writeBytes]byte
+	cancel   func()
 
 	openerMu sync.Mutex
 	opener   opener.Opener
@@ -96,6 +102,7 @@
 	batch  *batcher.Batch
 	next   int
 	filled int
+	now    time.Time // when the batch was read
 	header framer.Header
 }
 
@@ -123,6 +130,7 @@
 	rec.self = gooseberrymast.Identity{Address: rec.conn.Address(), Incarnation: config.Identity.Incarnation}
 	rec.opener = opener.Opener{Self: rec.self, MaxHalfOpen: config.MaxHalfOpen}
 	rec.callers.max = config.MaxCallers
+	rec.windows.MaxSequences = maxSequences
 	rec.rate = newLimiter(config.RetryRate)
 	rec.nonce.Store(randomNonce())
 	rec.buffers.New = func() any { return new([writeBytes]byte) }
@@ -149,6 +157,28 @@
 	r.callers.setBalancers(addresses)
 }
 
+// SetTable puts a table in force. The agent passes no new flow to members that
+// are suspect in the table.
+func (r *Receiver) SetTable(table *gooseberrymast.Table) {
+	var suspects []gooseberrymast.Identity
+	for _, member := range table.Members(r.service) {
+		if member.Suspect {
+			suspects = append(suspects, member.Identity)
+		}
+	}
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.SetSuspects(suspects)
+}
+
+// SetBarred names the agents of the service that may take no new flows. The
+// agent passes none to them; those that they hold go on.
+func (r *Receiver) SetBarred(ids []gooseberrymast.Identity) {
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.SetBarred(ids)
+}
+
 // SetKeys replaces the fleet's keys with flows open.
 func (r *Receiver) SetKeys(keys *keyer.Keys) error {
 	if err := r.sealer.SetKeys(keys); err != nil {
@@ -196,7 +226,7 @@
 	}
 	address := plain(udp.AddrPort())
 	via, alternate, known := r.callers.back(address, r.config.Timer.Now())
-	if !known {
+	if !known { // an IPv6 address is never known
 		r.Counters.drop(DropUnknownCaller)
 		return len(payload), nil
 	}
@@ -209,12 +239,12 @@
 
 func (r *Receiver) answer(payload []byte, to netip.AddrPort, via path) {
 	header := framer.Header{
-		Kind:     framer.KindAnswer,
-		Service:  r.service,
-		Index:    via.index,
-		Caller:   to,
-		Balancer: via.balancer,
-		Life:     via.life,
+		Kind:           framer.KindAnswer,
+		Service:        r.service,
+		Index:          via.index,
+		Caller:         to,
+		Balancer:       via.balancer,
+		BalancerSender: via.sender,
 	}
 	if r.sendFrame(&header, gooseberrymast.Identity{Address: via.balancer}, payload) {
 		r.Counters.Answers.Add(1)
--- a/transport/terminator/broken_test.go
+++ b/transport/terminator/broken_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
@@ -17,6 +18,7 @@
 	"gooseberrymast/caller"
 	"gooseberrymast/protocol/encoder"
 	"gooseberrymast/standin/backend"
+	"gooseberrymast/transport/executor"
 )
 
 // outcome is what a caller was told of a request.
@@ -131,9 +133,10 @@
 }
 
 func TestBrokenHandOversAreToldTruly(t *testing.T) {
-	body := strings.Repeat("reservation ", 500)
+	const small, large = 6 << 10, 300 << 10
 	tests := []struct {
 		name   string
+		size   int
 		path   string
 		agents int
 		ticket bool
@@ -143,17 +146,23 @@
 		// must lists the outcomes that the sweep has to meet.
 		must []outcome
 	}{
-		{"without a ticket", "/loans", 2, false, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
-		{"without a ticket, peer gone", "/loans", 2, false, true, 1, []outcome{outcomeUnknown}},
-		{"with a ticket", "/loans", 2, true, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
-		{"idempotent", "/idempotent", 3, false, false, 2, []outcome{outcomeAnswer}},
+		{"without a ticket", small, "/loans", 2, false, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
+		{"without a ticket, peer gone", small, "/loans", 2, false, true, 1, []outcome{outcomeUnknown}},
+		{"with a ticket", small, "/loans", 2, true, false, 1, []outcome{outcomeNotRun, outcomeUnknown}},
+		{"large", large, "/loans", 2, false, false, 1, []outcome{outcomeUnknown}},
+		{"idempotent", small, "/idempotent", 3, false, false, 2, []outcome{outcomeAnswer}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			body := strings.Repeat("x", test.size)
+			steps := 12
+			if test.size == large {
+				steps = 6
+			}
 			seen := map[outcome]int{}
 			cuts := 0
 			for side := range 2 {
-				for step := range 12 {
+				for step := range steps {
 					id := fmt.Sprintf("%d-%d", side, step)
 					is := is.New(t)
 					b := newBrokenHandOver(t, test.agents)
@@ -161,7 +170,7 @@
 						sent := request(t.Context(), http.MethodPost, test.path, id, body)
 						is.Equal(told(t, b.plain, sent, body), outcomeAnswer)
 					})
-					b.arm(side, bytes, float64(step)/12, test.refuse)
+					b.arm(side, bytes, float64(step)/float64(steps), test.refuse)
 					sent := request(t.Context(), http.MethodPost, test.path, id, body)
 					var client doer = b.client
 					if !test.ticket {
@@ -233,3 +242,38 @@
 	}
 	requests.Wait()
 }
+
+func TestLateCopyDoesNotRunAfterNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newService(t, 2, nil)
+	origin, peer := s.agents[0], s.agents[1]
+	const id = 1 << 40 // no request of the agent's own has it
+	known, ran := origin.driver.Peers.Ask(t.Context(), peer.self, id)
+	is.True(known)
+	is.True(!ran)
+	work := gooseberrymast.Work{
+		Origin:     origin.self,
+		OriginID:   id,
+		Path:       "/loans",
+		Idempotent: true,
+		Deadline:   time.Now().Add(time.Minute),
+	}
+	sent := &executor.Request{
+		Method:    http.MethodPost,
+		URI:       "/loans",
+		Authority: "ledger.example",
+		Header:    http.Header{backend.HeaderRequestID: {"late"}},
+		Body:      &executor.Body{Held: []byte("body")},
+		Timeout:   time.Minute,
+	}
+	_, result, refusal := origin.driver.Peers.HandOver(t.Context(), peer.self, work, sent)
+	is.Equal(result, gooseberrymast.ResultRefused)
+	is.Equal(refusal.Ran, gooseberrymast.RanNo)
+	is.Equal(s.ran("late"), 0)
+	work.OriginID++ // one that was not asked after runs
+	response, _, _ := origin.driver.Peers.HandOver(t.Context(), peer.self, work, sent)
+	is.NoErr(response.Body.Close())
+	is.Equal(s.ran("late"), 1)
+	known, ran = origin.driver.Peers.Ask(t.Context(), peer.self, work.OriginID)
+	is.True(known && ran)
+}
