--- a/coordination/adopter/adopter_test.go
+++ b/coordination/adopter/adopter_test.go
@@ -91,3 +91,39 @@
 	_, err = receiver.Unpack(packed)
 	is.True(errors.Is(err, ErrBadSum))
 }
+
+func TestAdvanceWithoutText(t *testing.T) {
+	is := is.New(t)
+	a := newAdopter()
+	tag := gooseberrymast.TagOf("ledger")
+	is.True(!a.Advance(1, tag, 1)) // nothing is in force yet
+	_, err := a.Offer(revision(1, "one"))
+	is.NoErr(err)
+	is.True(!a.Advance(2, tag, a.Section(tag)+1)) // the service's part differs
+	is.True(!a.Advance(1, tag, a.Section(tag)))   // not above
+	is.True(a.Advance(3, tag, a.Section(tag)))
+	is.Equal(a.Current.Number, uint64(3))
+	is.Equal(a.TextNumber, uint64(1))
+	is.True(a.Pack(0) == nil) // the text of revision 3 isn't held
+	adopted, err := a.Offer(revision(3, "three"))
+	is.NoErr(err)
+	is.True(!adopted) // it was in force already; now its text is held
+	is.Equal(a.TextNumber, uint64(3))
+	is.True(a.Pack(0) != nil)
+}
+
+func TestSectionFollowsTheServiceAlone(t *testing.T) {
+	is := is.New(t)
+	document := func(ledger, receipts int, zones ...string) gooseberrymast.Document {
+		return gooseberrymast.Document{Zones: zones, Services: map[string]gooseberrymast.Service{
+			"ledger":   {Limits: gooseberrymast.Limits{Queue: ledger}},
+			"receipts": {Limits: gooseberrymast.Limits{Queue: receipts}},
+		}}
+	}
+	tag := gooseberrymast.TagOf("ledger")
+	base := SectionOf(document(1, 1, "a"), tag)
+	is.Equal(base, SectionOf(document(1, 2, "a"), tag))
+	is.True(base != SectionOf(document(2, 1, "a"), tag))
+	is.True(base != SectionOf(document(1, 1, "b"), tag))
+	is.True(base != SectionOf(gooseberrymast.Document{Zones: []string{"a"}}, tag))
+}
