Tell the agent's data path which balancers run

Cause: Receiver.SetBalancers was never called. Its list was to be whole, but an agent knows just the balancers that it has sessions with, two of them: the one that last delivered would have counted as gone. And 256 answers to a caller that stays silent wrapped the turn to zero, which indexed at -1: a panic, seen with the test below on the code before.

Change: the member reports the forwarding addresses of an agent's sessions when they change, and the controller's OnBalancers passes them on. The balancer that last delivered keeps a turn though it isn't in the list, after those that are. A single other has two turns of three: with two turns, the data of QUIC's probes, sent in pairs, went to the dead balancer each time and TestPushSurvivesTheDeathOfAllKnownBalancers failed by its idle timeout.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -203,6 +203,7 @@
 		Parse:        parser.Document,
 		OnTable:      a.setTable,
 		OnRevision:   a.setDocument,
+		OnBalancers:  a.receiver.SetBalancers,
 		OnIdentity:   func(identity gooseberrymast.Identity) { a.raised <- identity },
 	}
 }
--- a/coordination/member/actions.go
+++ b/coordination/member/actions.go
@@ -53,6 +53,9 @@
 	Adopted *Adopted
 	// Table is set when a snapshot was published.
 	Table *gooseberrymast.Table
+	// Balancers is set when an agent's sessions with balancers changed. It
+	// holds their forwarding addresses, of which there may be none.
+	Balancers *[]netip.AddrPort
 	// Dials lists the control addresses to connect to. Each is answered by
 	// Connected or Refused.
 	Dials []netip.AddrPort
--- a/coordination/member/attach.go
+++ b/coordination/member/attach.go
@@ -53,6 +53,24 @@
 	if (len(ready) > 0 || m.isBalancer()) && m.announcer.Attach(registrars) {
 		m.announce(now)
 	}
+	m.tellBalancers(ready)
+}
+
+// tellBalancers reports the forwarding addresses of the balancers that an agent
+// has sessions with, when they changed.
+func (m *Member) tellBalancers(ready []*registrar.Session) {
+	if m.isBalancer() {
+		return
+	}
+	addresses := make([]netip.AddrPort, 0, len(ready))
+	for _, s := range ready {
+		addresses = append(addresses, s.Identity.Address)
+	}
+	if slices.Equal(addresses, m.told) {
+		return
+	}
+	m.told = addresses
+	m.actions.Balancers = &addresses
 }
 
 // desired lists the control addresses of the peers to hold sessions with, at
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -66,6 +66,8 @@
 	inForce time.Time
 	dials   map[netip.AddrPort]*dial
 	advice  []netip.AddrPort
+	// told holds the balancers' addresses that Actions last named.
+	told []netip.AddrPort
 	// primary is the session that news is taken from, or zero.
 	primary messenger.Session
 	// offered is the revision that each session was last sent.
--- a/transport/controller/controller.go
+++ b/transport/controller/controller.go
@@ -68,6 +68,9 @@
 	OnTable func(table *gooseberrymast.Table)
 	// OnRevision is called when a revision comes into force.
 	OnRevision func(revision uint64, document gooseberrymast.Document)
+	// OnBalancers is called at an agent with the forwarding addresses of the
+	// balancers that it has sessions with, each time that they change.
+	OnBalancers func(addresses []netip.AddrPort)
 	// OnIdentity is called when the own incarnation had to rise above that
 	// of an earlier life, which happens before the process is ready.
 	OnIdentity func(identity gooseberrymast.Identity)
@@ -297,6 +300,9 @@
 			c.config.OnRevision(adopted.Revision.Number, adopted.Document)
 		}
 	}
+	if actions.Balancers != nil && c.config.OnBalancers != nil {
+		c.config.OnBalancers(*actions.Balancers)
+	}
 	if actions.Table != nil && c.config.OnTable != nil {
 		c.config.OnTable(actions.Table)
 	}
--- a/transport/receiver/callers.go
+++ b/transport/receiver/callers.go
@@ -94,8 +94,8 @@
 	if now.Sub(known.heard) <= alternateAfter {
 		return known.paths[0], false, true
 	}
-	known.turn++
 	via = known.alternative(int(known.turn), key, c.balancers.Load())
+	known.turn++
 	return via, via != known.paths[0], true
 }
 
@@ -105,14 +105,13 @@
 	c.balancers.Store(&next)
 }
 
-// alternative gives the path at a turn. The turns go over the balancers that
-// are remembered and run, the newest last, and over others that run in place of
-// those that don't.
+// alternative gives the path at a turn, from zero. The turns go over the balancers that
+// are remembered and run, then over others that run in place of those that
+// don't, and last over the newest: it may run though it isn't known to.
 func (c *caller) alternative(turn int, key uint64, running *[]netip.AddrPort) path {
 	var choice [paths]path
 	n := 0
-	for i := range paths {
-		via := c.paths[(i+1)%paths]
+	for _, via := range c.paths[1:] {
 		if via != (path{}) && runs(via.balancer, running) {
 			choice[n] = via
 			n++
@@ -120,7 +119,7 @@
 	}
 	if running != nil {
 		for i := range *running {
-			if n == paths {
+			if n == paths-1 {
 				break
 			}
 			other := path{balancer: (*running)[(int(key%(1<<31))+i)%len(*running)], index: framer.AnyIndex}
@@ -130,10 +129,14 @@
 			}
 		}
 	}
-	if n == 0 {
-		return c.paths[0]
+	if n == 1 {
+		// Two turns would always give the first and the second of the probes
+		// that QUIC sends in pairs the same ways, and one of these may be dead.
+		choice[n] = choice[0]
+		n++
 	}
-	return choice[(turn-1)%n]
+	choice[n] = c.paths[0]
+	return choice[turn%(n+1)]
 }
 
 func (c *caller) remembers(balancer netip.AddrPort) bool {
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -149,10 +149,11 @@
 	r.leaving.Store(true)
 }
 
-// SetBalancers names the forwarding addresses of the balancers that run. The
-// answers to a caller that has gone silent take turns through those of them
-// that delivered its packets, and through others in place of those that are
-// gone. Without it, or with none, just the balancers that delivered are used.
+// SetBalancers names the forwarding addresses of balancers that run, such as
+// those that the agent has sessions with. The answers to a caller that has gone
+// silent take turns through those of them that delivered its packets, others of
+// them, and the balancer that delivered last, which need not be among them.
+// Without it, or with none, just the balancers that delivered are used.
 func (r *Receiver) SetBalancers(addresses []netip.AddrPort) {
 	r.callers.setBalancers(addresses)
 }
