Send a request again when its flow is silent for half a second

Cause: requests in progress at an instance that died, and those sent until the first deadline, all waited for their deadlines.

Change: each request watches for a first packet; without one the flow is retired and the request, if idempotent or with a ticket, goes out on another.

--- a/caller/flow.go
+++ b/caller/flow.go
@@ -61,6 +61,12 @@
 	f.closeIfDone()
 }
 
+func (f *flow) isRetired() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retired
+}
+
 // retireIfIdle retires the flow if it has no request.
 func (f *flow) retireIfIdle() {
 	f.mu.Lock()
@@ -88,6 +94,15 @@
 // lets a flow of a short round trip lose several packets in a row.
 const minSilence = 100 * time.Millisecond
 
+// watchTime is the least time after which a request that nothing was heard of
+// makes its flow doubtful, before its deadline.
+const watchTime = 500 * time.Millisecond
+
+// patience is how long the acknowledgement of a request may take.
+func (f *flow) patience() time.Duration {
+	return max(watchTime, 8*f.conn.ConnectionStats().SmoothedRTT)
+}
+
 // silentSince reports whether nothing came since a request was sent, although
 // an agent that lives acknowledges it within a round trip.
 func (f *flow) silentSince(sent time.Time, received uint64) bool {
@@ -99,8 +114,8 @@
 var errNotSent = errors.New("the flow takes no new requests")
 
 // roundTrip sends a request on the flow. The flow counts it until its answer
-// has been read to the end or closed.
-func (f *flow) roundTrip(request *http.Request) (*http.Response, error) {
+// has been read to the end or closed, when done is called.
+func (f *flow) roundTrip(request *http.Request, done func()) (*http.Response, error) {
 	if !f.begin() {
 		return nil, errNotSent
 	}
@@ -117,7 +132,10 @@
 		}
 		return nil, err
 	}
-	response.Body = &countedBody{ReadCloser: response.Body, end: sync.OnceFunc(f.end)}
+	response.Body = &countedBody{ReadCloser: response.Body, end: sync.OnceFunc(func() {
+		f.end()
+		done()
+	})}
 	return response, nil
 }
 
@@ -244,16 +262,20 @@
 	}
 }
 
-// doubt retires a flow on which a deadline passed in silence, but not too often:
-// where all is silent, new flows don't help.
-func (c *Client) doubt(f *flow) {
+// doubt retires a flow that is silent, but not too often: where all is silent,
+// new flows don't help. It reports whether the flow is retired.
+func (c *Client) doubt(f *flow) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if f.isRetired() {
+		return true
+	}
 	now := c.timer().Now()
 	if !c.doubtedAt.IsZero() && now.Sub(c.doubtedAt) < DoubtInterval {
-		return
+		return false
 	}
 	c.doubtedAt = now
 	c.tickets = nil
 	f.retire()
+	return true
 }
--- a/caller/send.go
+++ b/caller/send.go
@@ -115,7 +115,7 @@
 			return nil, fmt.Errorf("Client.send: %w", outcome(mayHaveRun, err))
 		}
 		prepared.sends++
-		response, err := c.roundTrip(sent)
+		response, err := c.roundTrip(sent, prepared.mayResend(true))
 		if err == nil {
 			if !mayHaveRun && prepared.staleTicket(response) {
 				response.Body.Close()
@@ -144,32 +144,27 @@
 
 // roundTrip sends a request, on the present flow or on the next one if that
 // takes no new requests; an agent is given it at most once. The request's body is closed in any case.
-func (c *Client) roundTrip(request *http.Request) (*http.Response, error) {
-	response, err := c.tryFlows(request)
+func (c *Client) roundTrip(request *http.Request, resend bool) (*http.Response, error) {
+	response, err := c.tryFlows(request, resend)
 	if err != nil && request.Body != nil {
 		request.Body.Close()
 	}
 	return response, err
 }
 
-func (c *Client) tryFlows(request *http.Request) (*http.Response, error) {
+func (c *Client) tryFlows(request *http.Request, resend bool) (*http.Response, error) {
 	if request.URL.Scheme != "https" {
 		return nil, &dialError{cause: errScheme}
 	}
-	ctx := request.Context()
 	for range maxFlows {
-		f, err := c.flowFor(ctx, request.URL.Hostname())
+		f, err := c.flowFor(request.Context(), request.URL.Hostname())
 		if err != nil {
 			return nil, err
 		}
-		sent, received := time.Now(), f.received()
-		response, err := f.roundTrip(request)
+		response, err := c.sendOn(f, request, resend)
 		if errors.Is(err, errNotSent) {
 			continue
 		}
-		if errors.Is(err, context.DeadlineExceeded) && f.silentSince(sent, received) {
-			c.doubt(f)
-		}
 		if wasRejected(err) {
 			f.retire()
 			if request.Body == nil {
@@ -181,6 +176,35 @@
 	return nil, errNotSent
 }
 
+// errSilent means that a flow gave no sign of life after a request was sent.
+var errSilent = errors.New("nothing came on the flow since the request was sent")
+
+// sendOn sends a request on a flow and watches for the agent's acknowledgement.
+// When that doesn't come the flow is given up, and so is the request if it may
+// be sent again; otherwise its answer is waited for.
+func (c *Client) sendOn(f *flow, request *http.Request, resend bool) (*http.Response, error) {
+	ctx, abandon := context.WithCancelCause(request.Context())
+	sent, received := time.Now(), f.received()
+	watch := time.AfterFunc(f.patience(), func() {
+		if f.received() == received && c.doubt(f) && resend {
+			abandon(errSilent)
+		}
+	})
+	defer watch.Stop()
+	response, err := f.roundTrip(request.WithContext(ctx), func() { abandon(nil) })
+	if err == nil {
+		return response, nil
+	}
+	if errors.Is(err, context.DeadlineExceeded) && f.silentSince(sent, received) {
+		c.doubt(f)
+	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		err = errSilent
+	}
+	abandon(nil)
+	return nil, err
+}
+
 // staleTicket reports whether the first sending was refused for a ticket that
 // came from an agent that is gone. A fresh one is then safe: no server was
 // given the request, which was sent this once.
--- a/caller/silence_test.go
+++ b/caller/silence_test.go
@@ -208,3 +208,26 @@
 	open()
 	is.Equal(flows(), 3)
 }
+
+// TestSilentRequestGoesToAnotherAgent: a request without a deadline, or with a
+// late one, does not wait on a dead flow for the idle timeout.
+func TestSilentRequestGoesToAnotherAgent(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		is := is.New(t)
+		first, second := newAgent(t, answer), newAgent(t, answer)
+		conn := newLossyConn(t)
+		client := newClient(t, first, second)
+		client.Conn = conn
+		client.QUIC = &quic.Config{MaxIdleTimeout: time.Hour}
+		response, err := client.Do(newRequest(t.Context(), method, "body"))
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		time.Sleep(50 * time.Millisecond) // What is on its way arrives.
+		conn.set(first.address, true)
+		response, err = client.Do(newRequest(t.Context(), method, "body"))
+		is.NoErr(err) // it would wait for an hour otherwise
+		is.NoErr(response.Body.Close())
+		is.Equal(len(first.seen()), 1)
+		is.Equal(len(second.seen()), 1)
+	}
+}
--- a/caller/tickets.go
+++ b/caller/tickets.go
@@ -63,7 +63,10 @@
 	if err != nil {
 		return "", fmt.Errorf("Client.takeTicket: %w", err)
 	}
-	response, err := c.roundTrip(ask)
+	response, err := c.roundTrip(ask, true)
+	if errors.Is(err, errSilent) {
+		response, err = c.roundTrip(ask, false) // Tickets that nobody takes do no harm.
+	}
 	if err != nil {
 		return "", fmt.Errorf("Client.takeTicket: %w", err)
 	}
