--- a/transport/linker/linker_test.go
+++ b/transport/linker/linker_test.go
@@ -21,12 +21,17 @@
 
 // echo starts a listener whose hand-over streams are echoed.
 func echo(t *testing.T, keys *keyer.Keys) *Listener {
+	return serve(t, keys, KindHandOver, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
+		_, _ = io.Copy(stream, stream)
+	})
+}
+
+// serve starts a listener that handles streams of one kind.
+func serve(t testing.TB, keys *keyer.Keys, kind Kind, handler Handler) *Listener {
 	t.Helper()
 	listener, err := Listen(loopback, Fixed(keys))
 	is.New(t).NoErr(err)
-	listener.Handle(KindHandOver, func(_ context.Context, _ netip.AddrPort, stream *Stream) {
-		_, _ = io.Copy(stream, stream)
-	})
+	listener.Handle(kind, handler)
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve(context.Background()) }()
 	t.Cleanup(func() {
@@ -36,22 +41,28 @@
 	return listener
 }
 
+func dial(t testing.TB, address netip.AddrPort, keys *keyer.Keys) *Session {
+	t.Helper()
+	session, err := Dial(t.Context(), address, Fixed(keys))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = session.Close() })
+	return session
+}
+
 func TestSessionCarriesMessages(t *testing.T) {
 	is := is.New(t)
 	keys := keyer.Random()
-	listener := echo(t, keys)
-	session, err := Dial(t.Context(), listener.Address(), Fixed(keys))
+	stream, err := dial(t, echo(t, keys).Address(), keys).OpenStream(KindHandOver)
 	is.NoErr(err)
-	defer session.Close()
-	stream, err := session.OpenStream(KindHandOver)
-	is.NoErr(err)
-	is.NoErr(WriteMessage(stream, wrapperspb.String("first")))
-	is.NoErr(WriteMessage(stream, wrapperspb.String("")))
+	want := []string{"first", ""}
+	for _, text := range want {
+		is.NoErr(WriteMessage(stream, wrapperspb.String(text)))
+	}
 	var got wrapperspb.StringValue
-	is.NoErr(ReadMessage(stream, &got))
-	is.Equal(got.Value, "first")
-	is.NoErr(ReadMessage(stream, &got))
-	is.Equal(got.Value, "")
+	for _, text := range want {
+		is.NoErr(ReadMessage(stream, &got))
+		is.Equal(got.Value, text)
+	}
 	stream.Close()
 	is.Equal(ReadMessage(stream, &got), io.EOF)
 }
@@ -59,11 +70,7 @@
 func TestStreamOfUnhandledKindIsClosed(t *testing.T) {
 	is := is.New(t)
 	keys := keyer.Random()
-	listener := echo(t, keys)
-	session, err := Dial(t.Context(), listener.Address(), Fixed(keys))
-	is.NoErr(err)
-	defer session.Close()
-	stream, err := session.OpenStream(KindControl)
+	stream, err := dial(t, echo(t, keys).Address(), keys).OpenStream(KindControl)
 	is.NoErr(err)
 	_, err = stream.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
@@ -219,9 +226,7 @@
 		session, _ := accept(context.Background(), conn, Fixed(keys))
 		accepted <- session // Its streams are never accepted.
 	}()
-	session, err := Dial(t.Context(), socket.Addr().(*net.TCPAddr).AddrPort(), Fixed(keys))
-	is.NoErr(err)
-	defer session.Close()
+	session := dial(t, socket.Addr().(*net.TCPAddr).AddrPort(), keys)
 	peer := <-accepted
 	defer peer.Close()
 	for {
--- a/transport/receiver/counters.go
+++ b/transport/receiver/counters.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrymast/transport/counter"
 )
 
 // Drop numbers the reasons for which the agent drops a packet.
@@ -21,14 +23,15 @@
 	DropUnknownEpoch
 	// DropForged is a frame whose MAC is wrong.
 	DropForged
-	// DropReplayed is a frame that was seen before, or is too late to tell.
+	// DropReplayed is a frame that was seen before, or arrives
+	// too late to be checked.
 	DropReplayed
 	// DropWrongTarget is a frame for another address or another kind of
 	// process.
 	DropWrongTarget
 	// DropWrongService is a packet for another service than the agent's.
 	DropWrongService
-	// DropWrongIncarnation is a packet for another life of this agent.
+	// DropWrongIncarnation is a packet for another incarnation of this agent.
 	DropWrongIncarnation
 	// DropNotQUIC is a frame that holds no packet of a flow.
 	DropNotQUIC
@@ -36,7 +39,8 @@
 	DropNotNamed
 	// DropHalfOpen is a new flow above the bound of open handshakes.
 	DropHalfOpen
-	// DropHops is a packet that was passed on too often.
+	// DropHops is a packet that would be passed on more than opener.MaxHop
+	// times.
 	DropHops
 	// DropUnknownCaller is an answer to a caller of whom no packet is
 	// remembered.
@@ -80,10 +84,7 @@
 	dropped [drops]atomic.Uint64
 }
 
-var (
-	packetsDesc = prometheus.NewDesc("gooseberrymast_agent_packets_total", "Packets handled, by kind.", []string{"kind"}, nil)
-	dropsDesc   = prometheus.NewDesc("gooseberrymast_agent_drops_total", "Packets dropped, by reason.", []string{"reason"}, nil)
-)
+var metrics = counter.New("gooseberrymast_agent_packets_total", "Packets handled, by kind.", "gooseberrymast_agent_drops_total")
 
 // Dropped gives the number of packets dropped for a reason.
 func (c *Counters) Dropped(reason Drop) uint64 {
@@ -92,25 +93,19 @@
 
 // Describe implements prometheus.Collector.
 func (c *Counters) Describe(out chan<- *prometheus.Desc) {
-	out <- packetsDesc
-	out <- dropsDesc
+	metrics.Describe(out)
 }
 
 // Collect implements prometheus.Collector.
 func (c *Counters) Collect(out chan<- prometheus.Metric) {
-	counter := func(desc *prometheus.Desc, value uint64, label string) {
-		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), label)
-	}
-	counter(packetsDesc, c.Established.Load(), "established")
-	counter(packetsDesc, c.Opening.Load(), "opening")
-	counter(packetsDesc, c.Passed.Load(), "passed")
-	counter(packetsDesc, c.Stale.Load(), "stale")
-	counter(packetsDesc, c.Answers.Load(), "answer")
-	counter(packetsDesc, c.Alternated.Load(), "alternated")
-	counter(packetsDesc, c.Retries.Load(), "retry")
-	for reason := range drops {
-		counter(dropsDesc, c.Dropped(reason), reason.String())
-	}
+	metrics.Packets(out, "established", &c.Established)
+	metrics.Packets(out, "opening", &c.Opening)
+	metrics.Packets(out, "passed", &c.Passed)
+	metrics.Packets(out, "stale", &c.Stale)
+	metrics.Packets(out, "answer", &c.Answers)
+	metrics.Packets(out, "alternated", &c.Alternated)
+	metrics.Packets(out, "retry", &c.Retries)
+	metrics.Drops(out, dropNames[:], c.dropped[:])
 }
 
 func (c *Counters) drop(reason Drop) {
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -158,7 +158,7 @@
 }
 
 // SetTable puts a table in force. The agent passes no new flow to members that
-// the table holds for suspect.
+// are suspect in the table.
 func (r *Receiver) SetTable(table *gooseberrymast.Table) {
 	var suspects []gooseberrymast.Identity
 	for _, member := range table.Members(r.service) {
@@ -171,6 +171,14 @@
 	r.opener.SetSuspects(suspects)
 }
 
+// SetBarred names the agents of the service that may take no new flows. The
+// agent passes none to them; those that they hold go on.
+func (r *Receiver) SetBarred(ids []gooseberrymast.Identity) {
+	r.openerMu.Lock()
+	defer r.openerMu.Unlock()
+	r.opener.SetBarred(ids)
+}
+
 // SetKeys replaces the fleet's keys with flows open.
 func (r *Receiver) SetKeys(keys *keyer.Keys) error {
 	if err := r.sealer.SetKeys(keys); err != nil {
@@ -216,7 +224,7 @@
 		r.Counters.drop(DropOversized)
 		return 0, fmt.Errorf("Receiver.WriteTo %s: %w", to, framer.FaultOversized)
 	}
-	address := plain(udp.AddrPort())
+	address := unmap(udp.AddrPort())
 	via, alternate, known := r.callers.back(address, r.config.Timer.Now())
 	if !known { // an IPv6 address is never known
 		r.Counters.drop(DropUnknownCaller)
@@ -231,12 +239,12 @@
 
 func (r *Receiver) answer(payload []byte, to netip.AddrPort, via path) {
 	header := framer.Header{
-		Kind:     framer.KindAnswer,
-		Service:  r.service,
-		Index:    via.index,
-		Caller:   to,
-		Balancer: via.balancer,
-		Life:     via.life,
+		Kind:           framer.KindAnswer,
+		Service:        r.service,
+		Index:          via.index,
+		Caller:         to,
+		Balancer:       via.balancer,
+		BalancerSender: via.sender,
 	}
 	if r.sendFrame(&header, gooseberrymast.Identity{Address: via.balancer}, payload) {
 		r.Counters.Answers.Add(1)
@@ -310,7 +318,7 @@
 	r.opener.Expire(now)
 }
 
-func plain(address netip.AddrPort) netip.AddrPort {
+func unmap(address netip.AddrPort) netip.AddrPort {
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 }
 
