Become ready with the backend server, carry displaced requests, roll in order

Cause: an agent took flows before its backend server had answered a health check; a leaving agent's requests could not wait at peers, as the message lacked the mark; the trial drained a server before the successor of the one before took work, so that one of three was left. Change: the first healthy answer makes the agent ready; Begin carries displaced; the trial waits until every balancer gives the successor new flows, as a rolling update does.

--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -71,10 +71,12 @@
 	poller     *poller.Poller
 	evener     flowEvener
 	healthy    atomic.Bool
-	barred     atomic.Bool
-	revision   atomic.Uint64
-	raised     chan gooseberrymast.Identity
-	leave      sync.Once
+	// ready is done when the agent became ready, or left before.
+	ready    sync.Once
+	barred   atomic.Bool
+	revision atomic.Uint64
+	raised   chan gooseberrymast.Identity
+	leave    sync.Once
 }
 
 // NewAgent opens the agent's sockets.
@@ -173,7 +175,7 @@
 func (a *Agent) join() {
 	a.controller = controller.New(a.membership())
 	a.controller.Attach(a.listener)
-	a.healthy.Store(true)
+	a.healthy.Store(a.config.Settings.Backend.HealthPath == "")
 	backend := a.config.Settings.Backend
 	a.poller = &poller.Poller{
 		Address:    backend.Address,
@@ -210,11 +212,22 @@
 	}
 }
 
+// observe takes what the poller learnt. The first healthy answer makes the
+// agent ready; later ones are hints to the dispatcher.
 func (a *Agent) observe(healthy bool, load int32) {
+	if healthy {
+		a.becomeReady()
+	}
 	a.healthy.Store(healthy)
 	a.driver.Observe(healthy, load)
 }
 
+// becomeReady announces once that the agent takes new flows, unless it left
+// before.
+func (a *Agent) becomeReady() {
+	a.ready.Do(func() { a.controller.Move(gooseberrymast.StateReady) })
+}
+
 func (a *Agent) register() error {
 	for _, collector := range []prometheus.Collector{&a.receiver.Counters, a.dispatcher.Recorder(), violations{}} {
 		if err := a.Registry.Register(collector); err != nil {
@@ -336,10 +349,12 @@
 	ended := make(chan error, 2)
 	go func() { ended <- a.listener.Serve(ctx) }()
 	go func() { ended <- a.terminator.Serve() }()
-	a.poller.Start()
-	defer a.evener.start(ctx)()
 	a.controller.Start()
-	a.controller.Move(gooseberrymast.StateReady)
+	defer a.evener.start(ctx)()
+	if a.config.Settings.Backend.HealthPath == "" {
+		a.becomeReady()
+	}
+	a.poller.Start()
 	select {
 	case identity := <-a.raised:
 		return &RaisedError{Identity: identity}
@@ -350,10 +365,14 @@
 
 // Ready gives nil while the agent takes new flows and otherwise says why not.
 func (a *Agent) Ready() error {
-	if state := a.controller.State(); state != gooseberrymast.StateReady {
-		return fmt.Errorf("the agent is %s", state)
+	state := a.controller.State()
+	if state == gooseberrymast.StateReady {
+		return nil
 	}
-	return nil
+	if !a.healthy.Load() {
+		return fmt.Errorf("the agent is %s and its backend server is not healthy", state)
+	}
+	return fmt.Errorf("the agent is %s", state)
 }
 
 // Find gives a refusal that the agent still keeps.
@@ -384,6 +403,7 @@
 // progress go on.
 func (a *Agent) Leave() {
 	a.leave.Do(func() {
+		a.ready.Do(func() {})
 		a.controller.Move(gooseberrymast.StateLeaving)
 		a.receiver.Leaving()
 		a.driver.Leave()
--- a/assembler/balancer.go
+++ b/assembler/balancer.go
@@ -153,21 +153,20 @@
 	return b.listener.Address()
 }
 
-// Routable is the number of agents that the balancer gives new flows to.
-func (b *Balancer) Routable() int {
+// Routes reports whether the balancer gives new flows to an agent.
+func (b *Balancer) Routes(agent gooseberrymast.Identity) bool {
 	table := b.controller.Table()
 	if table == nil {
-		return 0
+		return false
 	}
-	n := 0
 	for _, members := range table.Services {
 		for _, member := range members {
-			if member.Routable() {
-				n++
+			if member.Identity == agent {
+				return member.Routable()
 			}
 		}
 	}
-	return n
+	return false
 }
 
 // Status is what the balancer knows of its environment.
--- a/transport/driver/attempt.go
+++ b/transport/driver/attempt.go
@@ -20,9 +20,11 @@
 	}
 }
 
-func (d *Driver) handOver(r *running, peer gooseberrymast.Identity) start {
+func (d *Driver) handOver(r *running, action gooseberrymast.Action) start {
+	work := r.exchange.Work
+	work.Displaced = action.Displaced
 	return func(ctx context.Context) (*http.Response, gooseberrymast.Result, gooseberrymast.Refusal) {
-		return d.Peers.HandOver(ctx, peer, r.exchange.Work, r.exchange.Request)
+		return d.Peers.HandOver(ctx, action.Peer, work, r.exchange.Request)
 	}
 }
 
--- a/transport/driver/driver.go
+++ b/transport/driver/driver.go
@@ -81,7 +81,7 @@
 	case gooseberrymast.ActionHandOver:
 		asserter.Holds(!r.exchange.Work.HandedOver(d.Self), "one-hand-over",
 			"request %d of %s was to be handed over again", r.exchange.Work.OriginID, r.exchange.Work.Origin)
-		return d.attempt(ctx, r, d.handOver(r, action.Peer))
+		return d.attempt(ctx, r, d.handOver(r, action))
 	case gooseberrymast.ActionAsk:
 		d.ask(ctx, r, action.Peer)
 		return 0
--- a/transport/hander/hander_test.go
+++ b/transport/hander/hander_test.go
@@ -139,20 +139,22 @@
 		}
 		w := exchange.Writer
 		w.Header().Set("X-Got", fmt.Sprintln(exchange.Request.Method, exchange.Request.URI, exchange.Request.Authority,
-			exchange.Request.Header["X-Many"], exchange.Work.Caller, exchange.Work.Idempotent, exchange.Work.Path))
+			exchange.Request.Header["X-Many"], exchange.Work.Caller, exchange.Work.Idempotent, exchange.Work.Path, exchange.Work.Displaced))
 		w.WriteHeader(http.StatusCreated)
 		status := answer(w, "got "+string(body))
 		w.Header().Set(http.TrailerPrefix+"X-End", "done")
 		return status
 	})
-	response, result, _ := p.client.HandOver(t.Context(), far, work(1), request("a pall"))
+	displaced := work(1)
+	displaced.Displaced = true
+	response, result, _ := p.client.HandOver(t.Context(), far, displaced, request("a pall"))
 	is.Equal(result, gooseberrymast.Result(0))
 	body, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	is.NoErr(response.Body.Close())
 	is.Equal(response.StatusCode, http.StatusCreated)
 	is.Equal(string(body), "got a pall")
-	is.Equal(strings.TrimSpace(response.Header.Get("X-Got")), "POST /loans?kind=pall ledger.example [a b] 192.0.2.1 true /loans")
+	is.Equal(strings.TrimSpace(response.Header.Get("X-Got")), "POST /loans?kind=pall ledger.example [a b] 192.0.2.1 true /loans true")
 	is.Equal(response.Trailer.Get("X-End"), "done")
 	is.Equal(<-p.loads, p.local.Load()) // with the head
 	is.Equal(<-p.loads, p.local.Load()) // and with the end
--- a/transport/hander/handover.go
+++ b/transport/hander/handover.go
@@ -73,6 +73,7 @@
 		Ticket:       encoder.Ticket(h.work.Ticket),
 		Idempotent:   h.work.Idempotent,
 		Stream:       h.work.Stream,
+		Displaced:    h.work.Displaced,
 		BodyBytes:    h.request.Body.Size(),
 		BodyFollows:  h.request.Body.Replayable(),
 		TrailerNames: h.request.Body.Names(),
--- a/transport/hander/server.go
+++ b/transport/hander/server.go
@@ -190,6 +190,7 @@
 		Caller:     caller,
 		Path:       request.Path(),
 		Stream:     begin.GetStream(),
+		Displaced:  begin.GetDisplaced(),
 		Idempotent: begin.GetIdempotent(),
 		Ticket:     ticket,
 		Deadline:   s.Timer.Now().Add(time.Duration(begin.GetTimeoutNanos())),
--- a/trier/change.go
+++ b/trier/change.go
@@ -99,7 +99,11 @@
 	if err := s.backend.Close(); err != nil {
 		return fmt.Errorf("fleet.drain %s: %w", s.name, err)
 	}
-	return f.startServer(ctx, s)
+	if err := f.startServer(ctx, s); err != nil {
+		return err
+	}
+	// The next one must not leave before its successor takes work.
+	return await(ctx, s.name+" takes no new flows", func() bool { return f.inUse(s) })
 }
 
 // kill ends an instance as a crash does, the agent and its backend server at
--- a/trier/fleet.go
+++ b/trier/fleet.go
@@ -164,11 +164,16 @@
 
 // settle waits until every balancer routes to every agent.
 func (f *fleet) settle(ctx context.Context) error {
+	return await(ctx, "not every balancer knows every agent", f.settled)
+}
+
+// await waits until a condition holds, and fails with what is the matter.
+func await(ctx context.Context, matter string, holds func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, startPatience)
 	defer cancel()
-	for !f.settled() {
+	for !holds() {
 		if !sleepUntil(ctx, time.Now().Add(settlePause)) {
-			return fmt.Errorf("fleet.settle: not every balancer knows every agent: %w", ctx.Err())
+			return fmt.Errorf("fleet.await: %s: %w", matter, ctx.Err())
 		}
 	}
 	return nil
@@ -178,17 +183,24 @@
 const settlePause = 50 * time.Millisecond
 
 func (f *fleet) settled() bool {
-	for _, b := range f.balancers {
-		if b.Ready() != nil || b.Routable() != len(f.servers) {
+	for _, s := range f.servers {
+		if !f.inUse(s) {
 			return false
 		}
 	}
-	for _, s := range f.servers {
-		if s.agent.Ready() != nil {
+	return true
+}
+
+// inUse reports whether every balancer gives new flows to a server's agent.
+func (f *fleet) inUse(s *server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.balancers {
+		if b != nil && !b.Routes(s.agent.Identity()) {
 			return false
 		}
 	}
-	return true
+	return s.agent.Ready() == nil
 }
 
 // startServer starts a stand-in backend server and the agent beside it.
