Give a status by service and as a summary

Cause: a status lists every process.

Counts are by availability zone and state. The waits of apply and promote ask for a summary.

The balancer still makes the whole status for each answer.

--- a/cmd/gooseberrymast/promote.go
+++ b/cmd/gooseberrymast/promote.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return source, err
 	}
-	status, err := operator.Client{Address: address}.Status(command.Context())
+	status, err := operator.Client{Address: address}.Status(command.Context(), gooseberrymast.StatusFilter{Summary: true})
 	promotion := applier.Promotion{Source: source, Status: status, StatusErr: err}
 	if err := promotion.Check(); err != nil {
 		return source, fmt.Errorf("%s: revision %d was not promoted: %w", from, source.Number, err)
--- a/cmd/gooseberrymast/status_table.go
+++ b/cmd/gooseberrymast/status_table.go
@@ -7,8 +7,8 @@
 	"gooseberrymast"
 )
 
-// printStatus writes the tables of a balancer's status.
-func printStatus(out *printer, status gooseberrymast.Status) error {
+// printStatus writes the tables of the wanted part of a balancer's status.
+func printStatus(out *printer, status gooseberrymast.Status, filter gooseberrymast.StatusFilter) error {
 	out.printf("environment %s as known by %s at %s\n", printable(status.Environment), status.Instance, formatTime(status.Time))
 	out.printf("%s\n", inForceLine(status))
 	if status.Fault != "" {
@@ -20,10 +20,21 @@
 	table := newTable(out)
 	printRevisions(&table.printer, status)
 	for _, service := range status.Services {
-		printMembers(&table.printer, "SERVICE "+serviceName(service), service.Members)
+		title := "SERVICE " + serviceName(service)
+		if filter.Summary {
+			printCounts(&table.printer, title, service.Counts)
+		} else {
+			printMembers(&table.printer, title, service.Members)
+		}
+	}
+	if filter.Service == "" {
+		if filter.Summary {
+			printCounts(&table.printer, "BALANCERS", status.BalancerCounts)
+		} else {
+			printMembers(&table.printer, "BALANCERS", status.Balancers)
+		}
+		printCells(&table.printer, status.Cells)
 	}
-	printMembers(&table.printer, "BALANCERS", status.Balancers)
-	printCells(&table.printer, status.Cells)
 	printViolations(&table.printer, status.Violations)
 	return table.flush()
 }
@@ -70,10 +81,7 @@
 func printMembers(table *printer, title string, members []gooseberrymast.MemberStatus) {
 	table.printf("\n%s\tZONE\tSTATE\tREVISION\tWHY NO NEW FLOWS\n", title)
 	for _, member := range members {
-		state := printable(member.State)
-		if member.Suspect {
-			state += ", suspect"
-		}
+		state := stateName(member.State, member.Suspect)
 		table.printf("%s\t%s\t%s\t%d\t%s\n", member.Identity, printable(member.Zone), state, member.Revision, printable(member.Why))
 	}
 	if len(members) == 0 {
@@ -81,6 +89,24 @@
 	}
 }
 
+func stateName(state string, suspect bool) string {
+	name := printable(state)
+	if suspect {
+		name += ", suspect"
+	}
+	return name
+}
+
+func printCounts(table *printer, title string, counts []gooseberrymast.MemberCount) {
+	table.printf("\n%s\tZONE\tSTATE\tCOUNT\n", title)
+	for _, count := range counts {
+		table.printf("\t%s\t%s\t%d\n", printable(count.Zone), stateName(count.State, count.Suspect), count.Count)
+	}
+	if len(counts) == 0 {
+		table.printf("none\t\t\t\n")
+	}
+}
+
 func printCells(table *printer, cells []gooseberrymast.CellStatus) {
 	table.printf("\nCELL\tHOLDER\tMEMBERS\tVERSION\n")
 	for _, cell := range cells {
--- a/cmd/gooseberrymast/status_test.go
+++ b/cmd/gooseberrymast/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -65,6 +66,50 @@
 	is.Equal(code, exitFailed)
 }
 
+func TestStatusFilters(t *testing.T) {
+	status := trialStatus()
+	members := status.Services[0].Members
+	status.Services[0].Members = append(members, members[0], gooseberrymast.MemberStatus{Identity: identity("10.0.1.8:7000"), Zone: "cairo-b", State: "ready"})
+	status.Services = append(status.Services, gooseberrymast.ServiceStatus{Name: "receipts"})
+	status.Balancers = []gooseberrymast.MemberStatus{{Identity: identity("10.0.0.1:7000"), Zone: "cairo-a", State: "ready"}}
+	address := serve(t, &operator.Server{Status: func() gooseberrymast.Status { return status }})
+	tests := []struct {
+		name     string
+		flags    []string
+		code     int
+		has, not []string
+	}{
+		{"all", nil, exitOK, []string{"10.0.1.8:7000#1", "SERVICE receipts", "BALANCERS", "CELL"}, []string{"COUNT"}},
+		{"one service", []string{"--service", "ledger"}, exitOK, []string{"10.0.1.8:7000#1", "REVISION"}, []string{"receipts", "BALANCERS", "CELL"}},
+		{"summary", []string{"--summary"}, exitOK, []string{"cairo-a  leaving, suspect  2\n", "cairo-b  ready", "SERVICE receipts", "BALANCERS", "CELL"}, []string{"10.0.1.8", "WHY"}},
+		{"both", []string{"--service", "ledger", "--summary"}, exitOK, []string{"leaving, suspect  2\n"}, []string{"10.0.1.8", "receipts", "BALANCERS", "CELL"}},
+		{"both as JSON", []string{"--service", "ledger", "--summary", "--json"}, exitOK, []string{`"suspect":true,"count":2}`}, []string{"10.0.1.8", "receipts", "cairo-a-0"}},
+		{"unknown service", []string{"--service", "loans"}, exitFailed, nil, []string{"ledger"}},
+		{"no name", []string{"--service", "a/b"}, exitInvalid, nil, nil},
+		{"at an agent", []string{"--summary", "--agent", address}, exitInvalid, nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			flags := append([]string{"status"}, test.flags...)
+			if !slices.Contains(flags, "--agent") {
+				flags = append(flags, "--balancer", address)
+			}
+			code, stdout, _ := execute(flags...)
+			is.New(t).Equal(code, test.code)
+			for _, want := range test.has {
+				if !strings.Contains(stdout, want) {
+					t.Errorf("%q is missing from\n%s", want, stdout)
+				}
+			}
+			for _, unwanted := range test.not {
+				if strings.Contains(stdout, unwanted) {
+					t.Errorf("%q is in\n%s", unwanted, stdout)
+				}
+			}
+		})
+	}
+}
+
 func TestAgentStatus(t *testing.T) {
 	is := is.New(t)
 	address := serve(t, &operator.Server{AgentStatus: func() gooseberrymast.AgentStatus {
--- a/cmd/gooseberrymast/wait.go
+++ b/cmd/gooseberrymast/wait.go
@@ -67,7 +67,7 @@
 
 // look gives nil once the revision, or a later one, is in force everywhere.
 func (w waiter) look(ctx context.Context, revision gooseberrymast.Revision) error {
-	status, err := operator.Client{Address: w.address}.Status(ctx)
+	status, err := operator.Client{Address: w.address}.Status(ctx, gooseberrymast.StatusFilter{Summary: true})
 	if err != nil {
 		return err
 	}
--- a/status.go
+++ b/status.go
@@ -25,6 +25,8 @@
 	Services []ServiceStatus `json:"services"`
 	// Balancers lists the balancers by address.
 	Balancers []MemberStatus `json:"balancers"`
+	// BalancerCounts counts the balancers in a summary, which lists none.
+	BalancerCounts []MemberCount `json:"balancer-counts,omitempty"`
 	// Cells lists the cells by name.
 	Cells []CellStatus `json:"cells"`
 	// Violations counts the violated invariants of the balancer by name.
@@ -71,6 +73,8 @@
 	Tag ServiceTag `json:"tag"`
 	// Members are sorted by address.
 	Members []MemberStatus `json:"members"`
+	// Counts counts the agents in a summary, which lists none.
+	Counts []MemberCount `json:"counts,omitempty"`
 }
 
 // MemberStatus is one process as the status shows it.
--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -33,10 +33,22 @@
 	Address netip.AddrPort
 }
 
-// Status reads the status of a balancer.
-func (c Client) Status(ctx context.Context) (gooseberrymast.Status, error) {
+// Status reads the wanted part of a balancer's status. It fails with
+// ErrNotFound when the balancer knows no service of the filter's name.
+func (c Client) Status(ctx context.Context, filter gooseberrymast.StatusFilter) (gooseberrymast.Status, error) {
 	var status gooseberrymast.Status
-	if err := c.get(ctx, PathStatus, &status); err != nil {
+	query := url.Values{}
+	if filter.Service != "" {
+		query.Set(QueryService, filter.Service)
+	}
+	if filter.Summary {
+		query.Set(QuerySummary, "true")
+	}
+	path := PathStatus
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	if err := c.get(ctx, path, &status); err != nil {
 		return status, fmt.Errorf("Client.Status: %w", err)
 	}
 	return status, nil
--- a/transport/operator/operator_test.go
+++ b/transport/operator/operator_test.go
@@ -105,12 +105,26 @@
 		Revisions: []gooseberrymast.RevisionStatus{{Number: 2, Instances: 5}},
 	}
 	client := serve(t, &operator.Server{Status: func() gooseberrymast.Status { return want }})
-	status, err := client.Status(context.Background())
+	status, err := client.Status(context.Background(), gooseberrymast.StatusFilter{})
 	is.NoErr(err)
 	is.Equal(status, want)
 	_, text := get(t, client, operator.PathStatus)
 	is.True(strings.Contains(text, `"instance": "10.0.0.1:7000#3"`))
 
+	want.Services = []gooseberrymast.ServiceStatus{{Name: "ledger", Members: make([]gooseberrymast.MemberStatus, 1000)}, {Name: "receipts"}}
+	code, text := get(t, client, operator.PathStatus+"?service=receipts")
+	is.Equal(code, http.StatusOK)
+	is.True(!strings.Contains(text, "ledger"))
+	code, text = get(t, client, operator.PathStatus+"?summary=true")
+	is.Equal(code, http.StatusOK)
+	is.True(strings.Contains(text, `"count": 1000`))
+	is.True(len(text) < 2000)                     // less than two bytes for each process
+	is.Equal(len(want.Services[0].Members), 1000) // the status itself is not touched
+	code, _ = get(t, client, operator.PathStatus+"?service=loans")
+	is.Equal(code, http.StatusNotFound)
+	code, _ = get(t, client, operator.PathStatus+"?summary=yes")
+	is.Equal(code, http.StatusBadRequest)
+
 	agent := gooseberrymast.AgentStatus{Instance: identity, Service: "ledger", State: "leaving", Streams: 12}
 	client = serve(t, &operator.Server{AgentStatus: func() gooseberrymast.AgentStatus { return agent }})
 	got, err := client.AgentStatus(context.Background())
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,14 @@
 	PathRefusals = "/refusals/"
 )
 
+// The query of PathStatus at a balancer.
+const (
+	// QueryService names the one service that is wanted.
+	QueryService = "service"
+	// QuerySummary is "true" for counts in place of lists of processes.
+	QuerySummary = "summary"
+)
+
 // Finder finds the refusals that a process still keeps.
 type Finder interface {
 	// Find gives the refusal with the identifier, if it is still kept.
@@ -88,10 +97,10 @@
 	serveText(writer, http.StatusOK, "ready")
 }
 
-func (s *Server) serveStatus(writer http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveStatus(writer http.ResponseWriter, request *http.Request) {
 	switch {
 	case s.Status != nil:
-		serveJSON(writer, s.Status())
+		s.serveFiltered(writer, request)
 	case s.AgentStatus != nil:
 		serveJSON(writer, s.AgentStatus())
 	default:
@@ -99,6 +108,26 @@
 	}
 }
 
+// serveFiltered serves the part of a balancer's status that is asked for.
+func (s *Server) serveFiltered(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	filter := gooseberrymast.StatusFilter{Service: query.Get(QueryService)}
+	if text := query.Get(QuerySummary); text != "" {
+		summary, err := strconv.ParseBool(text)
+		if err != nil {
+			serveText(writer, http.StatusBadRequest, QuerySummary+": want true or false")
+			return
+		}
+		filter.Summary = summary
+	}
+	status, ok := s.Status().Filter(filter)
+	if !ok {
+		serveText(writer, http.StatusNotFound, "no service of this name is known here")
+		return
+	}
+	serveJSON(writer, status)
+}
+
 func (s *Server) serveRefusal(writer http.ResponseWriter, request *http.Request) {
 	id := request.PathValue("id")
 	if s.Refusals != nil {
