Expect cells-per-zone among the known keys

Cause: the test of unknown keys names the first known one, and cells-per-zone now comes before control-address. It failed since that key was added.

Change: the expected text names both, so it asks for more than before.

--- a/protocol/parser/parser_test.go
+++ b/protocol/parser/parser_test.go
@@ -94,7 +94,7 @@
 		`b.toml: operators-address: want an IP address and a port such as "10.0.0.1:7000"; it is missing`,
 		`b.toml:3: forward-address: got "balancer-1:7000", want an IP address and a port`,
 		`b.toml:5: seeds: got [10.0.0.2:7001 x], want a list of IP addresses`,
-		`b.toml:8: operator-address: got an unknown key, want one of control-address, `,
+		`b.toml:8: operator-address: got an unknown key, want one of cells-per-zone, control-address, `,
 	})
 	settings, err := parser.Agent("a.toml", []byte("weight = 7\nbackend = {protocol = \"h2c\"}\n"))
 	is.Equal(settings.Weight, 7)
