--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -66,6 +66,7 @@
 	pool       *linker.Pool
 	dispatcher *dispatcher.Dispatcher
 	driver     *driver.Driver
+	hander     *hander.Server
 	terminator *terminator.Terminator
 	controller *controller.Controller
 	poller     *poller.Poller
@@ -151,14 +152,14 @@
 		OnLoad:  a.heard,
 	}
 	a.evener.set(self, a.config.Seed, a.driver, func(n int) int { return a.terminator.Retire(n) })
-	server := &hander.Server{
+	a.hander = &hander.Server{
 		Self:    self,
 		Service: a.tag,
 		Local:   a.driver,
 		Timer:   a.config.Timer,
 		Metrics: hander.NewMetrics(a.Registry),
 	}
-	a.listener.Handle(linker.KindHandOver, server.Handle)
+	a.listener.Handle(linker.KindHandOver, a.hander.Handle)
 	a.terminator = &terminator.Terminator{
 		Transport: a.transport,
 		TLS:       &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: a.config.Certificate},
@@ -424,6 +425,9 @@
 		return fmt.Errorf("Agent.Shutdown %s: %w", a.Identity(), err)
 	}
 	a.controller.Leave(ctx)
+	if err := a.hander.Settle(ctx); err != nil {
+		return fmt.Errorf("Agent.Shutdown %s: %w", a.Identity(), err)
+	}
 	return nil
 }
 
