Send a revision as its change, whatever the document's size

Cause: the compressor's dictionary reaches back 32 KiB, so that above some 370 services a change of one limit was sent nearly whole (docs/CAPACITY.md): 7,637 B at 960 services, 71,511 B at 8,600. Change: the shared beginning and end go as two lengths, and only what lies between is compressed.

--- a/coordination/adopter/compress.go
+++ b/coordination/adopter/compress.go
@@ -3,31 +3,75 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
 	"gooseberrymast"
 )
 
-// compress writes the text as changes against a base, which may be empty.
+// errPacked means that a packed text names parts that its base doesn't have.
+var errPacked = errors.New("the packed text does not fit its base")
+
+// compress writes the text as a change against a base, which may be empty: the
+// lengths of the beginning and the end that both share, and what lies between,
+// compressed with the base's part as a dictionary. A compressor's dictionary
+// reaches back only 32 KiB, less than a large document.
 func compress(base, text []byte) []byte {
+	prefix := sharedPrefix(base, text)
+	suffix := sharedSuffix(base[prefix:], text[prefix:])
 	var packed bytes.Buffer
-	writer, err := flate.NewWriterDict(&packed, flate.BestCompression, base)
+	packed.Write(binary.AppendUvarint(nil, uint64(prefix)))
+	packed.Write(binary.AppendUvarint(nil, uint64(suffix)))
+	writer, err := flate.NewWriterDict(&packed, flate.BestCompression, base[prefix:len(base)-suffix])
 	if err != nil {
 		panic(fmt.Sprintf("adopter.compress: %v", err)) // The level is a valid constant.
 	}
 	// Writes to a buffer don't fail.
-	_, _ = writer.Write(text)
+	_, _ = writer.Write(text[prefix : len(text)-suffix])
 	_ = writer.Close()
 	return packed.Bytes()
 }
 
 // expand undoes compress. A text is no longer than an object in the store.
 func expand(base, packed []byte) ([]byte, error) {
-	reader := flate.NewReaderDict(bytes.NewReader(packed), base)
-	text, err := io.ReadAll(io.LimitReader(reader, gooseberrymast.MaxObjectBytes))
+	reader := bytes.NewReader(packed)
+	prefix, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return nil, fmt.Errorf("adopter.expand: %w", err)
+	}
+	suffix, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return nil, fmt.Errorf("adopter.expand: %w", err)
+	}
+	size := uint64(len(base))
+	if prefix > size || suffix > size-prefix {
+		return nil, fmt.Errorf("adopter.expand: %d and %d of %d bytes: %w", prefix, suffix, size, errPacked)
+	}
+	inflater := flate.NewReaderDict(reader, base[prefix:size-suffix])
+	middle, err := io.ReadAll(io.LimitReader(inflater, gooseberrymast.MaxObjectBytes))
 	if err != nil {
 		return nil, fmt.Errorf("adopter.expand: %w", err)
 	}
-	return text, nil
+	if prefix+suffix+uint64(len(middle)) > gooseberrymast.MaxObjectBytes {
+		return nil, fmt.Errorf("adopter.expand: more than %d bytes: %w", gooseberrymast.MaxObjectBytes, errPacked)
+	}
+	return bytes.Join([][]byte{base[:prefix], middle, base[size-suffix:]}, nil), nil
+}
+
+func sharedPrefix(a, b []byte) int {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+func sharedSuffix(a, b []byte) int {
+	n := 0
+	for n < min(len(a), len(b)) && a[len(a)-1-n] == b[len(b)-1-n] {
+		n++
+	}
+	return n
 }
