Write a frame's header and body at once

Cause: yamux writes a frame's header apart from its body, so that each control message made two TLS records and two segments: 60 B beside itself on the connection (docs/CAPACITY.md). Change: a connection below yamux holds the header of a frame with a body until the body comes. Conclusion: one record and one segment a message; nothing waits, as the body is yamux's next write.

--- a/transport/linker/session.go
+++ b/transport/linker/session.go
@@ -49,7 +49,7 @@
 		conn.Close()
 		return nil, fmt.Errorf("linker.Dial %s: handshake: %w", address, err)
 	}
-	mux, err := yamux.Client(secure, sessionConfig())
+	mux, err := yamux.Client(&joiner{Conn: secure}, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("linker.Dial %s: session: %w", address, err)
@@ -70,7 +70,7 @@
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return nil, fmt.Errorf("linker.accept %s: handshake: %w", peer, err)
 	}
-	mux, err := yamux.Server(secure, sessionConfig())
+	mux, err := yamux.Server(&joiner{Conn: secure}, sessionConfig())
 	if err != nil {
 		return nil, fmt.Errorf("linker.accept %s: session: %w", peer, err)
 	}
