Keep an agent's sessions until it has stopped

Cause: Agent.Run ended when the terminator did, which is the first step of a shutdown, and so cancelled the sessions: requests that peers had handed over broke with EOF (found by printing broken hand-overs with the times of drains). Ruled out: the order of the drain, the grace, the queue's clearing by Leave. Change: Run goes on until the sessions end too; a test asks an agent for its load after its flows have ended. The test fails without the change and passes with it.

--- a/assembler/agent_life.go
+++ b/assembler/agent_life.go
@@ -38,12 +38,19 @@
 		a.becomeReady()
 	}
 	a.poller.Start()
-	select {
-	case identity := <-a.raised:
-		return &RaisedError{Identity: identity}
-	case err := <-ended:
-		return err
+	// A shutdown ends the terminator first. The sessions go on until Close, for
+	// what peers handed over and for their questions.
+	for range cap(ended) {
+		select {
+		case identity := <-a.raised:
+			return &RaisedError{Identity: identity}
+		case err := <-ended:
+			if err != nil {
+				return err
+			}
+		}
 	}
+	return nil
 }
 
 // Ready gives nil while the agent takes new flows and otherwise says why not.
--- a/assembler/agent_test.go
+++ b/assembler/agent_test.go
@@ -10,6 +10,8 @@
 	"gooseberrymast"
 	"gooseberrymast/protocol/keyer"
 	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/hander"
+	"gooseberrymast/transport/linker"
 )
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
@@ -80,3 +82,32 @@
 	is.Equal(len(missing(all, all)), 0)
 	is.Equal(len(missing(all, nil)), 4)
 }
+
+// TestSessionsOutliveTheEndOfFlows asks an agent for its load after its flows
+// have ended, as peers do whose requests it still runs.
+func TestSessionsOutliveTheEndOfFlows(t *testing.T) {
+	const questions = 20
+	is := is.New(t)
+	a := newAgent(t)
+	ran := make(chan error, 1)
+	go func() { ran <- a.Run(t.Context()) }()
+	pool := &linker.Pool{Keys: linker.Fixed(a.config.Keys)}
+	defer pool.Close()
+	peer := &hander.Client{
+		Service: a.tag,
+		Pool:    pool,
+		Locate:  func(gooseberrymast.Identity) (netip.AddrPort, bool) { return a.Control(), true },
+	}
+	is.True(peer.Measure(t.Context(), a.Identity()))
+	is.NoErr(a.terminator.Shutdown(t.Context()))
+	for range questions {
+		is.True(peer.Measure(t.Context(), a.Identity())) // the agent still answers its peers
+	}
+	select {
+	case err := <-ran:
+		t.Fatalf("Run ended before Close: %v", err)
+	default:
+	}
+	is.NoErr(a.Close())
+	is.NoErr(<-ran)
+}
