Go on accepting sessions after a passing fault

Cause: the listener for sessions ended on any error of Accept, such as too many open files; its process would have been lost to its peers. The fabric's tests read without a deadline and hung when a packet was lost. Change: only a closed socket ends the listener, other faults are logged and tried again after 200 ms; the tests' reads end after a minute.

--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -14,10 +14,14 @@
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
+// hangGuard ends a read whose packet never comes; it is far above any run.
+const hangGuard = time.Minute
+
 func udp(t *testing.T) *net.UDPConn {
 	t.Helper()
 	conn, err := listen(loopback)
 	is.New(t).NoErr(err)
+	is.New(t).NoErr(conn.SetReadDeadline(time.Now().Add(hangGuard)))
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
--- a/transport/linker/listener.go
+++ b/transport/linker/listener.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 )
@@ -78,12 +79,33 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("Listener.Serve %s: %w", l.Address(), err)
+			// Too many open files, for one, passes. A process without
+			// sessions would be lost to its peers.
+			log.Warn().Err(err).Str("address", l.Address().String()).Msg("a session could not be accepted; trying again")
+			if !pause(ctx, acceptPause) {
+				return nil
+			}
+			continue
 		}
 		go l.serveConn(ctx, conn)
 	}
 }
 
+// acceptPause is the wait after a session could not be accepted.
+const acceptPause = 200 * time.Millisecond
+
+// pause waits and reports whether the context lasted.
+func pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (l *Listener) serveConn(ctx context.Context, conn net.Conn) {
 	session, err := accept(ctx, conn, l.keys)
 	if err != nil {
