Send no pings on sessions that have heartbeats

Change: the side that dials says by ALPN who watches over the session; control sessions leave it to heartbeats.

--- a/transport/controller/link.go
+++ b/transport/controller/link.go
@@ -41,7 +41,7 @@
 // dial connects to a control address and reports how that ended.
 func (c *Controller) dial(address netip.AddrPort) {
 	defer c.running.Done()
-	session, err := linker.Dial(c.ctx, address, c.config.Keys)
+	session, err := linker.DialHeartbeats(c.ctx, address, c.config.Keys)
 	var stream *linker.Stream
 	if err == nil {
 		stream, err = session.OpenStream(linker.KindControl)
--- a/transport/linker/linker.go
+++ b/transport/linker/linker.go
@@ -77,8 +77,19 @@
 	ErrTooLarge = errors.New("the message is too large")
 )
 
-func sessionConfig() *yamux.Config {
+// The application protocols of a TLS handshake (RFC 7301), by which the side
+// that dials says who watches over the session.
+const (
+	// protocolPings: both sides send yamux's pings.
+	protocolPings = "gooseberrymast-pings"
+	// protocolHeartbeats: the session's user sends heartbeats of its own, so
+	// that pings would say nothing more.
+	protocolHeartbeats = "gooseberrymast-heartbeats"
+)
+
+func sessionConfig(protocol string) *yamux.Config {
 	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = protocol != protocolHeartbeats
 	config.KeepAliveInterval = KeepAliveInterval
 	config.ConnectionWriteTimeout = WriteTimeout
 	config.StreamOpenTimeout = StreamOpenTimeout
--- a/transport/linker/linker_test.go
+++ b/transport/linker/linker_test.go
@@ -239,3 +239,22 @@
 		}
 	}
 }
+
+func TestWhoWatchesOverASession(t *testing.T) {
+	is := is.New(t)
+	is.True(sessionConfig(protocolPings).EnableKeepAlive)
+	is.True(!sessionConfig(protocolHeartbeats).EnableKeepAlive)
+	keys := keyer.Random()
+	listener := echo(t, keys)
+	session, err := DialHeartbeats(t.Context(), listener.Address(), Fixed(keys))
+	is.NoErr(err)
+	defer session.Close()
+	answer, err := roundTrip(session)
+	is.NoErr(err)
+	is.Equal(answer, byte(7)) // it carries streams like any other
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	for accepted := range listener.sessions {
+		is.Equal(accepted.protocol, protocolHeartbeats) // the other side sends no pings either
+	}
+}
--- a/transport/linker/session.go
+++ b/transport/linker/session.go
@@ -29,14 +29,27 @@
 	Peer netip.AddrPort
 
 	mux *yamux.Session
+	// protocol says who watches over the session.
+	protocol string
 }
 
 // Dial connects to the process that listens at the address.
 func Dial(ctx context.Context, address netip.AddrPort, keys KeySource) (*Session, error) {
+	return dialAs(ctx, address, keys, protocolPings)
+}
+
+// DialHeartbeats is Dial for a session whose user sends heartbeats of its own
+// and closes it when none come. The session has no pings.
+func DialHeartbeats(ctx context.Context, address netip.AddrPort, keys KeySource) (*Session, error) {
+	return dialAs(ctx, address, keys, protocolHeartbeats)
+}
+
+func dialAs(ctx context.Context, address netip.AddrPort, keys KeySource, protocol string) (*Session, error) {
 	config, err := tlsConfig(keys())
 	if err != nil {
 		return nil, fmt.Errorf("linker.Dial %s: keys: %w", address, err)
 	}
+	config.NextProtos = []string{protocol}
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
 	dialer := net.Dialer{Control: limitUnacknowledged}
@@ -49,12 +62,12 @@
 		conn.Close()
 		return nil, fmt.Errorf("linker.Dial %s: handshake: %w", address, err)
 	}
-	mux, err := yamux.Client(&joiner{Conn: secure}, sessionConfig())
+	mux, err := yamux.Client(&joiner{Conn: secure}, sessionConfig(protocol))
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("linker.Dial %s: session: %w", address, err)
 	}
-	return &Session{Peer: address, mux: mux}, nil
+	return &Session{Peer: address, mux: mux, protocol: protocol}, nil
 }
 
 // accept runs the server's side of a handshake.
@@ -64,17 +77,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("linker.accept %s: keys: %w", peer, err)
 	}
+	config.NextProtos = []string{protocolPings, protocolHeartbeats}
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
 	secure := tls.Server(conn, config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return nil, fmt.Errorf("linker.accept %s: handshake: %w", peer, err)
 	}
-	mux, err := yamux.Server(&joiner{Conn: secure}, sessionConfig())
+	protocol := secure.ConnectionState().NegotiatedProtocol
+	mux, err := yamux.Server(&joiner{Conn: secure}, sessionConfig(protocol))
 	if err != nil {
 		return nil, fmt.Errorf("linker.accept %s: session: %w", peer, err)
 	}
-	return &Session{Peer: peer, mux: mux}, nil
+	return &Session{Peer: peer, mux: mux, protocol: protocol}, nil
 }
 
 // OpenStream opens a stream of a kind.
