Say incarnation where comments spoke of lives

Cause: comments and names used a metaphor for what the glossary calls an incarnation. Conclusion: no behaviour changes.

--- a/assembler/incarnation.go
+++ b/assembler/incarnation.go
@@ -21,7 +21,7 @@
 	return gooseberrymast.Incarnation(max(now.Sub(incarnationEpoch)/incarnationUnit, 1))
 }
 
-// RaisedError means that an earlier life of the process had a higher
+// RaisedError means that an earlier process at the address had a higher
 // incarnation than the one it was started with. The process has served nothing
 // yet and is to be made again with Identity's incarnation.
 type RaisedError struct {
@@ -31,5 +31,5 @@
 
 // Error says what to do.
 func (r *RaisedError) Error() string {
-	return fmt.Sprintf("an earlier life of this address had a higher incarnation; start again as %s", r.Identity)
+	return fmt.Sprintf("an earlier process at this address had a higher incarnation; start again as %s", r.Identity)
 }
--- a/caller/flow.go
+++ b/caller/flow.go
@@ -104,7 +104,7 @@
 }
 
 // silentSince reports whether nothing came since a request was sent, although
-// an agent that lives acknowledges it within a round trip.
+// an agent that runs acknowledges it within a round trip.
 func (f *flow) silentSince(sent time.Time, received uint64) bool {
 	patience := max(minSilence, 4*f.conn.ConnectionStats().SmoothedRTT)
 	return f.received() == received && time.Since(sent) >= patience
--- a/caller/send.go
+++ b/caller/send.go
@@ -176,7 +176,7 @@
 	return nil, errNotSent
 }
 
-// errSilent means that a flow gave no sign of life after a request was sent.
+// errSilent means that a flow showed no activity after a request was sent.
 var errSilent = errors.New("nothing came on the flow since the request was sent")
 
 // sendOn sends a request on a flow and watches for the agent's acknowledgement.
@@ -228,7 +228,7 @@
 	return errors.As(err, &failure) && failure.ErrorCode == http3.ErrCodeRequestRejected
 }
 
-// wasReset reports whether the agent gave the request up while the flow lives.
+// wasReset reports whether the agent gave the request up while the flow goes on.
 // The agent has then done all that can be done for it.
 func wasReset(err error) bool {
 	var reset *quic.StreamError
--- a/coordination/announcer/announcer.go
+++ b/coordination/announcer/announcer.go
@@ -16,7 +16,7 @@
 	Entry directory.Entry
 }
 
-// Begin sets the record of a new life. A zero incarnation counts as one.
+// Begin sets the record of a new incarnation. A zero incarnation counts as one.
 func (a *Announcer) Begin(record gooseberrymast.Record) {
 	record.Identity.Incarnation = max(record.Identity.Incarnation, 1)
 	record.Sequence = 1
@@ -24,7 +24,7 @@
 	a.Entry = directory.Entry{Record: record}
 }
 
-// Move announces the next state of the process's life. It reports whether the
+// Move announces the next state of the process. It reports whether the
 // record changed; a state that was passed before is ignored.
 func (a *Announcer) Move(state gooseberrymast.State) bool {
 	if state <= a.Entry.Record.State {
@@ -53,7 +53,7 @@
 
 // Heard takes an entry of the process's own address that came from a peer. It
 // reports whether the own entry changed, and whether its identity did: an
-// entry that this life didn't write is an earlier life's, which the new one
+// entry that this incarnation didn't write is an earlier one's, which the new one
 // must rise above.
 func (a *Announcer) Heard(entry directory.Entry) (changed, reborn bool) {
 	own := a.Entry.Record
--- a/coordination/dispatcher/arrive.go
+++ b/coordination/dispatcher/arrive.go
@@ -102,7 +102,7 @@
 	return false
 }
 
-// askIssuer spends a ticket of another agent, unless that agent's life is over.
+// askIssuer spends a ticket of another agent, unless a later incarnation of it is known.
 func (d *Dispatcher) askIssuer(now time.Time, r *request) {
 	issuer := r.work.Ticket.Issuer
 	if issuer.Address == d.config.Self.Address || d.placer.Superseded(issuer) {
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -91,7 +91,7 @@
 	healthy bool
 	// now is the time of the latest event.
 	now time.Time
-	// refusals numbers the refusals of this life.
+	// refusals numbers the refusals of this incarnation.
 	refusals uint64
 	// stirred is set when an event without actions may let queued requests move.
 	stirred bool
--- a/coordination/dispatcher/refuse.go
+++ b/coordination/dispatcher/refuse.go
@@ -54,7 +54,7 @@
 	d.end(now, r)
 }
 
-// end closes a request's life.
+// end forgets a request.
 func (d *Dispatcher) end(now time.Time, r *request) {
 	asserter.Holds(r.stage != stageDone, "request-ends-once", "request %d ended twice", r.work.ID)
 	if !r.own {
--- a/coordination/dispatcher/request.go
+++ b/coordination/dispatcher/request.go
@@ -8,7 +8,7 @@
 	"gooseberrymast/coordination/estimator"
 )
 
-// stage is the state of one request's life.
+// stage is the state of one request.
 type stage uint8
 
 const (
@@ -28,7 +28,7 @@
 	stageDone
 )
 
-// request is one request and the stage of its life.
+// request is one request and its state.
 type request struct {
 	work  gooseberrymast.Work
 	stage stage
--- a/coordination/member/actions.go
+++ b/coordination/member/actions.go
@@ -85,7 +85,7 @@
 
 // Call is one call to the store.
 type Call struct {
-	// ID is unique in the member's life.
+	// ID is unique for the member.
 	ID   uint64
 	Call messenger.Call
 }
--- a/coordination/member/attach.go
+++ b/coordination/member/attach.go
@@ -125,7 +125,7 @@
 	if m.hasPeer() {
 		return candidates
 	}
-	// A balancer without any session may know no parent that lives.
+	// A balancer without any session may know no parent that runs.
 	candidates = append(candidates, controls(announcer.Registrars(m.self, m.Record.Zone, m.Directory.Balancers()))...)
 	return append(candidates, m.seeds()...)
 }
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -123,7 +123,7 @@
 	return m
 }
 
-// Start begins the member's life.
+// Start begins to announce the member.
 func (m *Member) Start(now time.Time) Actions {
 	m.started = now
 	m.nextProbe = now.Add(m.jitter(probeInterval))
@@ -177,7 +177,7 @@
 	return m.finish(now, false)
 }
 
-// Identity gives the own identity. Its incarnation rises when an earlier life
+// Identity gives the own identity. Its incarnation rises when an earlier incarnation
 // of the address is heard of.
 func (m *Member) Identity() gooseberrymast.Identity {
 	return m.announcer.Entry.Record.Identity
--- a/coordination/member/news.go
+++ b/coordination/member/news.go
@@ -81,8 +81,8 @@
 }
 
 // sendBack tells a peer of a newer record than it sent: a writer must rise above
-// its earlier life, and an agent may be the only one to whom a balancer that
-// died had passed a record on.
+// its earlier incarnation, and an agent may be the only one to whom a balancer that
+// failed had passed a record on.
 func (m *Member) sendBack(s *registrar.Session, key directory.Key) {
 	if key == s.Peer || !m.isBalancer() {
 		m.spreader.NoteKey(s.ID, key)
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -107,7 +107,7 @@
 	return one.State == gooseberrymast.StateLeaving || one.load.Leaving
 }
 
-// Superseded reports whether a later life of the agent's address is known.
+// Superseded reports whether a later incarnation of the agent is known.
 func (p *Placer) Superseded(identity gooseberrymast.Identity) bool {
 	one := p.byAddress[identity.Address]
 	return one != nil && one.Identity.Incarnation > identity.Incarnation
--- a/coordination/ticketer/ticketer.go
+++ b/coordination/ticketer/ticketer.go
@@ -32,7 +32,7 @@
 
 // The statuses of a ticket.
 const (
-	// StatusForeign: another agent, or an earlier life of this one, issued it.
+	// StatusForeign: another agent, or an earlier incarnation of this one, issued it.
 	StatusForeign Status = iota
 	// StatusNever: no such ticket was issued.
 	StatusNever
--- a/identity.go
+++ b/identity.go
@@ -24,11 +24,11 @@
 	return tag
 }
 
-// Incarnation counts the lives of one address: a restarted process takes a
+// Incarnation tells the processes at one address apart: a restarted one takes a
 // higher one than the process that held the address before. Zero is unset.
 type Incarnation uint32
 
-// Identity names one life of one process.
+// Identity names one incarnation of the process at one address.
 type Identity struct {
 	// Address is the IPv4 address and UDP port that receives forwarded packets.
 	Address netip.AddrPort
--- a/record.go
+++ b/record.go
@@ -25,7 +25,7 @@
 	return "unknown"
 }
 
-// State is the stage of a process's life that its record announces.
+// State is the stage of a process that its record announces.
 type State uint8
 
 // The states of a record, in the order in which a process passes them.
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -86,7 +86,7 @@
 	if !fresh.newer(known) {
 		return false
 	}
-	d.checkLife(known, fresh)
+	d.checkOrder(known, fresh)
 	d.remove(known)
 	d.insert(now, fresh)
 	return true
@@ -173,8 +173,8 @@
 	return true
 }
 
-// checkLife asserts that a process doesn't move back in its life.
-func (d *Directory) checkLife(known, fresh packed) {
+// checkOrder asserts that a process doesn't move back in its states.
+func (d *Directory) checkOrder(known, fresh packed) {
 	if known.incarnation != fresh.incarnation {
 		return
 	}
--- a/state/recorder/identifier.go
+++ b/state/recorder/identifier.go
@@ -11,7 +11,7 @@
 // which are easily misread.
 var identifiers = base32.NewEncoding("0123456789abcdefghjkmnpqrstvwxyz").WithPadding(base32.NoPadding)
 
-// Identifier names the n-th refusal of one life of one agent, uniquely in the
+// Identifier names the n-th refusal of one incarnation of one agent, uniquely in the
 // fleet.
 func Identifier(agent gooseberrymast.Identity, n uint64) string {
 	address := agent.Address.Addr().As4()
--- a/transport/controller/controller.go
+++ b/transport/controller/controller.go
@@ -72,7 +72,7 @@
 	// balancers that it has sessions with, each time that they change.
 	OnBalancers func(addresses []netip.AddrPort)
 	// OnIdentity is called when the own incarnation had to rise above that
-	// of an earlier life, which happens before the process is ready.
+	// of an earlier incarnation, which happens before the process is ready.
 	OnIdentity func(identity gooseberrymast.Identity)
 }
 
--- a/transport/hander/server.go
+++ b/transport/hander/server.go
@@ -91,7 +91,7 @@
 func (s *Server) ask(ask *handover.Ask) *handover.Asked {
 	target, err := encoder.ParseIdentity(ask.GetTarget())
 	if err != nil || target != s.Self {
-		return &handover.Asked{} // An earlier life at this address may have run it.
+		return &handover.Asked{} // An earlier incarnation may have run it.
 	}
 	asker, err := encoder.ParseIdentity(ask.GetOrigin())
 	if err != nil {
--- a/trier/balance.go
+++ b/trier/balance.go
@@ -57,7 +57,7 @@
 	defer f.mu.Unlock()
 	open := map[string][]int{}
 	for _, s := range f.servers {
-		if s.leaving || (s.lives > 1 && time.Since(s.readyAt) < warmAfter) {
+		if s.leaving || (s.starts > 1 && time.Since(s.readyAt) < warmAfter) {
 			continue
 		}
 		_, streams := s.backend.InProgress()
--- a/trier/change.go
+++ b/trier/change.go
@@ -32,7 +32,7 @@
 	}
 	next, err := assembler.NewBalancer(assembler.BalancerConfig{
 		Settings:    settings,
-		Incarnation: f.nextLife(),
+		Incarnation: f.nextIncarnation(),
 		Keys:        f.keys,
 		Store:       f.platform,
 		Timer:       timer.System{},
--- a/trier/fleet.go
+++ b/trier/fleet.go
@@ -37,7 +37,7 @@
 	zone    string
 	backend *backend.Backend
 	agent   *assembler.Agent
-	lives   int
+	starts  int
 	// readyAt is when the agent was started.
 	readyAt time.Time
 	leaving bool
@@ -58,7 +58,7 @@
 	mu        sync.Mutex
 	servers   []*server
 	balancers []*assembler.Balancer
-	lives     gooseberrymast.Incarnation
+	last      gooseberrymast.Incarnation
 	// leavingWork counts what servers began after the grace of their drain.
 	leavingWork atomic.Int64
 	// retired holds the stand-ins of servers that were replaced.
@@ -205,8 +205,8 @@
 
 // startServer starts a stand-in backend server and the agent beside it.
 func (f *fleet) startServer(ctx context.Context, s *server) error {
-	s.lives++
-	s.backend = &backend.Backend{Name: fmt.Sprintf("%s.%d", s.name, s.lives), Slots: s.service.Slots, Work: f.plan.Work, Push: f.plan.StreamPeriod}
+	s.starts++
+	s.backend = &backend.Backend{Name: fmt.Sprintf("%s.%d", s.name, s.starts), Slots: s.service.Slots, Work: f.plan.Work, Push: f.plan.StreamPeriod}
 	address, err := s.backend.Start(anyPort)
 	if err != nil {
 		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
@@ -225,7 +225,7 @@
 	settings.Defaults()
 	agent, err := assembler.NewAgent(assembler.AgentConfig{
 		Settings:    settings,
-		Incarnation: f.nextLife(),
+		Incarnation: f.nextIncarnation(),
 		Keys:        f.keys,
 		Certificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &f.tls.certificate, nil },
 		Timer:       timer.System{},
@@ -247,11 +247,11 @@
 	return nil
 }
 
-func (f *fleet) nextLife() gooseberrymast.Incarnation {
+func (f *fleet) nextIncarnation() gooseberrymast.Incarnation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lives++
-	return f.lives
+	f.last++
+	return f.last
 }
 
 // seeds lists the control addresses of the balancers that run.
--- a/trier/scenario.go
+++ b/trier/scenario.go
@@ -154,8 +154,8 @@
 		}},
 		{"a healthy backend server says that it is ill", func() error { f.first(0).backend.SetHealthy(false); return nil }},
 		{"a backend server fails every request", func() error { f.serversOf(f.firstService())[1].backend.SetMode(backend.ModeFail); return nil }},
-		{"a balancer dies", func() error { return f.killBalancer(ctx, 0) }},
-		{"an instance of each service dies", func() error { return t.killOfEach(ctx) }},
+		{"a balancer is killed", func() error { return f.killBalancer(ctx, 0) }},
+		{"an instance of each service is killed", func() error { return t.killOfEach(ctx) }},
 	}
 	for i, fault := range faults {
 		if !sleepUntil(ctx, t.begun.Add(step*time.Duration(i+1))) {
--- a/work.go
+++ b/work.go
@@ -10,7 +10,7 @@
 
 // Work is what the deciding code knows of one request.
 type Work struct {
-	// ID is unique in the life of the agent that decides.
+	// ID is unique in the incarnation of the agent that decides.
 	ID WorkID
 	// Origin is the agent that holds the caller's flow. It equals the
 	// deciding agent's identity unless the request was handed over.
