Take a socket for each processor when the settings say so, and roll at a crest

Cause: shards = 0 means as many as processors by the page of settings, but one was taken; no scenario rolled over everything while demand was at its crest. Change: the assembler works the number out; the scenario crest-restart joins the two. Conclusion: found by reading the settings' page against the code.

--- a/assembler/balancer.go
+++ b/assembler/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"slices"
 	"sort"
 	"sync/atomic"
@@ -64,7 +65,7 @@
 		Zone:     config.Settings.Zone,
 		Keys:     config.Keys,
 		Timer:    config.Timer,
-		Shards:   config.Settings.Shards,
+		Shards:   shardsOf(config.Settings),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("assembler.NewBalancer: %w", err)
@@ -78,6 +79,15 @@
 	return b, b.register()
 }
 
+// shardsOf gives the number of sockets for each address: the one in the
+// settings, or one for each processor.
+func shardsOf(settings gooseberrymast.BalancerSettings) int {
+	if settings.Shards > 0 {
+		return settings.Shards
+	}
+	return min(runtime.GOMAXPROCS(0), gooseberrymast.MaxShards)
+}
+
 // join makes the balancer's part in its environment.
 func (b *Balancer) join() {
 	b.controller = controller.New(b.membership())
--- a/assembler/balancer_test.go
+++ b/assembler/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -22,3 +23,9 @@
 	defer func() { _ = b.Close() }()
 	is.Equal(b.membership().CellsPerZone, 3)
 }
+
+func TestShards(t *testing.T) {
+	is := is.New(t)
+	is.Equal(shardsOf(gooseberrymast.BalancerSettings{Shards: 3}), 3)
+	is.Equal(shardsOf(gooseberrymast.BalancerSettings{}), min(runtime.GOMAXPROCS(0), gooseberrymast.MaxShards))
+}
--- a/trier/scenario.go
+++ b/trier/scenario.go
@@ -29,6 +29,7 @@
 		{"drain", steady, drainAll},
 		{"steady", steady, doNothing},
 		{"crest", crest, doNothing},
+		{"crest-restart", crest, restartAll},
 		{"stragglers", stragglers, doNothing},
 		{"no-stragglers", noStragglers, doNothing},
 		{"faults", steady, causeFaults},
--- a/trier/traffic.go
+++ b/trier/traffic.go
@@ -1,6 +1,9 @@
 package trier
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // The shape of the crest, as shares of the trial's length.
 const (
@@ -43,7 +46,7 @@
 // crestShare is the share of what the slots could serve between the end of the
 // rise and the begin of the fall that was answered within its deadline.
 func (t *trial) crestShare() float64 {
-	if t.options.Scenario != "crest" {
+	if !strings.HasPrefix(t.options.Scenario, "crest") {
 		return 0
 	}
 	begin, end := crestTimes(t.options)
