--- /dev/null
+++ b/trier/deployment.go
@@ -0,0 +1,70 @@
+// Package trier runs the whole system on loopback in one process, under
+// traffic and changes, and reports what the stand-in backend servers saw.
+package trier
+
+import (
+	"fmt"
+	"time"
+)
+
+// Deployment is the size of one user's environment.
+type Deployment struct {
+	// Name is the kebab-case name on the command line.
+	Name string
+	// Zones lists the availability zones.
+	Zones []string
+	// Services lists the services; backend servers are spread over the zones in turn.
+	Services []DeployedService
+	// ZoneDelay is the one-way delay between two availability zones.
+	ZoneDelay time.Duration
+	// CallerDelay is the one-way delay between a caller and a balancer.
+	CallerDelay time.Duration
+}
+
+// DeployedService is one service of a deployment.
+type DeployedService struct {
+	// Name is the service's name in the document.
+	Name string
+	// Servers is the number of backend servers.
+	Servers int
+	// Slots is the number of requests that a backend server runs at once.
+	Slots int
+	// StreamPath is the path of the service's streams.
+	StreamPath string
+	// WorkPath is the path of its short requests.
+	WorkPath string
+}
+
+// The deployments of today.
+var (
+	Nilebridge = Deployment{
+		Name:  "nilebridge",
+		Zones: []string{"cairo-a", "cairo-b", "cairo-c"},
+		Services: []DeployedService{
+			{Name: "ledger", Servers: 7, Slots: 4, StreamPath: "/stream/screen", WorkPath: "/work/reserve"},
+			{Name: "receipts", Servers: 3, Slots: 4, StreamPath: "/stream/print", WorkPath: "/work/slip"},
+		},
+		ZoneDelay:   4 * time.Millisecond,
+		CallerDelay: time.Millisecond,
+	}
+	Magnolia = Deployment{
+		Name:  "magnolia",
+		Zones: []string{"dixie-a", "dixie-b", "dixie-c", "dixie-d"},
+		Services: []DeployedService{
+			{Name: "letter-desk", Servers: 7, Slots: 5, StreamPath: "/stream/feed", WorkPath: "/work/claim"},
+			{Name: "keepsake-press", Servers: 4, Slots: 5, StreamPath: "/stream/press", WorkPath: "/work/certificate"},
+		},
+		ZoneDelay:   4 * time.Millisecond,
+		CallerDelay: time.Millisecond,
+	}
+)
+
+// DeploymentByName finds a deployment.
+func DeploymentByName(name string) (Deployment, error) {
+	for _, d := range []Deployment{Nilebridge, Magnolia} {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, fmt.Errorf("DeploymentByName: %q is neither nilebridge nor magnolia", name)
+}
--- /dev/null
+++ b/trier/report.go
@@ -0,0 +1,147 @@
+package trier
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Report is the outcome of one run. The counts of what ran come from the
+// stand-in backend servers, those of answers from the callers.
+type Report struct {
+	Deployment string `json:"deployment"`
+	Scenario   string `json:"scenario"`
+	Policy     string `json:"policy"`
+	Seed       uint64 `json:"seed"`
+
+	FlowsOpened         int64 `json:"flows-opened"`
+	FlowsBroken         int64 `json:"flows-broken"`
+	PacketsMisdelivered int64 `json:"packets-misdelivered"`
+	StreamsOpened       int64 `json:"streams-opened"`
+	StreamsCut          int64 `json:"streams-cut"`
+	StreamsRefused      int64 `json:"streams-refused"`
+	RequestsSent        int64 `json:"requests-sent"`
+	AnswersWhole        int64 `json:"answers-whole"`
+	AnswersWrong        int64 `json:"answers-wrong"`
+	AnswersLate         int64 `json:"answers-late"`
+	RequestsCut         int64 `json:"requests-cut"`
+	Refusals            int64 `json:"refusals"`
+	RefusalsUntrue      int64 `json:"refusals-untrue"`
+	RunTwice            int64 `json:"run-twice"`
+	// LeavingWork counts requests that a backend server began after the
+	// grace of its drain.
+	LeavingWork int64 `json:"leaving-work"`
+
+	// Imbalance is the largest over the mean number of open flows of the
+	// service whose ratio is highest.
+	Imbalance float64 `json:"imbalance"`
+	// CrestShare is the share of what the slots could serve at the crest
+	// that was answered within its deadline; zero outside the crest scenario.
+	CrestShare float64 `json:"crest-share"`
+
+	P50Milliseconds float64 `json:"p50-ms"`
+	P99Milliseconds float64 `json:"p99-ms"`
+	// ShortP99Milliseconds leaves out the requests that are long by design.
+	ShortP99Milliseconds float64 `json:"short-p99-ms"`
+
+	BalancersReplaced int64   `json:"balancers-replaced"`
+	ServersDrained    int64   `json:"servers-drained"`
+	ServersKilled     int64   `json:"servers-killed"`
+	Seconds           float64 `json:"seconds"`
+
+	// RefusalReasons counts the refusals that callers got by reason.
+	RefusalReasons map[string]int64 `json:"refusal-reasons"`
+	// Violations counts the invariants that broke inside the program.
+	Violations map[string]uint64 `json:"violations"`
+}
+
+// Broken lists the invariants that the run broke, each in one line.
+func (r *Report) Broken() []string {
+	var broken []string
+	checks := []struct {
+		name  string
+		count int64
+	}{
+		{"packets-misdelivered", r.PacketsMisdelivered},
+		{"answers-wrong", r.AnswersWrong},
+		{"refusals-untrue", r.RefusalsUntrue},
+		{"run-twice", r.RunTwice},
+	}
+	if r.ServersKilled == 0 {
+		checks = append(checks, []struct {
+			name  string
+			count int64
+		}{
+			{"flows-broken", r.FlowsBroken},
+			{"streams-cut", r.StreamsCut},
+			{"requests-cut", r.RequestsCut},
+			{"leaving-work", r.LeavingWork},
+		}...)
+	}
+	for _, check := range checks {
+		if check.count > 0 {
+			broken = append(broken, fmt.Sprintf("%s is %d, want 0", check.name, check.count))
+		}
+	}
+	for name, n := range r.Violations {
+		broken = append(broken, fmt.Sprintf("invariant %s was violated %d times", name, n))
+	}
+	return broken
+}
+
+// WriteJSON writes the report as one JSON object on one line.
+func (r *Report) WriteJSON(out io.Writer) error {
+	line, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("Report.WriteJSON: %w", err)
+	}
+	_, err = fmt.Fprintf(out, "%s\n", line)
+	return err
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"deployment", r.Deployment},
+		{"scenario", r.Scenario},
+		{"policy", r.Policy},
+		{"seed", r.Seed},
+		{"flows opened", r.FlowsOpened},
+		{"flows broken", r.FlowsBroken},
+		{"packets misdelivered", r.PacketsMisdelivered},
+		{"streams opened", r.StreamsOpened},
+		{"streams cut", r.StreamsCut},
+		{"streams refused", r.StreamsRefused},
+		{"requests sent", r.RequestsSent},
+		{"answers whole", r.AnswersWhole},
+		{"answers wrong", r.AnswersWrong},
+		{"requests cut", r.RequestsCut},
+		{"refusals", r.Refusals},
+		{"refusals untrue", r.RefusalsUntrue},
+		{"run twice", r.RunTwice},
+		{"work after grace", r.LeavingWork},
+		{"imbalance", fmt.Sprintf("%.2f", r.Imbalance)},
+		{"p50", fmt.Sprintf("%.1f ms", r.P50Milliseconds)},
+		{"p99", fmt.Sprintf("%.1f ms", r.P99Milliseconds)},
+		{"p99 of short requests", fmt.Sprintf("%.1f ms", r.ShortP99Milliseconds)},
+		{"balancers replaced", r.BalancersReplaced},
+		{"backend servers drained", r.ServersDrained},
+		{"backend servers killed", r.ServersKilled},
+		{"seconds", fmt.Sprintf("%.1f", r.Seconds)},
+	}
+	for _, row := range rows {
+		fmt.Fprintf(table, "%s\t%v\n", row.name, row.value)
+	}
+	if r.CrestShare > 0 {
+		fmt.Fprintf(table, "%s\t%.2f\n", "served at the crest", r.CrestShare)
+	}
+	for reason, n := range r.RefusalReasons {
+		fmt.Fprintf(table, "refused: %s\t%d\n", reason, n)
+	}
+	return table.Flush()
+}
