--- a/trier/deployment.go
+++ b/trier/deployment.go
@@ -29,9 +29,7 @@
 	Servers int
 	// Slots is the number of requests that a backend server runs at once.
 	Slots int
-	// StreamPath is the path of the service's streams.
-	StreamPath string
-	// WorkPath is the path of its short requests.
+	// WorkPath is the path of the service's short requests.
 	WorkPath string
 }
 
@@ -41,8 +39,8 @@
 		Name:  "nilebridge",
 		Zones: []string{"cairo-a", "cairo-b", "cairo-c"},
 		Services: []DeployedService{
-			{Name: "ledger", Servers: 7, Slots: 4, StreamPath: "/stream/screen", WorkPath: "/work/reserve"},
-			{Name: "receipts", Servers: 3, Slots: 4, StreamPath: "/stream/print", WorkPath: "/work/slip"},
+			{Name: "ledger", Servers: 7, Slots: 4, WorkPath: "/work/reserve"},
+			{Name: "receipts", Servers: 3, Slots: 4, WorkPath: "/work/slip"},
 		},
 		ZoneDelay:   4 * time.Millisecond,
 		CallerDelay: time.Millisecond,
@@ -51,8 +49,8 @@
 		Name:  "magnolia",
 		Zones: []string{"dixie-a", "dixie-b", "dixie-c", "dixie-d"},
 		Services: []DeployedService{
-			{Name: "letter-desk", Servers: 7, Slots: 5, StreamPath: "/stream/feed", WorkPath: "/work/claim"},
-			{Name: "keepsake-press", Servers: 4, Slots: 5, StreamPath: "/stream/press", WorkPath: "/work/certificate"},
+			{Name: "letter-desk", Servers: 7, Slots: 5, WorkPath: "/work/claim"},
+			{Name: "keepsake-press", Servers: 4, Slots: 5, WorkPath: "/work/certificate"},
 		},
 		ZoneDelay:   4 * time.Millisecond,
 		CallerDelay: time.Millisecond,
--- /dev/null
+++ b/trier/load.go
@@ -0,0 +1,129 @@
+package trier
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// flow is one caller with one open flow to a service.
+type flow struct {
+	service DeployedService
+	name    string
+	client  flowClient
+}
+
+// flowClient is the caller's HTTP client.
+type flowClient interface {
+	Do(request *http.Request) (*http.Response, error)
+	Close() error
+}
+
+// load sends the plan's traffic over the flows of every service.
+type load struct {
+	plan  Plan
+	seed  uint64
+	tally *tally
+	flows map[string][]*flow
+	// requests and streams end by themselves within their deadlines.
+	requests sync.WaitGroup
+	streams  sync.WaitGroup
+}
+
+// run sends traffic until the context ends, then waits for what is under way.
+func (l *load) run(ctx context.Context, services []DeployedService) {
+	var senders sync.WaitGroup
+	for i, service := range services {
+		rng := rand.New(rand.NewPCG(l.seed, uint64(i)))
+		senders.Go(func() { l.sendRequests(ctx, service, rng) })
+		for _, f := range l.flows[service.Name] {
+			l.streams.Go(func() { l.keepStream(ctx, f) })
+		}
+	}
+	senders.Wait()
+	l.requests.Wait()
+	l.streams.Wait()
+}
+
+// sendRequests sends requests to one service with exponential gaps.
+func (l *load) sendRequests(ctx context.Context, service DeployedService, rng *rand.Rand) {
+	begun := time.Now()
+	next := begun
+	flows := l.flows[service.Name]
+	for n := 0; ; n++ {
+		rate := l.plan.rate(service, time.Since(begun))
+		next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		if !sleepUntil(ctx, next) {
+			return
+		}
+		f := flows[rng.IntN(len(flows))]
+		spec := l.specOf(service, n, rng)
+		l.requests.Go(func() { l.tally.add(send(f, spec)) })
+	}
+}
+
+func (l *load) specOf(service DeployedService, n int, rng *rand.Rand) requestSpec {
+	long := l.plan.LongEvery > 0 && rng.IntN(l.plan.LongEvery) == 0
+	work := l.plan.Work
+	path := service.WorkPath
+	if long {
+		work *= time.Duration(l.plan.LongFactor)
+		path = longPath
+	}
+	return requestSpec{
+		id:         fmt.Sprintf("%s/%d/%d", service.Name, l.seed, n),
+		service:    service.Name,
+		path:       path,
+		long:       long,
+		idempotent: rng.IntN(2) == 0,
+		work:       work,
+		deadline:   l.plan.deadline(long),
+		body:       randomBody(rng),
+	}
+}
+
+// keepStream holds a stream open on one flow, and opens the next when it ends.
+func (l *load) keepStream(ctx context.Context, f *flow) {
+	for n := 0; ctx.Err() == nil; n++ {
+		l.tally.count(&l.tally.streamsOpened)
+		id := fmt.Sprintf("%s/%d", f.name, n)
+		ended := readStream(f, id, l.plan.StreamLines)
+		switch ended.told {
+		case toldWhole:
+			continue
+		case toldNotRun, toldUnknown:
+			l.tally.count(&l.tally.streamsRefused)
+		default:
+			l.tally.count(&l.tally.streamsCut)
+			l.tally.note(ended.fault)
+		}
+		if !sleepUntil(ctx, time.Now().Add(l.plan.StreamPeriod)) {
+			return
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// maxBodyBytes bounds the bodies of the requests.
+const maxBodyBytes = 2 << 10
+
+func randomBody(rng *rand.Rand) []byte {
+	body := make([]byte, rng.IntN(maxBodyBytes))
+	for i := range body {
+		body[i] = byte(rng.Uint32())
+	}
+	return body
+}
