--- a/assembler/agent.go
+++ b/assembler/agent.go
@@ -352,6 +352,15 @@
 	return err
 }
 
+// Kill closes the sockets without a word to callers or peers, as a crash does.
+func (a *Agent) Kill() {
+	a.poller.Stop()
+	a.receiver.Close()
+	a.pool.Close()
+	a.listener.Close()
+	a.controller.Close()
+}
+
 func (a *Agent) closeSockets() {
 	var errs []error
 	if a.transport != nil {
--- a/transport/receiver/end_to_end_test.go
+++ b/transport/receiver/end_to_end_test.go
@@ -230,7 +230,7 @@
 func TestPushSurvivesADeadBalancer(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, 1, 3, nil)
-	conn := b.dialWith(nil) // the caller sends nothing unless it has to
+	conn := b.dialWith(nil)         // the caller sends nothing unless it has to
 	echo(t, conn, 30, func(int) {}) // all three balancers have delivered by now
 	stream, err := conn.OpenStream()
 	is.NoErr(err)
--- a/trier/fleet.go
+++ b/trier/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -38,8 +39,10 @@
 	zone    string
 	backend *backend.Backend
 	agent   *assembler.Agent
-	// leftAt is when the drain began, and unset before.
-	leftAt time.Time
+	lives   int
+	// readyAt is when the agent was started.
+	readyAt time.Time
+	leaving bool
 }
 
 // fleet is a whole system on loopback.
@@ -58,6 +61,8 @@
 	servers   []*server
 	balancers []*assembler.Balancer
 	lives     gooseberrymast.Incarnation
+	// leavingWork counts what servers began after the grace of their drain.
+	leavingWork atomic.Int64
 	// retired holds the stand-ins of servers that were replaced.
 	retired []*backend.Backend
 }
@@ -190,7 +195,8 @@
 
 // startServer starts a stand-in backend server and the agent beside it.
 func (f *fleet) startServer(ctx context.Context, s *server) error {
-	s.backend = &backend.Backend{Name: s.name, Slots: s.service.Slots, Work: f.plan.Work, Push: f.plan.StreamPeriod}
+	s.lives++
+	s.backend = &backend.Backend{Name: fmt.Sprintf("%s.%d", s.name, s.lives), Slots: s.service.Slots, Work: f.plan.Work, Push: f.plan.StreamPeriod}
 	address, err := s.backend.Start(anyPort)
 	if err != nil {
 		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
@@ -220,7 +226,9 @@
 		return fmt.Errorf("fleet.startServer %s: %w", s.name, err)
 	}
 	s.agent = agent
-	s.leftAt = time.Time{}
+	f.mu.Lock()
+	s.readyAt, s.leaving = time.Now(), false
+	f.mu.Unlock()
 	go func() {
 		if err := agent.Run(ctx); err != nil && ctx.Err() == nil {
 			log.Error().Err(err).Str("agent", s.name).Msg("the agent stopped")
@@ -281,6 +289,18 @@
 	return before.Close()
 }
 
+// killBalancer ends a balancer without a word and starts another in its place.
+func (f *fleet) killBalancer(ctx context.Context, i int) error {
+	f.mu.Lock()
+	dead := f.balancers[i]
+	f.balancers[i] = nil
+	f.mu.Unlock()
+	if err := dead.Close(); err != nil {
+		return fmt.Errorf("fleet.killBalancer %d: %w", i, err)
+	}
+	return f.replaceBalancer(ctx, i)
+}
+
 // seeds lists the control addresses of the balancers that run.
 func (f *fleet) seeds() []netip.AddrPort {
 	f.mu.Lock()
@@ -303,15 +323,26 @@
 	return place
 }
 
+// leavingGrace is the time after which a leaving backend server may begin
+// nothing: the default grace of a document.
+const leavingGrace = gooseberrymast.DefaultDrainGrace
+
 // drain makes a backend server leave, waits for what is in progress, and puts
 // a new one in its place.
 func (f *fleet) drain(ctx context.Context, s *server) error {
 	f.mu.Lock()
-	s.leftAt = time.Now()
+	s.leaving = true
 	f.mu.Unlock()
+	var atGrace atomic.Int64
+	atGrace.Store(-1)
+	grace := time.AfterFunc(leavingGrace, func() { atGrace.Store(runsOf(s.backend)) })
+	defer grace.Stop()
 	if err := s.agent.Shutdown(ctx); err != nil {
 		return fmt.Errorf("fleet.drain: %w", err)
 	}
+	if began := atGrace.Load(); began >= 0 {
+		f.leavingWork.Add(runsOf(s.backend) - began)
+	}
 	f.retire(s)
 	if err := s.agent.Close(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("fleet.drain %s: %w", s.name, err)
@@ -322,6 +353,20 @@
 	return f.startServer(ctx, s)
 }
 
+// kill ends an instance as a crash does, the agent and its backend server at
+// once, and gives the number of requests and streams that were in progress.
+func (f *fleet) kill(s *server) int64 {
+	f.retire(s)
+	lost := int64(s.agent.Driver().InProgress())
+	f.mu.Lock()
+	s.leaving = true
+	f.mu.Unlock()
+	s.agent.Kill()
+	s.backend.Close()
+	return lost
+}
+
+// retire keeps the counts of a stand-in whose server is replaced.
 func (f *fleet) retire(s *server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/trier/load.go
+++ b/trier/load.go
@@ -19,6 +19,8 @@
 // flowClient is the caller's HTTP client.
 type flowClient interface {
 	Do(request *http.Request) (*http.Response, error)
+	// CloseIdle ends the flow if nothing is in progress on it.
+	CloseIdle()
 	Close() error
 }
 
@@ -91,6 +93,9 @@
 		l.tally.count(&l.tally.streamsOpened)
 		id := fmt.Sprintf("%s/%d", f.name, n)
 		ended := readStream(f, id, l.plan.StreamLines)
+		if l.plan.StreamsPerFlow > 0 && (n+1)%l.plan.StreamsPerFlow == 0 {
+			f.client.CloseIdle()
+		}
 		switch ended.told {
 		case toldWhole:
 			continue
--- a/trier/plan.go
+++ b/trier/plan.go
@@ -22,10 +22,16 @@
 	StreamLines int
 	// StreamPeriod is the time between two lines.
 	StreamPeriod time.Duration
+	// StreamsPerFlow is the number of streams after which a caller closes its
+	// flow and opens another; zero keeps flows for the whole trial.
+	StreamsPerFlow int
+	// RateWork stands in for the mean service time where the rate is worked
+	// out, so that two plans can send short requests at one rate.
+	RateWork time.Duration
 }
 
 // steady is the plan that the scenarios start from.
-func steady() Plan {
+func steady(Options) Plan {
 	return Plan{
 		FlowsPerServer: 20,
 		Utilization:    func(time.Duration) float64 { return 0.4 },
@@ -40,8 +46,20 @@
 
 // rate gives the requests a second for a service at a time.
 func (p Plan) rate(service DeployedService, elapsed time.Duration) float64 {
-	capacity := float64(service.Servers*service.Slots) / p.meanWork().Seconds()
-	return capacity * p.Utilization(elapsed)
+	work := p.RateWork
+	if work == 0 {
+		work = p.meanWork()
+	}
+	return float64(service.Servers*service.Slots) / work.Seconds() * p.Utilization(elapsed)
+}
+
+// capacity is the number of requests a second that all slots could serve.
+func (p Plan) capacity(deployment Deployment) float64 {
+	slots := 0
+	for _, service := range deployment.Services {
+		slots += service.Servers * service.Slots
+	}
+	return float64(slots) / p.meanWork().Seconds()
 }
 
 // meanWork is the mean service time with the long requests.
--- a/trier/report.go
+++ b/trier/report.go
@@ -15,20 +15,24 @@
 	Policy     string `json:"policy"`
 	Seed       uint64 `json:"seed"`
 
-	FlowsOpened         int64 `json:"flows-opened"`
+	FlowsOpened int64 `json:"flows-opened"`
+	// FlowsBroken counts the flows whose stream was cut though their own
+	// instance lived.
 	FlowsBroken         int64 `json:"flows-broken"`
 	PacketsMisdelivered int64 `json:"packets-misdelivered"`
 	StreamsOpened       int64 `json:"streams-opened"`
 	StreamsCut          int64 `json:"streams-cut"`
-	StreamsRefused      int64 `json:"streams-refused"`
-	RequestsSent        int64 `json:"requests-sent"`
-	AnswersWhole        int64 `json:"answers-whole"`
-	AnswersWrong        int64 `json:"answers-wrong"`
-	AnswersLate         int64 `json:"answers-late"`
-	RequestsCut         int64 `json:"requests-cut"`
-	Refusals            int64 `json:"refusals"`
-	RefusalsUntrue      int64 `json:"refusals-untrue"`
-	RunTwice            int64 `json:"run-twice"`
+	// StreamsLost counts the streams that ended with their own killed instance.
+	StreamsLost    int64 `json:"streams-lost"`
+	StreamsRefused int64 `json:"streams-refused"`
+	RequestsSent   int64 `json:"requests-sent"`
+	AnswersWhole   int64 `json:"answers-whole"`
+	AnswersWrong   int64 `json:"answers-wrong"`
+	AnswersLate    int64 `json:"answers-late"`
+	RequestsCut    int64 `json:"requests-cut"`
+	Refusals       int64 `json:"refusals"`
+	RefusalsUntrue int64 `json:"refusals-untrue"`
+	RunTwice       int64 `json:"run-twice"`
 	// LeavingWork counts requests that a backend server began after the
 	// grace of its drain.
 	LeavingWork int64 `json:"leaving-work"`
@@ -59,25 +63,20 @@
 // Broken lists the invariants that the run broke, each in one line.
 func (r *Report) Broken() []string {
 	var broken []string
-	checks := []struct {
+	type check struct {
 		name  string
 		count int64
-	}{
+	}
+	checks := []check{
 		{"packets-misdelivered", r.PacketsMisdelivered},
 		{"answers-wrong", r.AnswersWrong},
 		{"refusals-untrue", r.RefusalsUntrue},
 		{"run-twice", r.RunTwice},
+		{"flows-broken", r.FlowsBroken},
+		{"leaving-work", r.LeavingWork},
 	}
 	if r.ServersKilled == 0 {
-		checks = append(checks, []struct {
-			name  string
-			count int64
-		}{
-			{"flows-broken", r.FlowsBroken},
-			{"streams-cut", r.StreamsCut},
-			{"requests-cut", r.RequestsCut},
-			{"leaving-work", r.LeavingWork},
-		}...)
+		checks = append(checks, check{"requests-cut", r.RequestsCut})
 	}
 	for _, check := range checks {
 		if check.count > 0 {
@@ -116,6 +115,7 @@
 		{"packets misdelivered", r.PacketsMisdelivered},
 		{"streams opened", r.StreamsOpened},
 		{"streams cut", r.StreamsCut},
+		{"streams lost with their instance", r.StreamsLost},
 		{"streams refused", r.StreamsRefused},
 		{"requests sent", r.RequestsSent},
 		{"answers whole", r.AnswersWhole},
--- a/trier/request.go
+++ b/trier/request.go
@@ -20,6 +20,9 @@
 // longPath is the path of requests that are long by design.
 const longPath = "/work/sync"
 
+// streamPrefix starts the request ids of streams.
+const streamPrefix = "flow/"
+
 // streamDeadline bounds a stream; the plans' streams are far shorter.
 const streamDeadline = 5 * time.Minute
 
--- a/trier/tally.go
+++ b/trier/tally.go
@@ -47,7 +47,6 @@
 	short    *hdrhistogram.Histogram
 
 	flowsOpened    int64
-	flowsBroken    int64
 	streamsOpened  int64
 	streamsCut     int64
 	streamsRefused int64
@@ -95,7 +94,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	report.FlowsOpened = t.flowsOpened
-	report.FlowsBroken = t.flowsBroken
 	report.StreamsOpened = t.streamsOpened
 	report.StreamsCut = t.streamsCut
 	report.StreamsRefused = t.streamsRefused
--- a/trier/trier.go
+++ b/trier/trier.go
@@ -61,7 +61,9 @@
 	balancersReplaced atomic.Int64
 	serversDrained    atomic.Int64
 	serversKilled     atomic.Int64
-	imbalance         float64
+	// lossesAllowed counts the streams whose own instance was killed.
+	lossesAllowed atomic.Int64
+	balance       balance
 }
 
 func (t *trial) run(ctx context.Context, chosen scenario) (*Report, error) {
@@ -86,13 +88,21 @@
 	return t.report(), nil
 }
 
-// traffic sends the plan's requests while the scenario acts.
+// traffic sends the plan's requests while the scenario acts, until both the
+// trial's length has passed and the scenario has ended.
 func (t *trial) traffic(ctx context.Context, chosen scenario) error {
-	sending, stop := context.WithTimeout(ctx, t.options.Length)
+	sending, stop := context.WithCancel(ctx)
 	defer stop()
 	acted := make(chan error, 1)
-	go func() { acted <- chosen.act(ctx, sending, t) }()
-	t.say("sending traffic for %s", t.options.Length)
+	go func() {
+		defer stop()
+		err := chosen.act(ctx, t)
+		sleepUntil(ctx, t.begun.Add(t.options.Length))
+		t.balance.stop(t.fleet)
+		acted <- err
+	}()
+	go t.balance.watch(sending, t.fleet)
+	t.say("sending traffic for %s or longer", t.options.Length)
 	t.load.run(sending, t.options.Deployment.Services)
 	return <-acted
 }
@@ -118,7 +128,7 @@
 		TLS:       &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: t.fleet.tls.roots},
 		OnFlow:    func(*quic.Conn) { t.tally.count(&t.tally.flowsOpened) },
 	}
-	return &flow{service: service, name: fmt.Sprintf("flow/%s/%d", service.Name, i), client: client}
+	return &flow{service: service, name: fmt.Sprintf("%s%s/%d", streamPrefix, service.Name, i), client: client}
 }
 
 func (t *trial) closeFlows() {
@@ -138,20 +148,31 @@
 		BalancersReplaced: t.balancersReplaced.Load(),
 		ServersDrained:    t.serversDrained.Load(),
 		ServersKilled:     t.serversKilled.Load(),
-		Imbalance:         t.imbalance,
+		Imbalance:         t.balance.imbalance(),
+		LeavingWork:       t.fleet.leavingWork.Load(),
 		Seconds:           time.Since(t.begun).Seconds(),
 	}
 	if t.options.Baseline {
 		report.Policy = "baseline"
 	}
 	t.tally.fill(report)
-	t.tally.check(report, t.fleet.ran())
+	t.tally.check(report, t.fleet.truth())
+	t.fillLosses(report)
+	report.CrestShare = t.crestShare()
 	for _, fault := range t.tally.faults {
 		t.say("%s", fault)
 	}
 	return report
 }
 
+// fillLosses tells the streams that ended with their own killed instance from
+// those that were cut though it lived.
+func (t *trial) fillLosses(report *Report) {
+	report.StreamsLost = min(report.StreamsCut, t.lossesAllowed.Load())
+	report.StreamsCut -= report.StreamsLost
+	report.FlowsBroken = report.StreamsCut
+}
+
 func (t *trial) say(format string, args ...any) {
 	if t.options.Progress == nil {
 		return
