--- a/cmd/gooseberrymast/try.go
+++ b/cmd/gooseberrymast/try.go
@@ -32,6 +32,7 @@
 	scenario   string
 	seconds    int
 	seed       uint64
+	flows      int
 	json       bool
 	baseline   bool
 }
@@ -50,6 +51,7 @@
 	set.StringVar(&flags.scenario, "scenario", trier.DefaultScenario, "one of "+strings.Join(trier.ScenarioNames(), ", "))
 	set.IntVar(&flags.seconds, "seconds", 20, "how long traffic is sent")
 	set.Uint64Var(&flags.seed, "seed", 1, "the seed of traffic and faults")
+	set.IntVar(&flags.flows, "flows", 0, "callers for each backend server; 0 takes the scenario's")
 	set.BoolVar(&flags.json, "json", false, "end with one JSON object on the last line")
 	set.BoolVar(&flags.baseline, "baseline", false, "run the plain policy: no hand-over, an unbounded queue, retries without a budget")
 	return command
@@ -60,6 +62,9 @@
 	if err != nil {
 		return invalidError{err}
 	}
+	if flags.flows < 0 {
+		return invalidError{fmt.Errorf("--flows %d: want 0 or more", flags.flows)}
+	}
 	if flags.seconds < 1 {
 		return invalidError{fmt.Errorf("--seconds %d: want 1 or more", flags.seconds)}
 	}
@@ -73,6 +78,8 @@
 		Seed:       flags.seed,
 		Baseline:   flags.baseline,
 		Progress:   command.ErrOrStderr(),
+
+		FlowsPerServer: flags.flows,
 	})
 	if err != nil {
 		return err
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -126,6 +126,7 @@
 	s.once.Do(func() {
 		protocols := &http.Protocols{}
 		protocols.SetUnencryptedHTTP2(true)
+		protocols.SetHTTP2(true)
 		client := &http.Client{Transport: &http.Transport{
 			Protocols: protocols,
 			HTTP2:     &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
--- a/transport/terminator/flows.go
+++ b/transport/terminator/flows.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/phuslu/log"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 )
@@ -125,6 +126,10 @@
 // progress goes on to its end.
 func (f *flow) ask() {
 	f.asked = true
-	// Shutdown waits until the flow has ended.
-	go f.server.Shutdown(context.Background())
+	go func() {
+		// Shutdown returns once the flow has ended, for whatever reason.
+		if err := f.server.Shutdown(context.Background()); err != nil {
+			log.Debug().Err(err).Msg("a flow that was asked to move ended")
+		}
+	}()
 }
--- a/trier/deployment.go
+++ b/trier/deployment.go
@@ -15,8 +15,6 @@
 	Zones []string
 	// Services lists the services; backend servers are spread over the zones in turn.
 	Services []DeployedService
-	// ZoneDelay is the one-way delay between two availability zones.
-	ZoneDelay time.Duration
 	// CallerDelay is the one-way delay between a caller and a balancer.
 	CallerDelay time.Duration
 }
@@ -42,7 +40,6 @@
 			{Name: "ledger", Servers: 7, Slots: 4, WorkPath: "/work/reserve"},
 			{Name: "receipts", Servers: 3, Slots: 4, WorkPath: "/work/slip"},
 		},
-		ZoneDelay:   4 * time.Millisecond,
 		CallerDelay: time.Millisecond,
 	}
 	Magnolia = Deployment{
@@ -52,7 +49,6 @@
 			{Name: "letter-desk", Servers: 7, Slots: 5, WorkPath: "/work/claim"},
 			{Name: "keepsake-press", Servers: 4, Slots: 5, WorkPath: "/work/certificate"},
 		},
-		ZoneDelay:   4 * time.Millisecond,
 		CallerDelay: time.Millisecond,
 	}
 )
--- a/trier/tally.go
+++ b/trier/tally.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"gooseberrymast"
+	"gooseberrymast/state/asserter"
 )
 
 // The range of the latency histograms, in microseconds.
@@ -67,13 +68,19 @@
 		t.all = hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencySignificantBits)
 		t.short = hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencySignificantBits)
 	}
-	micros := max(o.latency.Microseconds(), minLatencyMicros)
-	t.all.RecordValue(micros)
+	micros := min(max(o.latency.Microseconds(), minLatencyMicros), maxLatencyMicros)
+	record(t.all, micros)
 	if !o.long {
-		t.short.RecordValue(micros)
+		record(t.short, micros)
 	}
 }
 
+// record adds a value, which the caller keeps within the histogram's range.
+func record(histogram *hdrhistogram.Histogram, micros int64) {
+	err := histogram.RecordValue(micros)
+	asserter.Holds(err == nil, "latency-in-range", "%d µs: %v", micros, err)
+}
+
 // note keeps a fault's description for the report.
 func (t *tally) note(fault string) {
 	t.mu.Lock()
--- a/trier/trier.go
+++ b/trier/trier.go
@@ -24,6 +24,9 @@
 	Length time.Duration
 	// Seed feeds the traffic and the faults.
 	Seed uint64
+	// FlowsPerServer is the number of callers for each backend server; zero
+	// takes the scenario's.
+	FlowsPerServer int
 	// Baseline runs the plain policy instead of the product's.
 	Baseline bool
 	// Progress takes one line for each step; nil is silent.
@@ -41,6 +44,9 @@
 	if options.Baseline {
 		t.policy = baseline
 	}
+	if options.FlowsPerServer > 0 {
+		t.plan.FlowsPerServer = options.FlowsPerServer
+	}
 	return t.run(ctx, chosen)
 }
 
