--- /dev/null
+++ b/coordination/chooser/chooser.go
@@ -0,0 +1,114 @@
+// Package chooser places new flows at the agents of a service.
+//
+// Load pattern: demand that swings within seconds, before servers with few
+// slots. A flow can't be moved once it is open, so placing it is the only
+// lever. Two agents are drawn at random and the one with less work takes the
+// flow, so that balancers that decide at once by reports of the same age
+// don't all choose the same agent. What a balancer placed since an agent's
+// last report counts as that agent's work.
+package chooser
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gooseberrymast"
+)
+
+const (
+	// flowWork is the work that an open flow is expected to bring, in slots.
+	flowWork = 0.05
+	// placedWork is the work of a flow placed since the last report, in slots.
+	placedWork = 1.0
+	// coldWork is the work by which a cold server counts as busier, in slots.
+	coldWork = 1.0
+	// otherZoneWork is the work by which an agent of another availability zone
+	// counts as busier, as a share of its slots: traffic between zones is paid.
+	otherZoneWork = 0.25
+	// draws is the number of agents of which the best takes the flow.
+	draws = 3
+)
+
+// Candidate is an agent that may take a new flow.
+type Candidate struct {
+	// Endpoint is the agent's.
+	Endpoint gooseberrymast.Endpoint
+	// Zone is the agent's availability zone.
+	Zone string
+	// Weight is the share of new flows of the agent's service, above zero.
+	Weight float64
+	// Load is what the agent last reported.
+	Load gooseberrymast.FlowLoad
+	// Reported is when that was.
+	Reported time.Time
+}
+
+// Chooser remembers what it placed. The zero value is ready.
+type Chooser struct {
+	// Zone is the balancer's availability zone.
+	Zone string
+
+	placed map[gooseberrymast.Endpoint]placement
+}
+
+type placement struct {
+	reported time.Time
+	flows    int
+}
+
+// Choose orders candidates for a new flow, the best first, at most limit of
+// them. It counts the flow as placed at the first.
+func (c *Chooser) Choose(candidates []Candidate, limit int, random *rand.Rand) []gooseberrymast.Endpoint {
+	if len(candidates) == 0 {
+		return nil
+	}
+	random.Shuffle(len(candidates), func(i, j int) {
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	})
+	drawn := min(draws, len(candidates))
+	byWork := func(a, b Candidate) int {
+		if c.work(a) < c.work(b) {
+			return -1
+		}
+		return 1
+	}
+	slices.SortStableFunc(candidates[:drawn], byWork)
+	slices.SortStableFunc(candidates[drawn:], byWork)
+	chosen := make([]gooseberrymast.Endpoint, 0, limit)
+	for _, candidate := range candidates[:min(limit, len(candidates))] {
+		chosen = append(chosen, candidate.Endpoint)
+	}
+	c.count(candidates[0])
+	return chosen
+}
+
+// work is the share of a candidate's slots that is taken or soon will be.
+func (c *Chooser) work(candidate Candidate) float64 {
+	load := candidate.Load
+	slots := float64(max(load.Slots, 1))
+	work := float64(load.InProgress) + flowWork*float64(load.Flows)
+	if placed, ok := c.placed[candidate.Endpoint]; ok && placed.reported.Equal(candidate.Reported) {
+		work += placedWork * float64(placed.flows)
+	}
+	if load.Cold > 0 {
+		work += coldWork
+	}
+	share := work / slots
+	if candidate.Zone != c.Zone {
+		share += otherZoneWork
+	}
+	return share
+}
+
+func (c *Chooser) count(candidate Candidate) {
+	if c.placed == nil {
+		c.placed = map[gooseberrymast.Endpoint]placement{}
+	}
+	placed := c.placed[candidate.Endpoint]
+	if !placed.reported.Equal(candidate.Reported) {
+		placed = placement{reported: candidate.Reported}
+	}
+	placed.flows++
+	c.placed[candidate.Endpoint] = placed
+}
--- /dev/null
+++ b/runner/agent.go
@@ -0,0 +1,357 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/deliverer"
+	"gooseberrymast/coordination/tracker"
+	"gooseberrymast/protocol/interpreter"
+	"gooseberrymast/protocol/wrapper"
+	"gooseberrymast/state/roster"
+)
+
+const (
+	// agentReports is the time between two reports of an agent: a few service
+	// times, so that placement sees the work of the moment.
+	agentReports = 200 * time.Millisecond
+	// announceInterval is the time between two announcements of flows.
+	announceInterval = 100 * time.Millisecond
+	// maxOwners is the number of flows in one datagram, 22 bytes each.
+	maxOwners = 50
+	// healthTimeout bounds the health check at the agent's start.
+	healthTimeout = 500 * time.Millisecond
+	// stopLook is the time between two looks for the end of work in progress.
+	stopLook = 50 * time.Millisecond
+)
+
+// HealthCheck asks a backend server whether it is healthy and not leaving.
+type HealthCheck func(ctx context.Context, server gooseberrymast.Endpoint, path string) (bool, error)
+
+// Listener makes the handler of a server's announcements.
+type Listener func(announce func(gooseberrymast.Announcement) error, depart func(id string, born int64) error,
+	malformed func(id string, err error)) http.Handler
+
+// Agent delivers packets to the backend server of its instance.
+type Agent struct {
+	member
+	// Health checks the server once when the agent starts; nil never does.
+	Health HealthCheck
+	// Listen makes the handler of the server's announcements.
+	Listen Listener
+
+	deliverer deliverer.Deliverer
+	outbound  *net.UDPConn
+	stopping  atomic.Bool
+
+	trackerMu sync.Mutex
+	tracker   tracker.Tracker
+
+	placesMu     sync.Mutex
+	incarnations map[gooseberrymast.Endpoint]uint64
+}
+
+// NewAgent makes an agent.
+func NewAgent(environment Environment) *Agent {
+	return &Agent{member: member{Environment: environment}}
+}
+
+// Run delivers packets until the context ends, and then until the server has
+// answered what it was asked.
+func (a *Agent) Run(ctx context.Context) error {
+	if err := a.start(a.Timer.Now()); err != nil {
+		return err
+	}
+	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
+	a.deliverer.Self = a.Settings.Peers
+	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.load = a.measure
+	probed := make(chan string, 1)
+	a.adopt = func(routes *gooseberrymast.Routes) {
+		select {
+		case probed <- routes.HealthPaths[a.Settings.Service]:
+		default:
+		}
+	}
+	var err error
+	if a.outbound, err = listen(a.Settings.Outbound); err != nil {
+		return err
+	}
+	stopServing, err := serve(a.Settings.Announcements, a.Listen(a.announced, a.departed, a.malformed), a.Log)
+	if err != nil {
+		return err
+	}
+	defer stopServing()
+	stopReady, err := serve(a.Settings.Readiness, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), a.Log)
+	if err != nil {
+		return err
+	}
+	defer stopReady()
+	working, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go a.receive(a.fromPeer)
+	go a.fromServer()
+	go a.register(working)
+	go a.probe(working, probed)
+	go a.reportEach(working, agentReports, func() []roster.Entry { return a.roster.Role(gooseberrymast.RoleBalancer) })
+	stops := []func(){
+		a.Timer.Every(pollInterval, func(time.Time) { a.confirm(working) }),
+		a.Timer.Every(announceInterval, a.announce),
+		a.Timer.Every(expireInterval, func(now time.Time) {
+			a.deliverer.Expire(now)
+			a.roster.Expire(now)
+		}),
+	}
+	a.Log.Info().Str("event", "started").Str("role", "agent").Str("zone", a.Settings.Zone).
+		Str("service", a.Settings.Service).Msg("")
+	<-ctx.Done()
+	a.leave()
+	for _, stop := range stops {
+		stop()
+	}
+	a.Log.Info().Str("event", "stopped").Msg("")
+	return errors.Join(a.outbound.Close(), a.conn.Close())
+}
+
+// leave refuses new flows and waits for the end of work in progress. An agent
+// whose server has ended removes its entry from the store.
+func (a *Agent) leave() {
+	began := a.Timer.Now()
+	a.stopping.Store(true)
+	a.deliverer.Leave()
+	ended := a.server(began).Status == tracker.Gone
+	state := gooseberrymast.StateLeaving
+	if ended {
+		state = gooseberrymast.StateGone
+	}
+	a.change(state, a.own().Service)
+	a.notify()
+	a.Log.Info().Str("event", "stopping").Bool("server-ended", ended).Msg("")
+	sleep(context.Background(), a.Timer, stopLook)
+	if ended {
+		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
+		defer cancel()
+		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
+			return a.Store.Delete(ctx, recordKey(a.Settings.Peers), 0)
+		})
+		if err != nil {
+			a.Log.Warn().Str("event", "entry-not-removed").Err(err).Msg("")
+		}
+		return
+	}
+	for a.Timer.Now().Sub(began) < a.Settings.StopWithin-stopReserve {
+		if _, busy := a.deliverer.Load(); busy == 0 {
+			return
+		}
+		sleep(context.Background(), a.Timer, stopLook)
+	}
+}
+
+// server gives what the deliverer needs to know of the backend server.
+func (a *Agent) server(now time.Time) deliverer.Server {
+	a.trackerMu.Lock()
+	defer a.trackerMu.Unlock()
+	return deliverer.Server{Status: a.tracker.Status(now), Service: a.tracker.Service()}
+}
+
+func (a *Agent) announced(announcement gooseberrymast.Announcement) error {
+	now := a.Timer.Now()
+	a.trackerMu.Lock()
+	before := a.tracker.Status(now)
+	restarted, err := a.tracker.Announce(announcement, now)
+	after := a.tracker.Status(now)
+	a.trackerMu.Unlock()
+	if err != nil {
+		a.Log.Warn().Str("event", "announcement-ignored").Str("server", announcement.ID).
+			Int64("born", announcement.Born).Uint64("sequence", announcement.Sequence).Err(err).Msg("")
+		return err
+	}
+	if restarted {
+		a.Log.Info().Str("event", "server-restarted").Str("server", announcement.ID).Int64("born", announcement.Born).Msg("")
+		a.deliverer.Restarted()
+	}
+	if before != after {
+		a.Log.Info().Str("event", "server-changed").Str("server", announcement.ID).
+			Stringer("from", before).Stringer("to", after).Uint64("sequence", announcement.Sequence).Msg("")
+	}
+	a.refresh(now)
+	return nil
+}
+
+func (a *Agent) departed(id string, born int64) error {
+	now := a.Timer.Now()
+	a.trackerMu.Lock()
+	err := a.tracker.Depart(id, born)
+	a.trackerMu.Unlock()
+	a.Log.Info().Str("event", "server-departed").Str("server", id).Err(err).Msg("")
+	if err == nil {
+		a.refresh(now)
+	}
+	return err
+}
+
+func (a *Agent) malformed(id string, err error) {
+	a.Log.Warn().Str("event", "announcement-ignored").Str("server", id).Err(err).Msg("")
+}
+
+// refresh brings the agent's own state in line with its server's and tells
+// peers of a change.
+func (a *Agent) refresh(now time.Time) {
+	server := a.server(now)
+	state := gooseberrymast.StateStarting
+	switch server.Status {
+	case tracker.Ready:
+		state = gooseberrymast.StateReady
+	case tracker.Leaving, tracker.Gone:
+		state = gooseberrymast.StateLeaving
+	}
+	service := server.Service
+	if service == "" {
+		service = a.Settings.Service
+	}
+	if a.stopping.Load() {
+		return
+	}
+	if a.change(state, service) {
+		a.notify()
+	}
+}
+
+// probe asks the server for its health once, so that an agent which restarts
+// need not wait for the next announcement.
+func (a *Agent) probe(ctx context.Context, paths <-chan string) {
+	if a.Health == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case path := <-paths:
+		if path == "" || a.server(a.Timer.Now()).Status != tracker.Unknown {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+		defer cancel()
+		healthy, err := a.Health(ctx, a.Settings.Server, path)
+		now := a.Timer.Now()
+		a.Log.Info().Str("event", "server-probed").Bool("healthy", healthy).Err(err).Msg("")
+		a.trackerMu.Lock()
+		a.tracker.Probed(a.Settings.Service, healthy, now)
+		a.trackerMu.Unlock()
+		a.refresh(now)
+	}
+}
+
+func (a *Agent) measure(now time.Time) gooseberrymast.FlowLoad {
+	a.trackerMu.Lock()
+	last, heard := a.tracker.Last()
+	a.trackerMu.Unlock()
+	flows, busy := a.deliverer.Load()
+	return gooseberrymast.FlowLoad{
+		Slots:      last.Slots,
+		InProgress: busy,
+		Flows:      flows,
+		Cold:       max(0, last.Cold-now.Sub(heard)),
+	}
+}
+
+// announce tells the places of flows who owns them.
+func (a *Agent) announce(now time.Time) {
+	a.refresh(now)
+	var balancers []gooseberrymast.Endpoint
+	restarted := map[gooseberrymast.Endpoint]bool{}
+	a.placesMu.Lock()
+	a.roster.Each(func(entry roster.Entry) {
+		if entry.Role != gooseberrymast.RoleBalancer || !entry.Alive(now) || entry.State != gooseberrymast.StateReady {
+			return
+		}
+		balancers = append(balancers, entry.Endpoint)
+		if a.incarnations[entry.Endpoint] != entry.Incarnation {
+			a.incarnations[entry.Endpoint] = entry.Incarnation
+			restarted[entry.Endpoint] = true
+		}
+	})
+	a.placesMu.Unlock()
+	for place, keys := range a.deliverer.Announce(balancers, restarted, now) {
+		for len(keys) > 0 {
+			part := keys[:min(maxOwners, len(keys))]
+			keys = keys[len(part):]
+			a.send(interpreter.Owners(a.Settings.Peers, part), place)
+		}
+	}
+}
+
+// fromPeer handles a packet that a peer forwarded.
+func (a *Agent) fromPeer(received []byte, sender gooseberrymast.Endpoint, now time.Time) {
+	hop, packet, err := wrapper.Split(received)
+	if err != nil {
+		a.Log.Warn().Str("event", "packet-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		return
+	}
+	header, err := a.Codec.Decode(packet)
+	if err != nil {
+		a.Log.Warn().Str("event", "packet-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		return
+	}
+	a.mu.Lock()
+	routes := a.routes
+	a.mu.Unlock()
+	step := a.deliverer.FromPeer(header, hop, sender, a.server(now), routes, now)
+	a.carryOut(step, header.FromCaller(), packet)
+}
+
+// fromServer handles the packets of the backend server until the socket is
+// closed.
+func (a *Agent) fromServer() {
+	packet := make([]byte, maxDatagram)
+	for {
+		n, _, err := a.outbound.ReadFromUDPAddrPort(packet)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			a.Log.Warn().Str("event", "receive-failed").Err(err).Msg("reading from the server failed")
+			continue
+		}
+		header, err := a.Codec.Decode(packet[:n])
+		if err != nil {
+			a.Log.Warn().Str("event", "packet-malformed").Int("bytes", n).Msg("")
+			continue
+		}
+		now := a.Timer.Now()
+		if header.Returned {
+			a.Codec.ClearReturned(packet[:n])
+			a.carryOut(a.deliverer.Returned(header, now), header.FromCaller(), packet[:n])
+			continue
+		}
+		a.carryOut(a.deliverer.FromServer(header, now), header.FromServer(), packet[:n])
+	}
+}
+
+// carryOut does what was decided on a packet.
+func (a *Agent) carryOut(step deliverer.Step, key gooseberrymast.FlowKey, packet []byte) {
+	switch step.Action {
+	case deliverer.ToServer:
+		a.Codec.SetTag(packet, step.Tag)
+		a.write(a.outbound, packet, a.Settings.Server)
+	case deliverer.ToCaller:
+		a.write(a.outbound, packet, callerEndpoint(key.Caller, a.Settings))
+	case deliverer.Forward:
+		a.write(a.conn, append(wrapper.Append(make([]byte, 0, maxDatagram), step.Hop), packet...), step.To)
+	case deliverer.Reset:
+		a.write(a.outbound, a.Codec.AppendReset(nil, step.Of), callerEndpoint(key.Caller, a.Settings))
+	}
+	if !step.Tell.IsZero() {
+		a.send(interpreter.Owners(a.Settings.Peers, []gooseberrymast.FlowKey{key}), step.Tell)
+	}
+	if step.Reason != "" {
+		a.Log.Debug().Str("event", "flow-not-taken").Str("flow", key.String()).
+			Uint8("action", uint8(step.Action)).Str("reason", string(step.Reason)).Msg("")
+	}
+}
--- a/store.go
+++ b/store.go
@@ -29,8 +29,8 @@
 // MaxObjectBytes is the largest value that the store takes, in bytes.
 const MaxObjectBytes = 1 << 20
 
-// Store is the platform's object API.
-type Store interface {
+// ObjectStore reads and writes objects.
+type ObjectStore interface {
 	// Get reads one object, or fails with ErrStoreNotFound.
 	Get(ctx context.Context, key string) (Object, error)
 	// List reads the objects whose keys start with prefix, sorted by key.
@@ -41,6 +41,11 @@
 	Put(ctx context.Context, object Object, expected uint64) (uint64, error)
 	// Delete removes the key when its version equals expected.
 	Delete(ctx context.Context, key string, expected uint64) error
+}
+
+// Store is the platform's object API.
+type Store interface {
+	ObjectStore
 	// Watch waits for one version above after and gives the object, or
 	// fails when the context ends. A waiting watch counts as a call.
 	Watch(ctx context.Context, key string, after uint64) (Object, error)
