Ask agents of every service before a flow is reset

Cause: a walk asked only the agents of the services that the document in force allows. Ruled out: an incomplete list, since the log shows 19 peers known. Agents of other services answer from what they know; the answer is definite only when the agent has seen all packets of its server's incarnation.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -128,6 +128,9 @@
 type Server struct {
 	Status  tracker.Status
 	Service string
+	// Complete is set when the agent has seen every packet of the server's
+	// incarnation, so that it knows all of its flows.
+	Complete bool
 }
 
 // Leave makes the agent refuse new flows.
@@ -164,11 +167,14 @@
 		}
 		return d.deliver(known, header, hop, sender, now)
 	}
-	switch server.Status {
-	case tracker.Gone:
+	if server.Status == tracker.Gone {
 		return d.notHeld(header, hop, ReasonServerGone, true)
-	case tracker.Unknown:
-		// The server may hold the flow; only it can say.
+	}
+	if hop.Mode == gooseberrymast.HopWalk && !allowed(routes, key, server.Service) {
+		// An earlier document may have allowed the service, so that the server
+		// may hold the flow. It isn't asked, since it may as well be a flow that
+		// was never meant for it.
+		return d.notHeld(header, hop, ReasonWrongService, server.Complete)
 	}
 	return Step{Action: ToServer, Tag: d.remember(hop, sender)}
 }
@@ -257,14 +263,17 @@
 	case hop.Service != gooseberrymast.ServiceHash(server.Service):
 		return ReasonWrongService, false
 	}
-	if routes != nil && routes.Version >= hop.Version {
-		if route, ok := routes.Lookup(key.Service); !ok || !route.Allows(server.Service) {
-			return ReasonWrongService, true
-		}
+	if routes != nil && routes.Version >= hop.Version && !allowed(routes, key, server.Service) {
+		return ReasonWrongService, true
 	}
 	return "", true
 }
 
+func allowed(routes *gooseberrymast.Routes, key gooseberrymast.FlowKey, service string) bool {
+	route, ok := routes.Lookup(key.Service)
+	return ok && route.Allows(service)
+}
+
 // pass gives a new flow to the next candidate, or ends its opening.
 func (d *Deliverer) pass(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, reason Reason, definite bool) Step {
 	hop.Definite = hop.Definite && definite
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -15,7 +15,7 @@
 	if !ok {
 		return append(steps, Step{Action: Drop, Reason: ReasonNoRoute})
 	}
-	holders := s.holders(route, except, now)
+	holders, all := s.holders(route, except, now)
 	if len(holders) == 0 {
 		if s.Roster.IsComplete() && !except.IsZero() {
 			return append(steps, Step{Action: Reset, Of: header, Reason: ReasonNoHolder})
@@ -29,7 +29,7 @@
 		holders = holders[len(chain):]
 		steps = append(steps, Step{Action: Forward, To: chain[0], Hop: gooseberrymast.Hop{
 			Mode:       gooseberrymast.HopWalk,
-			Definite:   true,
+			Definite:   all,
 			Passed:     true,
 			Origin:     hop.Origin,
 			Initiator:  s.Self,
@@ -41,24 +41,37 @@
 	return steps
 }
 
-// holders gives the agents that may hold a flow of a route: those heard lately
-// first, since the others may not answer.
-func (s *Steerer) holders(route gooseberrymast.Route, except gooseberrymast.Endpoint, now time.Time) []gooseberrymast.Endpoint {
-	var heard, others []gooseberrymast.Endpoint
+// maxAsked bounds the agents that are asked for one flow. Beyond it only the
+// agents of the services that the document allows are asked, and the flow is
+// never reset.
+const maxAsked = 128
+
+// holders gives the agents that may hold a flow of a route. Those of the
+// services that the document allows come first, and among them those heard
+// lately, since the others may not answer. Those of other services follow: an
+// earlier document may have allowed them. All is false when some are left out.
+func (s *Steerer) holders(route gooseberrymast.Route, except gooseberrymast.Endpoint, now time.Time) (
+	holders []gooseberrymast.Endpoint, all bool) {
+	var heard, silent, others []gooseberrymast.Endpoint
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
-		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone:
-		case entry.Endpoint == except || !route.Allows(entry.Service):
+		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == except:
+		case !route.Allows(entry.Service):
+			others = append(others, entry.Endpoint)
 		case entry.Alive(now):
 			heard = append(heard, entry.Endpoint)
 		default:
-			others = append(others, entry.Endpoint)
+			silent = append(silent, entry.Endpoint)
 		}
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
-	return append(heard, others...)
+	holders = append(heard, silent...)
+	if len(holders)+len(others) > maxAsked {
+		return holders[:min(len(holders), maxAsked)], false
+	}
+	return append(holders, others...), true
 }
 
 func (s *Steerer) beginWalk(of gooseberrymast.PacketHeader, chains int, now time.Time) uint32 {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -157,7 +157,7 @@
 func (a *Agent) server(now time.Time) deliverer.Server {
 	a.trackerMu.Lock()
 	defer a.trackerMu.Unlock()
-	return deliverer.Server{Status: a.tracker.Status(now), Service: a.tracker.Service()}
+	return deliverer.Server{Status: a.tracker.Status(now), Service: a.tracker.Service(), Complete: a.tracker.Complete()}
 }
 
 func (a *Agent) announced(announcement gooseberrymast.Announcement) error {
@@ -351,7 +351,7 @@
 		a.send(interpreter.Owners(a.Settings.Peers, []gooseberrymast.FlowKey{key}), step.Tell)
 	}
 	if step.Reason != "" {
-		a.Log.Debug().Str("event", "flow-not-taken").Str("flow", key.String()).
+		a.Log.Info().Str("event", "flow-not-taken").Stringer("mode", step.Hop.Mode).Uint32("walk", step.Hop.Walk).Stringer("to", step.To.AddrPort()).Bool("definite", step.Hop.Definite).Str("flow", key.String()).
 			Uint8("action", uint8(step.Action)).Str("reason", string(step.Reason)).Msg("")
 	}
 }
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -191,7 +191,7 @@
 			b.write(b.conn, buffer, callerEndpoint(step.Of.Source, b.Settings))
 		}
 		if step.Action != steerer.Forward || step.Hop.Mode == gooseberrymast.HopWalk {
-			b.Log.Debug().Str("event", "flow-steered").Str("flow", header.FromCaller().String()).
+			b.Log.Info().Str("event", "flow-steered").Stringer("to", step.To.AddrPort()).Uint32("walk", step.Hop.Walk).Int("more", len(step.Hop.Candidates)).Str("flow", header.FromCaller().String()).
 				Uint8("action", uint8(step.Action)).Str("reason", string(step.Reason)).Msg("")
 		}
 	}
