Reset a flow when no agent that may hold it does, also after a loss of all memory

Cause: after a final fault every idle flow waited for its deadline.

Now a walk goes only to agents that may hold the flow: those of services that the route allows or did allow, and those whose entry in the store says that they have served the address. An agent that was silent for 2 s, while most agents are heard, is taken as gone with its flows.

Ruled out: asking servers of services that the route never allowed, which would answer as well but hand them packets that were not meant for them.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -8,6 +8,8 @@
 package deliverer
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +101,10 @@
 	serial  uint32
 	open    int
 	busy    int
+	// served are the addresses whose flows the server has taken, and restored
+	// is set once those of earlier incarnations of the agent are among them.
+	served   map[gooseberrymast.Endpoint]struct{}
+	restored bool
 }
 
 type flow struct {
@@ -128,9 +134,6 @@
 type Server struct {
 	Status  tracker.Status
 	Service string
-	// Complete is set when the agent has seen every packet of the server's
-	// incarnation, so that it knows all of its flows.
-	Complete bool
 }
 
 // Leave makes the agent refuse new flows.
@@ -170,11 +173,9 @@
 	if server.Status == tracker.Gone {
 		return d.notHeld(header, hop, ReasonServerGone, true)
 	}
-	if hop.Mode == gooseberrymast.HopWalk && !allowed(routes, key, server.Service) {
-		// An earlier document may have allowed the service, so that the server
-		// may hold the flow. It isn't asked, since it may as well be a flow that
-		// was never meant for it.
-		return d.notHeld(header, hop, ReasonWrongService, server.Complete)
+	if _, served := d.served[key.Service]; hop.Mode == gooseberrymast.HopWalk && !served &&
+		!allowed(routes, key, server.Service) {
+		return d.notHeld(header, hop, ReasonWrongService, d.restored)
 	}
 	return Step{Action: ToServer, Tag: d.remember(hop, sender)}
 }
@@ -319,12 +320,39 @@
 	if d.flows == nil {
 		d.flows = map[gooseberrymast.FlowKey]*flow{}
 	}
+	d.serve(key.Service)
 	added := &flow{opened: now, used: now}
 	d.flows[key] = added
 	d.open++
 	return added
 }
 
+func (d *Deliverer) serve(address gooseberrymast.Endpoint) {
+	if d.served == nil {
+		d.served = map[gooseberrymast.Endpoint]struct{}{}
+	}
+	d.served[address] = struct{}{}
+}
+
+// Restore adds the addresses that an earlier incarnation of the agent served.
+func (d *Deliverer) Restore(addresses []gooseberrymast.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, address := range addresses {
+		d.serve(address)
+	}
+	d.restored = true
+}
+
+// Served gives the addresses whose flows the server has taken.
+func (d *Deliverer) Served() []gooseberrymast.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	served := slices.Collect(maps.Keys(d.served))
+	slices.SortFunc(served, gooseberrymast.Endpoint.Compare)
+	return served
+}
+
 func (d *Deliverer) drop(key gooseberrymast.FlowKey, known *flow) {
 	d.setBusy(known, false)
 	if !known.closed {
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	// ReasonNoHolder: every agent that may hold the flow has said that it
 	// doesn't.
 	ReasonNoHolder Reason = "no-holder"
+	// ReasonOwnerGone: the agent that owned the flow is gone.
+	ReasonOwnerGone Reason = "owner-gone"
 	// ReasonHolderUnknown: the walk ended without a holder, and not every
 	// agent has answered for certain.
 	ReasonHolderUnknown Reason = "holder-unknown"
@@ -83,6 +86,8 @@
 	Self gooseberrymast.Endpoint
 	// Zone is the balancer's availability zone.
 	Zone string
+	// Started is when the balancer began to hear peers.
+	Started time.Time
 	// Roster knows the peers.
 	Roster *roster.Roster
 	// Owners remembers the owners of flows.
@@ -98,6 +103,9 @@
 	routesMu sync.RWMutex
 	routes   *gooseberrymast.Routes
 	removed  map[gooseberrymast.Endpoint]struct{}
+	// allowed are the services that each address's route has ever allowed, as
+	// far as this process knows.
+	allowed map[gooseberrymast.Endpoint][]string
 }
 
 // walk is the search for a flow's holder, in several chains of candidates.
@@ -125,13 +133,27 @@
 			}
 		}
 	}
-	for address := range routes.ByAddress {
+	if s.allowed == nil {
+		s.allowed = map[gooseberrymast.Endpoint][]string{}
+	}
+	for address, route := range routes.ByAddress {
 		delete(s.removed, address)
+		for _, backend := range route.Backends {
+			if !slices.Contains(s.allowed[address], backend.Service) {
+				s.allowed[address] = append(s.allowed[address], backend.Service)
+			}
+		}
 	}
 	s.routes = routes
 	return true
 }
 
+func (s *Steerer) everAllowed(address gooseberrymast.Endpoint) []string {
+	s.routesMu.RLock()
+	defer s.routesMu.RUnlock()
+	return s.allowed[address]
+}
+
 // Routes gives the routes in force, or nil.
 func (s *Steerer) Routes() *gooseberrymast.Routes {
 	s.routesMu.RLock()
@@ -156,7 +178,7 @@
 	}
 	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: s.Self, Version: routes.Version}
 	if owner, found := s.Owners.Find(key, now); found {
-		return append(steps, Step{Action: Forward, To: owner, Hop: hop})
+		return append(steps, s.deliver(header, owner, hop, now))
 	}
 	for _, place := range locator.PlacesOf(key, s.balancers(now)) {
 		if place != s.Self && !place.IsZero() {
@@ -175,7 +197,7 @@
 	case gooseberrymast.HopLookup:
 		if owner, found := s.Owners.Find(key, now); found {
 			hop.Mode, hop.Passed = gooseberrymast.HopDeliver, true
-			return append(steps, Step{Action: Forward, To: owner, Hop: hop})
+			return append(steps, s.deliver(header, owner, hop, now))
 		}
 		return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, now)
 	case gooseberrymast.HopReturn:
@@ -187,6 +209,16 @@
 	return steps
 }
 
+// deliver sends a packet to the owner of its flow. The flow of an owner that
+// is taken as gone is reset, so that its caller need not wait for its deadline.
+func (s *Steerer) deliver(header gooseberrymast.PacketHeader, owner gooseberrymast.Endpoint, hop gooseberrymast.Hop,
+	now time.Time) Step {
+	if s.gone(owner, now) {
+		return Step{Action: Reset, Of: header, Reason: ReasonOwnerGone}
+	}
+	return Step{Action: Forward, To: owner, Hop: hop}
+}
+
 // unrouted decides on a packet to an address that has no route.
 func (s *Steerer) unrouted(header gooseberrymast.PacketHeader) Step {
 	s.routesMu.RLock()
@@ -211,7 +243,7 @@
 	service, candidates := s.candidates(route, now)
 	chosen := s.chooser.Choose(candidates, placeCandidates, s.Random)
 	s.mu.Unlock()
-	if owner, found := s.Owners.Find(key, now); found {
+	if owner, found := s.Owners.Find(key, now); found && !s.gone(owner, now) {
 		chosen = moveFirst(chosen, owner)
 	}
 	if len(chosen) == 0 {
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrymast"
@@ -11,11 +12,7 @@
 // one that has just said that it doesn't.
 func (s *Steerer) walk(steps []Step, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
 	except gooseberrymast.Endpoint, now time.Time) []Step {
-	route, ok := s.Routes().Lookup(header.Destination)
-	if !ok {
-		return append(steps, Step{Action: Drop, Reason: ReasonNoRoute})
-	}
-	holders, all := s.holders(route, except, now)
+	holders := s.holders(header.Destination, except, now)
 	if len(holders) == 0 {
 		if s.Roster.IsComplete() && !except.IsZero() {
 			return append(steps, Step{Action: Reset, Of: header, Reason: ReasonNoHolder})
@@ -29,7 +26,7 @@
 		holders = holders[len(chain):]
 		steps = append(steps, Step{Action: Forward, To: chain[0], Hop: gooseberrymast.Hop{
 			Mode:       gooseberrymast.HopWalk,
-			Definite:   all,
+			Definite:   true,
 			Passed:     true,
 			Origin:     hop.Origin,
 			Initiator:  s.Self,
@@ -41,23 +38,19 @@
 	return steps
 }
 
-// maxAsked bounds the agents that are asked for one flow. Beyond it only the
-// agents of the services that the document allows are asked, and the flow is
-// never reset.
-const maxAsked = 128
-
-// holders gives the agents that may hold a flow of a route. Those of the
-// services that the document allows come first, and among them those heard
-// lately, since the others may not answer. Those of other services follow: an
-// earlier document may have allowed them. All is false when some are left out.
-func (s *Steerer) holders(route gooseberrymast.Route, except gooseberrymast.Endpoint, now time.Time) (
-	holders []gooseberrymast.Endpoint, all bool) {
-	var heard, silent, others []gooseberrymast.Endpoint
+// holders gives the agents that may hold a flow of an address, those heard
+// lately first, since the others may not answer. These are the agents of the
+// services that the address's route allows or did allow, and those that say in
+// the store that they have served the address.
+func (s *Steerer) holders(address, except gooseberrymast.Endpoint, now time.Time) []gooseberrymast.Endpoint {
+	var heard, silent []gooseberrymast.Endpoint
+	hearsMost := s.hearsMost(now)
+	allowed := s.everAllowed(address)
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == except:
-		case !route.Allows(entry.Service):
-			others = append(others, entry.Endpoint)
+		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
+		case hearsMost && s.silentFor(entry, now) > GoneAfter:
 		case entry.Alive(now):
 			heard = append(heard, entry.Endpoint)
 		default:
@@ -67,11 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
-	holders = append(heard, silent...)
-	if len(holders)+len(others) > maxAsked {
-		return holders[:min(len(holders), maxAsked)], false
-	}
-	return append(holders, others...), true
+	return append(heard, silent...)
 }
 
 func (s *Steerer) beginWalk(of gooseberrymast.PacketHeader, chains int, now time.Time) uint32 {
@@ -123,3 +112,44 @@
 		}
 	}
 }
+
+// GoneAfter is the time without a report after which an agent is taken as gone
+// with its flows: entries of a living agent are back about 2 s after it can be
+// reached again.
+const GoneAfter = 2 * time.Second
+
+// gone reports whether an agent is taken as gone. A balancer that hears less
+// than half of the agents takes itself for the one that is cut off.
+func (s *Steerer) gone(agent gooseberrymast.Endpoint, now time.Time) bool {
+	entry, known := s.Roster.Get(agent)
+	switch {
+	case !known:
+		return false
+	case entry.State == gooseberrymast.StateGone:
+		return true
+	}
+	return s.silentFor(entry, now) > GoneAfter && s.hearsMost(now)
+}
+
+// silentFor gives the time since an agent was heard, or since the balancer
+// could first have heard it.
+func (s *Steerer) silentFor(entry roster.Entry, now time.Time) time.Duration {
+	if entry.Heard.After(s.Started) {
+		return now.Sub(entry.Heard)
+	}
+	return now.Sub(s.Started)
+}
+
+func (s *Steerer) hearsMost(now time.Time) bool {
+	heard, all := 0, 0
+	s.Roster.Each(func(entry roster.Entry) {
+		if entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone {
+			return
+		}
+		all++
+		if entry.Alive(now) {
+			heard++
+		}
+	})
+	return heard > 0 && 2*heard >= all
+}
--- a/flow.go
+++ b/flow.go
@@ -1,6 +1,7 @@
 package gooseberrymast
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
@@ -54,9 +55,9 @@
 	return e.AddrPort().String()
 }
 
-// Less orders endpoints by address, then port.
-func (e Endpoint) Less(other Endpoint) bool {
-	return e.number() < other.number()
+// Compare orders endpoints by address, then port.
+func (e Endpoint) Compare(other Endpoint) int {
+	return cmp.Compare(e.number(), other.number())
 }
 
 func (e Endpoint) number() uint64 {
--- a/protocol/interpreter/record.go
+++ b/protocol/interpreter/record.go
@@ -14,16 +14,22 @@
 	Role     string `json:"role"`
 	Service  string `json:"service,omitempty"`
 	Zone     string `json:"zone"`
+	// Served are the addresses whose flows the agent's server has taken.
+	Served []string `json:"served,omitempty"`
 }
 
 // EncodeRecord writes a peer's value in the store.
-func EncodeRecord(peer gooseberrymast.Peer) ([]byte, error) {
-	value, err := json.Marshal(record{
+func EncodeRecord(peer gooseberrymast.Peer, served []gooseberrymast.Endpoint) ([]byte, error) {
+	written := record{
 		Endpoint: peer.Endpoint.String(),
 		Role:     peer.Role.String(),
 		Service:  peer.Service,
 		Zone:     peer.Zone,
-	})
+	}
+	for _, address := range served {
+		written.Served = append(written.Served, address.String())
+	}
+	value, err := json.Marshal(written)
 	if err != nil {
 		return nil, fmt.Errorf("interpreter.EncodeRecord: %w", err)
 	}
@@ -32,28 +38,41 @@
 
 // DecodeRecord reads a peer's value in the store. Its incarnation and sequence
 // are zero, so that anything a peer has told goes before it.
-func DecodeRecord(value []byte) (gooseberrymast.Peer, error) {
+func DecodeRecord(value []byte) (gooseberrymast.Peer, []gooseberrymast.Endpoint, error) {
 	var read record
 	if err := json.Unmarshal(value, &read); err != nil {
-		return gooseberrymast.Peer{}, fmt.Errorf("interpreter.DecodeRecord: %w", err)
+		return gooseberrymast.Peer{}, nil, fmt.Errorf("interpreter.DecodeRecord: %w", err)
 	}
-	endpoint, err := gooseberrymast.ParseEndpoint(read.Endpoint)
+	var served []gooseberrymast.Endpoint
+	for _, text := range read.Served {
+		address, err := gooseberrymast.ParseEndpoint(text)
+		if err != nil {
+			return gooseberrymast.Peer{}, nil, fmt.Errorf("interpreter.DecodeRecord: %w", err)
+		}
+		served = append(served, address)
+	}
+	peer, err := read.peer()
+	return peer, served, err
+}
+
+func (r record) peer() (gooseberrymast.Peer, error) {
+	endpoint, err := gooseberrymast.ParseEndpoint(r.Endpoint)
 	if err != nil {
 		return gooseberrymast.Peer{}, fmt.Errorf("interpreter.DecodeRecord: %w", err)
 	}
 	peer := gooseberrymast.Peer{
 		Endpoint: endpoint,
 		State:    gooseberrymast.StateStarting,
-		Service:  read.Service,
-		Zone:     read.Zone,
+		Service:  r.Service,
+		Zone:     r.Zone,
 	}
-	switch read.Role {
+	switch r.Role {
 	case gooseberrymast.RoleAgent.String():
 		peer.Role = gooseberrymast.RoleAgent
 	case gooseberrymast.RoleBalancer.String():
 		peer.Role = gooseberrymast.RoleBalancer
 	default:
-		return gooseberrymast.Peer{}, fmt.Errorf("interpreter.DecodeRecord: role %q: %w", read.Role, ErrMalformed)
+		return gooseberrymast.Peer{}, fmt.Errorf("interpreter.DecodeRecord: role %q: %w", r.Role, ErrMalformed)
 	}
 	return peer, nil
 }
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -23,6 +23,9 @@
 	agentReports = 200 * time.Millisecond
 	// announceInterval is the time between two announcements of flows.
 	announceInterval = 100 * time.Millisecond
+	// servedInterval is the time between two looks whether the agent's entry
+	// lacks an address that its server has served.
+	servedInterval = 500 * time.Millisecond
 	// maxOwners is the number of flows in one datagram, 22 bytes each.
 	maxOwners = 50
 	// healthTimeout bounds the health check at the agent's start.
@@ -72,6 +75,7 @@
 	a.deliverer.Self = a.Settings.Peers
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.measure
+	a.served, a.restore = a.deliverer.Served, a.deliverer.Restore
 	probed := make(chan string, 1)
 	a.adopt = func(routes *gooseberrymast.Routes) {
 		select {
@@ -103,6 +107,7 @@
 	stops := []func(){
 		a.Timer.Every(pollInterval, func(time.Time) { a.confirm(working) }),
 		a.Timer.Every(announceInterval, a.announce),
+		a.Timer.Every(servedInterval, func(time.Time) { a.recordServed(working) }),
 		a.Timer.Every(expireInterval, func(now time.Time) {
 			a.deliverer.Expire(now)
 			a.roster.Expire(now)
@@ -157,7 +162,7 @@
 func (a *Agent) server(now time.Time) deliverer.Server {
 	a.trackerMu.Lock()
 	defer a.trackerMu.Unlock()
-	return deliverer.Server{Status: a.tracker.Status(now), Service: a.tracker.Service(), Complete: a.tracker.Complete()}
+	return deliverer.Server{Status: a.tracker.Status(now), Service: a.tracker.Service()}
 }
 
 func (a *Agent) announced(announcement gooseberrymast.Announcement) error {
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -60,7 +60,7 @@
 	}
 	random := rand.New(rand.NewPCG(uint64(b.started.UnixNano()), gooseberrymast.RendezvousScore(0, b.Settings.Peers)))
 	b.steerer = steerer.Steerer{
-		Self: b.Settings.Peers, Zone: b.Settings.Zone, Roster: &b.roster, Owners: &b.owned, Random: random,
+		Self: b.Settings.Peers, Zone: b.Settings.Zone, Started: b.started, Roster: &b.roster, Owners: &b.owned, Random: random,
 	}
 	b.adopt = func(routes *gooseberrymast.Routes) { b.steerer.SetRoutes(routes) }
 	b.owners = func(owner gooseberrymast.Endpoint, held []gooseberrymast.FlowKey, now time.Time) {
--- a/runner/document.go
+++ b/runner/document.go
@@ -26,7 +26,7 @@
 	rank := 0
 	m.roster.Each(func(entry roster.Entry) {
 		if entry.Role == gooseberrymast.RoleBalancer && entry.Zone == m.Settings.Zone &&
-			entry.Alive(now) && entry.Endpoint.Less(m.Settings.Peers) {
+			entry.Alive(now) && entry.Endpoint.Compare(m.Settings.Peers) < 0 {
 			rank++
 		}
 	})
@@ -148,107 +148,3 @@
 	}
 	return m.parts, nil
 }
-
-// register makes the process known in the store and reads which peers are, and
-// tries again until both are done.
-func (m *member) register(ctx context.Context) {
-	pause := registerPause
-	for ctx.Err() == nil {
-		err := m.callStore(ctx, "register", m.registerOnce)
-		if err == nil {
-			m.registered.Store(true)
-			m.roster.Complete()
-			m.Log.Info().Str("event", "registered").Int("peers", len(m.roster.Entries(nil))).Msg("")
-			m.notify()
-			return
-		}
-		m.Log.Warn().Str("event", "register-failed").Err(err).Msg("")
-		sleep(ctx, m.Timer, pause)
-		pause = min(2*pause, maxRegisterPause)
-	}
-}
-
-const (
-	// registerPause is the first pause between two tries to register.
-	registerPause = 100 * time.Millisecond
-	// maxRegisterPause bounds the pause, which doubles with each try: entries
-	// are to be back about 2 s after the store's return.
-	maxRegisterPause = 800 * time.Millisecond
-)
-
-// registerOnce writes the process's entry and then reads those of all others.
-// In this order, of two instances that start at once the later reader sees the
-// other, and makes itself known to it.
-func (m *member) registerOnce(ctx context.Context) error {
-	self := m.own()
-	value, err := interpreter.EncodeRecord(self)
-	if err != nil {
-		return err
-	}
-	entry := gooseberrymast.Object{Key: recordKey(self.Endpoint), Value: value}
-	_, err = m.Store.Put(ctx, entry, 0)
-	exists := errors.Is(err, gooseberrymast.ErrStoreConflict)
-	if err != nil && !exists {
-		return err
-	}
-	peers, own, err := m.listPeers(ctx)
-	if err != nil {
-		return err
-	}
-	m.roster.Merge(peers, m.Timer.Now())
-	if !exists || own.same {
-		return nil
-	}
-	// The entry is that of an earlier server at this address.
-	_, err = m.Store.Put(ctx, entry, own.version)
-	return err
-}
-
-// ownEntry is the process's entry as it lies in the store.
-type ownEntry struct {
-	version uint64
-	// same is set when it says what the process would write.
-	same bool
-}
-
-// listPeers reads the entries of all instances.
-func (m *member) listPeers(ctx context.Context) (peers []gooseberrymast.Peer, own ownEntry, err error) {
-	self := m.own()
-	objects, err := m.Store.List(ctx, peersPrefix)
-	if err != nil && objects == nil {
-		return nil, own, err
-	}
-	if err != nil {
-		m.Log.Warn().Str("event", "store-entry-unreadable").Err(err).Msg("")
-	}
-	for _, object := range objects {
-		each, err := interpreter.DecodeRecord(object.Value)
-		if object.Key == recordKey(self.Endpoint) {
-			own = ownEntry{
-				version: object.Version,
-				same:    err == nil && each.Role == self.Role && each.Service == self.Service && each.Zone == self.Zone,
-			}
-			continue
-		}
-		if err != nil {
-			m.Log.Warn().Str("event", "store-entry-unreadable").Str("key", object.Key).Err(err).Msg("")
-			continue
-		}
-		peers = append(peers, each)
-	}
-	return peers, own, nil
-}
-
-func recordKey(endpoint gooseberrymast.Endpoint) string {
-	return peersPrefix + endpoint.AddrPort().Addr().String()
-}
-
-func sleep(ctx context.Context, timer gooseberrymast.Timer, delay time.Duration) {
-	done := make(chan struct{})
-	cancel := timer.After(delay, func(time.Time) { close(done) })
-	select {
-	case <-done:
-	case <-ctx.Done():
-		cancel()
-	}
-}
--- /dev/null
+++ b/runner/entry.go
@@ -0,0 +1,179 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/interpreter"
+)
+
+const (
+	// registerPause is the first pause between two tries to register.
+	registerPause = 100 * time.Millisecond
+	// maxRegisterPause bounds the pause, which doubles with each try: entries
+	// are to be back about 2 s after the store's return.
+	maxRegisterPause = 800 * time.Millisecond
+)
+
+// register makes the process known in the store and reads which peers are, and
+// tries again until both are done.
+func (m *member) register(ctx context.Context) {
+	pause := registerPause
+	for ctx.Err() == nil {
+		err := m.callStore(ctx, "register", m.registerOnce)
+		if err == nil {
+			m.registered.Store(true)
+			m.roster.Complete()
+			m.Log.Info().Str("event", "registered").Int("peers", len(m.roster.Entries(nil))).Msg("")
+			m.notify()
+			return
+		}
+		m.Log.Warn().Str("event", "register-failed").Err(err).Msg("")
+		sleep(ctx, m.Timer, pause)
+		pause = min(2*pause, maxRegisterPause)
+	}
+}
+
+// registerOnce writes the process's entry and then reads those of all others.
+// In this order, of two instances that start at once the later reader sees the
+// other, and makes itself known to it.
+func (m *member) registerOnce(ctx context.Context) error {
+	value, err := m.encodeEntry()
+	if err != nil {
+		return err
+	}
+	entry := gooseberrymast.Object{Key: recordKey(m.Settings.Peers), Value: value}
+	entry.Version, err = m.Store.Put(ctx, entry, 0)
+	if err != nil && !errors.Is(err, gooseberrymast.ErrStoreConflict) {
+		return err
+	}
+	found, err := m.listPeers(ctx)
+	if err != nil {
+		return err
+	}
+	if found.Key != "" {
+		entry = canonical(found)
+	}
+	m.mu.Lock()
+	m.entry = entry
+	m.mu.Unlock()
+	return m.updateEntry(ctx)
+}
+
+// listPeers reads the entries of all instances and gives the process's own.
+func (m *member) listPeers(ctx context.Context) (own gooseberrymast.Object, err error) {
+	objects, err := m.Store.List(ctx, peersPrefix)
+	if err != nil && objects == nil {
+		return own, err
+	}
+	if err != nil {
+		m.Log.Warn().Str("event", "store-entry-unreadable").Err(err).Msg("")
+	}
+	self := m.own()
+	now := m.Timer.Now()
+	for _, object := range objects {
+		each, served, err := interpreter.DecodeRecord(object.Value)
+		if err != nil {
+			m.Log.Warn().Str("event", "store-entry-unreadable").Str("key", object.Key).Err(err).Msg("")
+		}
+		switch {
+		case object.Key == recordKey(self.Endpoint):
+			own = object
+			if m.restore != nil && err == nil && each.Service == self.Service {
+				m.restore(served)
+			}
+		case err == nil:
+			m.roster.Merge([]gooseberrymast.Peer{each}, now)
+			m.roster.SetServed(each.Endpoint, served)
+		}
+	}
+	if m.restore != nil {
+		m.restore(nil)
+	}
+	return own, nil
+}
+
+// recordServed updates the process's entry once it is known in the store.
+func (m *member) recordServed(ctx context.Context) {
+	if !m.registered.Load() {
+		return
+	}
+	if err := m.callStore(ctx, "update the entry", m.updateEntry); err != nil {
+		m.Log.Warn().Str("event", "entry-not-updated").Err(err).Msg("")
+	}
+}
+
+// updateEntry writes the process's entry if it is not as the store has it.
+func (m *member) updateEntry(ctx context.Context) error {
+	value, err := m.encodeEntry()
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	entry := m.entry
+	m.mu.Unlock()
+	if bytes.Equal(value, entry.Value) {
+		return nil
+	}
+	entry.Value = value
+	entry.Version, err = m.Store.Put(ctx, entry, entry.Version)
+	if errors.Is(err, gooseberrymast.ErrStoreConflict) || errors.Is(err, gooseberrymast.ErrStoreUnknown) {
+		// An earlier write took effect although its answer was lost. Nobody
+		// else writes this entry, so the next try goes on from what is there.
+		latest, readErr := m.Store.Get(ctx, entry.Key)
+		if readErr != nil {
+			return errors.Join(err, readErr)
+		}
+		m.mu.Lock()
+		m.entry = canonical(latest)
+		m.mu.Unlock()
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.entry = entry
+	m.mu.Unlock()
+	return nil
+}
+
+// canonical gives an entry with its value as this process would write it,
+// since the store may write the same value in another way.
+func canonical(entry gooseberrymast.Object) gooseberrymast.Object {
+	peer, served, err := interpreter.DecodeRecord(entry.Value)
+	if err == nil {
+		entry.Value, err = interpreter.EncodeRecord(peer, served)
+	}
+	if err != nil {
+		// What can't be read is replaced.
+		entry.Value = nil
+	}
+	return entry
+}
+
+func (m *member) encodeEntry() ([]byte, error) {
+	self := m.own()
+	var served []gooseberrymast.Endpoint
+	if m.served != nil {
+		served = m.served()
+	}
+	return interpreter.EncodeRecord(self, served)
+}
+
+func recordKey(endpoint gooseberrymast.Endpoint) string {
+	return peersPrefix + endpoint.AddrPort().Addr().String()
+}
+
+func sleep(ctx context.Context, timer gooseberrymast.Timer, delay time.Duration) {
+	done := make(chan struct{})
+	cancel := timer.After(delay, func(time.Time) { close(done) })
+	select {
+	case <-done:
+	case <-ctx.Done():
+		cancel()
+	}
+}
--- a/runner/member.go
+++ b/runner/member.go
@@ -61,6 +61,10 @@
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// owners takes the flows that an agent owns; nil at an agent.
 	owners onOwners
+	// served and restore keep the addresses that an agent's server has served;
+	// nil at a balancer.
+	served  func() []gooseberrymast.Endpoint
+	restore func([]gooseberrymast.Endpoint)
 
 	mu          sync.Mutex
 	self        gooseberrymast.Peer
@@ -71,6 +75,8 @@
 	fetched     time.Time
 	rosterSent  map[gooseberrymast.Endpoint]time.Time
 	storeFailed bool
+	// entry is the process's entry in the store, as it was last written or read.
+	entry gooseberrymast.Object
 
 	registered atomic.Bool
 	wake       chan struct{}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -37,6 +37,9 @@
 	// Load and Document are those of the last report.
 	Load     gooseberrymast.FlowLoad
 	Document gooseberrymast.DocumentNews
+	// Served are the addresses whose flows an agent's server has taken, as the
+	// agent's entry in the store says.
+	Served []gooseberrymast.Endpoint
 }
 
 // Alive reports whether the peer was heard lately.
@@ -97,6 +100,16 @@
 	return changed
 }
 
+// SetServed records the addresses of an agent's entry in the store.
+func (r *Roster) SetServed(agent gooseberrymast.Endpoint, served []gooseberrymast.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if entry, known := r.entries[agent]; known {
+		entry.Served = served
+		r.put(entry)
+	}
+}
+
 // Complete records that the store's list was merged.
 func (r *Roster) Complete() {
 	r.mu.Lock()
@@ -168,12 +181,7 @@
 			kept = append(kept, entry)
 		}
 	})
-	slices.SortFunc(kept, func(a, b Entry) int {
-		if a.Endpoint.Less(b.Endpoint) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(kept, func(a, b Entry) int { return a.Endpoint.Compare(b.Endpoint) })
 	return kept
 }
 
