Ask a server for a flow only if it has served the flow's address; tests of the deciding code

A server that never took a flow of an address can't hold one, and the entry in the store says which it took.

--- /dev/null
+++ b/coordination/chooser/chooser_test.go
@@ -0,0 +1,97 @@
+package chooser
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func candidate(number byte, load gooseberrymast.FlowLoad) Candidate {
+	load.Slots = 4
+	return Candidate{
+		Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 0, number}, Port: 7000},
+		Zone:     "a", Load: load, Reported: epoch,
+	}
+}
+
+func TestChoosesTheLeastWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		other Candidate
+	}{
+		{"in progress", candidate(2, gooseberrymast.FlowLoad{InProgress: 2})},
+		{"flows that will bring more", candidate(2, gooseberrymast.FlowLoad{Flows: 40})},
+		{"cold", candidate(2, gooseberrymast.FlowLoad{Cold: time.Second})},
+		{"another zone", func() Candidate {
+			far := candidate(2, gooseberrymast.FlowLoad{})
+			far.Zone = "b"
+			return far
+		}()},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				chooser := Chooser{Zone: "a"}
+				free := candidate(1, gooseberrymast.FlowLoad{})
+				chosen := chooser.Choose([]Candidate{test.other, free}, 2, rand.New(rand.NewPCG(seed, 1)))
+				is.Equal(chosen[0], free.Endpoint)
+				is.Equal(chosen[1], test.other.Endpoint)
+			}
+		})
+	}
+}
+
+func TestNothingToChooseFrom(t *testing.T) {
+	is := is.New(t)
+	var chooser Chooser
+	is.Equal(len(chooser.Choose(nil, 3, rand.New(rand.NewPCG(1, 1)))), 0)
+}
+
+// TestCrestBetweenReports replays 40 new flows that come between two reports:
+// what was placed counts, so that they are spread as the reports would have it.
+func TestCrestBetweenReports(t *testing.T) {
+	is := is.New(t)
+	const agents, flows = 8, 40
+	chooser := Chooser{Zone: "a"}
+	random := rand.New(rand.NewPCG(5, 6))
+	counts := map[gooseberrymast.Endpoint]int{}
+	for range flows {
+		var candidates []Candidate
+		for number := range byte(agents) {
+			candidates = append(candidates, candidate(number, gooseberrymast.FlowLoad{}))
+		}
+		counts[chooser.Choose(candidates, 1, random)[0]]++
+	}
+	for _, count := range counts {
+		is.True(count <= flows/agents+2)
+	}
+}
+
+// TestManyBalancersByTheSameReports replays 30 balancers that each place one
+// flow by the same reports: one idle agent among busy ones must not get all.
+func TestManyBalancersByTheSameReports(t *testing.T) {
+	is := is.New(t)
+	const agents, balancers = 20, 30
+	counts := map[gooseberrymast.Endpoint]int{}
+	for seed := range uint64(balancers) {
+		chooser := Chooser{Zone: "a"}
+		var candidates []Candidate
+		for number := range byte(agents) {
+			load := gooseberrymast.FlowLoad{InProgress: 1}
+			if number == 0 {
+				load.InProgress = 0
+			}
+			candidates = append(candidates, candidate(number, load))
+		}
+		counts[chooser.Choose(candidates, 1, rand.New(rand.NewPCG(seed, 7)))[0]]++
+	}
+	idle := candidate(0, gooseberrymast.FlowLoad{}).Endpoint
+	is.True(counts[idle] < balancers/3)
+}
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -42,6 +42,8 @@
 	// ReasonWrongService: the flow was placed at another service, or the
 	// routes in force don't allow the server's service.
 	ReasonWrongService Reason = "wrong-service"
+	// ReasonNeverServed: the server has taken no flow of the address.
+	ReasonNeverServed Reason = "never-served"
 	// ReasonServerUnknown: the server has not announced itself yet.
 	ReasonServerUnknown Reason = "server-unknown"
 	// ReasonServerLeaving: the server takes no new flows.
@@ -105,6 +107,8 @@
 	// is set once those of earlier incarnations of the agent are among them.
 	served   map[gooseberrymast.Endpoint]struct{}
 	restored bool
+	// servedChanges counts the additions to served.
+	servedChanges int
 }
 
 type flow struct {
@@ -173,9 +177,8 @@
 	if server.Status == tracker.Gone {
 		return d.notHeld(header, hop, ReasonServerGone, true)
 	}
-	if _, served := d.served[key.Service]; hop.Mode == gooseberrymast.HopWalk && !served &&
-		!allowed(routes, key, server.Service) {
-		return d.notHeld(header, hop, ReasonWrongService, d.restored)
+	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
+		return d.notHeld(header, hop, ReasonNeverServed, d.restored)
 	}
 	return Step{Action: ToServer, Tag: d.remember(hop, sender)}
 }
@@ -227,6 +230,16 @@
 	return step
 }
 
+// mayHold reports whether the server may hold a flow that the agent doesn't
+// know: it has taken flows of the address, under this incarnation of the agent
+// or an earlier one. While the earlier ones are not known, the routes decide.
+func (d *Deliverer) mayHold(key gooseberrymast.FlowKey, service string, routes *gooseberrymast.Routes) bool {
+	if _, served := d.served[key.Service]; served {
+		return true
+	}
+	return !d.restored && allowed(routes, key, service)
+}
+
 // deliver gives the server a packet of a known flow.
 func (d *Deliverer) deliver(known *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
 	sender gooseberrymast.Endpoint, now time.Time) Step {
@@ -331,7 +344,17 @@
 	if d.served == nil {
 		d.served = map[gooseberrymast.Endpoint]struct{}{}
 	}
-	d.served[address] = struct{}{}
+	if _, known := d.served[address]; !known {
+		d.served[address] = struct{}{}
+		d.servedChanges++
+	}
+}
+
+// ServedChanges counts the changes of the addresses that the server has served.
+func (d *Deliverer) ServedChanges() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.servedChanges
 }
 
 // Restore adds the addresses that an earlier incarnation of the agent served.
--- /dev/null
+++ b/coordination/deliverer/deliverer_test.go
@@ -0,0 +1,269 @@
+package deliverer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/tracker"
+)
+
+var (
+	self     = endpoint("10.1.0.1:7000")
+	next     = endpoint("10.1.0.2:7000")
+	balancer = endpoint("10.1.0.9:7000")
+	address  = endpoint("198.18.0.1:443")
+	other    = endpoint("198.18.0.2:443")
+	caller   = endpoint("100.64.0.7:40001")
+	key      = gooseberrymast.FlowKey{Caller: caller, Service: address}
+	epoch    = time.Unix(1000, 0)
+	ledger   = Server{Status: tracker.Ready, Service: "ledger"}
+	routes   = &gooseberrymast.Routes{Version: 5, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
+		address: {Address: address, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
+		other:   {Address: other, Backends: []gooseberrymast.WeightedService{{Service: "receipts", Weight: 1}}},
+	}}
+)
+
+func endpoint(text string) gooseberrymast.Endpoint {
+	parsed, err := gooseberrymast.ParseEndpoint(text)
+	if err != nil {
+		panic(err)
+	}
+	return parsed
+}
+
+func opening() gooseberrymast.PacketHeader {
+	return gooseberrymast.PacketHeader{Source: caller, Destination: address, Opens: true}
+}
+
+func request(sequence uint32) gooseberrymast.PacketHeader {
+	return gooseberrymast.PacketHeader{Source: caller, Destination: address, Acknowledges: true, Sequence: sequence, Payload: 100}
+}
+
+func answer(payload int) gooseberrymast.PacketHeader {
+	return gooseberrymast.PacketHeader{Source: address, Destination: caller, Acknowledges: true, Payload: payload}
+}
+
+func placed(candidates ...gooseberrymast.Endpoint) gooseberrymast.Hop {
+	return gooseberrymast.Hop{
+		Mode: gooseberrymast.HopPlace, Definite: true, Origin: balancer, Version: 5,
+		Service: gooseberrymast.ServiceHash("ledger"), Candidates: candidates,
+	}
+}
+
+func walking(candidates ...gooseberrymast.Endpoint) gooseberrymast.Hop {
+	return gooseberrymast.Hop{
+		Mode: gooseberrymast.HopWalk, Definite: true, Passed: true, Origin: balancer, Initiator: balancer, Walk: 3,
+		Candidates: candidates,
+	}
+}
+
+func TestOpening(t *testing.T) {
+	tests := []struct {
+		name   string
+		server Server
+		hop    gooseberrymast.Hop
+		leave  bool
+		action Action
+		reason Reason
+	}{
+		{"ready", ledger, placed(), false, ToServer, ""},
+		{"leaving server passes on", Server{Status: tracker.Leaving, Service: "ledger"}, placed(next), false, Forward, ReasonServerLeaving},
+		{"leaving server, no other", Server{Status: tracker.Leaving, Service: "ledger"}, placed(), false, Reset, ReasonServerLeaving},
+		{"gone server, no other", Server{Status: tracker.Gone, Service: "ledger"}, placed(), false, Reset, ReasonServerGone},
+		{"unknown server is not reset", Server{}, placed(), false, Drop, ReasonServerUnknown},
+		{"silent server is not reset", Server{Status: tracker.Silent, Service: "ledger"}, placed(), false, Drop, ReasonServerSilent},
+		{"leaving agent", ledger, placed(next), true, Forward, ReasonAgentLeaving},
+		{"another service at the address", Server{Status: tracker.Ready, Service: "receipts"}, placed(), false, Drop, ReasonWrongService},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := Deliverer{Self: self}
+			if test.leave {
+				d.Leave()
+			}
+			step := d.FromPeer(opening(), test.hop, balancer, test.server, routes, epoch)
+			is.Equal(step.Action, test.action)
+			is.Equal(step.Reason, test.reason)
+		})
+	}
+}
+
+func TestOpeningByOlderDocument(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	header := opening()
+	header.Destination = other
+	hop := placed()
+	hop.Version = 4
+	step := d.FromPeer(header, hop, balancer, ledger, routes, epoch)
+	is.Equal(step.Reason, ReasonWrongService) // the agent's later document doesn't allow it
+	hop.Version = 6
+	step = d.FromPeer(header, hop, balancer, ledger, routes, epoch)
+	is.Equal(step.Action, ToServer) // the balancer's document is later than the agent's
+}
+
+func TestPassedOpeningThatIsRefusedForAMomentIsNotReset(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	step := d.FromPeer(opening(), placed(next), balancer, Server{}, routes, epoch)
+	is.Equal(step.Action, Forward)
+	is.True(!step.Hop.Definite)
+	var second Deliverer
+	step = second.FromPeer(opening(), step.Hop, self, Server{Status: tracker.Leaving, Service: "ledger"}, routes, epoch)
+	is.Equal(step.Action, Drop) // the first agent may take the next copy
+}
+
+func TestServerRefusesOpening(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	step := d.FromPeer(opening(), placed(next), balancer, ledger, routes, epoch)
+	returned := opening()
+	returned.Tag, returned.Returned = step.Tag, true
+	step = d.Returned(returned, epoch)
+	is.Equal(step.Action, Forward)
+	is.Equal(step.To, next)
+	is.Equal(len(step.Hop.Candidates), 0)
+	flows, _ := d.Load()
+	is.Equal(flows, 0) // the flow is not open here
+}
+
+func TestKnownFlow(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	is.Equal(d.FromServer(answer(0), epoch).Action, ToCaller)
+	leaving := Server{Status: tracker.Leaving, Service: "ledger"}
+	step := d.FromPeer(request(1), walking(next), balancer, leaving, routes, epoch)
+	is.Equal(step.Action, ToServer) // a leaving server keeps its flows
+	is.Equal(step.Tell, balancer)   // the balancer that looked for the owner is told
+	step = d.FromPeer(request(200), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, leaving, nil, epoch)
+	is.Equal(step.Action, ToServer) // a document without the route leaves open flows where they are
+	is.True(step.Tell.IsZero())
+}
+
+func TestWalk(t *testing.T) {
+	tests := []struct {
+		name     string
+		server   Server
+		restored bool
+		served   []gooseberrymast.Endpoint
+		address  gooseberrymast.Endpoint
+		action   Action
+		definite bool
+	}{
+		{"an earlier incarnation served the address", ledger, true, []gooseberrymast.Endpoint{address}, address, ToServer, false},
+		{"a document in the past allowed the address", ledger, true, []gooseberrymast.Endpoint{other}, other, ToServer, false},
+		{"the server never served the address", ledger, true, nil, address, Forward, true},
+		{"a server that has just started is not asked", Server{}, true, nil, address, Forward, true},
+		{"what was served is not known yet", ledger, false, nil, address, ToServer, false},
+		{"not known yet, but not allowed", ledger, false, nil, other, Forward, false},
+		{"the server is gone with its flows", Server{Status: tracker.Gone}, false, nil, address, Forward, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := Deliverer{Self: self}
+			if test.restored {
+				d.Restore(test.served)
+			}
+			header := request(1)
+			header.Destination = test.address
+			step := d.FromPeer(header, walking(), balancer, test.server, routes, epoch)
+			is.Equal(step.Action, test.action)
+			if step.Action == Forward {
+				is.Equal(step.Hop.Mode, gooseberrymast.HopAbsent)
+				is.Equal(step.To, balancer)
+				is.Equal(step.Hop.Definite, test.definite)
+			}
+		})
+	}
+}
+
+func TestServerReturnsFlowThatItDoesNotHold(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	step := d.FromPeer(request(1), walking(next), balancer, ledger, routes, epoch)
+	is.Equal(step.Action, ToServer)
+	returned := request(1)
+	returned.Tag, returned.Returned = step.Tag, true
+	step = d.Returned(returned, epoch)
+	is.Equal(step.To, next)
+	is.True(step.Hop.Definite)
+	is.Equal(d.Returned(returned, epoch).Reason, ReasonNoTry) // a copy goes nowhere
+
+	step = d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, ledger, routes, epoch)
+	returned.Tag = step.Tag
+	step = d.Returned(returned, epoch)
+	is.Equal(step.Hop.Mode, gooseberrymast.HopReturn)
+	is.Equal(step.To, balancer)
+}
+
+func TestRelearnsFlowFromServer(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.Restore(nil)
+	is.Equal(d.FromServer(answer(500), epoch).Action, ToCaller)
+	flows, _ := d.Load()
+	is.Equal(flows, 1)
+	is.Equal(d.FromPeer(request(1), walking(), balancer, ledger, routes, epoch).Action, ToServer)
+	news := d.Announce([]gooseberrymast.Endpoint{balancer}, nil, epoch.Add(time.Second))
+	is.Equal(news[balancer], []gooseberrymast.FlowKey{key})
+}
+
+func TestWorkInProgress(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d.FromServer(answer(0), epoch)
+	busy := func() int {
+		_, busy := d.Load()
+		return busy
+	}
+	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
+	d.FromPeer(request(1), hop, balancer, ledger, routes, epoch)
+	is.Equal(busy(), 1)
+	d.FromServer(answer(400), epoch)
+	is.Equal(busy(), 0)
+	d.FromPeer(request(1), hop, balancer, ledger, routes, epoch)
+	is.Equal(busy(), 0) // a copy of the request is no new work
+	d.FromPeer(request(101), hop, balancer, ledger, routes, epoch)
+	is.Equal(busy(), 1)
+	d.Restarted()
+	is.Equal(busy(), 0)
+}
+
+func TestAnnounce(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d.FromServer(answer(0), epoch)
+	places := []gooseberrymast.Endpoint{balancer, next}
+	is.Equal(len(d.Announce(places, nil, epoch)), 0) // most flows end before
+	later := epoch.Add(announceAfter)
+	is.Equal(len(d.Announce(places, nil, later)), 2)
+	is.Equal(len(d.Announce(places, nil, later)), 0) // told once
+	again := d.Announce(places, map[gooseberrymast.Endpoint]bool{next: true}, later)
+	is.Equal(len(again), 1) // a balancer that restarted knows nothing
+	is.Equal(again[next], []gooseberrymast.FlowKey{key})
+	third := endpoint("10.1.0.3:7000")
+	is.True(len(d.Announce([]gooseberrymast.Endpoint{third}, nil, later)[third]) == 1) // a new place
+}
+
+func TestClosedFlowsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	finish := answer(0)
+	finish.Finishes = true
+	d.FromServer(finish, epoch)
+	flows, _ := d.Load()
+	is.Equal(flows, 0)
+	d.Expire(epoch.Add(lingers))
+	is.Equal(len(d.flows), 1) // its ends may send their last packets again
+	d.Expire(epoch.Add(lingers + time.Millisecond))
+	is.Equal(len(d.flows), 0)
+}
--- /dev/null
+++ b/coordination/tracker/tracker_test.go
@@ -0,0 +1,96 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+const interval = 800 * time.Millisecond
+
+var (
+	epoch  = time.Unix(1000, 0)
+	server = gooseberrymast.Endpoint{IP: [4]byte{10, 1, 0, 1}, Port: 8080}
+)
+
+func announcement(born int64, sequence uint64) gooseberrymast.Announcement {
+	return gooseberrymast.Announcement{ID: "i-1", Born: born, Sequence: sequence, Service: "ledger", Address: server}
+}
+
+func TestAnnouncementsThatChangeNothing(t *testing.T) {
+	foreign := announcement(2, 9)
+	foreign.Address.Port++
+	nameless := announcement(2, 9)
+	nameless.Service = ""
+	tests := []struct {
+		name string
+		late gooseberrymast.Announcement
+		want error
+	}{
+		{"same sequence", announcement(2, 5), ErrSuperseded},
+		{"overtaken", announcement(2, 4), ErrSuperseded},
+		{"an earlier incarnation, after a partition", announcement(1, 99), ErrSuperseded},
+		{"another server's address", foreign, ErrForeignAddress},
+		{"no service", nameless, ErrIncomplete},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := Tracker{Address: server, Interval: interval}
+			leaving := announcement(2, 5)
+			leaving.Leaving = true
+			_, err := tracker.Announce(leaving, epoch)
+			is.NoErr(err)
+			restarted, err := tracker.Announce(test.late, epoch)
+			is.Equal(err, test.want)
+			is.True(!restarted)
+			is.Equal(tracker.Status(epoch), Leaving)
+		})
+	}
+}
+
+func TestStatus(t *testing.T) {
+	is := is.New(t)
+	tracker := Tracker{Address: server, Interval: interval}
+	is.Equal(tracker.Status(epoch), Unknown)
+	tracker.Probed("ledger", true, epoch)
+	is.Equal(tracker.Status(epoch), Ready) // a restarted agent need not wait
+	is.Equal(tracker.Service(), "ledger")
+	_, err := tracker.Announce(announcement(1, 7), epoch)
+	is.NoErr(err)
+	tracker.Probed("receipts", false, epoch)
+	is.Equal(tracker.Service(), "ledger") // an announcement goes before a probe
+	is.Equal(tracker.Status(epoch.Add(2*interval)), Ready)
+	is.Equal(tracker.Status(epoch.Add(3*interval)), Silent)
+	is.Equal(tracker.Depart("i-0", 0), ErrSuperseded)
+	is.NoErr(tracker.Depart("i-1", 1))
+	is.Equal(tracker.Status(epoch), Gone)
+}
+
+func TestRestartUnderTheSameID(t *testing.T) {
+	is := is.New(t)
+	tracker := Tracker{Address: server, Interval: interval}
+	restarted, err := tracker.Announce(announcement(1, 7), epoch)
+	is.NoErr(err)
+	is.True(!restarted)
+	restarted, err = tracker.Announce(announcement(2, 1), epoch)
+	is.NoErr(err)
+	is.True(restarted)
+	is.Equal(tracker.Depart("i-1", 1), ErrSuperseded) // the departure of the earlier incarnation
+	is.Equal(tracker.Status(epoch), Ready)
+}
+
+func TestServerThatWasFoundDeadIsBackWithItsNextAnnouncement(t *testing.T) {
+	is := is.New(t)
+	tracker := Tracker{Address: server, Interval: interval}
+	_, err := tracker.Announce(announcement(1, 7), epoch)
+	is.NoErr(err)
+	tracker.Died()
+	is.Equal(tracker.Status(epoch), Gone)
+	_, err = tracker.Announce(announcement(1, 8), epoch)
+	is.NoErr(err)
+	is.Equal(tracker.Status(epoch), Ready)
+}
--- /dev/null
+++ b/protocol/wrapper/wrapper_test.go
@@ -0,0 +1,86 @@
+package wrapper
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+func hop(candidates int) gooseberrymast.Hop {
+	made := gooseberrymast.Hop{
+		Mode: gooseberrymast.HopWalk, Definite: true, Passed: true,
+		Origin:    gooseberrymast.Endpoint{IP: [4]byte{10, 1, 0, 1}, Port: 7000},
+		Initiator: gooseberrymast.Endpoint{IP: [4]byte{10, 1, 0, 2}, Port: 7001},
+		Walk:      77, Version: 1 << 40, Service: 1<<63 + 5,
+	}
+	for i := range candidates {
+		made.Candidates = append(made.Candidates, gooseberrymast.Endpoint{IP: [4]byte{10, 2, 0, byte(i)}, Port: 7000})
+	}
+	return made
+}
+
+func TestRoundTrip(t *testing.T) {
+	for _, candidates := range []int{0, 1, gooseberrymast.MaxCandidates} {
+		is := is.New(t)
+		packet := []byte("a packet as its sender wrote it")
+		datagram := append(Append(nil, hop(candidates)), packet...)
+		is.True(len(datagram)-len(packet) <= MaxHeader)
+		read, rest, err := Split(datagram)
+		is.NoErr(err)
+		is.Equal(read, hop(candidates))
+		is.Equal(rest, packet)
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	good := Append(nil, hop(2))
+	changed := func(at int, value byte) []byte {
+		bad := bytes.Clone(good)
+		bad[at] = value
+		return bad
+	}
+	tests := map[string][]byte{
+		"empty":               {},
+		"a message":           changed(0, KindMessage),
+		"no mode":             changed(1, 0),
+		"an unknown mode":     changed(1, 99),
+		"too many candidates": changed(3, gooseberrymast.MaxCandidates+1),
+		"cut in the header":   good[:fixed-1],
+		"cut in a candidate":  good[:len(good)-1],
+	}
+	for name, datagram := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := Split(datagram)
+			is.Equal(err, ErrMalformed)
+		})
+	}
+}
+
+func FuzzSplit(f *testing.F) {
+	f.Add(Append(nil, hop(3)))
+	f.Add([]byte{KindPacket})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		read, rest, err := Split(datagram)
+		if err != nil {
+			return
+		}
+		again, _, err := Split(append(Append(nil, read), rest...))
+		if err != nil || len(again.Candidates) != len(read.Candidates) {
+			t.Fatalf("read %+v again as %+v: %v", read, again, err)
+		}
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	buffer := make([]byte, 0, 2048)
+	packet := make([]byte, 1231)
+	placed := hop(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer = append(Append(buffer[:0], placed), packet...)
+	}
+}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -25,7 +25,10 @@
 	announceInterval = 100 * time.Millisecond
 	// servedInterval is the time between two looks whether the agent's entry
 	// lacks an address that its server has served.
-	servedInterval = 500 * time.Millisecond
+	servedInterval = 50 * time.Millisecond
+	// recordPause is the time between two writes of an agent's entry, so that a
+	// document with many new routes costs few writes.
+	recordPause = 250 * time.Millisecond
 	// maxOwners is the number of flows in one datagram, 22 bytes each.
 	maxOwners = 50
 	// healthTimeout bounds the health check at the agent's start.
@@ -56,6 +59,11 @@
 	trackerMu sync.Mutex
 	tracker   tracker.Tracker
 
+	// recorded counts the changes of the served addresses that the entry in the
+	// store has, and recordAfter is when the next write may be.
+	recorded    int
+	recordAfter time.Time
+
 	placesMu     sync.Mutex
 	incarnations map[gooseberrymast.Endpoint]uint64
 }
@@ -107,7 +115,7 @@
 	stops := []func(){
 		a.Timer.Every(pollInterval, func(time.Time) { a.confirm(working) }),
 		a.Timer.Every(announceInterval, a.announce),
-		a.Timer.Every(servedInterval, func(time.Time) { a.recordServed(working) }),
+		a.Timer.Every(servedInterval, func(now time.Time) { a.recordNews(working, now) }),
 		a.Timer.Every(expireInterval, func(now time.Time) {
 			a.deliverer.Expire(now)
 			a.roster.Expire(now)
@@ -292,6 +300,21 @@
 	}
 }
 
+// recordNews updates the agent's entry when its server has served an address
+// that the entry lacks, since a later incarnation of the agent relies on it.
+func (a *Agent) recordNews(ctx context.Context, now time.Time) {
+	changes := a.deliverer.ServedChanges()
+	if changes == a.recorded || now.Before(a.recordAfter) || !a.registered.Load() {
+		return
+	}
+	a.recordAfter = now.Add(recordPause)
+	if err := a.callStore(ctx, "update the entry", a.updateEntry); err != nil {
+		a.Log.Warn().Str("event", "entry-not-updated").Err(err).Msg("")
+		return
+	}
+	a.recorded = changes
+}
+
 // fromPeer handles a packet that a peer forwarded.
 func (a *Agent) fromPeer(received []byte, sender gooseberrymast.Endpoint, now time.Time) {
 	hop, packet, err := wrapper.Split(received)
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -96,16 +96,6 @@
 	return own, nil
 }
 
-// recordServed updates the process's entry once it is known in the store.
-func (m *member) recordServed(ctx context.Context) {
-	if !m.registered.Load() {
-		return
-	}
-	if err := m.callStore(ctx, "update the entry", m.updateEntry); err != nil {
-		m.Log.Warn().Str("event", "entry-not-updated").Err(err).Msg("")
-	}
-}
-
 // updateEntry writes the process's entry if it is not as the store has it.
 func (m *member) updateEntry(ctx context.Context) error {
 	value, err := m.encodeEntry()
--- /dev/null
+++ b/state/roster/roster_test.go
@@ -0,0 +1,93 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func peer(number byte, incarnation, sequence uint64) gooseberrymast.Peer {
+	return gooseberrymast.Peer{
+		Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 0, number}, Port: 7000},
+		Role:     gooseberrymast.RoleAgent, Incarnation: incarnation, Sequence: sequence, State: gooseberrymast.StateReady,
+	}
+}
+
+func report(number byte, incarnation, sequence uint64) gooseberrymast.Report {
+	return gooseberrymast.Report{Peer: peer(number, incarnation, sequence)}
+}
+
+func TestHear(t *testing.T) {
+	is := is.New(t)
+	var roster Roster
+	changed, superseded := roster.Hear(report(1, 5, 1), epoch)
+	is.True(changed && !superseded)
+	changed, superseded = roster.Hear(report(1, 5, 1), epoch.Add(time.Second))
+	is.True(!changed && !superseded)
+	_, superseded = roster.Hear(report(1, 4, 9), epoch)
+	is.True(superseded) // the sender must take a higher incarnation
+	entry, ok := roster.Get(peer(1, 0, 0).Endpoint)
+	is.True(ok)
+	is.Equal(entry.Incarnation, uint64(5))
+	is.True(entry.Alive(epoch.Add(time.Second + SilentAfter - 1)))
+	is.True(!entry.Alive(epoch.Add(time.Second + SilentAfter)))
+}
+
+func TestMergedPeersAreNotAlive(t *testing.T) {
+	is := is.New(t)
+	var roster Roster
+	is.True(roster.Merge([]gooseberrymast.Peer{peer(1, 0, 0)}, epoch))
+	is.True(!roster.Merge([]gooseberrymast.Peer{peer(1, 0, 0)}, epoch))
+	entry, _ := roster.Get(peer(1, 0, 0).Endpoint)
+	is.True(!entry.Alive(epoch))
+	roster.Hear(report(1, 3, 0), epoch)
+	entry, _ = roster.Get(peer(1, 0, 0).Endpoint)
+	is.True(entry.Alive(epoch))
+}
+
+// TestRostersConverge hands the same news to two rosters in different orders.
+func TestRostersConverge(t *testing.T) {
+	is := is.New(t)
+	var news []gooseberrymast.Peer
+	for number := range byte(20) {
+		for sequence := range uint64(4) {
+			news = append(news, peer(number, 1+sequence/2, sequence))
+		}
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	var first, second Roster
+	own := peer(99, 1, 1)
+	first.Merge(news, epoch)
+	random.Shuffle(len(news), func(i, j int) { news[i], news[j] = news[j], news[i] })
+	for _, each := range news {
+		second.Merge([]gooseberrymast.Peer{each}, epoch)
+	}
+	is.Equal(first.Digest(own), second.Digest(own))
+	is.Equal(first.Entries(nil), second.Entries(nil))
+	second.Merge([]gooseberrymast.Peer{peer(3, 9, 0)}, epoch)
+	is.True(first.Digest(own) != second.Digest(own))
+}
+
+func TestDigestCountsTheOwnEntry(t *testing.T) {
+	is := is.New(t)
+	var first, second Roster
+	first.Merge([]gooseberrymast.Peer{peer(2, 1, 1)}, epoch)
+	second.Merge([]gooseberrymast.Peer{peer(1, 1, 1)}, epoch)
+	is.Equal(first.Digest(peer(1, 1, 1)), second.Digest(peer(2, 1, 1)))
+}
+
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	var roster Roster
+	before := roster.Digest(peer(9, 1, 1))
+	roster.Hear(report(1, 1, 1), epoch)
+	is.Equal(len(roster.Expire(epoch.Add(ForgetAfter))), 0)
+	is.Equal(len(roster.Expire(epoch.Add(ForgetAfter+1))), 1)
+	is.Equal(roster.Digest(peer(9, 1, 1)), before)
+}
