--- a/protocol/interpreter/document.go
+++ b/protocol/interpreter/document.go
@@ -69,7 +69,7 @@
 }
 
 func document(routes *gooseberrymast.Routes) *peer.Document {
-	message := &peer.Document{Version: routes.Version, IdleTimeoutMs: uint32(routes.IdleTimeout.Milliseconds())}
+	message := &peer.Document{Version: routes.Version, IdleMillis: uint32(routes.IdleTimeout.Milliseconds())}
 	index := map[string]uint32{}
 	indexOf := func(service string) uint32 {
 		if known, ok := index[service]; ok {
@@ -101,7 +101,7 @@
 	routes := &gooseberrymast.Routes{
 		Version:     message.GetVersion(),
 		ByAddress:   make(map[gooseberrymast.Endpoint]gooseberrymast.Route, len(message.GetRoutes())),
-		IdleTimeout: time.Duration(message.GetIdleTimeoutMs()) * time.Millisecond,
+		IdleTimeout: time.Duration(message.GetIdleMillis()) * time.Millisecond,
 		HealthPaths: map[string]string{},
 	}
 	services := message.GetServices()
--- /dev/null
+++ b/protocol/interpreter/interpreter_test.go
@@ -0,0 +1,191 @@
+package interpreter
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/messages/peer"
+	"gooseberrymast/protocol/wrapper"
+)
+
+// maxPayload is the longest datagram that crosses a link in one piece.
+const maxPayload = 1400
+
+func endpoint4(number int) gooseberrymast.Endpoint {
+	return gooseberrymast.Endpoint{IP: [4]byte{10, byte(number >> 8), byte(number), 1}, Port: 7300}
+}
+
+func agent(number int) gooseberrymast.Peer {
+	return gooseberrymast.Peer{
+		Endpoint: endpoint4(number), Role: gooseberrymast.RoleAgent, Incarnation: 1 << 41, Sequence: 3,
+		State: gooseberrymast.StateLeaving, Service: "ledger", Zone: "cairo-a",
+	}
+}
+
+func recoded(t *testing.T, message *peer.Message) *peer.Message {
+	t.Helper()
+	datagram, err := Encode(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(datagram) > maxPayload {
+		t.Fatalf("a datagram of %d bytes", len(datagram))
+	}
+	read, err := Decode(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	report := gooseberrymast.Report{
+		Peer:     agent(1),
+		Load:     gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, Cold: 1500 * time.Millisecond},
+		Document: gooseberrymast.DocumentNews{Version: 19, Age: 250 * time.Millisecond, Confirmed: true},
+		Digest:   1 << 60,
+	}
+	is.Equal(ReadReport(recoded(t, Report(report)).GetReport()), report)
+}
+
+func TestRosters(t *testing.T) {
+	is := is.New(t)
+	var peers, read []gooseberrymast.Peer
+	for i := range 100 {
+		peers = append(peers, agent(i))
+	}
+	for _, message := range Rosters(peers) {
+		read = append(read, ReadRoster(recoded(t, message).GetRoster())...)
+	}
+	is.Equal(read, peers)
+}
+
+func TestOwners(t *testing.T) {
+	is := is.New(t)
+	var held []gooseberrymast.FlowKey
+	for i := range 50 {
+		held = append(held, gooseberrymast.FlowKey{Caller: endpoint4(i), Service: endpoint4(999)})
+	}
+	owner, read := ReadOwners(recoded(t, Owners(endpoint4(7), held)).GetOwners())
+	is.Equal(owner, endpoint4(7))
+	is.Equal(read, held)
+}
+
+func manyRoutes(count int) *gooseberrymast.Routes {
+	routes := &gooseberrymast.Routes{
+		Version: 12, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
+		HealthPaths: map[string]string{"ledger": "/healthz", "receipts": "/ok"},
+	}
+	for i := range count {
+		route := gooseberrymast.Route{
+			Address: endpoint4(i), Idempotent: i%2 == 0, Timeout: 2 * time.Second, Objective: 250 * time.Millisecond, Priority: 1,
+			Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 90}, {Service: "receipts", Weight: 10}},
+		}
+		routes.ByAddress[route.Address] = route
+	}
+	return routes
+}
+
+func TestDocumentInParts(t *testing.T) {
+	for _, count := range []int{1, 13, 400} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			is := is.New(t)
+			routes := manyRoutes(count)
+			messages, err := Document(routes)
+			is.NoErr(err)
+			random := rand.New(rand.NewPCG(1, 2))
+			random.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
+			var collector Collector
+			var read *gooseberrymast.Routes
+			for i, message := range messages {
+				part := recoded(t, message).GetDocumentPart()
+				is.Equal(read, nil)
+				read, err = collector.Add(part)
+				is.NoErr(err)
+				if i < len(messages)-1 {
+					read, err = collector.Add(part) // a copy
+					is.NoErr(err)
+				}
+			}
+			is.Equal(read, routes)
+		})
+	}
+}
+
+func TestPartsOfTwoVersions(t *testing.T) {
+	is := is.New(t)
+	older, newer := manyRoutes(100), manyRoutes(101)
+	newer.Version++
+	olderParts, err := Document(older)
+	is.NoErr(err)
+	newerParts, err := Document(newer)
+	is.NoErr(err)
+	var collector Collector
+	_, err = collector.Add(olderParts[0].GetDocumentPart())
+	is.NoErr(err)
+	var read *gooseberrymast.Routes
+	for _, message := range newerParts {
+		late, err := collector.Add(olderParts[1].GetDocumentPart())
+		is.NoErr(err)
+		is.Equal(late, nil) // parts of an older version don't mix in
+		read, err = collector.Add(message.GetDocumentPart())
+		is.NoErr(err)
+	}
+	is.Equal(read, newer)
+}
+
+func TestMalformedParts(t *testing.T) {
+	is := is.New(t)
+	var collector Collector
+	for _, part := range []*peer.DocumentPart{
+		{}, {Count: 1, Index: 1}, {Count: maxParts + 1}, {Version: 1, Count: 1, Data: []byte{0xff}},
+	} {
+		_, err := collector.Add(part)
+		is.True(err != nil)
+	}
+	_, err := readDocument(&peer.Document{Routes: []*peer.Route{{Services: []uint32{3}, Weights: []uint32{1}}}})
+	is.True(errors.Is(err, ErrMalformed)) // a service that the document doesn't list
+}
+
+func TestRecord(t *testing.T) {
+	is := is.New(t)
+	served := []gooseberrymast.Endpoint{endpoint4(3), endpoint4(4)}
+	value, err := EncodeRecord(agent(1), served)
+	is.NoErr(err)
+	read, readServed, err := DecodeRecord(value)
+	is.NoErr(err)
+	is.Equal(readServed, served)
+	want := agent(1)
+	want.Incarnation, want.Sequence, want.State = 0, 0, gooseberrymast.StateStarting
+	is.Equal(read, want) // what a peer tells goes before its entry
+	for _, bad := range []string{``, `[]`, `{"endpoint":"x"}`, `{"endpoint":"10.0.0.1:1","role":"owner"}`,
+		`{"endpoint":"10.0.0.1:1","role":"agent","served":["x"]}`} {
+		_, _, err := DecodeRecord([]byte(bad))
+		is.True(err != nil)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	datagram, err := Encode(Report(gooseberrymast.Report{Peer: agent(1)}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(datagram)
+	f.Add([]byte{wrapper.KindMessage, 0x2a, 0xff})
+	f.Fuzz(func(_ *testing.T, datagram []byte) {
+		message, err := Decode(datagram)
+		if err != nil {
+			return
+		}
+		ReadReport(message.GetReport())
+		ReadRoster(message.GetRoster())
+		ReadOwners(message.GetOwners())
+	})
+}
