Log decisions by a closed list of events with limits, serve metrics, take settings of our own

Each process writes JSON lines through a bounded queue that never blocks; an event over its limit is counted and told with its next line. Counters by action, refusal reason and store call, and a histogram of service times, are served at metrics-port.

--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -2,25 +2,23 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
 	"gooseberrymast"
 	"gooseberrymast/platform"
+	"gooseberrymast/protocol/parser"
 	"gooseberrymast/runner"
 	"gooseberrymast/state/timer"
+	"gooseberrymast/transport/journaler"
 )
 
-// storeTimeout bounds each call to the store: a hundred times the usual answer
-// of 4 ms, and well below the time in which a change must be in force.
-const storeTimeout = 700 * time.Millisecond
-
 // process is what the commands differ in.
 type process struct {
 	use, short string
@@ -34,6 +32,7 @@
 
 func (p process) command() *cobra.Command {
 	var check bool
+	var file string
 	command := &cobra.Command{
 		Use:   p.use,
 		Short: p.short,
@@ -41,21 +40,33 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			path := platform.SettingsFile()
 			settings, err := platform.ReadSettings(path, p.role)
-			if err != nil {
+			own, ownErr := readOwn(file)
+			if err := joinFaults(err, ownErr); err != nil {
 				return err
 			}
 			if check {
 				fmt.Fprintf(command.OutOrStdout(), "%s is valid\n", path)
 				return nil
 			}
-			store := platform.NewStore(settings.Store, storeTimeout)
-			environment := environment(settings, store)
-			stop := watchSettings(path, settings, environment.Log, store)
+			journal := journaler.New(os.Stdout, settings.Name, float64(own.LogRate), own.LogBurst)
+			defer journal.Close()
+			store := platform.NewStore(settings.Store, own.StoreTimeout.Std())
+			stop := watchSettings(path, settings, journal, store)
 			defer stop()
-			return p.run(command.Context(), environment)
+			return p.run(command.Context(), runner.Environment{
+				Settings:    settings,
+				Codec:       platform.Codec{},
+				Store:       store,
+				Timer:       timer.System{},
+				DocumentKey: platform.DocumentKey,
+				ReadRoutes:  platform.ReadRoutes,
+				MetricsPort: own.MetricsPort,
+				Log:         journal,
+			})
 		},
 	}
 	command.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	command.Flags().StringVar(&file, "settings", "", "the `FILE` of our own settings, in TOML; without one the defaults hold")
 	return command
 }
 
@@ -63,7 +74,7 @@
 // directs calls to the store where they say. Other changes take effect with
 // the next start, since peers and the platform know the instance by its
 // addresses.
-func watchSettings(path string, settings gooseberrymast.InstanceSettings, logger *log.Logger, store *platform.Store) (stop func()) {
+func watchSettings(path string, settings gooseberrymast.InstanceSettings, journal *journaler.Journaler, store *platform.Store) (stop func()) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsInterval)
@@ -80,12 +91,12 @@
 			}
 			latest, err := platform.ReadSettings(path, settings.Role)
 			if err != nil {
-				logger.Error().Str("event", "settings-invalid").Str("cause", cause).Err(err).Msg("the settings in force stay")
+				journal.Error(gooseberrymast.EventSettingsInvalid).Str("cause", cause).Err(err).Msg("the settings in force stay")
 				continue
 			}
 			if cause == "signal" || latest != settings {
-				logger.Info().Str("event", "settings-reloaded").Str("cause", cause).Bool("changed", latest != settings).
-					Stringer("store", latest.Store).Msg("")
+				journal.Info(gooseberrymast.EventSettingsReloaded).Str("cause", cause).Bool("changed", latest != settings).
+					Str("store", latest.Store.String()).Msg("")
 			}
 			settings = latest
 			store.SetAddress(latest.Store)
@@ -98,19 +109,27 @@
 	}
 }
 
-func environment(settings gooseberrymast.InstanceSettings, store *platform.Store) runner.Environment {
-	logger := &log.Logger{
-		Level:   log.InfoLevel,
-		Writer:  log.IOWriter{Writer: os.Stdout},
-		Context: log.NewContext(nil).Str("instance", settings.Name).Value(),
+// readOwn reads the settings of our own.
+func readOwn(file string) (gooseberrymast.ForwardingSettings, error) {
+	if file == "" {
+		return parser.Forwarding(file, nil)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return gooseberrymast.ForwardingSettings{}, fmt.Errorf("read settings: %w", err)
 	}
-	return runner.Environment{
-		Settings:    settings,
-		Codec:       platform.Codec{},
-		Store:       store,
-		Timer:       timer.System{},
-		DocumentKey: platform.DocumentKey,
-		ReadRoutes:  platform.ReadRoutes,
-		Log:         logger,
+	return parser.Forwarding(file, text)
+}
+
+// joinFaults gives the faults of both files together, or the first other error.
+func joinFaults(errs ...error) error {
+	var all gooseberrymast.Faults
+	for _, err := range errs {
+		var faults gooseberrymast.Faults
+		if err != nil && !errors.As(err, &faults) {
+			return err
+		}
+		all = append(all, faults...)
 	}
+	return all.Err()
 }
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -77,6 +77,37 @@
 	Tell gooseberrymast.Endpoint
 	// Reason is set when the packet doesn't reach the server.
 	Reason Reason
+	// Event says what is worth a log line; it is empty for the packets of an
+	// open flow.
+	Event Event
+	// Answered is set on the first packet of an answer, with the request.
+	Answered bool
+	Request  Request
+}
+
+// Event is what a step means for a flow.
+type Event uint8
+
+// The events of a flow.
+const (
+	// FlowTaken: a new flow was given to the server.
+	FlowTaken Event = iota + 1
+	// FlowTried: the server is given a packet of a flow that the agent
+	// doesn't know.
+	FlowTried
+	// FlowLearned: the server sent a packet of a flow that the agent didn't
+	// know.
+	FlowLearned
+	// RequestCut: the server ended a flow before it answered its request.
+	RequestCut
+)
+
+// Request is a request that the server works on.
+type Request struct {
+	// ID is empty when the caller named none.
+	ID string
+	// Took is the time from the request's first packet to its answer's.
+	Took time.Duration
 }
 
 const (
@@ -121,6 +152,9 @@
 	answered bool
 	busy     bool
 	closed   bool
+	// request and since are those of the work in progress.
+	request string
+	since   time.Time
 	// tell is a balancer to be told once the server has answered.
 	tell gooseberrymast.Endpoint
 	// told are the places that know of the flow.
@@ -172,7 +206,9 @@
 		if hop.Passed {
 			known.tell = hop.Origin
 		}
-		return d.deliver(known, header, hop, sender, now)
+		step := d.deliver(known, header, hop, sender, now)
+		step.Event = FlowTaken
+		return step
 	}
 	if server.Status == tracker.Gone {
 		return d.notHeld(header, hop, ReasonServerGone, true)
@@ -180,7 +216,17 @@
 	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
 		return d.notHeld(header, hop, ReasonNeverServed, d.restored)
 	}
-	return Step{Action: ToServer, Tag: d.remember(hop, sender)}
+	return Step{Action: ToServer, Tag: d.remember(hop, sender), Event: FlowTried}
+}
+
+// Begin names the request that a caller's packet begins. It is called before
+// the packet is decided on.
+func (d *Deliverer) Begin(key gooseberrymast.FlowKey, request string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.flows[key]; known != nil && !known.busy {
+		known.request = request
+	}
 }
 
 // Returned decides on a packet that the server gave back.
@@ -208,20 +254,28 @@
 	defer d.mu.Unlock()
 	key := header.FromServer()
 	known := d.flows[key]
+	var learned Event
 	if known == nil {
 		if header.Resets || header.Finishes {
 			return Step{Action: ToCaller}
 		}
 		known = d.add(key, now)
+		learned = FlowLearned
 	}
 	known.used = now
-	step := Step{Action: ToCaller}
+	step := Step{Action: ToCaller, Event: learned}
 	if !known.answered {
 		known.answered = true
 		step.Tell = known.tell
 	}
-	if header.Payload > 0 || header.Finishes || header.Resets {
+	if known.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
 		d.setBusy(known, false)
+		step.Request = Request{ID: known.request, Took: now.Sub(known.since)}
+		step.Answered = header.Payload > 0
+		if !step.Answered {
+			step.Event = RequestCut
+		}
+		known.request = ""
 	}
 	if (header.Resets || header.Finishes) && !known.closed {
 		known.closed, known.finished = true, now
@@ -249,7 +303,10 @@
 		// Sequence numbers wrap, so their difference is compared.
 		if known.asked == 0 || int32(end-known.asked) > 0 {
 			known.asked = end
-			d.setBusy(known, !known.closed)
+			if !known.busy && !known.closed {
+				known.since = now
+				d.setBusy(known, true)
+			}
 		}
 	}
 	step := Step{Action: ToServer, Tag: d.remember(hop, sender)}
--- /dev/null
+++ b/forwarding_settings.go
@@ -0,0 +1,50 @@
+package gooseberrymast
+
+import "time"
+
+// ForwardingSettings are the settings of our own for processes that forward
+// packets; the platform's stand in InstanceSettings.
+type ForwardingSettings struct {
+	// LogRate is the number of log lines a second of one event.
+	LogRate int `toml:"log-rate"`
+	// LogBurst is the number of log lines that one event may write at once.
+	LogBurst int `toml:"log-burst"`
+	// MetricsPort serves metrics on the instance's address; zero serves none.
+	MetricsPort int `toml:"metrics-port"`
+	// StoreTimeout bounds each call to the platform's store.
+	StoreTimeout Duration `toml:"store-timeout"`
+}
+
+// The defaults and ranges of settings for processes that forward packets.
+const (
+	// DefaultLogRate follows single flows on a calm day.
+	DefaultLogRate = 10
+	// DefaultLogBurst holds what happens to one balancer's flows at a restart.
+	DefaultLogBurst = 40
+	// DefaultStoreTimeout is a hundred times the store's usual answer of 4 ms,
+	// and well below the time in which a change must be in force.
+	DefaultStoreTimeout = Duration(700 * time.Millisecond)
+	MaxLogRate          = 10_000
+	maxPort             = 65_535
+	minStoreTimeout     = 50 * time.Millisecond
+	maxStoreTimeout     = 10 * time.Second
+)
+
+// Defaults sets every zero field that has a default.
+func (f *ForwardingSettings) Defaults() {
+	setDefault(&f.LogRate, DefaultLogRate)
+	setDefault(&f.LogBurst, DefaultLogBurst)
+	setDefault(&f.StoreTimeout, DefaultStoreTimeout)
+}
+
+// Validate gives every fault of settings whose defaults are set.
+func (f *ForwardingSettings) Validate() Faults {
+	var faults Faults
+	validateRange(&faults, "log-rate", f.LogRate, 1, MaxLogRate)
+	validateRange(&faults, "log-burst", f.LogBurst, 1, MaxLogRate)
+	validateRange(&faults, "metrics-port", f.MetricsPort, 0, maxPort)
+	if timeout := f.StoreTimeout.Std(); timeout < minStoreTimeout || timeout > maxStoreTimeout {
+		faults.add("store-timeout", f.StoreTimeout, "a duration from %s to %s", minStoreTimeout, maxStoreTimeout)
+	}
+	return faults
+}
--- /dev/null
+++ b/log_event.go
@@ -0,0 +1,75 @@
+package gooseberrymast
+
+// LogEvent names what a log line reports. The list is closed and documented in
+// docs/LOGS.md.
+type LogEvent string
+
+// The events of a process's life and of what it depends on.
+const (
+	EventStarted            LogEvent = "started"
+	EventStopping           LogEvent = "stopping"
+	EventStopped            LogEvent = "stopped"
+	EventSettingsReloaded   LogEvent = "settings-reloaded"
+	EventSettingsInvalid    LogEvent = "settings-invalid"
+	EventStoreLost          LogEvent = "store-lost"
+	EventStoreRegained      LogEvent = "store-regained"
+	EventStoreUnreadable    LogEvent = "store-entry-unreadable"
+	EventRegistered         LogEvent = "registered"
+	EventRegisterFailed     LogEvent = "register-failed"
+	EventEntryNotUpdated    LogEvent = "entry-not-updated"
+	EventEntryNotRemoved    LogEvent = "entry-not-removed"
+	EventPeerChanged        LogEvent = "peer-changed"
+	EventPeerForgotten      LogEvent = "peer-forgotten"
+	EventIncarnationRaised  LogEvent = "incarnation-raised"
+	EventStateChanged       LogEvent = "state-changed"
+	EventReadinessChanged   LogEvent = "readiness-changed"
+	EventDocumentInForce    LogEvent = "document-in-force"
+	EventDocumentAbsent     LogEvent = "document-absent"
+	EventDocumentUnreadable LogEvent = "document-unreadable"
+)
+
+// The events of a backend server, as its agent sees it.
+const (
+	EventServerChanged       LogEvent = "server-changed"
+	EventServerRestarted     LogEvent = "server-restarted"
+	EventServerDeparted      LogEvent = "server-departed"
+	EventServerProbed        LogEvent = "server-probed"
+	EventAnnouncementIgnored LogEvent = "announcement-ignored"
+)
+
+// The events of flows and requests.
+const (
+	EventFlowPlaced     LogEvent = "flow-placed"
+	EventFlowLookedUp   LogEvent = "flow-looked-up"
+	EventFlowWalked     LogEvent = "flow-walked"
+	EventFlowReset      LogEvent = "flow-reset"
+	EventPacketDropped  LogEvent = "packet-dropped"
+	EventFlowTaken      LogEvent = "flow-taken"
+	EventFlowPassedOn   LogEvent = "flow-passed-on"
+	EventFlowTried      LogEvent = "flow-tried"
+	EventFlowNotHeld    LogEvent = "flow-not-held"
+	EventFlowLearned    LogEvent = "flow-learned"
+	EventRequestSlow    LogEvent = "request-slow"
+	EventRequestCut     LogEvent = "request-cut"
+	EventPacketBad      LogEvent = "packet-malformed"
+	EventMessageBad     LogEvent = "message-malformed"
+	EventReceiveFailed  LogEvent = "receive-failed"
+	EventSendFailed     LogEvent = "send-failed"
+	EventServeFailed    LogEvent = "serve-failed"
+	EventEncodeFailed   LogEvent = "encode-failed"
+	EventLinesDropped   LogEvent = "log-lines-dropped"
+	EventMetricsUnready LogEvent = "metrics-not-served"
+)
+
+// LogEvents lists every event.
+var LogEvents = []LogEvent{
+	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
+	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
+	EventEntryNotRemoved, EventPeerChanged, EventPeerForgotten,
+	EventIncarnationRaised, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
+	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
+	EventServerProbed, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
+	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
+	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventPacketBad, EventMessageBad,
+	EventReceiveFailed, EventSendFailed, EventServeFailed, EventEncodeFailed, EventLinesDropped, EventMetricsUnready,
+}
--- a/packet.go
+++ b/packet.go
@@ -34,6 +34,9 @@
 	Decode(datagram []byte) (PacketHeader, error)
 	// Payload gives the bytes that the datagram carries.
 	Payload(datagram []byte) []byte
+	// RequestID gives the id of the request that the datagram begins, or
+	// nothing when it begins none that has one.
+	RequestID(datagram []byte) string
 	// SetTag writes the tag that a backend server gives back.
 	SetTag(datagram []byte, tag uint32)
 	// ClearReturned undoes what a returned packet has beyond what its sender
--- a/protocol/parser/parser.go
+++ b/protocol/parser/parser.go
@@ -49,6 +49,16 @@
 	return settings, err
 }
 
+// Forwarding decodes and validates the settings of a process that forwards
+// packets. With an error, a gooseberrymast.Faults, the settings hold what could
+// be read.
+func Forwarding(file string, text []byte) (gooseberrymast.ForwardingSettings, error) {
+	var settings gooseberrymast.ForwardingSettings
+	settings.Defaults()
+	err := parse(file, text, &settings)
+	return settings, err
+}
+
 // Locate gives each fault the file and, where the text has the key or a table
 // around it, the line.
 func Locate(file string, text []byte, faults gooseberrymast.Faults) gooseberrymast.Faults {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -105,6 +105,7 @@
 		return err
 	}
 	defer stopReady()
+	defer a.serveMetrics()()
 	working, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go a.receive(a.fromPeer)
@@ -121,14 +122,14 @@
 			a.roster.Expire(now)
 		}),
 	}
-	a.Log.Info().Str("event", "started").Str("role", "agent").Str("zone", a.Settings.Zone).
+	a.Log.Info(gooseberrymast.EventStarted).Str("role", "agent").Str("zone", a.Settings.Zone).
 		Str("service", a.Settings.Service).Msg("")
 	<-ctx.Done()
 	a.leave()
 	for _, stop := range stops {
 		stop()
 	}
-	a.Log.Info().Str("event", "stopped").Msg("")
+	a.Log.Info(gooseberrymast.EventStopped).Msg("")
 	return errors.Join(a.outbound.Close(), a.conn.Close())
 }
 
@@ -145,7 +146,7 @@
 	}
 	a.change(state, a.own().Service)
 	a.notify()
-	a.Log.Info().Str("event", "stopping").Bool("server-ended", ended).Msg("")
+	a.Log.Info(gooseberrymast.EventStopping).Bool("server-ended", ended).Msg("")
 	sleep(context.Background(), a.Timer, stopLook)
 	if ended {
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
@@ -154,7 +155,7 @@
 			return a.Store.Delete(ctx, recordKey(a.Settings.Peers), 0)
 		})
 		if err != nil {
-			a.Log.Warn().Str("event", "entry-not-removed").Err(err).Msg("")
+			a.Log.Warn(gooseberrymast.EventEntryNotRemoved).Err(err).Msg("")
 		}
 		return
 	}
@@ -181,16 +182,16 @@
 	after := a.tracker.Status(now)
 	a.trackerMu.Unlock()
 	if err != nil {
-		a.Log.Warn().Str("event", "announcement-ignored").Str("server", announcement.ID).
+		a.Log.Warn(gooseberrymast.EventAnnouncementIgnored).Str("server", announcement.ID).
 			Int64("born", announcement.Born).Uint64("sequence", announcement.Sequence).Err(err).Msg("")
 		return err
 	}
 	if restarted {
-		a.Log.Info().Str("event", "server-restarted").Str("server", announcement.ID).Int64("born", announcement.Born).Msg("")
+		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.Born).Msg("")
 		a.deliverer.Restarted()
 	}
 	if before != after {
-		a.Log.Info().Str("event", "server-changed").Str("server", announcement.ID).
+		a.Log.Info(gooseberrymast.EventServerChanged).Str("server", announcement.ID).
 			Stringer("from", before).Stringer("to", after).Uint64("sequence", announcement.Sequence).Msg("")
 	}
 	a.refresh(now)
@@ -202,7 +203,7 @@
 	a.trackerMu.Lock()
 	err := a.tracker.Depart(id, born)
 	a.trackerMu.Unlock()
-	a.Log.Info().Str("event", "server-departed").Str("server", id).Err(err).Msg("")
+	a.Log.Info(gooseberrymast.EventServerDeparted).Str("server", id).Err(err).Msg("")
 	if err == nil {
 		a.refresh(now)
 	}
@@ -210,7 +211,7 @@
 }
 
 func (a *Agent) malformed(id string, err error) {
-	a.Log.Warn().Str("event", "announcement-ignored").Str("server", id).Err(err).Msg("")
+	a.Log.Warn(gooseberrymast.EventAnnouncementIgnored).Str("server", id).Err(err).Msg("")
 }
 
 // refresh brings the agent's own state in line with its server's and tells
@@ -253,7 +254,7 @@
 		defer cancel()
 		healthy, err := a.Health(ctx, a.Settings.Server, path)
 		now := a.Timer.Now()
-		a.Log.Info().Str("event", "server-probed").Bool("healthy", healthy).Err(err).Msg("")
+		a.Log.Info(gooseberrymast.EventServerProbed).Bool("healthy", healthy).Err(err).Msg("")
 		a.trackerMu.Lock()
 		a.tracker.Probed(a.Settings.Service, healthy, now)
 		a.trackerMu.Unlock()
@@ -309,7 +310,7 @@
 	}
 	a.recordAfter = now.Add(recordPause)
 	if err := a.callStore(ctx, "update the entry", a.updateEntry); err != nil {
-		a.Log.Warn().Str("event", "entry-not-updated").Err(err).Msg("")
+		a.Log.Warn(gooseberrymast.EventEntryNotUpdated).Err(err).Msg("")
 		return
 	}
 	a.recorded = changes
@@ -319,17 +320,18 @@
 func (a *Agent) fromPeer(received []byte, sender gooseberrymast.Endpoint, now time.Time) {
 	hop, packet, err := wrapper.Split(received)
 	if err != nil {
-		a.Log.Warn().Str("event", "packet-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		a.Log.Warn(gooseberrymast.EventPacketBad).Stringer("peer", sender.AddrPort()).Err(err).Msg("")
 		return
 	}
 	header, err := a.Codec.Decode(packet)
 	if err != nil {
-		a.Log.Warn().Str("event", "packet-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		a.Log.Warn(gooseberrymast.EventPacketBad).Stringer("peer", sender.AddrPort()).Err(err).Msg("")
 		return
 	}
-	a.mu.Lock()
-	routes := a.routes
-	a.mu.Unlock()
+	routes := a.currentRoutes()
+	if header.Payload > 0 {
+		a.deliverer.Begin(header.FromCaller(), a.Codec.RequestID(packet))
+	}
 	step := a.deliverer.FromPeer(header, hop, sender, a.server(now), routes, now)
 	a.carryOut(step, header.FromCaller(), packet)
 }
@@ -344,12 +346,12 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			a.Log.Warn().Str("event", "receive-failed").Err(err).Msg("reading from the server failed")
+			a.Log.Warn(gooseberrymast.EventReceiveFailed).Err(err).Msg("reading from the server failed")
 			continue
 		}
 		header, err := a.Codec.Decode(packet[:n])
 		if err != nil {
-			a.Log.Warn().Str("event", "packet-malformed").Int("bytes", n).Msg("")
+			a.Log.Warn(gooseberrymast.EventPacketBad).Int("bytes", n).Msg("")
 			continue
 		}
 		now := a.Timer.Now()
@@ -378,8 +380,5 @@
 	if !step.Tell.IsZero() {
 		a.send(interpreter.Owners(a.Settings.Peers, []gooseberrymast.FlowKey{key}), step.Tell)
 	}
-	if step.Reason != "" {
-		a.Log.Info().Str("event", "flow-not-taken").Stringer("mode", step.Hop.Mode).Uint32("walk", step.Hop.Walk).Stringer("to", step.To.AddrPort()).Bool("definite", step.Hop.Definite).Str("flow", key.String()).
-			Uint8("action", uint8(step.Action)).Str("reason", string(step.Reason)).Msg("")
-	}
+	a.record(step, key, packet)
 }
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -10,13 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"gooseberrymast"
 	"gooseberrymast/coordination/locator"
 	"gooseberrymast/coordination/steerer"
 	"gooseberrymast/protocol/wrapper"
 	"gooseberrymast/state/roster"
+	"gooseberrymast/transport/journaler"
 )
 
 const (
@@ -44,6 +43,7 @@
 	leaving  atomic.Bool
 	lastSeen atomic.Int64
 	started  time.Time
+	ready    atomic.Bool
 }
 
 // NewBalancer makes a balancer.
@@ -77,6 +77,8 @@
 		return err
 	}
 	defer stopServing()
+	b.flowOwners = b.owned.Len
+	defer b.serveMetrics()()
 	working, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go b.receive(b.fromPeer)
@@ -87,34 +89,36 @@
 		b.Timer.Every(expireInterval, b.expire),
 	}
 	go b.reportAll(working)
-	b.Log.Info().Str("event", "started").Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
+	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
 	<-ctx.Done()
 	b.leave()
 	for _, stop := range stops {
 		stop()
 	}
-	b.Log.Info().Str("event", "stopped").Msg("")
+	b.Log.Info(gooseberrymast.EventStopped).Msg("")
 	return errors.Join(b.ingress.Close(), b.conn.Close())
 }
 
 // Ready reports whether the fabric may hand packets to the balancer: it holds
-// a document and knows agents.
+// a document and hears agents.
 func (b *Balancer) Ready() bool {
-	if b.leaving.Load() || b.steerer.Routes() == nil {
-		return false
-	}
-	now := b.Timer.Now()
 	agents := 0
+	now := b.Timer.Now()
 	b.roster.Each(func(entry roster.Entry) {
 		if entry.Role == gooseberrymast.RoleAgent && entry.Alive(now) {
 			agents++
 		}
 	})
-	if agents == 0 {
-		return false
+	routes := b.steerer.Routes()
+	ready := !b.leaving.Load() && routes != nil && agents > 0
+	if b.ready.Swap(ready) != ready {
+		b.Log.Info(gooseberrymast.EventReadinessChanged).Bool("ready", ready).Bool("leaving", b.leaving.Load()).
+			Uint64("version", versionOf(routes)).Int("agents-heard", agents).Msg("")
+	}
+	if ready {
+		b.change(gooseberrymast.StateReady, "")
 	}
-	b.change(gooseberrymast.StateReady, "")
-	return true
+	return ready
 }
 
 // leave announces the departure and waits until the fabric sends no more.
@@ -123,7 +127,7 @@
 	b.leaving.Store(true)
 	b.change(gooseberrymast.StateLeaving, "")
 	b.notify()
-	b.Log.Info().Str("event", "stopping").Msg("")
+	b.Log.Info(gooseberrymast.EventStopping).Msg("")
 	const look = 100 * time.Millisecond
 	for {
 		sleep(context.Background(), b.Timer, look)
@@ -147,12 +151,12 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			b.Log.Warn().Str("event", "receive-failed").Err(err).Msg("reading from the fabric failed")
+			b.Log.Warn(gooseberrymast.EventReceiveFailed).Err(err).Msg("reading from the fabric failed")
 			continue
 		}
 		header, err := b.Codec.Decode(packet[:n])
 		if err != nil {
-			b.Log.Warn().Str("event", "packet-malformed").Int("bytes", n).Msg("")
+			b.Log.Warn(gooseberrymast.EventPacketBad).Int("bytes", n).Msg("")
 			continue
 		}
 		now := b.Timer.Now()
@@ -166,12 +170,12 @@
 func (b *Balancer) fromPeer(received []byte, sender gooseberrymast.Endpoint, now time.Time) {
 	hop, packet, err := wrapper.Split(received)
 	if err != nil {
-		b.Log.Warn().Str("event", "packet-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		b.Log.Warn(gooseberrymast.EventPacketBad).Stringer("peer", sender.AddrPort()).Err(err).Msg("")
 		return
 	}
 	header, err := b.Codec.Decode(packet)
 	if err != nil {
-		b.Log.Warn().Str("event", "packet-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		b.Log.Warn(gooseberrymast.EventPacketBad).Stringer("peer", sender.AddrPort()).Err(err).Msg("")
 		return
 	}
 	steps := b.steerer.FromPeer(nil, header, hop, sender, now)
@@ -190,10 +194,7 @@
 			buffer = b.Codec.AppendReset(buffer[:0], step.Of)
 			b.write(b.conn, buffer, callerEndpoint(step.Of.Source, b.Settings))
 		}
-		if step.Action != steerer.Forward || step.Hop.Mode == gooseberrymast.HopWalk {
-			b.Log.Info().Str("event", "flow-steered").Stringer("to", step.To.AddrPort()).Uint32("walk", step.Hop.Walk).Int("more", len(step.Hop.Candidates)).Str("flow", header.FromCaller().String()).
-				Uint8("action", uint8(step.Action)).Str("reason", string(step.Reason)).Msg("")
-		}
+		b.record(step, header)
 	}
 	return buffer
 }
@@ -233,12 +234,12 @@
 	b.owned.Expire(now)
 	b.steerer.Expire(now)
 	for _, dropped := range b.roster.Expire(now) {
-		b.Log.Info().Str("event", "peer-forgotten").Stringer("peer", dropped.Endpoint.AddrPort()).Msg("")
+		b.Log.Info(gooseberrymast.EventPeerForgotten).Stringer("peer", dropped.Endpoint.AddrPort()).Msg("")
 	}
 }
 
 // serve answers HTTP at an endpoint until the returned function is called.
-func serve(at gooseberrymast.Endpoint, handler http.Handler, log *log.Logger) (stop func(), err error) {
+func serve(at gooseberrymast.Endpoint, handler http.Handler, log *journaler.Journaler) (stop func(), err error) {
 	listener, err := net.Listen("tcp4", at.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen on TCP %s: %w", at, err)
@@ -246,12 +247,12 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Str("event", "serve-failed").Str("address", at.String()).Err(err).Msg("")
+			log.Error(gooseberrymast.EventServeFailed).Str("address", at.String()).Err(err).Msg("")
 		}
 	}()
 	return func() {
 		if err := server.Close(); err != nil {
-			log.Warn().Str("event", "close-failed").Err(err).Msg("")
+			log.Warn(gooseberrymast.EventServeFailed).Err(err).Msg("")
 		}
 	}, nil
 }
--- a/runner/document.go
+++ b/runner/document.go
@@ -57,7 +57,7 @@
 		m.confirmer.Failed(m.Timer.Now())
 		m.mu.Unlock()
 		if errors.Is(err, gooseberrymast.ErrStoreNotFound) {
-			m.Log.Debug().Str("event", "document-absent").Msg("")
+			m.Log.Info(gooseberrymast.EventDocumentAbsent).Msg("")
 		}
 		return
 	}
@@ -79,7 +79,7 @@
 	}
 	m.mu.Unlock()
 	if err != nil {
-		m.Log.Error().Str("event", "document-unreadable").Uint64("version", stored.Version).Err(err).Msg("")
+		m.Log.Error(gooseberrymast.EventDocumentUnreadable).Uint64("version", stored.Version).Err(err).Msg("")
 		return
 	}
 	m.take(routes, "store")
@@ -92,7 +92,7 @@
 	newer := routes != nil && m.confirmer.Fetched(routes.Version)
 	m.mu.Unlock()
 	if err != nil {
-		m.Log.Warn().Str("event", "document-unreadable").Uint64("version", part.GetVersion()).Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventDocumentUnreadable).Uint64("version", part.GetVersion()).Err(err).Msg("")
 		return
 	}
 	if newer {
@@ -111,7 +111,7 @@
 	m.parts = nil
 	m.mu.Unlock()
 	m.adopt(routes)
-	m.Log.Info().Str("event", "document-in-force").Uint64("version", routes.Version).
+	m.Log.Info(gooseberrymast.EventDocumentInForce).Uint64("version", routes.Version).
 		Int("routes", len(routes.ByAddress)).Str("source", source).Msg("")
 	m.notify()
 }
@@ -120,7 +120,7 @@
 func (m *member) sendDocument(to gooseberrymast.Endpoint) {
 	parts, err := m.encoded()
 	if err != nil {
-		m.Log.Error().Str("event", "encode-failed").Err(err).Msg("the document can't be encoded")
+		m.Log.Error(gooseberrymast.EventEncodeFailed).Err(err).Msg("the document can't be encoded")
 		return
 	}
 	for _, part := range parts {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -27,11 +27,11 @@
 		if err == nil {
 			m.registered.Store(true)
 			m.roster.Complete()
-			m.Log.Info().Str("event", "registered").Int("peers", len(m.roster.Entries(nil))).Msg("")
+			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).Msg("")
 			m.notify()
 			return
 		}
-		m.Log.Warn().Str("event", "register-failed").Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventRegisterFailed).Err(err).Msg("")
 		sleep(ctx, m.Timer, pause)
 		pause = min(2*pause, maxRegisterPause)
 	}
@@ -70,14 +70,14 @@
 		return own, err
 	}
 	if err != nil {
-		m.Log.Warn().Str("event", "store-entry-unreadable").Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventStoreUnreadable).Err(err).Msg("")
 	}
 	self := m.own()
 	now := m.Timer.Now()
 	for _, object := range objects {
 		each, served, err := interpreter.DecodeRecord(object.Value)
 		if err != nil {
-			m.Log.Warn().Str("event", "store-entry-unreadable").Str("key", object.Key).Err(err).Msg("")
+			m.Log.Warn(gooseberrymast.EventStoreUnreadable).Str("key", object.Key).Err(err).Msg("")
 		}
 		switch {
 		case object.Key == recordKey(self.Endpoint):
--- a/runner/member.go
+++ b/runner/member.go
@@ -12,14 +12,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"gooseberrymast"
 	"gooseberrymast/coordination/confirmer"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/protocol/messages/peer"
 	"gooseberrymast/protocol/wrapper"
 	"gooseberrymast/state/roster"
+	"gooseberrymast/transport/journaler"
 )
 
 const (
@@ -45,22 +44,27 @@
 	DocumentKey string
 	// ReadRoutes reads the document's object.
 	ReadRoutes func(gooseberrymast.Object) (*gooseberrymast.Routes, error)
+	// MetricsPort serves metrics on the instance's address; zero serves none.
+	MetricsPort int
 	// Log takes the process's log lines.
-	Log *log.Logger
+	Log *journaler.Journaler
 }
 
 // member is the part that balancers and agents have in common: the peers, the
 // document and how both are kept up to date.
 type member struct {
 	Environment
-	roster roster.Roster
-	conn   *net.UDPConn
+	roster  roster.Roster
+	conn    *net.UDPConn
+	metrics *metrics
 	// adopt takes routes that are newer than those in force.
 	adopt func(*gooseberrymast.Routes)
 	// load measures the backend server; nil at a balancer.
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// owners takes the flows that an agent owns; nil at an agent.
 	owners onOwners
+	// flowOwners counts the owners that a balancer remembers; nil at an agent.
+	flowOwners func() int
 	// served and restore keep the addresses that an agent's server has served;
 	// nil at a balancer.
 	served  func() []gooseberrymast.Endpoint
@@ -98,9 +102,35 @@
 		return err
 	}
 	m.conn = conn
+	m.metrics = newMetrics(m)
 	return nil
 }
 
+// serveMetrics serves the metrics if the settings say so. A process that can't
+// goes on without.
+func (m *member) serveMetrics() (stop func()) {
+	if m.MetricsPort == 0 {
+		return func() {}
+	}
+	at := gooseberrymast.Endpoint{IP: m.Settings.Peers.IP, Port: uint16(m.MetricsPort)}
+	stop, err := serve(at, m.metrics.handler(), m.Log)
+	if err != nil {
+		m.Log.Error(gooseberrymast.EventMetricsUnready).Err(err).Msg("")
+		return func() {}
+	}
+	return stop
+}
+
+func (m *member) currentRoutes() *gooseberrymast.Routes {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.routes
+}
+
+func (m *member) version() uint64 {
+	return versionOf(m.currentRoutes())
+}
+
 func listen(at gooseberrymast.Endpoint) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at.AddrPort()))
 	if err != nil {
@@ -124,7 +154,7 @@
 	if m.self.State == state && m.self.Service == service {
 		return false
 	}
-	m.Log.Info().Str("event", "state-changed").Stringer("from", m.self.State).Stringer("to", state).Str("service", service).Msg("")
+	m.Log.Info(gooseberrymast.EventStateChanged).Stringer("from", m.self.State).Stringer("to", state).Str("service", service).Msg("")
 	m.self.State, m.self.Service = state, service
 	m.self.Sequence++
 	return true
@@ -140,7 +170,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			m.Log.Warn().Str("event", "receive-failed").Err(err).Msg("reading from peers failed")
+			m.Log.Warn(gooseberrymast.EventReceiveFailed).Err(err).Msg("reading from peers failed")
 			continue
 		}
 		sender, ok := gooseberrymast.EndpointOf(from)
@@ -162,7 +192,7 @@
 func (m *member) message(datagram []byte, sender gooseberrymast.Endpoint, now time.Time) {
 	message, err := interpreter.Decode(datagram)
 	if err != nil {
-		m.Log.Warn().Str("event", "message-malformed").Stringer("peer", sender.AddrPort()).Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventMessageBad).Stringer("peer", sender.AddrPort()).Err(err).Msg("")
 		return
 	}
 	switch body := message.GetBody().(type) {
@@ -189,7 +219,7 @@
 	}
 	changed, superseded := m.roster.Hear(report, now)
 	if changed {
-		m.Log.Info().Str("event", "peer-changed").Stringer("peer", report.Peer.Endpoint.AddrPort()).
+		m.Log.Info(gooseberrymast.EventPeerChanged).Stringer("peer", report.Peer.Endpoint.AddrPort()).
 			Stringer("role", report.Peer.Role).Stringer("state", report.Peer.State).
 			Uint64("incarnation", report.Peer.Incarnation).Str("service", report.Peer.Service).Msg("")
 	}
@@ -225,7 +255,7 @@
 		m.mu.Lock()
 		if each.Newer(m.self) {
 			m.self.Incarnation = each.Incarnation + 1
-			m.Log.Info().Str("event", "incarnation-raised").Uint64("incarnation", m.self.Incarnation).Msg("")
+			m.Log.Info(gooseberrymast.EventIncarnationRaised).Uint64("incarnation", m.self.Incarnation).Msg("")
 		}
 		m.mu.Unlock()
 	}
@@ -258,7 +288,7 @@
 	}
 	datagram, err := interpreter.Encode(interpreter.Report(report))
 	if err != nil {
-		m.Log.Error().Str("event", "encode-failed").Err(err).Msg("a report can't be encoded")
+		m.Log.Error(gooseberrymast.EventEncodeFailed).Err(err).Msg("a report can't be encoded")
 		return
 	}
 	for _, entry := range peers {
@@ -269,7 +299,7 @@
 func (m *member) send(message *peer.Message, to gooseberrymast.Endpoint) {
 	datagram, err := interpreter.Encode(message)
 	if err != nil {
-		m.Log.Error().Str("event", "encode-failed").Err(err).Msg("a message can't be encoded")
+		m.Log.Error(gooseberrymast.EventEncodeFailed).Err(err).Msg("a message can't be encoded")
 		return
 	}
 	m.write(m.conn, datagram, to)
@@ -279,7 +309,7 @@
 // link.
 func (m *member) write(conn *net.UDPConn, datagram []byte, to gooseberrymast.Endpoint) {
 	if _, err := conn.WriteToUDPAddrPort(datagram, to.AddrPort()); err != nil && !errors.Is(err, net.ErrClosed) {
-		m.Log.Warn().Str("event", "send-failed").Stringer("peer", to.AddrPort()).Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventSendFailed).Stringer("peer", to.AddrPort()).Err(err).Msg("")
 	}
 }
 
@@ -294,6 +324,7 @@
 // callStore runs a call and logs when the store was lost and is back.
 func (m *member) callStore(ctx context.Context, step string, call func(context.Context) error) error {
 	err := call(ctx)
+	m.metrics.storeCall(step, err)
 	failed := errors.Is(err, gooseberrymast.ErrStoreUnavailable) || errors.Is(err, gooseberrymast.ErrStoreUnknown)
 	m.mu.Lock()
 	changed := failed != m.storeFailed
@@ -301,9 +332,25 @@
 	m.mu.Unlock()
 	switch {
 	case changed && failed:
-		m.Log.Warn().Str("event", "store-lost").Str("step", step).Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventStoreLost).Str("step", step).Err(err).Msg("")
 	case changed:
-		m.Log.Info().Str("event", "store-regained").Str("step", step).Msg("")
+		m.Log.Info(gooseberrymast.EventStoreRegained).Str("step", step).Msg("")
 	}
 	return err
 }
+
+func storeOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+		return "not-found"
+	case errors.Is(err, gooseberrymast.ErrStoreConflict):
+		return "conflict"
+	case errors.Is(err, gooseberrymast.ErrStoreUnknown):
+		return "unknown"
+	case errors.Is(err, gooseberrymast.ErrStoreUnavailable):
+		return "unavailable"
+	}
+	return "failed"
+}
--- /dev/null
+++ b/runner/record.go
@@ -0,0 +1,116 @@
+package runner
+
+import (
+	"github.com/phuslu/log"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/deliverer"
+	"gooseberrymast/coordination/steerer"
+)
+
+// record logs and counts what a balancer decided on a packet. Packets that go
+// to the known owner of their flow are counted only.
+func (b *Balancer) record(step steerer.Step, header gooseberrymast.PacketHeader) {
+	b.metrics.packet(int(step.Action), step.Hop.Mode)
+	var line *log.Entry
+	switch {
+	case step.Action == steerer.Reset:
+		b.metrics.refused(string(step.Reason))
+		line = b.Log.Info(gooseberrymast.EventFlowReset)
+	case step.Action == steerer.Drop:
+		b.metrics.refused(string(step.Reason))
+		line = b.Log.Info(gooseberrymast.EventPacketDropped)
+	case step.Hop.Mode == gooseberrymast.HopPlace:
+		line = b.Log.Info(gooseberrymast.EventFlowPlaced)
+	case step.Hop.Mode == gooseberrymast.HopLookup:
+		line = b.Log.Info(gooseberrymast.EventFlowLookedUp)
+	case step.Hop.Mode == gooseberrymast.HopWalk:
+		line = b.Log.Info(gooseberrymast.EventFlowWalked)
+	}
+	if line == nil {
+		return
+	}
+	line = line.Str("flow", header.FromCaller().String()).Uint64("version", versionOf(b.steerer.Routes()))
+	if step.Reason != "" {
+		line = line.Str("reason", string(step.Reason))
+	}
+	if step.Action == steerer.Forward {
+		line = line.Str("to", step.To.String()).Int("candidates-left", len(step.Hop.Candidates))
+	}
+	if step.Hop.Walk != 0 {
+		line = line.Uint32("walk", step.Hop.Walk)
+	}
+	line.Msg("")
+}
+
+var balancerActions = [...]string{steerer.Drop: "drop", steerer.Forward: "forward", steerer.Reset: "reset"}
+
+// record logs and counts what an agent decided on a packet. Packets of open
+// flows are counted only.
+func (a *Agent) record(step deliverer.Step, key gooseberrymast.FlowKey, packet []byte) {
+	a.metrics.packet(int(step.Action), step.Hop.Mode)
+	if step.Reason != "" {
+		a.metrics.refused(string(step.Reason))
+	}
+	if step.Answered {
+		a.metrics.answered(step.Request.Took)
+	}
+	line := a.line(step, key)
+	if line == nil {
+		return
+	}
+	line = line.Str("flow", key.String())
+	if step.Reason != "" {
+		line = line.Str("reason", string(step.Reason))
+	}
+	if step.Request != (deliverer.Request{}) {
+		line = line.Str("request", step.Request.ID).Int64("took-ms", step.Request.Took.Milliseconds())
+	} else if request := a.Codec.RequestID(packet); request != "" {
+		line = line.Str("request", request)
+	}
+	if step.Action == deliverer.Forward {
+		line = line.Str("to", step.To.String()).Str("mode", step.Hop.Mode.String()).Bool("definite", step.Hop.Definite).
+			Int("candidates-left", len(step.Hop.Candidates)).Uint32("walk", step.Hop.Walk)
+	}
+	server := a.server(a.Timer.Now())
+	line.Str("server-status", server.Status.String()).Uint64("version", a.version()).Msg("")
+}
+
+// line begins the log line of a step, if it is worth one.
+func (a *Agent) line(step deliverer.Step, key gooseberrymast.FlowKey) *log.Entry {
+	switch {
+	case step.Action == deliverer.Reset:
+		return a.Log.Info(gooseberrymast.EventFlowReset)
+	case step.Action == deliverer.Drop:
+		return a.Log.Info(gooseberrymast.EventPacketDropped)
+	case step.Action == deliverer.Forward && step.Hop.Mode == gooseberrymast.HopPlace:
+		return a.Log.Info(gooseberrymast.EventFlowPassedOn)
+	case step.Action == deliverer.Forward:
+		return a.Log.Info(gooseberrymast.EventFlowNotHeld)
+	case step.Event == deliverer.FlowTaken:
+		return a.Log.Info(gooseberrymast.EventFlowTaken)
+	case step.Event == deliverer.FlowTried:
+		return a.Log.Info(gooseberrymast.EventFlowTried)
+	case step.Event == deliverer.FlowLearned:
+		return a.Log.Info(gooseberrymast.EventFlowLearned)
+	case step.Event == deliverer.RequestCut:
+		return a.Log.Warn(gooseberrymast.EventRequestCut)
+	case step.Answered:
+		if route, ok := a.currentRoutes().Lookup(key.Service); ok && route.Objective > 0 && step.Request.Took > route.Objective {
+			return a.Log.Info(gooseberrymast.EventRequestSlow).Int64("objective-ms", route.Objective.Milliseconds())
+		}
+	}
+	return nil
+}
+
+var agentActions = [...]string{
+	deliverer.Drop: "drop", deliverer.ToServer: "to-server", deliverer.ToCaller: "to-caller",
+	deliverer.Forward: "forward", deliverer.Reset: "reset",
+}
+
+func versionOf(routes *gooseberrymast.Routes) uint64 {
+	if routes == nil {
+		return 0
+	}
+	return routes.Version
+}
