Suspect silent agents sooner, send copies past them, tell callers of lost flows

Callers of flows that a server's end or restart had closed found out with their next request, which a non-idempotent one doesn't survive.

Copies of an opening packet go elsewhere when the agent's report is late; silence counts after 0.9 s for new flows and 1.3 s for open ones, 4 s for an agent that said it stops. A server that leaves packets out is checked for a refused connection; once it has ended the callers of its flows are reset.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -146,6 +146,8 @@
 	opened   time.Time
 	used     time.Time
 	finished time.Time
+	// acked is what the caller acknowledged last.
+	acked uint32
 	// asked is the number behind the last byte that the caller sent.
 	asked uint32
 	// answered is set when the server has sent anything.
@@ -181,12 +183,40 @@
 	d.leaving = true
 }
 
-// Restarted forgets all flows: a new incarnation of the server holds none.
-func (d *Deliverer) Restarted() {
+// Lost forgets all flows, since the server has ended or is a new incarnation
+// that holds none. It gives the packets by which the callers of open flows are
+// told, so that they need not find out with their next request.
+func (d *Deliverer) Lost() []gooseberrymast.PacketHeader {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var open []gooseberrymast.PacketHeader
+	for key, known := range d.flows {
+		if !known.closed && known.answered {
+			open = append(open, gooseberrymast.PacketHeader{
+				Source: key.Caller, Destination: key.Service, Acknowledgement: known.acked,
+			})
+		}
+	}
 	d.flows = nil
 	d.open, d.busy = 0, 0
+	return open
+}
+
+// unansweredAfter is the time after which a server that has not answered an
+// opening packet may be dead: it answers within a few milliseconds.
+const unansweredAfter = 100 * time.Millisecond
+
+// Unanswered reports whether the server has left an opening packet without an
+// answer for too long.
+func (d *Deliverer) Unanswered(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, known := range d.flows {
+		if !known.answered && now.Sub(known.opened) > unansweredAfter {
+			return true
+		}
+	}
+	return false
 }
 
 // FromPeer decides on a packet that a peer sent.
@@ -298,6 +328,9 @@
 func (d *Deliverer) deliver(known *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
 	sender gooseberrymast.Endpoint, now time.Time) Step {
 	known.used = now
+	if !header.Opens {
+		known.acked = header.Acknowledgement
+	}
 	if header.Payload > 0 {
 		end := header.Sequence + uint32(header.Payload)
 		// Sequence numbers wrap, so their difference is compared.
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -232,10 +232,31 @@
 	is.Equal(busy(), 0) // a copy of the request is no new work
 	d.FromPeer(request(101), hop, balancer, ledger, routes, epoch)
 	is.Equal(busy(), 1)
-	d.Restarted()
+	d.Lost()
 	is.Equal(busy(), 0)
 }
 
+func TestCallersOfLostFlowsAreTold(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	is.True(!d.Unanswered(epoch.Add(unansweredAfter)))
+	is.True(d.Unanswered(epoch.Add(unansweredAfter + 1))) // the server may be dead
+	d.FromServer(answer(0), epoch)
+	is.True(!d.Unanswered(epoch.Add(time.Second)))
+	idle := request(1)
+	idle.Acknowledgement = 4321
+	d.FromPeer(idle, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, ledger, routes, epoch)
+	closed := opening()
+	closed.Source.Port++
+	d.FromPeer(closed, placed(), balancer, ledger, routes, epoch)
+	finish := answer(0)
+	finish.Destination, finish.Finishes = closed.Source, true
+	d.FromServer(finish, epoch)
+	is.Equal(d.Lost(), []gooseberrymast.PacketHeader{{Source: caller, Destination: address, Acknowledgement: 4321}})
+	is.Equal(len(d.Lost()), 0)
+}
+
 func TestAnnounce(t *testing.T) {
 	is := is.New(t)
 	d := Deliverer{Self: self}
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -243,7 +243,7 @@
 	service, candidates := s.candidates(route, now)
 	chosen := s.chooser.Choose(candidates, placeCandidates, s.Random)
 	s.mu.Unlock()
-	if owner, found := s.Owners.Find(key, now); found && !s.gone(owner, now) {
+	if owner, found := s.Owners.Find(key, now); found && s.mayTake(owner, header.Copy, now) {
 		chosen = moveFirst(chosen, owner)
 	}
 	if len(chosen) == 0 {
@@ -263,6 +263,26 @@
 	}}
 }
 
+const (
+	// lateReport is the age of a report that shows that the next one is late.
+	lateReport = 300 * time.Millisecond
+	// lastCopy is the copy of an opening packet that goes to another agent in
+	// any case: the first has not answered for 600 ms.
+	lastCopy = 2
+)
+
+// mayTake reports whether a copy of an opening packet goes where the first
+// went. An agent answers within milliseconds, so a copy shows that it may have
+// failed. If both answer after all, the flow opens where the caller
+// acknowledges the answer, and a walk finds it.
+func (s *Steerer) mayTake(owner gooseberrymast.Endpoint, copies int, now time.Time) bool {
+	if copies == 0 {
+		return !s.gone(owner, now)
+	}
+	entry, known := s.Roster.Get(owner)
+	return copies < lastCopy && known && now.Sub(entry.Heard) <= lateReport
+}
+
 // candidates gives the agents that may take a new flow of a route, all of one
 // service: that which the weights draw, or the next one that has any. Agents
 // that were not heard lately are used only when none was.
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -255,6 +255,54 @@
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward) // it is back
 }
 
+func TestAgentThatOthersToldOfIsGivenTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	at := epoch.Add(time.Minute)
+	f.hear(agent(1), "ledger", gooseberrymast.StateReady, at)
+	f.roster.Merge([]gooseberrymast.Peer{{
+		Endpoint: agent(2), Role: gooseberrymast.RoleAgent, Incarnation: 1, State: gooseberrymast.StateReady, Service: "ledger",
+	}}, at)
+	step := f.steerer.FromCaller(nil, packet(false), at)[0]
+	is.Equal(1+len(step.Hop.Candidates), 2) // it may hold flows that others placed
+}
+
+func TestAgentThatSaidThatItStopsMayTakeLonger(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.owners.Learn(packet(false).FromCaller(), agent(1), epoch)
+	f.hear(agent(1), "ledger", gooseberrymast.StateLeaving, epoch)
+	at := epoch.Add(GoneAfterLeaving)
+	f.hear(agent(2), "ledger", gooseberrymast.StateReady, at)
+	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward)
+	is.Equal(f.steerer.FromCaller(nil, packet(false), at.Add(time.Millisecond))[0].Action, Reset)
+}
+
+// TestCopiesAvoidAnAgentThatDoesNotAnswer replays an opening packet and its
+// copies after 200 and 600 ms, while the chosen agent is frozen.
+func TestCopiesAvoidAnAgentThatDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	first := f.steerer.FromCaller(nil, packet(true), epoch)[0].To
+	hearOthers := func(now time.Time) {
+		for i := 1; i <= 4; i++ {
+			if agent(i) != first {
+				f.hear(agent(i), "ledger", gooseberrymast.StateReady, now)
+			}
+		}
+	}
+	second := packet(true)
+	second.Copy = 1
+	at := epoch.Add(lateReport)
+	hearOthers(at)
+	is.Equal(f.steerer.FromCaller(nil, second, at)[0].To, first) // its reports are not late
+	third := packet(true)
+	third.Copy = lastCopy
+	to := f.steerer.FromCaller(nil, third, at)[0].To
+	is.True(to != first)
+	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].To, to) // what follows goes there too
+}
+
 func TestBalancerThatIsCutOffResetsNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(4)
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -50,7 +50,7 @@
 		switch {
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == except:
 		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
-		case hearsMost && s.silentFor(entry, now) > GoneAfter:
+		case hearsMost && s.silentTooLong(entry, now):
 		case entry.Alive(now):
 			heard = append(heard, entry.Endpoint)
 		default:
@@ -113,10 +113,15 @@
 	}
 }
 
-// GoneAfter is the time without a report after which an agent is taken as gone
-// with its flows: entries of a living agent are back about 2 s after it can be
-// reached again.
-const GoneAfter = 2 * time.Second
+const (
+	// GoneAfter is the time without a report after which an agent is taken as
+	// gone with its flows: an agent whose process was killed is back sooner, and
+	// a caller that is told then has time for another try.
+	GoneAfter = 1300 * time.Millisecond
+	// GoneAfterLeaving is that time for an agent that said that it stops: it may
+	// take longer to start again, and its flows are to outlive that.
+	GoneAfterLeaving = 4 * time.Second
+)
 
 // gone reports whether an agent is taken as gone. A balancer that hears less
 // than half of the agents takes itself for the one that is cut off.
@@ -128,16 +133,27 @@
 	case entry.State == gooseberrymast.StateGone:
 		return true
 	}
-	return s.silentFor(entry, now) > GoneAfter && s.hearsMost(now)
+	return s.silentTooLong(entry, now) && s.hearsMost(now)
+}
+
+func (s *Steerer) silentTooLong(entry roster.Entry, now time.Time) bool {
+	limit := GoneAfter
+	if entry.State == gooseberrymast.StateLeaving {
+		limit = GoneAfterLeaving
+	}
+	return s.silentFor(entry, now) > limit
 }
 
 // silentFor gives the time since an agent was heard, or since the balancer
 // could first have heard it.
 func (s *Steerer) silentFor(entry roster.Entry, now time.Time) time.Duration {
-	if entry.Heard.After(s.Started) {
-		return now.Sub(entry.Heard)
+	since := s.Started
+	for _, at := range []time.Time{entry.Heard, entry.Told} {
+		if at.After(since) {
+			since = at
+		}
 	}
-	return now.Sub(s.Started)
+	return now.Sub(since)
 }
 
 func (s *Steerer) hearsMost(now time.Time) bool {
--- a/log_event.go
+++ b/log_event.go
@@ -34,6 +34,7 @@
 	EventServerRestarted     LogEvent = "server-restarted"
 	EventServerDeparted      LogEvent = "server-departed"
 	EventServerProbed        LogEvent = "server-probed"
+	EventServerDead          LogEvent = "server-dead"
 	EventAnnouncementIgnored LogEvent = "announcement-ignored"
 )
 
@@ -68,7 +69,7 @@
 	EventEntryNotRemoved, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
-	EventServerProbed, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
+	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventPacketBad, EventMessageBad,
 	EventReceiveFailed, EventSendFailed, EventServeFailed, EventEncodeFailed, EventLinesDropped, EventMetricsUnready,
--- a/packet.go
+++ b/packet.go
@@ -9,6 +9,8 @@
 	// Tag is a value that a backend server gives back unchanged with a
 	// returned packet.
 	Tag uint32
+	// Copy counts the earlier copies of an opening packet.
+	Copy int
 	// Payload is the number of bytes that the packet carries.
 	Payload int
 	// Opens, Acknowledges, Finishes and Resets are the flags of a packet.
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"gooseberrymast"
@@ -33,6 +34,10 @@
 	maxOwners = 50
 	// healthTimeout bounds the health check at the agent's start.
 	healthTimeout = 500 * time.Millisecond
+	// checkPause is the time between two checks whether the server is dead.
+	checkPause = 500 * time.Millisecond
+	// checkTimeout bounds one check, on the same instance.
+	checkTimeout = 300 * time.Millisecond
 	// stopLook is the time between two looks for the end of work in progress.
 	stopLook = 50 * time.Millisecond
 )
@@ -64,6 +69,9 @@
 	recorded    int
 	recordAfter time.Time
 
+	// checked is when the server was last looked for.
+	checked time.Time
+
 	placesMu     sync.Mutex
 	incarnations map[gooseberrymast.Endpoint]uint64
 }
@@ -116,6 +124,7 @@
 	stops := []func(){
 		a.Timer.Every(pollInterval, func(time.Time) { a.confirm(working) }),
 		a.Timer.Every(announceInterval, a.announce),
+		a.Timer.Every(announceInterval, a.checkServer),
 		a.Timer.Every(servedInterval, func(now time.Time) { a.recordNews(working, now) }),
 		a.Timer.Every(expireInterval, func(now time.Time) {
 			a.deliverer.Expire(now)
@@ -149,6 +158,8 @@
 	a.Log.Info(gooseberrymast.EventStopping).Bool("server-ended", ended).Msg("")
 	sleep(context.Background(), a.Timer, stopLook)
 	if ended {
+		// The instance is told to stop once its server has ended.
+		a.resetLost("server-ended")
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
 		defer cancel()
 		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
@@ -188,7 +199,7 @@
 	}
 	if restarted {
 		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.Born).Msg("")
-		a.deliverer.Restarted()
+		a.resetLost("server-restarted")
 	}
 	if before != after {
 		a.Log.Info(gooseberrymast.EventServerChanged).Str("server", announcement.ID).
@@ -210,6 +221,45 @@
 	return err
 }
 
+// resetLost tells the callers of the server's open flows that these are closed.
+func (a *Agent) resetLost(reason string) {
+	lost := a.deliverer.Lost()
+	for _, of := range lost {
+		a.write(a.outbound, a.Codec.AppendReset(nil, of), callerEndpoint(of.Source, a.Settings))
+		a.metrics.refused(reason)
+		a.Log.Info(gooseberrymast.EventFlowReset).Str("flow", of.FromCaller().String()).Str("reason", reason).Msg("")
+	}
+}
+
+// checkServer looks whether a server that leaves packets or announcements out
+// is dead, which its instance tells by refusing connections.
+func (a *Agent) checkServer(now time.Time) {
+	status := a.server(now).Status
+	suspicious := status == tracker.Silent || status == tracker.Ready && a.deliverer.Unanswered(now)
+	if !suspicious || now.Sub(a.checked) < checkPause {
+		return
+	}
+	a.checked = now
+	conn, err := net.DialTimeout("tcp4", a.Settings.Server.String(), checkTimeout)
+	if err == nil {
+		if err := conn.Close(); err != nil {
+			a.Log.Warn(gooseberrymast.EventReceiveFailed).Err(err).Msg("closing the check of the server failed")
+		}
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	a.trackerMu.Lock()
+	a.tracker.Died()
+	last, heard := a.tracker.Last()
+	a.trackerMu.Unlock()
+	a.Log.Warn(gooseberrymast.EventServerDead).Str("server", last.ID).Int64("last-heard-ms", now.Sub(heard).Milliseconds()).
+		Str("status", status.String()).Err(err).Msg("")
+	a.refresh(now)
+	a.resetLost("server-dead")
+}
+
 func (a *Agent) malformed(id string, err error) {
 	a.Log.Warn(gooseberrymast.EventAnnouncementIgnored).Str("server", id).Err(err).Msg("")
 }
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -19,8 +19,9 @@
 
 const (
 	// SilentAfter is the time without a report after which a peer gets no new
-	// flows: five reports of 200 ms.
-	SilentAfter = time.Second
+	// flows: an agent's three reports of 200 ms with their delay. A balancer
+	// reports every 400 ms.
+	SilentAfter = 900 * time.Millisecond
 	// ForgetAfter is the time without a report after which a peer is left
 	// out: the longest time that a flow may last, so that a walk still asks
 	// every agent that may hold one.
