--- a/runner/agent.go
+++ b/runner/agent.go
@@ -231,11 +231,14 @@
 	}
 }
 
-// checkServer looks whether a server that leaves packets or announcements out
-// is dead, which its instance tells by refusing connections.
+// checkServer looks whether a server that leaves packets or announcements out,
+// or has not announced itself since the agent started, is dead. Its instance
+// tells by refusing connections. A dead server holds no flows, which an agent
+// must be able to say when it is asked for one.
 func (a *Agent) checkServer(now time.Time) {
 	status := a.server(now).Status
-	suspicious := status == tracker.Silent || status == tracker.Ready && a.deliverer.Unanswered(now)
+	suspicious := status == tracker.Silent || status == tracker.Unknown ||
+		status == tracker.Ready && a.deliverer.Unanswered(now)
 	if !suspicious || now.Sub(a.checked) < checkPause {
 		return
 	}
