--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,115 @@
+package runner
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/state/roster"
+)
+
+// These tests run the real processes over loopback, with stand-ins for the
+// store, the servers and the fabric. They use the same ports, so they don't run
+// side by side.
+
+func TestFlowSurvivesBalancersAndAgents(t *testing.T) {
+	r := newRig(t)
+	first, second := startServer(t, 1), startServer(t, 2)
+	_, stopAgent := r.startAgent(1, 1)
+	r.startAgent(2, 1)
+	_, stopBalancer := r.startBalancer(1)
+	for port := range uint16(8) {
+		r.open(1, 2000+port)
+		r.echo(1, 2000+port, "before")
+	}
+	is := is.New(t)
+	is.True(first.count() > 0 && second.count() > 0) // both servers have flows
+
+	r.startBalancer(2)
+	stopBalancer()
+	for port := range uint16(8) {
+		r.echo(2, 2000+port, "through another balancer")
+	}
+
+	stopAgent()
+	r.startAgent(1, 2)
+	for port := range uint16(8) {
+		r.echo(2, 2000+port, "by an agent that has forgotten")
+	}
+	is.Equal(first.count()+second.count(), 8) // no flow was opened again
+}
+
+func TestFlowThatNobodyHoldsIsReset(t *testing.T) {
+	r := newRig(t)
+	servers := []*server{startServer(t, 1), startServer(t, 2)}
+	_, stopFirst := r.startAgent(1, 1)
+	_, stopSecond := r.startAgent(2, 1)
+	_, stopBalancer := r.startBalancer(1)
+	r.open(1, 3000)
+	r.echo(1, 3000, "before")
+	stopBalancer()
+	stopFirst()
+	stopSecond()
+	for _, each := range servers {
+		each.crash()
+	}
+	r.startAgent(1, 2)
+	r.startAgent(2, 2)
+	r.startBalancer(1)
+	r.reset(1, 3000)
+	r.open(1, 3001) // a new flow opens at once
+}
+
+func TestDocumentIsInForceThroughPeers(t *testing.T) {
+	r := newRig(t)
+	startServer(t, 1)
+	agent, _ := r.startAgent(1, 1)
+	balancer, _ := r.startBalancer(1)
+	r.open(1, 4000)
+	r.document("receipts")
+	version := r.store.version
+	r.wait("the balancer has the document", func() bool { return balancer.version() == version })
+	r.wait("the agent has the document", func() bool { return agent.version() == version })
+	r.ask(1, 4001, flagSyn, "", func(header gooseberrymast.PacketHeader, _ string) bool { return header.Resets })
+	r.echo(1, 4000, "an open flow stays where it is")
+}
+
+func TestRestartWhileTheStoreIsDown(t *testing.T) {
+	r := newRig(t)
+	startServer(t, 1)
+	_, stopAgent := r.startAgent(1, 1)
+	balancer, _ := r.startBalancer(1)
+	r.open(1, 5000)
+	r.store.mu.Lock()
+	r.store.down = true
+	r.store.mu.Unlock()
+	stopAgent()
+	restarted := NewAgent(r.environment(gooseberrymast.RoleAgent, [4]byte{127, 0, 3, 1}))
+	restarted.Listen = listenNowhere
+	r.run(restarted.Run)
+	r.wait("the agent has the document from a peer", func() bool { return restarted.version() > 0 })
+	r.wait("the balancer hears the agent", func() bool {
+		heard := false
+		balancer.roster.Each(func(entry roster.Entry) { heard = heard || entry.Alive(balancer.Timer.Now()) })
+		return heard
+	})
+	r.echo(1, 5000, "an open flow goes on")
+}
+
+func TestAgentRecordsWhatItsServerServed(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	startServer(t, 1)
+	_, stopAgent := r.startAgent(1, 1)
+	r.startBalancer(1)
+	r.open(1, 6000)
+	key := recordKey(gooseberrymast.Endpoint{IP: [4]byte{127, 0, 3, 1}, Port: peersPort})
+	r.wait("the entry names the address", func() bool {
+		entry, err := r.store.Get(t.Context(), key)
+		return err == nil && len(entry.Value) > 0 && containsAddress(string(entry.Value))
+	})
+	stopAgent()
+	agent, _ := r.startAgent(1, 2)
+	is.Equal(agent.deliverer.Served(), []gooseberrymast.Endpoint{serviceAddress})
+}
