--- a/cmd/gooseberrymast/explain.go
+++ b/cmd/gooseberrymast/explain.go
@@ -23,6 +23,9 @@
 gives, by GET /refusals/ID on its operators' address. --agent names another
 address to ask.
 
+With --logs, ID is that of a request, or a flow as the logs name it, and its
+story is told from the log lines of the processes that forward packets.
+
 Exit codes: 0 explained, 1 the agent can't be reached or keeps it no longer,
 2 invalid input.`
 
@@ -36,8 +39,12 @@
 	agent := command.Flags().String("agent", "", "operators' `address` of the agent, when it isn't on the identifier's IP address")
 	port := command.Flags().Uint16("port", defaultOperatorsPort, "`port` of the agents' operators' addresses")
 	asJSON := command.Flags().Bool("json", false, "print one JSON object")
+	logs := command.Flags().StringArray("logs", nil, "`FILE` of log lines to tell the story from; may be given again")
 	command.RunE = func(command *cobra.Command, args []string) error {
-		address, err := explainer(args[0], *agent, *port)
+		if len(*logs) > 0 {
+			return explainFromLogs(newPrinter(command), args[0], *logs)
+		}
+		address, err := refuser(args[0], *agent, *port)
 		if err != nil {
 			return err
 		}
@@ -59,8 +66,8 @@
 	return command
 }
 
-// explainer gives the operators' address of the agent to ask.
-func explainer(id, agent string, port uint16) (netip.AddrPort, error) {
+// refuser gives the operators' address of the agent to ask.
+func refuser(id, agent string, port uint16) (netip.AddrPort, error) {
 	origin, err := recorder.Origin(id)
 	if err != nil {
 		return netip.AddrPort{}, gooseberrymast.Faults{{Key: "ID", Value: gooseberrymast.FaultValue(id), Want: "the identifier of a refusal"}}
