--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -150,6 +150,10 @@
 	acked uint32
 	// asked is the number behind the last byte that the caller sent.
 	asked uint32
+	// sent is the number behind the last byte that the server sent, and began
+	// is set once it has sent anything.
+	sent  uint32
+	began bool
 	// answered is set when the server has sent anything.
 	answered bool
 	busy     bool
@@ -254,7 +258,7 @@
 func (d *Deliverer) Begin(key gooseberrymast.FlowKey, request string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known := d.flows[key]; known != nil && !known.busy {
+	if known := d.flows[key]; known != nil && (!known.busy || known.request == "") {
 		known.request = request
 	}
 }
@@ -301,12 +305,22 @@
 	if known.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
 		d.setBusy(known, false)
 		step.Request = Request{ID: known.request, Took: now.Sub(known.since)}
-		step.Answered = header.Payload > 0
+		// The end of a flow may overtake the answer before it; then its number
+		// is beyond what the server has sent.
+		step.Answered = header.Payload > 0 || !header.Resets && int32(header.Sequence-known.sent) > 0
 		if !step.Answered {
 			step.Event = RequestCut
 		}
 		known.request = ""
 	}
+	if end := header.Sequence + uint32(header.Payload); int32(end-known.sent) > 0 || known.sent == 0 {
+		known.sent = end
+		if header.Acknowledges && header.Payload == 0 && !header.Finishes && !known.began {
+			// The answer to an opening packet takes one number itself.
+			known.sent++
+		}
+		known.began = true
+	}
 	if (header.Resets || header.Finishes) && !known.closed {
 		known.closed, known.finished = true, now
 		d.open--
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -236,6 +236,45 @@
 	is.Equal(busy(), 0)
 }
 
+// TestPacketsThatOvertakeOthers replays a request in two packets and an answer
+// with its end, each pair in the wrong order.
+func TestPacketsThatOvertakeOthers(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{Self: self}
+	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d.FromServer(answer(0), epoch)
+	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
+	d.Begin(key, "")
+	d.FromPeer(request(101), hop, balancer, ledger, routes, epoch)
+	d.Begin(key, "id")
+	d.FromPeer(request(1), hop, balancer, ledger, routes, epoch)
+	finish := answer(0)
+	finish.Sequence, finish.Finishes = 600, true
+	step := d.FromServer(finish, epoch.Add(30*time.Millisecond))
+	is.Equal(step.Event, Event(0)) // the answer is on its way behind
+	is.True(step.Answered)
+	is.Equal(step.Request, Request{ID: "id", Took: 30 * time.Millisecond})
+}
+
+func TestRequestThatIsCut(t *testing.T) {
+	for name, flags := range map[string]gooseberrymast.PacketHeader{
+		"closed": {Finishes: true}, "reset": {Resets: true, Sequence: 9999},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := Deliverer{Self: self}
+			d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+			d.FromServer(answer(0), epoch)
+			d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, ledger, routes, epoch)
+			end := answer(0)
+			end.Finishes, end.Resets, end.Sequence = flags.Finishes, flags.Resets, flags.Sequence
+			step := d.FromServer(end, epoch)
+			is.Equal(step.Event, RequestCut)
+			is.True(!step.Answered)
+		})
+	}
+}
+
 func TestCallersOfLostFlowsAreTold(t *testing.T) {
 	is := is.New(t)
 	d := Deliverer{Self: self}
