--- a/cmd/gooseberrymast/docs_test.go
+++ b/cmd/gooseberrymast/docs_test.go
@@ -13,7 +13,7 @@
 // TestPagesNameRealCommands parses every command that the pages show.
 func TestPagesNameRealCommands(t *testing.T) {
 	found := 0
-	for _, page := range []string{"OPERATING.md", "SETTINGS.md"} {
+	for _, page := range []string{"OPERATIONS.md", "SETTINGS.md"} {
 		text, err := os.ReadFile("../../docs/" + page)
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/logs_page_test.go
@@ -0,0 +1,59 @@
+package gooseberrymast_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gooseberrymast"
+)
+
+// TestLogsPage makes sure that docs/LOGS.md has a row for each log event and
+// each reason, and none besides.
+func TestLogsPage(t *testing.T) {
+	page, err := os.ReadFile("docs/LOGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]bool{}
+	for _, event := range gooseberrymast.LogEvents {
+		want[string(event)] = true
+	}
+	declared := regexp.MustCompile(`LogEvent\s+= "([a-z-]+)"`)
+	source, err := os.ReadFile("log_event.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, event := range declared.FindAllStringSubmatch(string(source), -1) {
+		if !want[event[1]] {
+			t.Errorf("LogEvents lacks %s", event[1])
+		}
+	}
+	for _, file := range []string{"coordination/steerer/steerer.go", "coordination/deliverer/deliverer.go"} {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, reason := range regexp.MustCompile(`Reason = "([a-z-]+)"`).FindAllStringSubmatch(string(source), -1) {
+			want[reason[1]] = true
+		}
+	}
+	agent, err := os.ReadFile("runner/agent.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, reason := range regexp.MustCompile(`resetLost\("([a-z-]+)"\)`).FindAllStringSubmatch(string(agent), -1) {
+		want[reason[1]] = true
+	}
+	for name := range want {
+		if !strings.Contains(string(page), "\n| `"+name+"` |") {
+			t.Errorf("docs/LOGS.md has no row for %s", name)
+		}
+	}
+	for _, row := range regexp.MustCompile("\n\\| `([a-z-]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		if !want[row[1]] {
+			t.Errorf("docs/LOGS.md has a row for %s, which the code lacks", row[1])
+		}
+	}
+}
--- a/operating_page_test.go
+++ b/operations_page_test.go
@@ -13,27 +13,27 @@
 // metricName matches the names of metrics in the code.
 var metricName = regexp.MustCompile(`"(gooseberrymast_[a-z_]+)"`)
 
-// TestOperatingPage makes sure that docs/OPERATING.md has a row for each metric
+// TestOperationsPage makes sure that docs/OPERATIONS.md has a row for each metric
 // and each reason of a refusal.
-func TestOperatingPage(t *testing.T) {
-	page, err := os.ReadFile("docs/OPERATING.md")
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, info := range gooseberrymast.Reasons {
 		if !strings.Contains(string(page), "\n| `"+string(info.Reason)+"` |") {
-			t.Errorf("docs/OPERATING.md has no row for the reason %s", info.Reason)
+			t.Errorf("docs/OPERATIONS.md has no row for the reason %s", info.Reason)
 		}
 	}
 	metrics := metricsOf(t)
 	for name := range metrics {
 		if !strings.Contains(string(page), "\n| `"+name+"` |") {
-			t.Errorf("docs/OPERATING.md has no row for the metric %s", name)
+			t.Errorf("docs/OPERATIONS.md has no row for the metric %s", name)
 		}
 	}
 	for _, row := range regexp.MustCompile("\n\\| `(gooseberrymast_[a-z_]+)` \\|").FindAllStringSubmatch(string(page), -1) {
 		if !metrics[row[1]] {
-			t.Errorf("docs/OPERATING.md has a row for %s, which the code lacks", row[1])
+			t.Errorf("docs/OPERATIONS.md has a row for %s, which the code lacks", row[1])
 		}
 	}
 }
--- a/settings_page_test.go
+++ b/settings_page_test.go
@@ -38,6 +38,11 @@
 	agentKeys := map[string]string{}
 	defaultsOf(agentKeys, "", reflect.ValueOf(agent), agent.Validate())
 
+	var forwarding gooseberrymast.ForwardingSettings
+	forwarding.Defaults()
+	forwardingKeys := map[string]string{}
+	defaultsOf(forwardingKeys, "", reflect.ValueOf(forwarding), forwarding.Validate())
+
 	tests := []struct {
 		section string
 		want    map[string]string
@@ -45,6 +50,7 @@
 		{"Document", document},
 		{"Balancer", balancerKeys},
 		{"Agent", agentKeys},
+		{"Forwarding", forwardingKeys},
 	}
 	for _, test := range tests {
 		t.Run(test.section, func(t *testing.T) {
