--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -2,13 +2,14 @@
 //
 // Load pattern: demand that swings within seconds, before servers with few
 // slots. A flow can't be moved once it is open, so placing it is the only
-// lever. Two agents are drawn at random and the one with less work takes the
-// flow, so that balancers that decide at once by reports of the same age
+// lever. A few agents are drawn at random and the one with the least work takes
+// the flow, so that balancers that decide at once by reports of the same age
 // don't all choose the same agent. What a balancer placed since an agent's
 // last report counts as that agent's work.
 package chooser
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,8 +27,8 @@
 	// otherZoneWork is the work by which an agent of another availability zone
 	// counts as busier, as a share of its slots: traffic between zones is paid.
 	otherZoneWork = 0.25
-	// draws is the number of agents of which the best takes the flow.
-	draws = 3
+	// draws is the least number of agents of which the best takes the flow.
+	draws = 4
 )
 
 // Candidate is an agent that may take a new flow.
@@ -57,27 +58,24 @@
 	flows    int
 }
 
-// Choose orders candidates for a new flow, the best first, at most limit of
-// them. It counts the flow as placed at the first.
+// Choose draws candidates for a new flow, at most limit of them, and orders them
+// by their work, the least first. It counts the flow as placed at the first.
+// The candidates change their order.
 func (c *Chooser) Choose(candidates []Candidate, limit int, random *rand.Rand) []gooseberrymast.Endpoint {
 	if len(candidates) == 0 {
 		return nil
 	}
-	random.Shuffle(len(candidates), func(i, j int) {
+	drawn := min(max(draws, limit), len(candidates))
+	for i := range drawn {
+		j := i + random.IntN(len(candidates)-i)
 		candidates[i], candidates[j] = candidates[j], candidates[i]
-	})
-	drawn := min(draws, len(candidates))
-	byWork := func(a, b Candidate) int {
-		if c.work(a) < c.work(b) {
-			return -1
-		}
-		return 1
 	}
-	slices.SortStableFunc(candidates[:drawn], byWork)
-	slices.SortStableFunc(candidates[drawn:], byWork)
-	chosen := make([]gooseberrymast.Endpoint, 0, limit)
-	for _, candidate := range candidates[:min(limit, len(candidates))] {
-		chosen = append(chosen, candidate.Endpoint)
+	slices.SortStableFunc(candidates[:drawn], func(a, b Candidate) int {
+		return cmp.Compare(c.work(a), c.work(b))
+	})
+	chosen := make([]gooseberrymast.Endpoint, min(limit, drawn))
+	for i := range chosen {
+		chosen[i] = candidates[i].Endpoint
 	}
 	c.count(candidates[0])
 	return chosen
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -99,6 +99,8 @@
 	chooser chooser.Chooser
 	walks   map[uint32]walk
 	serial  uint32
+	// heard and others are scratch space of candidates.
+	heard, others []chooser.Candidate
 
 	routesMu sync.RWMutex
 	routes   *gooseberrymast.Routes
@@ -291,7 +293,7 @@
 	first := s.drawService(route)
 	for i := range route.Backends {
 		service := route.Backends[(first+i)%len(route.Backends)].Service
-		var heard, others []chooser.Candidate
+		heard, others := s.heard[:0], s.others[:0]
 		s.Roster.Each(func(entry roster.Entry) {
 			if entry.Role != gooseberrymast.RoleAgent || entry.Service != service {
 				return
@@ -304,6 +306,7 @@
 				others = append(others, candidate)
 			}
 		})
+		s.heard, s.others = heard, others
 		if len(heard) > 0 {
 			return service, heard
 		}
