--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -255,6 +255,24 @@
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward) // it is back
 }
 
+// TestAgentThatNeverCameBack replays the restart of a balancer whose list names
+// an agent that is gone with its instance.
+func TestAgentThatNeverCameBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	f.roster.Merge([]gooseberrymast.Peer{{
+		Endpoint: agent(4), Role: gooseberrymast.RoleAgent, State: gooseberrymast.StateStarting, Service: "ledger",
+	}}, epoch)
+	asked := func(now time.Time) int {
+		for i := 1; i <= 3; i++ {
+			f.hear(agent(i), "ledger", gooseberrymast.StateReady, now)
+		}
+		return 1 + len(f.steerer.FromCaller(nil, packet(false), now)[0].Hop.Candidates)
+	}
+	is.Equal(asked(epoch.Add(GoneAfterStart)), 4)
+	is.Equal(asked(epoch.Add(GoneAfterStart+1)), 3)
+}
+
 func TestAgentThatOthersToldOfIsGivenTime(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -121,6 +121,10 @@
 	// GoneAfterLeaving is that time for an agent that said that it stops: it may
 	// take longer to start again, and its flows are to outlive that.
 	GoneAfterLeaving = 4 * time.Second
+	// GoneAfterStart is that time for an agent that was never heard. After a
+	// restart of everything all agents report within 0.3 s of each other, and
+	// one that doesn't was on an instance that is not there any more.
+	GoneAfterStart = 700 * time.Millisecond
 )
 
 // gone reports whether an agent is taken as gone. A balancer that hears less
@@ -138,7 +142,10 @@
 
 func (s *Steerer) silentTooLong(entry roster.Entry, now time.Time) bool {
 	limit := GoneAfter
-	if entry.State == gooseberrymast.StateLeaving {
+	switch {
+	case entry.Heard.IsZero():
+		limit = GoneAfterStart
+	case entry.State == gooseberrymast.StateLeaving:
 		limit = GoneAfterLeaving
 	}
 	return s.silentFor(entry, now) > limit
