--- a/cmd/gooseberrymast/explain_logs.go
+++ b/cmd/gooseberrymast/explain_logs.go
@@ -7,6 +7,9 @@
 	"gooseberrymast/coordination/explainer"
 )
 
+// logTime is the form of a log line's time, in UTC with milliseconds.
+const logTime = "2006-01-02T15:04:05.000Z"
+
 // explainFromLogs tells the story of a request or flow from log files.
 func explainFromLogs(out *printer, id string, files []string) error {
 	var lines []explainer.Line
@@ -28,7 +31,7 @@
 		out.printf("clocks: %s is at least %s behind %s\n", printable(clock.Behind), clock.By, printable(clock.Ahead))
 	}
 	for _, line := range story.Lines {
-		out.printf("%s  %-18s %s", formatTime(line.Time), printable(line.Instance), printable(string(line.Event)))
+		out.printf("%s  %-18s %s", line.Time.Format(logTime), printable(line.Instance), printable(string(line.Event)))
 		for _, detail := range line.Details {
 			out.printf("  %s=%s", printable(detail.Key), printable(detail.Value))
 		}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -257,8 +257,11 @@
 	a.tracker.Died()
 	last, heard := a.tracker.Last()
 	a.trackerMu.Unlock()
-	a.Log.Warn(gooseberrymast.EventServerDead).Str("server", last.ID).Int64("last-heard-ms", now.Sub(heard).Milliseconds()).
-		Str("status", status.String()).Err(err).Msg("")
+	line := a.Log.Warn(gooseberrymast.EventServerDead).Str("server", last.ID).Str("status", status.String())
+	if !heard.IsZero() {
+		line = line.Int64("last-heard-ms", now.Sub(heard).Milliseconds())
+	}
+	line.Err(err).Msg("")
 	a.refresh(now)
 	a.resetLost("server-dead")
 }
