--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -8,8 +8,6 @@
 package deliverer
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,99 +15,6 @@
 	"gooseberrymast/coordination/tracker"
 )
 
-// Action is what is done with a packet.
-type Action uint8
-
-// The actions of a step.
-const (
-	// Drop does nothing.
-	Drop Action = iota
-	// ToServer gives the packet to the backend server with Tag.
-	ToServer
-	// ToCaller sends the server's packet to its caller.
-	ToCaller
-	// Forward sends the packet to a peer.
-	Forward
-	// Reset tells the caller that the flow is closed.
-	Reset
-)
-
-// Reason says why a packet doesn't reach the server.
-type Reason string
-
-// The reasons of steps.
-const (
-	// ReasonWrongService: the flow was placed at another service, or the
-	// routes in force don't allow the server's service.
-	ReasonWrongService Reason = "wrong-service"
-	// ReasonNeverServed: the server has taken no flow of the address.
-	ReasonNeverServed Reason = "never-served"
-	// ReasonServerUnknown: the server has not announced itself yet.
-	ReasonServerUnknown Reason = "server-unknown"
-	// ReasonServerLeaving: the server takes no new flows.
-	ReasonServerLeaving Reason = "server-leaving"
-	// ReasonServerSilent: the server's announcements have stopped.
-	ReasonServerSilent Reason = "server-silent"
-	// ReasonServerGone: the server has ended.
-	ReasonServerGone Reason = "server-gone"
-	// ReasonAgentLeaving: the agent is being stopped.
-	ReasonAgentLeaving Reason = "agent-leaving"
-	// ReasonServerRefused: the server returned an opening packet.
-	ReasonServerRefused Reason = "server-refused"
-	// ReasonNotHeld: the server returned a packet of a flow that it doesn't
-	// hold.
-	ReasonNotHeld Reason = "not-held"
-	// ReasonNoTry: a returned packet has no record of where it came from.
-	ReasonNoTry Reason = "no-try"
-)
-
-// Step is what is to be done with a packet.
-type Step struct {
-	Action Action
-	// Tag is written into a packet for the server.
-	Tag uint32
-	// To and Hop are set for Forward.
-	To  gooseberrymast.Endpoint
-	Hop gooseberrymast.Hop
-	// Of is the caller's packet that Reset answers.
-	Of gooseberrymast.PacketHeader
-	// Tell is a balancer that should learn that this agent owns the flow.
-	Tell gooseberrymast.Endpoint
-	// Reason is set when the packet doesn't reach the server.
-	Reason Reason
-	// Event says what is worth a log line; it is empty for the packets of an
-	// open flow.
-	Event Event
-	// Answered is set on the first packet of an answer, with the request.
-	Answered bool
-	Request  Request
-}
-
-// Event is what a step means for a flow.
-type Event uint8
-
-// The events of a flow.
-const (
-	// FlowTaken: a new flow was given to the server.
-	FlowTaken Event = iota + 1
-	// FlowTried: the server is given a packet of a flow that the agent
-	// doesn't know.
-	FlowTried
-	// FlowLearned: the server sent a packet of a flow that the agent didn't
-	// know.
-	FlowLearned
-	// RequestCut: the server ended a flow before it answered its request.
-	RequestCut
-)
-
-// Request is a request that the server works on.
-type Request struct {
-	// ID is empty when the caller named none.
-	ID string
-	// Took is the time from the request's first packet to its answer's.
-	Took time.Duration
-}
-
 const (
 	// tries is the number of packets that are remembered until the server has
 	// returned them; it returns a packet within a millisecond.
@@ -142,31 +47,6 @@
 	servedChanges int
 }
 
-type flow struct {
-	opened   time.Time
-	used     time.Time
-	finished time.Time
-	// acked is what the caller acknowledged last.
-	acked uint32
-	// asked is the number behind the last byte that the caller sent.
-	asked uint32
-	// sent is the number behind the last byte that the server sent, and began
-	// is set once it has sent anything.
-	sent  uint32
-	began bool
-	// answered is set when the server has sent anything.
-	answered bool
-	busy     bool
-	closed   bool
-	// request and since are those of the work in progress.
-	request string
-	since   time.Time
-	// tell is a balancer to be told once the server has answered.
-	tell gooseberrymast.Endpoint
-	// told are the places that know of the flow.
-	told [2]gooseberrymast.Endpoint
-}
-
 // try is a packet that was given to the server.
 type try struct {
 	tag    uint32
@@ -422,80 +302,3 @@
 	hop.Mode = gooseberrymast.HopAbsent
 	return Step{Action: Forward, To: hop.Initiator, Hop: hop, Reason: reason}
 }
-
-// remember keeps where a packet came from until the server returns it.
-func (d *Deliverer) remember(hop gooseberrymast.Hop, sender gooseberrymast.Endpoint) uint32 {
-	d.serial++
-	if d.serial == 0 {
-		d.serial++
-	}
-	d.tries[d.serial%tries] = try{tag: d.serial, hop: hop, sender: sender}
-	return d.serial
-}
-
-func (d *Deliverer) add(key gooseberrymast.FlowKey, now time.Time) *flow {
-	if d.flows == nil {
-		d.flows = map[gooseberrymast.FlowKey]*flow{}
-	}
-	d.serve(key.Service)
-	added := &flow{opened: now, used: now}
-	d.flows[key] = added
-	d.open++
-	return added
-}
-
-func (d *Deliverer) serve(address gooseberrymast.Endpoint) {
-	if d.served == nil {
-		d.served = map[gooseberrymast.Endpoint]struct{}{}
-	}
-	if _, known := d.served[address]; !known {
-		d.served[address] = struct{}{}
-		d.servedChanges++
-	}
-}
-
-// ServedChanges counts the changes of the addresses that the server has served.
-func (d *Deliverer) ServedChanges() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.servedChanges
-}
-
-// Restore adds the addresses that an earlier incarnation of the agent served.
-func (d *Deliverer) Restore(addresses []gooseberrymast.Endpoint) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, address := range addresses {
-		d.serve(address)
-	}
-	d.restored = true
-}
-
-// Served gives the addresses whose flows the server has taken.
-func (d *Deliverer) Served() []gooseberrymast.Endpoint {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	served := slices.Collect(maps.Keys(d.served))
-	slices.SortFunc(served, gooseberrymast.Endpoint.Compare)
-	return served
-}
-
-func (d *Deliverer) drop(key gooseberrymast.FlowKey, known *flow) {
-	d.setBusy(known, false)
-	if !known.closed {
-		d.open--
-	}
-	delete(d.flows, key)
-}
-
-func (d *Deliverer) setBusy(known *flow, busy bool) {
-	if known.busy == busy {
-		return
-	}
-	known.busy = busy
-	if busy {
-		d.busy++
-	} else {
-		d.busy--
-	}
-}
--- /dev/null
+++ b/coordination/deliverer/step.go
@@ -0,0 +1,100 @@
+package deliverer
+
+import (
+	"time"
+
+	"gooseberrymast"
+)
+
+// Action is what is done with a packet.
+type Action uint8
+
+// The actions of a step.
+const (
+	// Drop does nothing.
+	Drop Action = iota
+	// ToServer gives the packet to the backend server with Tag.
+	ToServer
+	// ToCaller sends the server's packet to its caller.
+	ToCaller
+	// Forward sends the packet to a peer.
+	Forward
+	// Reset tells the caller that the flow is closed.
+	Reset
+)
+
+// Reason says why a packet doesn't reach the server.
+type Reason string
+
+// The reasons of steps.
+const (
+	// ReasonWrongService: the flow was placed at another service, or the
+	// routes in force don't allow the server's service.
+	ReasonWrongService Reason = "wrong-service"
+	// ReasonNeverServed: the server has taken no flow of the address.
+	ReasonNeverServed Reason = "never-served"
+	// ReasonServerUnknown: the server has not announced itself yet.
+	ReasonServerUnknown Reason = "server-unknown"
+	// ReasonServerLeaving: the server takes no new flows.
+	ReasonServerLeaving Reason = "server-leaving"
+	// ReasonServerSilent: the server's announcements have stopped.
+	ReasonServerSilent Reason = "server-silent"
+	// ReasonServerGone: the server has ended.
+	ReasonServerGone Reason = "server-gone"
+	// ReasonAgentLeaving: the agent is being stopped.
+	ReasonAgentLeaving Reason = "agent-leaving"
+	// ReasonServerRefused: the server returned an opening packet.
+	ReasonServerRefused Reason = "server-refused"
+	// ReasonNotHeld: the server returned a packet of a flow that it doesn't
+	// hold.
+	ReasonNotHeld Reason = "not-held"
+	// ReasonNoTry: a returned packet has no record of where it came from.
+	ReasonNoTry Reason = "no-try"
+)
+
+// Step is what is to be done with a packet.
+type Step struct {
+	Action Action
+	// Tag is written into a packet for the server.
+	Tag uint32
+	// To and Hop are set for Forward.
+	To  gooseberrymast.Endpoint
+	Hop gooseberrymast.Hop
+	// Of is the caller's packet that Reset answers.
+	Of gooseberrymast.PacketHeader
+	// Tell is a balancer that should learn that this agent owns the flow.
+	Tell gooseberrymast.Endpoint
+	// Reason is set when the packet doesn't reach the server.
+	Reason Reason
+	// Event says what is worth a log line; it is empty for the packets of an
+	// open flow.
+	Event Event
+	// Answered is set on the first packet of an answer, with the request.
+	Answered bool
+	Request  Request
+}
+
+// Event is what a step means for a flow.
+type Event uint8
+
+// The events of a flow.
+const (
+	// FlowTaken: a new flow was given to the server.
+	FlowTaken Event = iota + 1
+	// FlowTried: the server is given a packet of a flow that the agent
+	// doesn't know.
+	FlowTried
+	// FlowLearned: the server sent a packet of a flow that the agent didn't
+	// know.
+	FlowLearned
+	// RequestCut: the server ended a flow before it answered its request.
+	RequestCut
+)
+
+// Request is a request that the server works on.
+type Request struct {
+	// ID is empty when the caller named none.
+	ID string
+	// Took is the time from the request's first packet to its answer's.
+	Took time.Duration
+}
--- a/runner/member.go
+++ b/runner/member.go
@@ -338,19 +338,3 @@
 	}
 	return err
 }
-
-func storeOutcome(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
-		return "not-found"
-	case errors.Is(err, gooseberrymast.ErrStoreConflict):
-		return "conflict"
-	case errors.Is(err, gooseberrymast.ErrStoreUnknown):
-		return "unknown"
-	case errors.Is(err, gooseberrymast.ErrStoreUnavailable):
-		return "unavailable"
-	}
-	return "failed"
-}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -74,7 +74,7 @@
 
 // storeCall counts a call to the store.
 func (m *metrics) storeCall(call string, err error) {
-	m.store.WithLabelValues(call, storeOutcome(err)).Inc()
+	m.store.WithLabelValues(call, gooseberrymast.StoreOutcome(err)).Inc()
 }
 
 // handler serves the metrics as text.
--- a/store.go
+++ b/store.go
@@ -50,3 +50,20 @@
 	// fails when the context ends. A waiting watch counts as a call.
 	Watch(ctx context.Context, key string, after uint64) (Object, error)
 }
+
+// StoreOutcome names the outcome of a call to the store, for counters.
+func StoreOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrStoreNotFound):
+		return "not-found"
+	case errors.Is(err, ErrStoreConflict):
+		return "conflict"
+	case errors.Is(err, ErrStoreUnknown):
+		return "unknown"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	}
+	return "unavailable"
+}
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -149,7 +149,7 @@
 }
 
 func (s *Storer) failed(method, key string, err error) error {
-	s.count(method, outcome(err))
+	s.count(method, gooseberrymast.StoreOutcome(err))
 	return fmt.Errorf("Storer.%s %s at %s: %w", method, key, s.Address, err)
 }
 
@@ -157,20 +157,6 @@
 	s.counters.WithLabelValues(method, outcome).Inc()
 }
 
-func outcome(err error) string {
-	switch {
-	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
-		return "not-found"
-	case errors.Is(err, gooseberrymast.ErrStoreConflict):
-		return "conflict"
-	case errors.Is(err, gooseberrymast.ErrStoreUnknown):
-		return "unknown"
-	case errors.Is(err, context.DeadlineExceeded):
-		return "deadline"
-	}
-	return "unavailable"
-}
-
 // readError tells what became of a call that changes nothing.
 func readError(err error) error {
 	if connect.CodeOf(err) == connect.CodeNotFound {
