--- a/logs_page_test.go
+++ b/logs_page_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -30,22 +31,22 @@
 			t.Errorf("LogEvents lacks %s", event[1])
 		}
 	}
-	for _, file := range []string{"coordination/steerer/steerer.go", "coordination/deliverer/deliverer.go"} {
-		source, err := os.ReadFile(file)
+	reason := regexp.MustCompile(`(?:Reason = |resetLost\()"([a-z-]+)"`)
+	for _, pattern := range []string{"coordination/steerer/*.go", "coordination/deliverer/*.go", "runner/*.go"} {
+		files, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, reason := range regexp.MustCompile(`Reason = "([a-z-]+)"`).FindAllStringSubmatch(string(source), -1) {
-			want[reason[1]] = true
+		for _, file := range files {
+			source, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, found := range reason.FindAllStringSubmatch(string(source), -1) {
+				want[found[1]] = true
+			}
 		}
 	}
-	agent, err := os.ReadFile("runner/agent.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, reason := range regexp.MustCompile(`resetLost\("([a-z-]+)"\)`).FindAllStringSubmatch(string(agent), -1) {
-		want[reason[1]] = true
-	}
 	for name := range want {
 		if !strings.Contains(string(page), "\n| `"+name+"` |") {
 			t.Errorf("docs/LOGS.md has no row for %s", name)
