--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -37,6 +37,7 @@
 		newCall(),
 		newCheck(),
 		newDiff(open),
+		newExperiment(),
 		newExplain(),
 		newHistory(open),
 		newPlatform(),
