--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -26,9 +26,12 @@
 	coldWork = 1.0
 	// otherZoneWork is the work by which an agent of another availability zone
 	// counts as busier, as a share of its slots: traffic between zones is paid.
-	otherZoneWork = 0.25
-	// draws is the least number of agents of which the best takes the flow.
-	draws = 4
+	otherZoneWork = 0.5
+	// ownDraws and otherDraws are the numbers of agents of the balancer's own
+	// availability zone and of the others that are compared for a flow. With more
+	// of them many balancers choose the same agent by the same reports.
+	ownDraws   = 2
+	otherDraws = 1
 )
 
 // Candidate is an agent that may take a new flow.
@@ -59,26 +62,54 @@
 }
 
 // Choose draws candidates for a new flow, at most limit of them, and orders them
-// by their work, the least first. It counts the flow as placed at the first.
-// The candidates change their order.
+// by their work, the least first: a few of the balancer's own availability zone
+// and of the others are compared for the first place, and the rest for the
+// places behind. It counts the flow as placed at the first. The candidates
+// change their order.
 func (c *Chooser) Choose(candidates []Candidate, limit int, random *rand.Rand) []gooseberrymast.Endpoint {
 	if len(candidates) == 0 {
 		return nil
 	}
-	drawn := min(max(draws, limit), len(candidates))
-	for i := range drawn {
+	own := c.ownFirst(candidates)
+	draw(candidates[:own], ownDraws, random)
+	draw(candidates[own:], otherDraws, random)
+	compared := min(own, ownDraws)
+	for i := range min(len(candidates)-own, otherDraws) {
+		candidates[compared], candidates[own+i] = candidates[own+i], candidates[compared]
+		compared++
+	}
+	draw(candidates[compared:], limit, random)
+	byWork := func(a, b Candidate) int { return cmp.Compare(c.work(a), c.work(b)) }
+	chosen := candidates[:min(max(limit, compared), len(candidates))]
+	slices.SortStableFunc(chosen[:compared], byWork)
+	slices.SortStableFunc(chosen[compared:], byWork)
+	c.count(chosen[0])
+	endpoints := make([]gooseberrymast.Endpoint, min(limit, len(chosen)))
+	for i := range endpoints {
+		endpoints[i] = chosen[i].Endpoint
+	}
+	return endpoints
+}
+
+// ownFirst puts the candidates of the balancer's own availability zone first
+// and gives their number.
+func (c *Chooser) ownFirst(candidates []Candidate) int {
+	own := 0
+	for i := range candidates {
+		if candidates[i].Zone == c.Zone {
+			candidates[own], candidates[i] = candidates[i], candidates[own]
+			own++
+		}
+	}
+	return own
+}
+
+// draw puts a random choice of candidates first.
+func draw(candidates []Candidate, count int, random *rand.Rand) {
+	for i := range min(count, len(candidates)) {
 		j := i + random.IntN(len(candidates)-i)
 		candidates[i], candidates[j] = candidates[j], candidates[i]
 	}
-	slices.SortStableFunc(candidates[:drawn], func(a, b Candidate) int {
-		return cmp.Compare(c.work(a), c.work(b))
-	})
-	chosen := make([]gooseberrymast.Endpoint, min(limit, drawn))
-	for i := range chosen {
-		chosen[i] = candidates[i].Endpoint
-	}
-	c.count(candidates[0])
-	return chosen
 }
 
 // work is the share of a candidate's slots that is taken or soon will be.
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -118,8 +118,7 @@
 	if e.random.Float64() < tailShare {
 		work *= tailTimes
 	}
-	// The tail counts in the mean.
-	return time.Duration(work / (1 + tailShare*(tailTimes-1)))
+	return time.Duration(min(work, maxTimes*float64(mean)))
 }
 
 // try sends a request on an idle flow of its caller or on a new one.
@@ -136,6 +135,9 @@
 		delay += 2*callerDelay + e.between(zone, r.flow.server)
 	}
 	r.server = r.flow.server
+	if e.servers[r.server].zone != r.caller%e.pattern.Zones {
+		e.result.Crossed++
+	}
 	delay += e.between(r.caller%e.pattern.Zones, r.server)
 	e.at(e.now+delay, func() { e.reach(r) })
 }
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -73,9 +73,11 @@
 const (
 	// spread is the standard deviation of the logarithm.
 	spread = 0.5
-	// tailShare of the requests take tailTimes as long.
+	// tailShare of the requests take tailTimes as long, beyond the mean.
 	tailShare = 0.03
 	tailTimes = 7
+	// maxTimes bounds the work of one request.
+	maxTimes = 10.6
 )
 
 // The network and the servers, as the users' sheets give them.
@@ -91,12 +93,12 @@
 	offeredAgents = 4
 )
 
-// Magnolia is the load of Magnolia's grown deployment at its crest: about 0.6
-// of all slots on average, 0.9 at the top of the wave.
+// Magnolia is the load of Magnolia's grown deployment on its fullest day: about
+// 0.7 of all slots on average, 1.1 at the top of the wave.
 func Magnolia() Pattern {
 	return Pattern{
-		Name: "magnolia", Zones: 5, Balancers: 23, Servers: 49, Slots: 2, Queue: 8, Callers: 600,
-		Rate: 1485, Swing: 0.55, Period: 13 * time.Second, Length: 26 * time.Second,
+		Name: "magnolia", Zones: 5, Balancers: 23, Servers: 49, Slots: 2, Queue: 8, Callers: 3564,
+		Rate: 1633, Swing: 0.55, Period: 13 * time.Second, Length: 26 * time.Second,
 		Classes: []Class{
 			{Name: "bedtime-feed", Share: 0.78, Work: 34 * time.Millisecond, Objective: 300 * time.Millisecond,
 				Deadline: 1500 * time.Millisecond, Worth: 1, Late: 0.3, Retries: 2},
@@ -109,7 +111,7 @@
 // Nilebridge is the load of Nilebridge's grown deployment.
 func Nilebridge() Pattern {
 	return Pattern{
-		Name: "nilebridge", Zones: 3, Balancers: 19, Servers: 40, Slots: 2, Queue: 8, Callers: 500,
+		Name: "nilebridge", Zones: 3, Balancers: 19, Servers: 40, Slots: 2, Queue: 8, Callers: 3500,
 		Rate: 1485, Swing: 0.55, Period: 15 * time.Second, Length: 30 * time.Second,
 		Classes: []Class{
 			{Name: "stock-watch", Share: 0.78, Work: 26 * time.Millisecond, Objective: 300 * time.Millisecond,
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -17,6 +17,8 @@
 	Failed   int `json:"failed"`
 	// Shed counts tries that a full server refused.
 	Shed int `json:"shed"`
+	// Crossed counts the requests that were sent to another availability zone.
+	Crossed int `json:"crossed"`
 	// Owed is the worth of all requests in time, Earned what was reached.
 	Owed   float64 `json:"owed"`
 	Earned float64 `json:"earned"`
