Send lists of peers only when the digests of their endpoints differ for 0.8 s

Cause: with every change of an instance's state all pairs of peers had different digests for a moment and sent their whole lists, up to 27 MB a change at 104 instances by calculation. Digests now cover endpoints only, agents compare those of balancers only, and are told of balancers only. Zones' phases and a shift of callers join the emulator.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -26,7 +26,7 @@
 	coldWork = 1.0
 	// otherZoneWork is the work by which an agent of another availability zone
 	// counts as busier, as a share of its slots: traffic between zones is paid.
-	otherZoneWork = 0.5
+	otherZoneWork = 0.25
 	// ownDraws and otherDraws are the numbers of agents of the balancer's own
 	// availability zone and of the others that are compared for a flow. With more
 	// of them many balancers choose the same agent by the same reports.
@@ -79,6 +79,8 @@
 		compared++
 	}
 	draw(candidates[compared:], limit, random)
+	// Where one kind is missing the other stands in.
+	compared = min(ownDraws+otherDraws, len(candidates))
 	byWork := func(a, b Candidate) int { return cmp.Compare(c.work(a), c.work(b)) }
 	chosen := candidates[:min(max(limit, compared), len(candidates))]
 	slices.SortStableFunc(chosen[:compared], byWork)
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -94,12 +94,12 @@
 		return
 	}
 	class := e.class()
-	e.try(&request{
-		class: class, caller: e.random.IntN(e.pattern.Callers), sent: e.now, work: e.work(class.Work),
-	})
+	rate, zone := e.pattern.callers(e.now, e.random.Float64())
+	caller := zone + e.pattern.Zones*e.random.IntN(e.pattern.Callers/e.pattern.Zones)
+	e.try(&request{class: class, caller: caller, sent: e.now, work: e.work(class.Work)})
 	e.result.Requests++
 	e.result.Owed += class.Worth
-	gap := e.random.ExpFloat64() / e.pattern.rate(e.now)
+	gap := e.random.ExpFloat64() / rate
 	e.at(e.now+time.Duration(gap*float64(time.Second)), e.arrive)
 }
 
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -28,6 +28,13 @@
 	// share Swing over Period.
 	Rate, Swing float64
 	Period      time.Duration
+	// Phase is the share of the period by which each zone is ahead of the one
+	// before it.
+	Phase float64
+	// Shifted is the share of the first zone's callers that move to the second
+	// from ShiftAt for ShiftFor.
+	Shifted           float64
+	ShiftAt, ShiftFor time.Duration
 	// Bursts multiply the rate for a while.
 	Bursts []Burst
 	// Replaced is the number of servers that are replaced by cold ones, one a
@@ -98,7 +105,7 @@
 func Magnolia() Pattern {
 	return Pattern{
 		Name: "magnolia", Zones: 5, Balancers: 23, Servers: 49, Slots: 2, Queue: 8, Callers: 3564,
-		Rate: 1633, Swing: 0.55, Period: 13 * time.Second, Length: 26 * time.Second,
+		Rate: 1633, Swing: 0.55, Period: 13 * time.Second, Phase: 0.08, Length: 26 * time.Second,
 		Classes: []Class{
 			{Name: "bedtime-feed", Share: 0.78, Work: 34 * time.Millisecond, Objective: 300 * time.Millisecond,
 				Deadline: 1500 * time.Millisecond, Worth: 1, Late: 0.3, Retries: 2},
@@ -112,7 +119,7 @@
 func Nilebridge() Pattern {
 	return Pattern{
 		Name: "nilebridge", Zones: 3, Balancers: 19, Servers: 40, Slots: 2, Queue: 8, Callers: 3500,
-		Rate: 1485, Swing: 0.55, Period: 15 * time.Second, Length: 30 * time.Second,
+		Rate: 1485, Swing: 0.55, Period: 15 * time.Second, Phase: 0.08, Length: 30 * time.Second,
 		Classes: []Class{
 			{Name: "stock-watch", Share: 0.78, Work: 26 * time.Millisecond, Objective: 300 * time.Millisecond,
 				Deadline: 2 * time.Second, Worth: 1, Late: 0.3, Retries: 2},
@@ -133,7 +140,10 @@
 	slow := Magnolia()
 	slow.Name = "slow-servers"
 	slow.Slowed, slow.SlowBy, slow.SlowAt, slow.SlowFor = 0.15, 4, 6*time.Second, 6*time.Second
-	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow}
+	shift := Magnolia()
+	shift.Name = "shift"
+	shift.Shifted, shift.ShiftAt, shift.ShiftFor = 0.6, 5*time.Second, 8*time.Second
+	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift}
 }
 
 // PatternOf finds a pattern by its name.
@@ -148,9 +158,10 @@
 	return Pattern{}, fmt.Errorf("no pattern %q: want one of %v", name, names)
 }
 
-// rate is the number of requests a second at a time.
-func (p Pattern) rate(at time.Duration) float64 {
-	rate := p.Rate * (1 + p.Swing*math.Sin(2*math.Pi*at.Seconds()/p.Period.Seconds()))
+// zoneRate is the number of requests a second of one zone's callers at a time.
+func (p Pattern) zoneRate(zone int, at time.Duration) float64 {
+	turns := at.Seconds()/p.Period.Seconds() + p.Phase*float64(zone)
+	rate := p.Rate / float64(p.Zones) * (1 + p.Swing*math.Sin(2*math.Pi*turns))
 	for _, burst := range p.Bursts {
 		if at >= burst.At && at < burst.At+burst.For {
 			rate *= burst.Times
@@ -158,3 +169,25 @@
 	}
 	return rate
 }
+
+// callers gives the rate of all zones together, and the zone of a caller that
+// is drawn from them by a number from 0 to 1.
+func (p Pattern) callers(at time.Duration, drawn float64) (total float64, zone int) {
+	rates := make([]float64, p.Zones)
+	for i := range rates {
+		rates[i] = p.zoneRate(i, at)
+		total += rates[i]
+	}
+	if at >= p.ShiftAt && at < p.ShiftAt+p.ShiftFor && p.Zones > 1 {
+		moved := p.Shifted * rates[0]
+		rates[0] -= moved
+		rates[1] += moved
+	}
+	left := drawn * total
+	for i, rate := range rates {
+		if left -= rate; left < 0 {
+			return total, i
+		}
+	}
+	return total, p.Zones - 1
+}
--- a/peer.go
+++ b/peer.go
@@ -55,11 +55,17 @@
 	Confirmed bool
 }
 
+// RosterDigests are hashes over the endpoints of the peers that a process knows,
+// itself among them, without those that are gone.
+type RosterDigests struct {
+	Balancers, Agents uint64
+}
+
 // Report is what one process tells its peers again and again.
 type Report struct {
 	Peer     Peer
 	Load     FlowLoad
 	Document DocumentNews
-	// Digest is a hash over all peers that the sender knows.
-	Digest uint64
+	// Digests tell whether sender and receiver know the same peers.
+	Digests RosterDigests
 }
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -58,7 +58,8 @@
 		DocumentVersion:   report.Document.Version,
 		DocumentAgeMs:     uint32(report.Document.Age.Milliseconds()),
 		DocumentConfirmed: report.Document.Confirmed,
-		RosterDigest:      report.Digest,
+		BalancersDigest:   report.Digests.Balancers,
+		AgentsDigest:      report.Digests.Agents,
 	}}}
 }
 
@@ -78,7 +79,9 @@
 			Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
 			Confirmed: message.GetDocumentConfirmed(),
 		},
-		Digest: message.GetRosterDigest(),
+		Digests: gooseberrymast.RosterDigests{
+			Balancers: message.GetBalancersDigest(), Agents: message.GetAgentsDigest(),
+		},
 	}
 }
 
--- a/runner/member.go
+++ b/runner/member.go
@@ -30,6 +30,9 @@
 	// rosterPause is the time between two lists sent to one peer: the
 	// interval of balancers' reports.
 	rosterPause = 500 * time.Millisecond
+	// differsFor is how long two processes know different peers before one tells
+	// the other: two reports of a balancer, by which news goes directly.
+	differsFor = 800 * time.Millisecond
 	// fetchPause is the time between two requests for a document to peers.
 	fetchPause = 100 * time.Millisecond
 )
@@ -70,15 +73,17 @@
 	served  func() []gooseberrymast.Endpoint
 	restore func([]gooseberrymast.Endpoint)
 
-	mu          sync.Mutex
-	self        gooseberrymast.Peer
-	confirmer   confirmer.Confirmer
-	collector   interpreter.Collector
-	routes      *gooseberrymast.Routes
-	parts       [][]byte
-	fetched     time.Time
-	rosterSent  map[gooseberrymast.Endpoint]time.Time
-	storeFailed bool
+	mu         sync.Mutex
+	self       gooseberrymast.Peer
+	confirmer  confirmer.Confirmer
+	collector  interpreter.Collector
+	routes     *gooseberrymast.Routes
+	parts      [][]byte
+	fetched    time.Time
+	rosterSent map[gooseberrymast.Endpoint]time.Time
+	// differsSince is since when a peer knows other peers than this process.
+	differsSince map[gooseberrymast.Endpoint]time.Time
+	storeFailed  bool
 	// entry is the process's entry in the store, as it was last written or read.
 	entry gooseberrymast.Object
 
@@ -96,6 +101,7 @@
 		Zone:        m.Settings.Zone,
 	}
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
+	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
 	m.wake = make(chan struct{}, 1)
 	conn, err := listen(m.Settings.Peers)
 	if err != nil {
@@ -229,18 +235,38 @@
 		m.fetched = now
 	}
 	self := m.self
-	differs := superseded || report.Digest != m.roster.Digest(self)
-	send := differs && now.Sub(m.rosterSent[report.Peer.Endpoint]) >= rosterPause
-	if send {
-		m.rosterSent[report.Peer.Endpoint] = now
-	}
+	send := m.tells(report, self, superseded, now)
 	m.mu.Unlock()
 	if fetch {
 		m.send(interpreter.Request(report.Document.Version), report.Peer.Endpoint)
 	}
 	if send {
-		m.sendRoster(report.Peer.Endpoint, self)
+		m.sendRoster(report.Peer, self)
+	}
+}
+
+// tells reports whether the sender of a report is to be sent what this process
+// knows: it holds this process's entry of it for superseded, or the two have
+// known different peers for longer than news takes. Agents need to know
+// balancers only. The caller holds the lock.
+func (m *member) tells(report gooseberrymast.Report, self gooseberrymast.Peer, superseded bool, now time.Time) bool {
+	own := m.roster.Digests(self)
+	differs := own.Balancers != report.Digests.Balancers
+	if self.Role == gooseberrymast.RoleBalancer && report.Peer.Role == gooseberrymast.RoleBalancer {
+		differs = differs || own.Agents != report.Digests.Agents
 	}
+	sender := report.Peer.Endpoint
+	if !differs {
+		delete(m.differsSince, sender)
+	} else if _, known := m.differsSince[sender]; !known {
+		m.differsSince[sender] = now
+	}
+	lasts := differs && now.Sub(m.differsSince[sender]) >= differsFor
+	if !lasts && !superseded || now.Sub(m.rosterSent[sender]) < rosterPause {
+		return false
+	}
+	m.rosterSent[sender] = now
+	return true
 }
 
 // merge takes a list of peers. An entry of this process that supersedes it is
@@ -264,13 +290,17 @@
 	}
 }
 
-func (m *member) sendRoster(to gooseberrymast.Endpoint, self gooseberrymast.Peer) {
+// sendRoster tells a peer what it needs to know of others: an agent of the
+// balancers and, if it was superseded, of its own entry; a balancer of all.
+func (m *member) sendRoster(to gooseberrymast.Peer, self gooseberrymast.Peer) {
 	peers := []gooseberrymast.Peer{self}
-	for _, entry := range m.roster.Entries(nil) {
-		peers = append(peers, entry.Peer)
+	for _, entry := range m.roster.Entries(notGone) {
+		if to.Role == gooseberrymast.RoleBalancer || entry.Role == gooseberrymast.RoleBalancer || entry.Endpoint == to.Endpoint {
+			peers = append(peers, entry.Peer)
+		}
 	}
 	for _, message := range interpreter.Rosters(peers) {
-		m.send(message, to)
+		m.send(message, to.Endpoint)
 	}
 }
 
@@ -280,7 +310,7 @@
 	report := gooseberrymast.Report{
 		Peer:     m.self,
 		Document: m.confirmer.News(now),
-		Digest:   m.roster.Digest(m.self),
+		Digests:  m.roster.Digests(m.self),
 	}
 	m.mu.Unlock()
 	if m.load != nil {
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gooseberrymast"
 )
 
@@ -53,10 +51,9 @@
 type Roster struct {
 	mu      sync.RWMutex
 	entries map[gooseberrymast.Endpoint]Entry
-	digest  uint64
+	digests gooseberrymast.RosterDigests
 	// complete is set once the store's list was read whole.
 	complete bool
-	version  uint64
 }
 
 // Hear takes a peer's own report. It tells whether the peer is new or has
@@ -132,8 +129,7 @@
 	defer r.mu.Unlock()
 	for endpoint, entry := range r.entries {
 		if now.Sub(entry.Told) > ForgetAfter {
-			r.digest ^= hash(entry.Peer)
-			r.version++
+			toggle(&r.digests, entry.Peer)
 			delete(r.entries, endpoint)
 			dropped = append(dropped, entry.Peer)
 		}
@@ -141,19 +137,14 @@
 	return dropped
 }
 
-// Digest gives a hash over all peers and a process's own entry. Two processes
-// with one digest know the same peers.
-func (r *Roster) Digest(own gooseberrymast.Peer) uint64 {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.digest ^ hash(own)
-}
-
-// Version rises with each change of a peer's identity or state.
-func (r *Roster) Version() uint64 {
+// Digests gives hashes over all peers and a process's own entry. Two processes
+// with the same digests know the same peers, though not the same of them.
+func (r *Roster) Digests(own gooseberrymast.Peer) gooseberrymast.RosterDigests {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.version
+	digests := r.digests
+	toggle(&digests, own)
+	return digests
 }
 
 // Get finds one peer.
@@ -193,10 +184,9 @@
 
 func (r *Roster) set(before, after gooseberrymast.Peer, known bool) {
 	if known {
-		r.digest ^= hash(before)
+		toggle(&r.digests, before)
 	}
-	r.digest ^= hash(after)
-	r.version++
+	toggle(&r.digests, after)
 }
 
 func (r *Roster) put(entry Entry) {
@@ -206,18 +196,16 @@
 	r.entries[entry.Endpoint] = entry
 }
 
-// hash names one state of one peer.
-func hash(peer gooseberrymast.Peer) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	var bytes [24]byte
-	copy(bytes[:4], peer.Endpoint.IP[:])
-	bytes[4], bytes[5] = byte(peer.Endpoint.Port>>8), byte(peer.Endpoint.Port)
-	for i := range 8 {
-		bytes[8+i] = byte(peer.Incarnation >> (8 * i))
-		bytes[16+i] = byte(peer.Sequence >> (8 * i))
+// toggle adds a peer to digests, or takes it out.
+func toggle(digests *gooseberrymast.RosterDigests, peer gooseberrymast.Peer) {
+	if peer.State == gooseberrymast.StateGone {
+		return
+	}
+	// The score of an instance for a fixed flow serves as its hash.
+	hash := gooseberrymast.RendezvousScore(1, peer.Endpoint)
+	if peer.Role == gooseberrymast.RoleAgent {
+		digests.Agents ^= hash
+	} else {
+		digests.Balancers ^= hash
 	}
-	// A Digest's Write never fails.
-	_, _ = digest.Write(bytes[:])
-	return digest.Sum64()
 }
