Let an agent that has seen its server start answer a walk by itself

Cause: after the final fault each packet of a dead flow was tried at every server: 3,500 flows at 49 servers saturated agents and balancers for seconds. An agent that heard the first announcement of its server's incarnation, or saw it restart, knows all of its flows.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -58,6 +58,9 @@
 type Server struct {
 	Status  tracker.Status
 	Service string
+	// Complete is set when the agent has seen every packet of the server's
+	// incarnation, so that it knows all of its flows.
+	Complete bool
 }
 
 // Leave makes the agent refuse new flows.
@@ -127,6 +130,9 @@
 	if server.Status == tracker.Gone {
 		return d.notHeld(header, hop, ReasonServerGone, true)
 	}
+	if hop.Mode == gooseberrymast.HopWalk && server.Complete {
+		return d.notHeld(header, hop, ReasonNotHeld, true)
+	}
 	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
 		return d.notHeld(header, hop, ReasonNeverServed, d.restored)
 	}
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -161,6 +161,8 @@
 		{"a server that has just started is not asked", Server{}, true, nil, address, Forward, true},
 		{"what was served is not known yet", ledger, false, nil, address, ToServer, false},
 		{"not known yet, but not allowed", ledger, false, nil, other, Forward, false},
+		{"the agent has seen the server start", Server{Status: tracker.Ready, Service: "ledger", Complete: true}, true,
+			[]gooseberrymast.Endpoint{address}, address, Forward, true},
 		{"the server is gone with its flows", Server{Status: tracker.Gone}, false, nil, address, Forward, true},
 	}
 	for _, test := range tests {
--- a/coordination/tracker/tracker.go
+++ b/coordination/tracker/tracker.go
@@ -13,6 +13,10 @@
 	"gooseberrymast"
 )
 
+// firstSequence is the highest number of an incarnation's first announcement.
+// A server gets no flow before it.
+const firstSequence = 1
+
 // missedBeats is the number of announcement intervals after which a server
 // that announces nothing gets no new flows.
 const missedBeats = 2.5
@@ -63,12 +67,15 @@
 	// Interval is the time between announcements.
 	Interval time.Duration
 
-	last    gooseberrymast.Announcement
-	heard   time.Time
-	known   bool
-	gone    bool
-	probed  bool
-	service string
+	last  gooseberrymast.Announcement
+	heard time.Time
+	known bool
+	gone  bool
+	// complete is set when the agent has run since before the incarnation
+	// took its first flow.
+	complete bool
+	probed   bool
+	service  string
 }
 
 // Announce takes an announcement. The error says why it changes nothing;
@@ -84,6 +91,9 @@
 		return false, ErrSuperseded
 	}
 	restarted = t.known && !sameIncarnation(announcement, t.last)
+	if restarted || !t.known && announcement.Sequence <= firstSequence {
+		t.complete = true
+	}
 	t.last, t.heard, t.known, t.gone = announcement, now, true, false
 	t.service = announcement.Service
 	return restarted, nil
@@ -136,6 +146,12 @@
 	return t.service
 }
 
+// Complete reports whether the agent has seen every packet of the server's
+// incarnation.
+func (t *Tracker) Complete() bool {
+	return t.complete
+}
+
 // Last gives the last announcement and when it came.
 func (t *Tracker) Last() (gooseberrymast.Announcement, time.Time) {
 	return t.last, t.heard
--- a/coordination/tracker/tracker_test.go
+++ b/coordination/tracker/tracker_test.go
@@ -83,6 +83,23 @@
 	is.Equal(tracker.Status(epoch), Ready)
 }
 
+func TestComplete(t *testing.T) {
+	is := is.New(t)
+	fresh := Tracker{Address: server, Interval: interval}
+	is.True(!fresh.Complete())
+	_, err := fresh.Announce(announcement(1, 1), epoch)
+	is.NoErr(err)
+	is.True(fresh.Complete()) // the server's first announcement
+
+	late := Tracker{Address: server, Interval: interval}
+	_, err = late.Announce(announcement(1, 7), epoch)
+	is.NoErr(err)
+	is.True(!late.Complete()) // the server had flows before the agent started
+	_, err = late.Announce(announcement(2, 3), epoch)
+	is.NoErr(err)
+	is.True(late.Complete()) // a new incarnation, whichever announcement was lost
+}
+
 func TestServerThatWasFoundDeadIsBackWithItsNextAnnouncement(t *testing.T) {
 	is := is.New(t)
 	tracker := Tracker{Address: server, Interval: interval}
