--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -164,7 +164,7 @@
 }
 
 func TestFlowIsResetOnlyWhenEveryHolderSaysNo(t *testing.T) {
-	for _, agents := range []int{1, 5, 9, 10, 40} {
+	for _, agents := range []int{1, 5, 25, 26, 60} {
 		is := is.New(t)
 		f := newFleet(agents)
 		steps := f.steerer.FromCaller(nil, packet(false), epoch)
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,7 +44,8 @@
 // services that the address's route allows or did allow, and those that say in
 // the store that they have served the address.
 func (s *Steerer) holders(address, except gooseberrymast.Endpoint, now time.Time) []gooseberrymast.Endpoint {
-	var heard, silent []gooseberrymast.Endpoint
+	var heard []roster.Entry
+	var silent []gooseberrymast.Endpoint
 	hearsMost := s.hearsMost(now)
 	allowed := s.everAllowed(address)
 	s.Roster.Each(func(entry roster.Entry) {
@@ -52,15 +54,27 @@
 		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
 		case hearsMost && s.silentTooLong(entry, now):
 		case entry.Alive(now):
-			heard = append(heard, entry.Endpoint)
+			heard = append(heard, entry)
 		default:
 			silent = append(silent, entry.Endpoint)
 		}
 	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.Random.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
-	return append(heard, silent...)
+	// A chain goes from zone to zone, its own first, so that it crosses between
+	// zones as seldom as it can.
+	slices.SortFunc(heard, func(a, b roster.Entry) int {
+		if (a.Zone == s.Zone) != (b.Zone == s.Zone) {
+			if a.Zone == s.Zone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), a.Endpoint.Compare(b.Endpoint))
+	})
+	holders := make([]gooseberrymast.Endpoint, 0, len(heard)+len(silent))
+	for _, entry := range heard {
+		holders = append(holders, entry.Endpoint)
+	}
+	return append(holders, silent...)
 }
 
 func (s *Steerer) beginWalk(of gooseberrymast.PacketHeader, chains int, now time.Time) uint32 {
--- a/hop.go
+++ b/hop.go
@@ -40,8 +40,9 @@
 	return "unknown"
 }
 
-// MaxCandidates bounds the candidates that one forwarded packet carries.
-const MaxCandidates = 8
+// MaxCandidates bounds the candidates that one forwarded packet carries: with
+// 6 bytes each the longest packet still fits a datagram of 1,472 bytes.
+const MaxCandidates = 24
 
 // Hop is what travels with a packet between the system's processes.
 type Hop struct {
