--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,62 @@
+package emulator
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestPoliciesOverPatterns replays every load pattern: what the balancers do
+// must serve callers better than random placement and send less to other
+// availability zones, and can't be better than full knowledge by more than
+// chance.
+func TestPoliciesOverPatterns(t *testing.T) {
+	const chance = 0.005
+	for _, pattern := range Patterns() {
+		t.Run(pattern.Name, func(t *testing.T) {
+			is := is.New(t)
+			results := map[Policy]Result{}
+			for _, policy := range Policies {
+				result, err := Run(pattern, policy, 1)
+				is.NoErr(err)
+				is.Equal(result.InTime+result.Late+result.Failed, result.Requests) // every request has one end
+				results[policy] = result
+			}
+			product, random, ideal := results[PolicyProduct], results[PolicyRandom], results[PolicyIdeal]
+			is.True(product.Worth > random.Worth)
+			is.True(product.Shed < random.Shed)
+			is.True(product.Crossed < random.Crossed)
+			is.True(product.Worth < ideal.Worth+chance)
+		})
+	}
+}
+
+func TestRunsRepeat(t *testing.T) {
+	is := is.New(t)
+	first, err := Run(Magnolia(), PolicyProduct, 3)
+	is.NoErr(err)
+	second, err := Run(Magnolia(), PolicyProduct, 3)
+	is.NoErr(err)
+	is.Equal(first, second)
+	other, err := Run(Magnolia(), PolicyProduct, 4)
+	is.NoErr(err)
+	is.True(first != other)
+}
+
+func TestUnknownNames(t *testing.T) {
+	is := is.New(t)
+	_, err := PatternOf("none")
+	is.True(err != nil)
+	_, err = Run(Magnolia(), "none", 1)
+	is.True(err != nil)
+}
+
+func TestQuietLoadIsServedInTime(t *testing.T) {
+	is := is.New(t)
+	quiet := Magnolia()
+	quiet.Rate /= 10
+	result, err := Run(quiet, PolicyProduct, 1)
+	is.NoErr(err)
+	is.Equal(result.Shed, 0)
+	is.True(result.Worth > 0.98)
+}
