--- a/runner/agent.go
+++ b/runner/agent.go
@@ -37,6 +37,9 @@
 	checkPause = 500 * time.Millisecond
 	// checkTimeout bounds one check, on the same instance.
 	checkTimeout = 300 * time.Millisecond
+	// lastReports is the number of reports by which an agent says that it stops,
+	// since no later one makes up for a lost datagram.
+	lastReports = 3
 	// stopLook is the time between two looks for the end of work in progress.
 	stopLook = 50 * time.Millisecond
 )
@@ -153,9 +156,11 @@
 		state = gooseberrymast.StateGone
 	}
 	a.change(state, a.own().Service)
-	a.notify()
 	a.Log.Info(gooseberrymast.EventStopping).Bool("server-ended", ended).Msg("")
-	sleep(context.Background(), a.Timer, stopLook)
+	for range lastReports {
+		a.notify()
+		sleep(context.Background(), a.Timer, stopLook)
+	}
 	if ended {
 		// The instance is told to stop once its server has ended.
 		a.resetLost("server-ended")
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -106,14 +106,15 @@
 }
 
 // refresh brings the agent's own state in line with its server's and tells
-// peers of a change.
+// peers of a change. An agent whose server is gone has nothing to come back
+// for, so it doesn't say that it leaves: peers wait longer for one that does.
 func (a *Agent) refresh(now time.Time) {
 	server := a.server(now)
 	state := gooseberrymast.StateStarting
 	switch server.Status {
 	case tracker.Ready:
 		state = gooseberrymast.StateReady
-	case tracker.Leaving, tracker.Gone:
+	case tracker.Leaving:
 		state = gooseberrymast.StateLeaving
 	}
 	service := server.Service
