--- a/cmd/gooseberrymastd/process_test.go
+++ b/cmd/gooseberrymastd/process_test.go
@@ -57,6 +57,7 @@
 	for deadline := time.Now().Add(time.Minute); calls.Load() == 0 && time.Now().Before(deadline); {
 		time.Sleep(5 * time.Millisecond)
 		_, err = store.Get(context.Background(), "peers/x")
+		is.True(err != nil) // nobody has the entry
 	}
 	is.True(calls.Load() > 0)
 
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -26,12 +26,8 @@
 	forgets = 30 * time.Second
 )
 
-// Deliverer holds the state of one agent's decisions. Its exported fields are
-// set before use.
+// Deliverer holds the state of one agent's decisions. The zero value is ready.
 type Deliverer struct {
-	// Self is the agent's endpoint among its peers.
-	Self gooseberrymast.Endpoint
-
 	mu      sync.Mutex
 	leaving bool
 	flows   map[gooseberrymast.FlowKey]*flow
@@ -49,9 +45,8 @@
 
 // try is a packet that was given to the server.
 type try struct {
-	tag    uint32
-	hop    gooseberrymast.Hop
-	sender gooseberrymast.Endpoint
+	tag uint32
+	hop gooseberrymast.Hop
 }
 
 // Server is what the deliverer needs to know of the backend server.
@@ -107,13 +102,13 @@
 }
 
 // FromPeer decides on a packet that a peer sent.
-func (d *Deliverer) FromPeer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
-	sender gooseberrymast.Endpoint, server Server, routes *gooseberrymast.Routes, now time.Time) Step {
+func (d *Deliverer) FromPeer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, server Server,
+	routes *gooseberrymast.Routes, now time.Time) Step {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := header.FromCaller()
 	if known := d.flows[key]; known != nil && server.Status != tracker.Gone {
-		return d.deliver(known, header, hop, sender, now)
+		return d.deliver(known, header, hop, now)
 	}
 	if header.Opens {
 		if reason, definite := d.refuses(hop, key, server, routes); reason != "" {
@@ -123,7 +118,7 @@
 		if hop.Passed {
 			known.tell = hop.Origin
 		}
-		step := d.deliver(known, header, hop, sender, now)
+		step := d.deliver(known, header, hop, now)
 		step.Event = FlowTaken
 		return step
 	}
@@ -136,7 +131,7 @@
 	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
 		return d.notHeld(header, hop, ReasonNeverServed, d.restored)
 	}
-	return Step{Action: ToServer, Tag: d.remember(hop, sender), Event: FlowTried}
+	return Step{Action: ToServer, Tag: d.remember(hop), Event: FlowTried}
 }
 
 // Begin names the request that a caller's packet begins. It is called before
@@ -225,8 +220,7 @@
 }
 
 // deliver gives the server a packet of a known flow.
-func (d *Deliverer) deliver(known *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
-	sender gooseberrymast.Endpoint, now time.Time) Step {
+func (d *Deliverer) deliver(known *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, now time.Time) Step {
 	known.used = now
 	if !header.Opens {
 		known.acked = header.Acknowledgement
@@ -242,7 +236,7 @@
 			}
 		}
 	}
-	step := Step{Action: ToServer, Tag: d.remember(hop, sender)}
+	step := Step{Action: ToServer, Tag: d.remember(hop)}
 	if hop.Passed && known.answered {
 		step.Tell = hop.Origin
 	}
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -11,7 +11,6 @@
 )
 
 var (
-	self     = endpoint("10.1.0.1:7000")
 	next     = endpoint("10.1.0.2:7000")
 	balancer = endpoint("10.1.0.9:7000")
 	address  = endpoint("198.18.0.1:443")
@@ -81,11 +80,11 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			d := Deliverer{Self: self}
+			d := Deliverer{}
 			if test.leave {
 				d.Leave()
 			}
-			step := d.FromPeer(opening(), test.hop, balancer, test.server, routes, epoch)
+			step := d.FromPeer(opening(), test.hop, test.server, routes, epoch)
 			is.Equal(step.Action, test.action)
 			is.Equal(step.Reason, test.reason)
 		})
@@ -94,33 +93,33 @@
 
 func TestOpeningByOlderDocument(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
+	d := Deliverer{}
 	header := opening()
 	header.Destination = other
 	hop := placed()
 	hop.Version = 4
-	step := d.FromPeer(header, hop, balancer, ledger, routes, epoch)
+	step := d.FromPeer(header, hop, ledger, routes, epoch)
 	is.Equal(step.Reason, ReasonWrongService) // the agent's later document doesn't allow it
 	hop.Version = 6
-	step = d.FromPeer(header, hop, balancer, ledger, routes, epoch)
+	step = d.FromPeer(header, hop, ledger, routes, epoch)
 	is.Equal(step.Action, ToServer) // the balancer's document is later than the agent's
 }
 
 func TestPassedOpeningThatIsRefusedForAMomentIsNotReset(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	step := d.FromPeer(opening(), placed(next), balancer, Server{}, routes, epoch)
+	d := Deliverer{}
+	step := d.FromPeer(opening(), placed(next), Server{}, routes, epoch)
 	is.Equal(step.Action, Forward)
 	is.True(!step.Hop.Definite)
 	var second Deliverer
-	step = second.FromPeer(opening(), step.Hop, self, Server{Status: tracker.Leaving, Service: "ledger"}, routes, epoch)
+	step = second.FromPeer(opening(), step.Hop, Server{Status: tracker.Leaving, Service: "ledger"}, routes, epoch)
 	is.Equal(step.Action, Drop) // the first agent may take the next copy
 }
 
 func TestServerRefusesOpening(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	step := d.FromPeer(opening(), placed(next), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	step := d.FromPeer(opening(), placed(next), ledger, routes, epoch)
 	returned := opening()
 	returned.Tag, returned.Returned = step.Tag, true
 	step = d.Returned(returned, epoch)
@@ -133,14 +132,14 @@
 
 func TestKnownFlow(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	d.FromPeer(opening(), placed(), ledger, routes, epoch)
 	is.Equal(d.FromServer(answer(0), epoch).Action, ToCaller)
 	leaving := Server{Status: tracker.Leaving, Service: "ledger"}
-	step := d.FromPeer(request(1), walking(next), balancer, leaving, routes, epoch)
+	step := d.FromPeer(request(1), walking(next), leaving, routes, epoch)
 	is.Equal(step.Action, ToServer) // a leaving server keeps its flows
 	is.Equal(step.Tell, balancer)   // the balancer that looked for the owner is told
-	step = d.FromPeer(request(200), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, leaving, nil, epoch)
+	step = d.FromPeer(request(200), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, leaving, nil, epoch)
 	is.Equal(step.Action, ToServer) // a document without the route leaves open flows where they are
 	is.True(step.Tell.IsZero())
 }
@@ -168,13 +167,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			d := Deliverer{Self: self}
+			d := Deliverer{}
 			if test.restored {
 				d.Restore(test.served)
 			}
 			header := request(1)
 			header.Destination = test.address
-			step := d.FromPeer(header, walking(), balancer, test.server, routes, epoch)
+			step := d.FromPeer(header, walking(), test.server, routes, epoch)
 			is.Equal(step.Action, test.action)
 			if step.Action == Forward {
 				is.Equal(step.Hop.Mode, gooseberrymast.HopAbsent)
@@ -187,8 +186,8 @@
 
 func TestServerReturnsFlowThatItDoesNotHold(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	step := d.FromPeer(request(1), walking(next), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	step := d.FromPeer(request(1), walking(next), ledger, routes, epoch)
 	is.Equal(step.Action, ToServer)
 	returned := request(1)
 	returned.Tag, returned.Returned = step.Tag, true
@@ -197,7 +196,7 @@
 	is.True(step.Hop.Definite)
 	is.Equal(d.Returned(returned, epoch).Reason, ReasonNoTry) // a copy goes nowhere
 
-	step = d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, ledger, routes, epoch)
+	step = d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
 	returned.Tag = step.Tag
 	step = d.Returned(returned, epoch)
 	is.Equal(step.Hop.Mode, gooseberrymast.HopReturn)
@@ -206,33 +205,33 @@
 
 func TestRelearnsFlowFromServer(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
+	d := Deliverer{}
 	d.Restore(nil)
 	is.Equal(d.FromServer(answer(500), epoch).Action, ToCaller)
 	flows, _ := d.Load()
 	is.Equal(flows, 1)
-	is.Equal(d.FromPeer(request(1), walking(), balancer, ledger, routes, epoch).Action, ToServer)
+	is.Equal(d.FromPeer(request(1), walking(), ledger, routes, epoch).Action, ToServer)
 	news := d.Announce([]gooseberrymast.Endpoint{balancer}, nil, epoch.Add(time.Second))
 	is.Equal(news[balancer], []gooseberrymast.FlowKey{key})
 }
 
 func TestWorkInProgress(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	d.FromPeer(opening(), placed(), ledger, routes, epoch)
 	d.FromServer(answer(0), epoch)
 	busy := func() int {
 		_, busy := d.Load()
 		return busy
 	}
 	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
-	d.FromPeer(request(1), hop, balancer, ledger, routes, epoch)
+	d.FromPeer(request(1), hop, ledger, routes, epoch)
 	is.Equal(busy(), 1)
 	d.FromServer(answer(400), epoch)
 	is.Equal(busy(), 0)
-	d.FromPeer(request(1), hop, balancer, ledger, routes, epoch)
+	d.FromPeer(request(1), hop, ledger, routes, epoch)
 	is.Equal(busy(), 0) // a copy of the request is no new work
-	d.FromPeer(request(101), hop, balancer, ledger, routes, epoch)
+	d.FromPeer(request(101), hop, ledger, routes, epoch)
 	is.Equal(busy(), 1)
 	d.Lost()
 	is.Equal(busy(), 0)
@@ -242,14 +241,14 @@
 // with its end, each pair in the wrong order.
 func TestPacketsThatOvertakeOthers(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	d.FromPeer(opening(), placed(), ledger, routes, epoch)
 	d.FromServer(answer(0), epoch)
 	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
 	d.Begin(key, "")
-	d.FromPeer(request(101), hop, balancer, ledger, routes, epoch)
+	d.FromPeer(request(101), hop, ledger, routes, epoch)
 	d.Begin(key, "id")
-	d.FromPeer(request(1), hop, balancer, ledger, routes, epoch)
+	d.FromPeer(request(1), hop, ledger, routes, epoch)
 	finish := answer(0)
 	finish.Sequence, finish.Finishes = 600, true
 	step := d.FromServer(finish, epoch.Add(30*time.Millisecond))
@@ -264,10 +263,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			d := Deliverer{Self: self}
-			d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+			d := Deliverer{}
+			d.FromPeer(opening(), placed(), ledger, routes, epoch)
 			d.FromServer(answer(0), epoch)
-			d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, ledger, routes, epoch)
+			d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
 			end := answer(0)
 			end.Finishes, end.Resets, end.Sequence = flags.Finishes, flags.Resets, flags.Sequence
 			step := d.FromServer(end, epoch)
@@ -279,18 +278,18 @@
 
 func TestCallersOfLostFlowsAreTold(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	d.FromPeer(opening(), placed(), ledger, routes, epoch)
 	is.True(!d.Unanswered(epoch.Add(unansweredAfter)))
 	is.True(d.Unanswered(epoch.Add(unansweredAfter + 1))) // the server may be dead
 	d.FromServer(answer(0), epoch)
 	is.True(!d.Unanswered(epoch.Add(time.Second)))
 	idle := request(1)
 	idle.Acknowledgement = 4321
-	d.FromPeer(idle, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, balancer, ledger, routes, epoch)
+	d.FromPeer(idle, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
 	closed := opening()
 	closed.Source.Port++
-	d.FromPeer(closed, placed(), balancer, ledger, routes, epoch)
+	d.FromPeer(closed, placed(), ledger, routes, epoch)
 	finish := answer(0)
 	finish.Destination, finish.Finishes = closed.Source, true
 	d.FromServer(finish, epoch)
@@ -300,8 +299,8 @@
 
 func TestAnnounce(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	d.FromPeer(opening(), placed(), ledger, routes, epoch)
 	d.FromServer(answer(0), epoch)
 	places := []gooseberrymast.Endpoint{balancer, next}
 	is.Equal(len(d.Announce(places, nil, epoch)), 0) // most flows end before
@@ -317,8 +316,8 @@
 
 func TestClosedFlowsAreForgotten(t *testing.T) {
 	is := is.New(t)
-	d := Deliverer{Self: self}
-	d.FromPeer(opening(), placed(), balancer, ledger, routes, epoch)
+	d := Deliverer{}
+	d.FromPeer(opening(), placed(), ledger, routes, epoch)
 	finish := answer(0)
 	finish.Finishes = true
 	d.FromServer(finish, epoch)
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -34,12 +34,12 @@
 }
 
 // remember keeps where a packet came from until the server returns it.
-func (d *Deliverer) remember(hop gooseberrymast.Hop, sender gooseberrymast.Endpoint) uint32 {
+func (d *Deliverer) remember(hop gooseberrymast.Hop) uint32 {
 	d.serial++
 	if d.serial == 0 {
 		d.serial++
 	}
-	d.tries[d.serial%tries] = try{tag: d.serial, hop: hop, sender: sender}
+	d.tries[d.serial%tries] = try{tag: d.serial, hop: hop}
 	return d.serial
 }
 
--- a/packet.go
+++ b/packet.go
@@ -34,8 +34,6 @@
 type PacketCodec interface {
 	// Decode reads the header of a datagram.
 	Decode(datagram []byte) (PacketHeader, error)
-	// Payload gives the bytes that the datagram carries.
-	Payload(datagram []byte) []byte
 	// RequestID gives the id of the request that the datagram begins, or
 	// nothing when it begins none that has one.
 	RequestID(datagram []byte) string
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -90,7 +90,6 @@
 		return err
 	}
 	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
-	a.deliverer.Self = a.Settings.Peers
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.measure
 	a.served, a.restore = a.servedNow, a.restored
@@ -282,7 +281,7 @@
 	if header.Payload > 0 {
 		a.deliverer.Begin(header.FromCaller(), a.Codec.RequestID(packet))
 	}
-	step := a.deliverer.FromPeer(header, hop, sender, a.server(now), routes, now)
+	step := a.deliverer.FromPeer(header, hop, a.server(now), routes, now)
 	a.carryOut(step, header.FromCaller(), packet)
 }
 
--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -78,7 +78,7 @@
 	server := deliverer.Server{Status: tracker.Ready, Service: "ledger"}
 	open := gooseberrymast.PacketHeader{Source: key.Caller, Destination: key.Service, Opens: true}
 	agent.FromPeer(open, gooseberrymast.Hop{Mode: gooseberrymast.HopPlace, Service: gooseberrymast.ServiceHash("ledger")},
-		gooseberrymast.Endpoint{}, server, nil, now)
+		server, nil, now)
 	packet := packetOf(flagAck, key.Caller, key.Service, make([]byte, 1200))
 	datagram := append(wrapper.Append(nil, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver}), packet...)
 	b.ReportAllocs()
@@ -91,7 +91,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		step := agent.FromPeer(header, hop, gooseberrymast.Endpoint{}, server, nil, now)
+		step := agent.FromPeer(header, hop, server, nil, now)
 		platform.Codec{}.SetTag(inner, step.Tag)
 	}
 }
--- a/runner/rig_test.go
+++ b/runner/rig_test.go
@@ -115,7 +115,9 @@
 	opened   int
 }
 
+// The layout of the platform's packets, as far as the stand-ins need it.
 const (
+	packetHeader = 31
 	flagSyn      = 1
 	flagReturned = 4
 	flagAck      = 8
@@ -164,7 +166,7 @@
 			s.flows[key] = true
 			answer = packetOf(flagSyn|flagAck, header.Destination, header.Source, nil)
 		case s.flows[key]:
-			answer = packetOf(flagAck, header.Destination, header.Source, platform.Codec{}.Payload(packet[:n]))
+			answer = packetOf(flagAck, header.Destination, header.Source, packet[packetHeader:n])
 		default:
 			answer = slices.Clone(packet[:n])
 			answer[0] |= flagReturned
@@ -189,7 +191,7 @@
 
 // packetOf makes a packet of the platform's layout.
 func packetOf(flags byte, source, destination gooseberrymast.Endpoint, payload []byte) []byte {
-	packet := make([]byte, 31, 31+len(payload))
+	packet := make([]byte, packetHeader, packetHeader+len(payload))
 	packet[0] = flags
 	packet[13], packet[14] = byte(len(payload)>>8), byte(len(payload))
 	packet[19], packet[20] = byte(destination.Port>>8), byte(destination.Port)
@@ -344,7 +346,7 @@
 				break
 			}
 			header, err := platform.Codec{}.Decode(answer[:n])
-			if err == nil && header.FromServer() == key && want(header, string(answer[31:n])) {
+			if err == nil && header.FromServer() == key && want(header, string(answer[packetHeader:n])) {
 				return
 			}
 		}
