Keep requests that may not run twice from servers that fail

Cause: a server that fails its requests at once looks idle, so placement by work sends it the most new flows. A failed claim can't be tried again. Agents now judge their servers by the status lines of answers, by requests that are cut and by requests that callers give up, and report the share that fails. For requests that may not run twice a balancer leaves out agents whose servers fail, unless most do.

The emulator now opens a new flow for a further try, as the platform's callers do; before, it took another idle flow.

--- /dev/null
+++ b/coordination/assessor/assessor_test.go
@@ -0,0 +1,76 @@
+package assessor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// TestFailing replays 40 answers in a second, and what they say of the server.
+func TestFailing(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(a *Assessor, number int, now time.Time)
+		want   func(share float64) bool
+	}{
+		{"good answers", func(a *Assessor, _ int, now time.Time) { a.Answered(200, false, now) },
+			func(share float64) bool { return share == 0 }},
+		{"refusals of a caller's fault", func(a *Assessor, _ int, now time.Time) { a.Answered(404, false, now) },
+			func(share float64) bool { return share == 0 }},
+		{"every second answer is an error", func(a *Assessor, number int, now time.Time) { a.Answered(200+300*(number%2), false, now) },
+			func(share float64) bool { return share > 0.3 && share < 0.5 }},
+		{"every answer is an error", func(a *Assessor, _ int, now time.Time) { a.Answered(500, true, now) },
+			func(share float64) bool { return share > 0.8 }},
+		{"refusals of a full server", func(a *Assessor, _ int, now time.Time) { a.Answered(503, true, now) },
+			func(share float64) bool { return share == 0 }},
+		{"refusals with free slots", func(a *Assessor, _ int, now time.Time) { a.Answered(429, false, now) },
+			func(share float64) bool { return share > 0.8 }},
+		{"requests cut", func(a *Assessor, _ int, now time.Time) { a.Unanswered(now) },
+			func(share float64) bool { return share > 0.8 }},
+		{"one request cut", func(a *Assessor, number int, now time.Time) {
+			if number == 39 {
+				a.Unanswered(now)
+			}
+		}, func(share float64) bool { return share > 0 && share < 0.2 }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var a Assessor
+			now := epoch
+			for number := range 40 {
+				now = now.Add(25 * time.Millisecond)
+				test.answer(&a, number, now)
+			}
+			is.True(test.want(a.Failing(now)))
+		})
+	}
+}
+
+// TestServerIsTriedAgain replays a server that nobody asks any more after its
+// failures: it is trusted again within a few seconds.
+func TestServerIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	var a Assessor
+	for range 40 {
+		a.Answered(500, false, epoch)
+	}
+	last := a.Failing(epoch)
+	for second := 1; second <= 20; second++ {
+		share := a.Failing(epoch.Add(time.Duration(second) * time.Second))
+		is.True(share < last)
+		last = share
+	}
+	is.True(last < 0.01)
+}
+
+func TestNewIncarnationIsTrusted(t *testing.T) {
+	is := is.New(t)
+	var a Assessor
+	a.Unanswered(epoch)
+	a.Reset()
+	is.Equal(a.Failing(epoch), 0.0)
+}
--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -6,6 +6,12 @@
 // the flow, so that balancers that decide at once by reports of the same age
 // don't all choose the same agent. What a balancer placed since an agent's
 // last report counts as that agent's work.
+//
+// Servers that fail their requests at once look idle. For requests that may not
+// run twice, agents whose servers fail are left out: a failure there is final.
+// Other requests are tried again elsewhere within milliseconds, and at a crest
+// they need what failing servers still serve. Nobody is left out when most fail:
+// then the cause is hardly the servers.
 package chooser
 
 import (
@@ -27,6 +33,12 @@
 	// otherZoneWork is the work by which an agent of another availability zone
 	// counts as busier, as a share of its slots: traffic between zones is paid.
 	otherZoneWork = 0.25
+	// FailingLimit is the share of failed answers from which an agent's server is
+	// left out: twice what a healthy server fails when one of its requests in
+	// twenty is cut by its caller.
+	FailingLimit = 0.15
+	// mostLeftOut is the largest share of the candidates that is left out.
+	mostLeftOut = 0.5
 	// ownDraws and otherDraws are the numbers of agents of the balancer's own
 	// availability zone and of the others that are compared for a flow. With more
 	// of them many balancers choose the same agent by the same reports.
@@ -65,11 +77,14 @@
 // by their work, the least first: a few of the balancer's own availability zone
 // and of the others are compared for the first place, and the rest for the
 // places behind. It counts the flow as placed at the first. The candidates
-// change their order.
-func (c *Chooser) Choose(candidates []Candidate, limit int, random *rand.Rand) []gooseberrymast.Endpoint {
+// change their order. Once is set for requests that may not run twice.
+func (c *Chooser) Choose(candidates []Candidate, limit int, once bool, random *rand.Rand) []gooseberrymast.Endpoint {
 	if len(candidates) == 0 {
 		return nil
 	}
+	if once {
+		candidates = withoutFailing(candidates)
+	}
 	own := c.ownFirst(candidates)
 	draw(candidates[:own], ownDraws, random)
 	draw(candidates[own:], otherDraws, random)
@@ -93,6 +108,22 @@
 	return endpoints
 }
 
+// withoutFailing leaves out the candidates whose servers fail, unless these
+// are too many.
+func withoutFailing(candidates []Candidate) []Candidate {
+	kept := 0
+	for i := range candidates {
+		if candidates[i].Load.Failing < FailingLimit {
+			candidates[kept], candidates[i] = candidates[i], candidates[kept]
+			kept++
+		}
+	}
+	if float64(len(candidates)-kept) > mostLeftOut*float64(len(candidates)) {
+		return candidates
+	}
+	return candidates[:kept]
+}
+
 // ownFirst puts the candidates of the balancer's own availability zone first
 // and gives their number.
 func (c *Chooser) ownFirst(candidates []Candidate) int {
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -40,7 +40,7 @@
 			for seed := range uint64(20) {
 				chooser := Chooser{Zone: "a"}
 				free := candidate(1, gooseberrymast.FlowLoad{})
-				chosen := chooser.Choose([]Candidate{test.other, free}, 2, rand.New(rand.NewPCG(seed, 1)))
+				chosen := chooser.Choose([]Candidate{test.other, free}, 2, false, rand.New(rand.NewPCG(seed, 1)))
 				is.Equal(chosen[0], free.Endpoint)
 				is.Equal(chosen[1], test.other.Endpoint)
 			}
@@ -48,10 +48,44 @@
 	}
 }
 
+// TestFailingServersAreLeftOut replays servers that fail what they are asked at
+// once and look idle, and a cause that makes most servers fail.
+func TestFailingServersAreLeftOut(t *testing.T) {
+	tests := []struct {
+		name    string
+		failing []float64
+		want    int
+	}{
+		{"one of four", []float64{0.5, 0, 0, 0}, 3},
+		{"half", []float64{0.5, 0.5, 0.1, 0}, 2},
+		{"most", []float64{0.5, 0.5, 0.5, 0}, 4},
+		{"all", []float64{0.5, 0.5, 0.5, 0.5}, 4},
+		{"the only one", []float64{0.5}, 1},
+		{"a few failures", []float64{0.1, 0.1}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			chosen := map[gooseberrymast.Endpoint]bool{}
+			for seed := range uint64(50) {
+				var candidates []Candidate
+				for number, share := range test.failing {
+					candidates = append(candidates, candidate(byte(number), gooseberrymast.FlowLoad{Failing: share}))
+				}
+				chooser := Chooser{Zone: "a"}
+				for _, each := range chooser.Choose(candidates, 4, true, rand.New(rand.NewPCG(seed, 1))) {
+					chosen[each] = true
+				}
+			}
+			is.Equal(len(chosen), test.want)
+		})
+	}
+}
+
 func TestNothingToChooseFrom(t *testing.T) {
 	is := is.New(t)
 	var chooser Chooser
-	is.Equal(len(chooser.Choose(nil, 3, rand.New(rand.NewPCG(1, 1)))), 0)
+	is.Equal(len(chooser.Choose(nil, 3, false, rand.New(rand.NewPCG(1, 1)))), 0)
 }
 
 // TestCrestBetweenReports replays 40 new flows that come between two reports:
@@ -67,7 +101,7 @@
 		for number := range byte(agents) {
 			candidates = append(candidates, candidate(number, gooseberrymast.FlowLoad{}))
 		}
-		counts[chooser.Choose(candidates, 1, random)[0]]++
+		counts[chooser.Choose(candidates, 1, false, random)[0]]++
 	}
 	for _, count := range counts {
 		is.True(count <= flows/agents+2)
@@ -90,7 +124,7 @@
 			}
 			candidates = append(candidates, candidate(number, load))
 		}
-		counts[chooser.Choose(candidates, 1, rand.New(rand.NewPCG(seed, 7)))[0]]++
+		counts[chooser.Choose(candidates, 1, false, rand.New(rand.NewPCG(seed, 7)))[0]]++
 	}
 	idle := candidate(0, gooseberrymast.FlowLoad{}).Endpoint
 	is.True(counts[idle] < balancers/3)
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -184,15 +184,13 @@
 		step.Tell = known.tell
 	}
 	if known.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
-		d.setBusy(known, false)
-		step.Request = Request{ID: known.request, Took: now.Sub(known.since)}
+		step.Request = d.end(known, now)
 		// The end of a flow may overtake the answer before it; then its number
 		// is beyond what the server has sent.
 		step.Answered = header.Payload > 0 || !header.Resets && int32(header.Sequence-known.sent) > 0
 		if !step.Answered {
 			step.Event = RequestCut
 		}
-		known.request = ""
 	}
 	if end := header.Sequence + uint32(header.Payload); int32(end-known.sent) > 0 || known.sent == 0 {
 		known.sent = end
@@ -240,9 +238,20 @@
 	if hop.Passed && known.answered {
 		step.Tell = hop.Origin
 	}
+	if known.busy && (header.Resets || header.Finishes) {
+		step.Event, step.Request = RequestAbandoned, d.end(known, now)
+	}
 	return step
 }
 
+// end ends the work in progress of a flow.
+func (d *Deliverer) end(known *flow, now time.Time) Request {
+	d.setBusy(known, false)
+	ended := Request{ID: known.request, Took: now.Sub(known.since)}
+	known.request = ""
+	return ended
+}
+
 // refuses gives the reason for which a new flow is not taken, and whether the
 // server has certainly not seen it and won't take it a moment later.
 func (d *Deliverer) refuses(hop gooseberrymast.Hop, key gooseberrymast.FlowKey, server Server,
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -257,6 +257,30 @@
 	is.Equal(step.Request, Request{ID: "id", Took: 30 * time.Millisecond})
 }
 
+// TestRequestThatIsAbandoned replays a caller that closes or resets its flow
+// while the server works: the work is no longer in progress.
+func TestRequestThatIsAbandoned(t *testing.T) {
+	for _, resets := range []bool{true, false} {
+		is := is.New(t)
+		d := Deliverer{}
+		d.FromPeer(opening(), placed(), ledger, routes, epoch)
+		d.FromServer(answer(0), epoch)
+		hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
+		d.FromPeer(request(1), hop, ledger, routes, epoch)
+		d.Begin(key, "id")
+		last := request(101)
+		last.Payload, last.Resets, last.Finishes = 0, resets, !resets
+		step := d.FromPeer(last, hop, ledger, routes, epoch.Add(time.Second))
+		is.Equal(step.Action, ToServer)
+		is.Equal(step.Event, RequestAbandoned)
+		is.Equal(step.Request, Request{ID: "id", Took: time.Second})
+		_, busy := d.Load()
+		is.Equal(busy, 0)
+		step = d.FromPeer(last, hop, ledger, routes, epoch.Add(time.Second))
+		is.Equal(step.Event, Event(0)) // told once
+	}
+}
+
 func TestRequestThatIsCut(t *testing.T) {
 	for name, flags := range map[string]gooseberrymast.PacketHeader{
 		"closed": {Finishes: true}, "reset": {Resets: true, Sequence: 9999},
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -89,6 +89,9 @@
 	FlowLearned
 	// RequestCut: the server ended a flow before it answered its request.
 	RequestCut
+	// RequestAbandoned: the caller ended a flow before its request was
+	// answered.
+	RequestAbandoned
 )
 
 // Request is a request that the server works on.
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -243,7 +243,7 @@
 	key := header.FromCaller()
 	s.mu.Lock()
 	service, candidates := s.candidates(route, now)
-	chosen := s.chooser.Choose(candidates, placeCandidates, s.Random)
+	chosen := s.chooser.Choose(candidates, placeCandidates, !route.Idempotent, s.Random)
 	s.mu.Unlock()
 	if owner, found := s.Owners.Find(key, now); found && s.mayTake(owner, header.Copy, now) {
 		chosen = moveFirst(chosen, owner)
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"gooseberrymast"
@@ -66,6 +67,12 @@
 		server.slowBy, server.slowFrom = e.pattern.SlowBy, e.pattern.SlowAt
 		server.slowUntil = e.pattern.SlowAt + e.pattern.SlowFor
 	}
+	failing := int(e.pattern.Failing * float64(len(e.servers)))
+	for i := range failing {
+		server := e.servers[i*len(e.servers)/failing]
+		server.failShare, server.failFrom = e.pattern.FailShare, e.pattern.FailAt
+		server.failUntil = e.pattern.FailAt + e.pattern.FailFor
+	}
 }
 
 // report takes the load of every server as the balancers will see it.
@@ -76,10 +83,11 @@
 			continue
 		}
 		e.reports = append(e.reports, chooser.Candidate{
-			Endpoint: endpointOf(i), Zone: zoneName(server.zone), Reported: time.Unix(0, int64(e.now)),
+			Endpoint: endpointOf(i), Zone: zoneName(server.zone), Reported: e.clock(),
 			Load: gooseberrymast.FlowLoad{
 				Slots: server.slots, InProgress: server.running + len(server.waiting), Flows: server.flows,
-				Cold: max(0, server.coldUntil-e.now),
+				Cold:    max(0, server.coldUntil-e.now),
+				Failing: server.assessor.Failing(e.clock()),
 			},
 		})
 	}
@@ -129,7 +137,7 @@
 		zone := r.caller % e.pattern.Zones
 		balancer := e.balancerOf(zone)
 		candidates := append([]chooser.Candidate(nil), e.reports...)
-		r.flow = &flow{server: e.placers[balancer].place(candidates, e.servers, e.random)}
+		r.flow = &flow{server: e.placers[balancer].place(candidates, e.servers, r.class.Once, e.random)}
 		e.servers[r.flow.server].flows++
 		// Opening takes a round trip before the request is sent.
 		delay += 2*callerDelay + e.between(zone, r.flow.server)
@@ -142,10 +150,11 @@
 	e.at(e.now+delay, func() { e.reach(r) })
 }
 
-// idleFlow takes the caller's flow that was used last.
+// idleFlow takes the caller's flow that was used last. A further try of a
+// request opens a flow of its own.
 func (e *emulation) idleFlow(r *request) *flow {
 	flows := e.idle[r.caller]
-	if r.class.Fresh || len(flows) == 0 {
+	if r.class.Fresh || r.tries > 1 || len(flows) == 0 {
 		return nil
 	}
 	last := flows[len(flows)-1]
@@ -173,6 +182,8 @@
 func (e *emulation) reach(r *request) {
 	server := e.servers[r.server]
 	switch {
+	case server.fails(e.now, e.random):
+		e.fail(r)
 	case server.running < server.slots:
 		e.start(r)
 	case len(server.waiting) < server.room:
@@ -184,6 +195,20 @@
 	}
 }
 
+// fail lets a server answer a request with an error. The caller tries again
+// only what may run twice.
+func (e *emulation) fail(r *request) {
+	e.result.Errors++
+	e.servers[r.server].assessor.Answered(http.StatusInternalServerError, false, e.clock())
+	e.release(r)
+	if r.class.Once {
+		e.result.Lost++
+		e.result.Failed++
+		return
+	}
+	e.at(e.now+callerDelay+retryAfter, func() { e.again(r) })
+}
+
 // again tries a refused request another time, if it may.
 func (e *emulation) again(r *request) {
 	if r.tries > r.class.Retries || e.now-r.sent >= r.class.Deadline {
@@ -203,6 +228,7 @@
 func (e *emulation) finish(r *request) {
 	server := e.servers[r.server]
 	server.running--
+	server.assessor.Answered(http.StatusOK, false, e.clock())
 	for len(server.waiting) > 0 && server.running < server.slots {
 		next := server.waiting[0]
 		server.waiting = server.waiting[1:]
@@ -242,6 +268,11 @@
 	})
 }
 
+// clock gives the time of the emulation as the deciding code takes it.
+func (e *emulation) clock() time.Time {
+	return time.Unix(0, int64(e.now))
+}
+
 func (e *emulation) at(when time.Duration, do func()) {
 	e.serial++
 	heap.Push(&e.events, &event{at: when, serial: e.serial, do: do})
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -24,6 +24,7 @@
 			}
 			product, random, ideal := results[PolicyProduct], results[PolicyRandom], results[PolicyIdeal]
 			is.True(product.Worth > random.Worth)
+			is.True(product.Worth >= results[PolicyTrusting].Worth)
 			is.True(product.Shed < random.Shed)
 			is.True(product.Crossed < random.Crossed)
 			is.True(product.Worth < ideal.Worth+chance)
@@ -31,6 +32,23 @@
 	}
 }
 
+// TestFailingServersDrawNoFlows replays servers that fail half of their
+// requests at once. Without a judgment of them they look idle and draw the
+// flows of requests that may not run twice.
+func TestFailingServersDrawNoFlows(t *testing.T) {
+	is := is.New(t)
+	pattern, err := PatternOf("failing-servers")
+	is.NoErr(err)
+	for seed := range uint64(3) {
+		product, err := Run(pattern, PolicyProduct, seed)
+		is.NoErr(err)
+		trusting, err := Run(pattern, PolicyTrusting, seed)
+		is.NoErr(err)
+		is.True(product.Lost < trusting.Lost)
+		is.True(product.Worth > trusting.Worth)
+	}
+}
+
 func TestRunsRepeat(t *testing.T) {
 	is := is.New(t)
 	first, err := Run(Magnolia(), PolicyProduct, 3)
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -46,6 +46,11 @@
 	Slowed          float64
 	SlowBy          float64
 	SlowAt, SlowFor time.Duration
+	// Failing is the share of servers that fail FailShare of their requests at
+	// once from FailAt for FailFor.
+	Failing         float64
+	FailShare       float64
+	FailAt, FailFor time.Duration
 	// Classes are the kinds of requests.
 	Classes []Class
 	// Length is how long requests are sent.
@@ -74,6 +79,9 @@
 	Worth, Late float64
 	// Retries is the number of further tries after a refusal.
 	Retries int
+	// Once is set for requests that may not run twice: the caller doesn't try
+	// again what a server has failed.
+	Once bool
 }
 
 // The distribution of a request's work about its mean.
@@ -110,7 +118,7 @@
 			{Name: "bedtime-feed", Share: 0.78, Work: 34 * time.Millisecond, Objective: 300 * time.Millisecond,
 				Deadline: 1500 * time.Millisecond, Worth: 1, Late: 0.3, Retries: 2},
 			{Name: "tooth-claim", Share: 0.22, Fresh: true, Work: 44 * time.Millisecond, Objective: 400 * time.Millisecond,
-				Deadline: 2 * time.Second, Worth: 2, Late: 0.6, Retries: 2},
+				Deadline: 2 * time.Second, Worth: 2, Late: 0.6, Retries: 2, Once: true},
 		},
 	}
 }
@@ -124,7 +132,7 @@
 			{Name: "stock-watch", Share: 0.78, Work: 26 * time.Millisecond, Objective: 300 * time.Millisecond,
 				Deadline: 2 * time.Second, Worth: 1, Late: 0.3, Retries: 2},
 			{Name: "reserve", Share: 0.22, Work: 33 * time.Millisecond, Objective: 300 * time.Millisecond,
-				Deadline: 2500 * time.Millisecond, Worth: 2, Late: 0.6},
+				Deadline: 2500 * time.Millisecond, Worth: 2, Late: 0.6, Once: true},
 		},
 	}
 }
@@ -143,7 +151,10 @@
 	shift := Magnolia()
 	shift.Name = "shift"
 	shift.Shifted, shift.ShiftAt, shift.ShiftFor = 0.6, 5*time.Second, 8*time.Second
-	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift}
+	failing := Magnolia()
+	failing.Name = "failing-servers"
+	failing.Failing, failing.FailShare, failing.FailAt, failing.FailFor = 0.15, 0.5, 6*time.Second, 10*time.Second
+	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing}
 }
 
 // PatternOf finds a pattern by its name.
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -17,6 +17,10 @@
 	Failed   int `json:"failed"`
 	// Shed counts tries that a full server refused.
 	Shed int `json:"shed"`
+	// Errors counts tries that a server failed.
+	Errors int `json:"errors"`
+	// Lost counts requests that a server failed and that may not run twice.
+	Lost int `json:"lost"`
 	// Crossed counts the requests that were sent to another availability zone.
 	Crossed int `json:"crossed"`
 	// Owed is the worth of all requests in time, Earned what was reached.
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -1,6 +1,11 @@
 package emulator
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"gooseberrymast/coordination/assessor"
+)
 
 // server is a backend server with the agent beside it.
 type server struct {
@@ -16,6 +21,15 @@
 	slowFrom  time.Duration
 	slowUntil time.Duration
 	slowBy    float64
+	failFrom  time.Duration
+	failUntil time.Duration
+	failShare float64
+	assessor  assessor.Assessor
+}
+
+// fails draws whether the server fails a request.
+func (s *server) fails(now time.Duration, random *rand.Rand) bool {
+	return now >= s.failFrom && now < s.failUntil && random.Float64() < s.failShare
 }
 
 // factor is how much longer the server works at a time.
--- a/log_event.go
+++ b/log_event.go
@@ -52,6 +52,8 @@
 	EventFlowLearned    LogEvent = "flow-learned"
 	EventRequestSlow    LogEvent = "request-slow"
 	EventRequestCut     LogEvent = "request-cut"
+	EventRequestLeft    LogEvent = "request-abandoned"
+	EventServerFailing  LogEvent = "server-failing"
 	EventPacketBad      LogEvent = "packet-malformed"
 	EventMessageBad     LogEvent = "message-malformed"
 	EventReceiveFailed  LogEvent = "receive-failed"
@@ -71,6 +73,7 @@
 	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
-	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventPacketBad, EventMessageBad,
+	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestLeft,
+	EventServerFailing, EventPacketBad, EventMessageBad,
 	EventReceiveFailed, EventSendFailed, EventServeFailed, EventEncodeFailed, EventLinesDropped, EventMetricsUnready,
 }
--- a/packet.go
+++ b/packet.go
@@ -37,6 +37,9 @@
 	// RequestID gives the id of the request that the datagram begins, or
 	// nothing when it begins none that has one.
 	RequestID(datagram []byte) string
+	// AnswerStatus gives the HTTP status of the answer that the datagram
+	// begins, or zero when it begins none.
+	AnswerStatus(datagram []byte) int
 	// SetTag writes the tag that a backend server gives back.
 	SetTag(datagram []byte, tag uint32)
 	// ClearReturned undoes what a returned packet has beyond what its sender
--- a/peer.go
+++ b/peer.go
@@ -41,6 +41,9 @@
 	Flows int
 	// Cold is how much longer the server is slow after its start.
 	Cold time.Duration
+	// Failing is the share of the server's latest answers that were failures, 0
+	// to 1.
+	Failing float64
 }
 
 // DocumentNews tells which version of the document a process holds and how
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -45,6 +45,9 @@
 	return message, nil
 }
 
+// permille is the unit in which shares are sent, as a part of one.
+const permille = 1000
+
 // Report makes the message of a report.
 func Report(report gooseberrymast.Report) *peer.Message {
 	return &peer.Message{Body: &peer.Message_Report{Report: &peer.Report{
@@ -54,6 +57,8 @@
 			InProgress: uint32(report.Load.InProgress),
 			Flows:      uint32(report.Load.Flows),
 			ColdMs:     uint32(report.Load.Cold.Milliseconds()),
+
+			FailingPermille: uint32(report.Load.Failing * permille),
 		},
 		DocumentVersion:   report.Document.Version,
 		DocumentAgeMs:     uint32(report.Document.Age.Milliseconds()),
@@ -73,6 +78,7 @@
 			InProgress: int(load.GetInProgress()),
 			Flows:      int(load.GetFlows()),
 			Cold:       time.Duration(load.GetColdMs()) * time.Millisecond,
+			Failing:    min(float64(load.GetFailingPermille())/permille, 1),
 		},
 		Document: gooseberrymast.DocumentNews{
 			Version:   message.GetDocumentVersion(),
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	report := gooseberrymast.Report{
 		Peer:     agent(1),
-		Load:     gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, Cold: 1500 * time.Millisecond},
+		Load:     gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, Cold: 1500 * time.Millisecond, Failing: 0.25},
 		Document: gooseberrymast.DocumentNews{Version: 19, Age: 250 * time.Millisecond, Confirmed: true},
 		Digests:  gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
 	}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/assessor"
+	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
@@ -66,6 +68,12 @@
 	trackerMu sync.Mutex
 	tracker   tracker.Tracker
 
+	assessorMu sync.Mutex
+	assessor   assessor.Assessor
+	// failing is set while the server fails so many requests that balancers
+	// leave it out.
+	failing bool
+
 	// recorded is what the entry in the store has, and recordAfter is when the
 	// next write may be.
 	recorded    recordState
@@ -191,6 +199,48 @@
 		InProgress: busy,
 		Flows:      flows,
 		Cold:       max(0, last.Cold-now.Sub(heard)),
+		Failing:    a.failingShare(now),
+	}
+}
+
+// failingShare gives the share of requests that the server fails, and logs when
+// it passes the limit at which balancers leave the server out.
+func (a *Agent) failingShare(now time.Time) float64 {
+	a.assessorMu.Lock()
+	share := a.assessor.Failing(now)
+	failing := share >= chooser.FailingLimit
+	changed := failing != a.failing
+	a.failing = failing
+	a.assessorMu.Unlock()
+	if changed {
+		a.Log.Warn(gooseberrymast.EventServerFailing).Bool("failing", failing).Float64("share", share).
+			Float64("limit", chooser.FailingLimit).Msg("")
+	}
+	return share
+}
+
+// assess judges the server by what became of a request.
+func (a *Agent) assess(step deliverer.Step, packet []byte, now time.Time) {
+	if !step.Answered && step.Event != deliverer.RequestCut && step.Event != deliverer.RequestAbandoned {
+		return
+	}
+	a.trackerMu.Lock()
+	last, _ := a.tracker.Last()
+	a.trackerMu.Unlock()
+	// The request that has just ended held a slot too.
+	_, busy := a.deliverer.Load()
+	full := last.Slots > 0 && busy+1 >= last.Slots
+	a.assessorMu.Lock()
+	defer a.assessorMu.Unlock()
+	if step.Answered {
+		if status := a.Codec.AnswerStatus(packet); status != 0 {
+			a.assessor.Answered(status, full, now)
+			a.metrics.status(status)
+		}
+		return
+	}
+	if step.Event == deliverer.RequestCut || !full {
+		a.assessor.Unanswered(now)
 	}
 }
 
@@ -282,6 +332,7 @@
 		a.deliverer.Begin(header.FromCaller(), a.Codec.RequestID(packet))
 	}
 	step := a.deliverer.FromPeer(header, hop, a.server(now), routes, now)
+	a.assess(step, packet, now)
 	a.carryOut(step, header.FromCaller(), packet)
 }
 
@@ -309,7 +360,9 @@
 			a.carryOut(a.deliverer.Returned(header, now), header.FromCaller(), packet[:n])
 			continue
 		}
-		a.carryOut(a.deliverer.FromServer(header, now), header.FromServer(), packet[:n])
+		step := a.deliverer.FromServer(header, now)
+		a.assess(step, packet[:n], now)
+		a.carryOut(step, header.FromServer(), packet[:n])
 	}
 }
 
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -35,6 +35,9 @@
 		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.Born).Msg("")
 		a.resetLost("server-restarted")
 		a.deliverer.Fresh()
+		a.assessorMu.Lock()
+		a.assessor.Reset()
+		a.assessorMu.Unlock()
 	}
 	if before != after {
 		a.Log.Info(gooseberrymast.EventServerChanged).Str("server", announcement.ID).
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,11 +20,14 @@
 	refusals *prometheus.CounterVec
 	store    *prometheus.CounterVec
 	service  prometheus.Histogram
+	answers  [answerClasses]prometheus.Counter
 }
 
 const (
 	packetActions = 5
 	packetModes   = int(gooseberrymast.HopAbsent) + 1
+	// answerClasses are the first digits of an answer's status.
+	answerClasses = 10
 )
 
 // serviceBuckets are those of the time that a server takes, in seconds: from a
@@ -47,6 +51,12 @@
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gooseberrymast_flow_packets_total", Help: "Packets decided on, by action and mode of the hop.",
 	}, []string{"action", "mode"})
+	answers := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberrymast_answers_total", Help: "Answers of the backend server, by the first digit of their status.",
+	}, []string{"class"})
+	for class := range answerClasses {
+		made.answers[class] = answers.WithLabelValues(strconv.Itoa(class) + "xx")
+	}
 	names := balancerActions[:]
 	if m.Settings.Role == gooseberrymast.RoleAgent {
 		names = agentActions[:]
@@ -56,7 +66,7 @@
 			made.packets[action][mode] = packets.WithLabelValues(name, gooseberrymast.HopMode(mode).String())
 		}
 	}
-	made.registry.MustRegister(packets, made.refusals, made.store, made.service, &gauges{member: m})
+	made.registry.MustRegister(packets, answers, made.refusals, made.store, made.service, &gauges{member: m})
 	return made
 }
 
@@ -72,6 +82,12 @@
 	m.service.Observe(took.Seconds())
 }
 
+// status counts an answer of the backend server by its HTTP status.
+func (m *metrics) status(status int) {
+	const statusesOfAClass = 100
+	m.answers[min(status/statusesOfAClass, answerClasses-1)].Inc()
+}
+
 // storeCall counts a call to the store.
 func (m *metrics) storeCall(call string, err error) {
 	m.store.WithLabelValues(call, gooseberrymast.StoreOutcome(err)).Inc()
@@ -95,13 +111,14 @@
 		[]string{"role", "heard"}, nil)
 	openFlows   = prometheus.NewDesc("gooseberrymast_open_flows", "Open flows of the agent's server.", nil, nil)
 	inProgress  = prometheus.NewDesc("gooseberrymast_requests_in_progress", "Requests that the server has not answered.", nil, nil)
+	failing     = prometheus.NewDesc("gooseberrymast_failing_share", "Share of the server's latest answers that were failures.", nil, nil)
 	linesLost   = prometheus.NewDesc("gooseberrymast_log_lines_dropped_total", "Log lines lost since the output was slow.", nil, nil)
 	knownOwners = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (*gauges) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{documentVersion, documentAge, peersHeard, openFlows, inProgress, linesLost, knownOwners} {
+	for _, desc := range []*prometheus.Desc{documentVersion, documentAge, peersHeard, openFlows, inProgress, failing, linesLost, knownOwners} {
 		out <- desc
 	}
 }
@@ -138,6 +155,7 @@
 		load := m.load(now)
 		gauge(openFlows, float64(load.Flows))
 		gauge(inProgress, float64(load.InProgress))
+		gauge(failing, load.Failing)
 	}
 	if m.flowOwners != nil {
 		gauge(knownOwners, float64(m.flowOwners()))
--- a/runner/record.go
+++ b/runner/record.go
@@ -95,6 +95,8 @@
 		return a.Log.Info(gooseberrymast.EventFlowLearned)
 	case step.Event == deliverer.RequestCut:
 		return a.Log.Warn(gooseberrymast.EventRequestCut)
+	case step.Event == deliverer.RequestAbandoned:
+		return a.Log.Info(gooseberrymast.EventRequestLeft)
 	case step.Answered:
 		if route, ok := a.currentRoutes().Lookup(key.Service); ok && route.Objective > 0 && step.Request.Took > route.Objective {
 			return a.Log.Info(gooseberrymast.EventRequestSlow).Int64("objective-ms", route.Objective.Milliseconds())
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -1,11 +1,13 @@
 package runner
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/state/roster"
 )
 
@@ -71,7 +73,7 @@
 	version := r.store.version
 	r.wait("the balancer has the document", func() bool { return balancer.version() == version })
 	r.wait("the agent has the document", func() bool { return agent.version() == version })
-	r.ask(1, 4001, flagSyn, "", func(header gooseberrymast.PacketHeader, _ string) bool { return header.Resets })
+	r.ask(1, 4001, gooseberrymast.PacketHeader{Opens: true}, "", func(header gooseberrymast.PacketHeader, _ string) bool { return header.Resets })
 	r.echo(1, 4000, "an open flow stays where it is")
 }
 
@@ -113,3 +115,19 @@
 	agent, _ := r.startAgent(1, 2)
 	is.Equal(agent.deliverer.Served(), []gooseberrymast.Endpoint{serviceAddress})
 }
+
+// TestAgentReportsThatItsServerFails replays a server that answers requests
+// with errors at once.
+func TestAgentReportsThatItsServerFails(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	startServer(t, 1)
+	agent, _ := r.startAgent(1, 1)
+	r.startBalancer(1)
+	r.open(1, 5000)
+	is.Equal(agent.measure(agent.Timer.Now()).Failing, 0.0)
+	for number := range 10 {
+		r.echo(1, 5000, "HTTP/1.1 500 Error"+strings.Repeat(" ", number))
+	}
+	is.True(agent.measure(agent.Timer.Now()).Failing > 3*chooser.FailingLimit)
+}
