Let a newcomer take callers only by a document of known age

Cause: a balancer that joined was ready with any document that a peer sent, also one whose last confirmation was long ago, while a later one might be in force elsewhere. Test: TestNewcomerWaitsForARecentDocument.

--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -27,6 +27,15 @@
 	MaxRank = 3
 	// RetryAfter is the pause after a read that failed.
 	RetryAfter = 250 * time.Millisecond
+	// FreshWithin is the age up to which a newcomer takes what a peer confirmed
+	// as the latest: twice Interval, which a zone that reaches the store never
+	// passes, and below the shortest time in which a change must be in force.
+	FreshWithin = 2 * Interval
+	// Patience is how long a newcomer waits for a confirmation. After that the
+	// store is out of reach for its peers too, and an old document serves
+	// callers better than none. It is the shortest time in which a change must
+	// be in force.
+	Patience = 3 * time.Second
 	// MaxRetryAfter bounds the pause, which doubles with each failure.
 	MaxRetryAfter = time.Second
 )
@@ -102,6 +111,15 @@
 	return true
 }
 
+// Usable reports whether a newcomer that has run for a time may serve callers
+// by what it believes.
+func (c *Confirmer) Usable(now time.Time, running time.Duration) bool {
+	if c.version == 0 {
+		return false
+	}
+	return running >= Patience || !c.confirmed.IsZero() && now.Sub(c.confirmed) <= FreshWithin
+}
+
 // News gives what the process tells its peers.
 func (c *Confirmer) News(now time.Time) gooseberrymast.DocumentNews {
 	news := gooseberrymast.DocumentNews{Version: c.version}
--- a/coordination/confirmer/confirmer_test.go
+++ b/coordination/confirmer/confirmer_test.go
@@ -127,3 +127,39 @@
 		is.True(!inForce[i].IsZero() && inForce[i].Sub(changed) < changeInForce)
 	}
 }
+
+// TestNewcomerWaitsForARecentDocument replays a balancer that joins while its
+// peers hold a document that a later one may have replaced.
+func TestNewcomerWaitsForARecentDocument(t *testing.T) {
+	const running = 500 * time.Millisecond
+	tests := []struct {
+		name    string
+		learn   func(c *Confirmer)
+		running time.Duration
+		want    bool
+	}{
+		{"no document", func(*Confirmer) {}, time.Minute, false},
+		{"a document of unknown age", func(c *Confirmer) { c.Fetched(7) }, running, false},
+		{"a peer's old confirmation", func(c *Confirmer) {
+			c.Fetched(7)
+			c.Told(gooseberrymast.DocumentNews{Version: 7, Age: 5 * time.Second, Confirmed: true}, epoch)
+		}, running, false},
+		{"a peer's old confirmation, in vain for long", func(c *Confirmer) {
+			c.Fetched(7)
+			c.Told(gooseberrymast.DocumentNews{Version: 7, Age: 5 * time.Second, Confirmed: true}, epoch)
+		}, Patience, true},
+		{"a peer's recent confirmation", func(c *Confirmer) {
+			c.Fetched(7)
+			c.Told(gooseberrymast.DocumentNews{Version: 7, Age: time.Second, Confirmed: true}, epoch)
+		}, running, true},
+		{"its own read", func(c *Confirmer) { c.Read(7, epoch) }, running, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var c Confirmer
+			test.learn(&c)
+			is.Equal(c.Usable(epoch, test.running), test.want)
+		})
+	}
+}
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -44,6 +44,9 @@
 	lastSeen atomic.Int64
 	started  time.Time
 	ready    atomic.Bool
+	// usable is set once the document in force was known to be recent. The
+	// member's lock guards it.
+	usable bool
 }
 
 // NewBalancer makes a balancer.
@@ -100,7 +103,7 @@
 }
 
 // Ready reports whether the fabric may hand packets to the balancer: it holds
-// a document and hears agents.
+// a document whose age it knew when it began, and hears agents.
 func (b *Balancer) Ready() bool {
 	agents := 0
 	now := b.Timer.Now()
@@ -110,7 +113,7 @@
 		}
 	})
 	routes := b.steerer.Routes()
-	ready := !b.leaving.Load() && routes != nil && agents > 0
+	ready := !b.leaving.Load() && routes != nil && agents > 0 && b.began(now)
 	if b.ready.Swap(ready) != ready {
 		b.Log.Info(gooseberrymast.EventReadinessChanged).Bool("ready", ready).Bool("leaving", b.leaving.Load()).
 			Uint64("version", versionOf(routes)).Int("agents-heard", agents).Msg("")
@@ -121,6 +124,15 @@
 	return ready
 }
 
+// began reports whether the balancer has held a document of a known age since
+// it started. It goes on by the same one while the store is away.
+func (b *Balancer) began(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.usable = b.usable || b.confirmer.Usable(now, now.Sub(b.started))
+	return b.usable
+}
+
 // leave announces the departure and waits until the fabric sends no more.
 func (b *Balancer) leave() {
 	began := b.Timer.Now()
