--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -43,7 +43,7 @@
 	balancer := benchBalancer(b, now)
 	key := flowKey(1)
 	balancer.owned.Learn(key, gooseberrymast.Endpoint{IP: [4]byte{10, 0, 1, 3}, Port: 7000}, now)
-	packet := packetOf(flagAck, key.Caller, key.Service, make([]byte, 1200))
+	packet := packetOf(key.Caller, key.Service, gooseberrymast.PacketHeader{Acknowledges: true}, make([]byte, 1200))
 	buffer := make([]byte, 0, maxDatagram)
 	var steps []steerer.Step
 	b.ReportAllocs()
@@ -79,7 +79,7 @@
 	open := gooseberrymast.PacketHeader{Source: key.Caller, Destination: key.Service, Opens: true}
 	agent.FromPeer(open, gooseberrymast.Hop{Mode: gooseberrymast.HopPlace, Service: gooseberrymast.ServiceHash("ledger")},
 		server, nil, now)
-	packet := packetOf(flagAck, key.Caller, key.Service, make([]byte, 1200))
+	packet := packetOf(key.Caller, key.Service, gooseberrymast.PacketHeader{Acknowledges: true}, make([]byte, 1200))
 	datagram := append(wrapper.Append(nil, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver}), packet...)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/runner/rig_test.go
+++ b/runner/rig_test.go
@@ -115,14 +115,6 @@
 	opened   int
 }
 
-// The layout of the platform's packets, as far as the stand-ins need it.
-const (
-	packetHeader = 31
-	flagSyn      = 1
-	flagReturned = 4
-	flagAck      = 8
-)
-
 func startServer(t *testing.T, number byte) *server {
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 3, number), Port: serverPort})
@@ -164,12 +156,12 @@
 				s.opened++
 			}
 			s.flows[key] = true
-			answer = packetOf(flagSyn|flagAck, header.Destination, header.Source, nil)
+			answer = packetOf(header.Destination, header.Source, gooseberrymast.PacketHeader{Opens: true, Acknowledges: true}, nil)
 		case s.flows[key]:
-			answer = packetOf(flagAck, header.Destination, header.Source, packet[packetHeader:n])
+			answer = packetOf(header.Destination, header.Source, gooseberrymast.PacketHeader{Acknowledges: true}, platform.Codec{}.Payload(packet[:n]))
 		default:
-			answer = slices.Clone(packet[:n])
-			answer[0] |= flagReturned
+			header.Returned = true
+			answer = platform.Codec{}.AppendPacket(nil, header, platform.Codec{}.Payload(packet[:n]))
 		}
 		s.mu.Unlock()
 		_, _ = s.conn.WriteToUDP(answer, s.outbound)
@@ -189,16 +181,10 @@
 	return s.opened
 }
 
-// packetOf makes a packet of the platform's layout.
-func packetOf(flags byte, source, destination gooseberrymast.Endpoint, payload []byte) []byte {
-	packet := make([]byte, packetHeader, packetHeader+len(payload))
-	packet[0] = flags
-	packet[13], packet[14] = byte(len(payload)>>8), byte(len(payload))
-	packet[19], packet[20] = byte(destination.Port>>8), byte(destination.Port)
-	copy(packet[21:], destination.IP[:])
-	packet[25], packet[26] = byte(source.Port>>8), byte(source.Port)
-	copy(packet[27:], source.IP[:])
-	return append(packet, payload...)
+// packetOf makes a packet with the flags of a header.
+func packetOf(source, destination gooseberrymast.Endpoint, flags gooseberrymast.PacketHeader, payload []byte) []byte {
+	flags.Source, flags.Destination = source, destination
+	return platform.Codec{}.AppendPacket(nil, flags, payload)
 }
 
 // rig is a fleet on loopback.
@@ -327,10 +313,10 @@
 
 // ask sends a packet through a balancer, again and again, until an answer of
 // the flow comes for which want is true.
-func (r *rig) ask(balancer byte, port uint16, flags byte, payload string, want func(gooseberrymast.PacketHeader, string) bool) {
+func (r *rig) ask(balancer byte, port uint16, flags gooseberrymast.PacketHeader, payload string, want func(gooseberrymast.PacketHeader, string) bool) {
 	r.t.Helper()
 	key := flowKey(port)
-	packet := packetOf(flags, key.Caller, key.Service, []byte(payload))
+	packet := packetOf(key.Caller, key.Service, flags, []byte(payload))
 	to := &net.UDPAddr{IP: net.IPv4(127, 0, 2, balancer), Port: packetsPort}
 	answer := make([]byte, 2048)
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
@@ -346,7 +332,7 @@
 				break
 			}
 			header, err := platform.Codec{}.Decode(answer[:n])
-			if err == nil && header.FromServer() == key && want(header, string(answer[packetHeader:n])) {
+			if err == nil && header.FromServer() == key && want(header, string(platform.Codec{}.Payload(answer[:n]))) {
 				return
 			}
 		}
@@ -356,19 +342,19 @@
 
 func (r *rig) open(balancer byte, port uint16) {
 	r.t.Helper()
-	r.ask(balancer, port, flagSyn, "", func(header gooseberrymast.PacketHeader, _ string) bool {
+	r.ask(balancer, port, gooseberrymast.PacketHeader{Opens: true}, "", func(header gooseberrymast.PacketHeader, _ string) bool {
 		return header.Acknowledges && !header.Resets
 	})
 }
 
 func (r *rig) echo(balancer byte, port uint16, text string) {
 	r.t.Helper()
-	r.ask(balancer, port, flagAck, text, func(_ gooseberrymast.PacketHeader, answer string) bool { return answer == text })
+	r.ask(balancer, port, gooseberrymast.PacketHeader{Acknowledges: true}, text, func(_ gooseberrymast.PacketHeader, answer string) bool { return answer == text })
 }
 
 func (r *rig) reset(balancer byte, port uint16) {
 	r.t.Helper()
-	r.ask(balancer, port, flagAck, "request", func(header gooseberrymast.PacketHeader, _ string) bool { return header.Resets })
+	r.ask(balancer, port, gooseberrymast.PacketHeader{Acknowledges: true}, "request", func(header gooseberrymast.PacketHeader, _ string) bool { return header.Resets })
 }
 
 func listenNowhere(func(gooseberrymast.Announcement) error, func(string, int64) error, func(string, error)) http.Handler {
