Soak the real processes under random faults

Links between processes go through the soak, so an instance can listen at another address than the one its peers know: peers-listen.

--- a/cmd/gooseberrymast/root.go
+++ b/cmd/gooseberrymast/root.go
@@ -42,6 +42,7 @@
 		newHistory(open),
 		newPlatform(),
 		newPromote(open),
+		newSoak(),
 		newStatus(),
 		newTry(),
 		newVersion(),
--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -60,6 +60,7 @@
 				Timer:       timer.System{},
 				DocumentKey: platform.DocumentKey,
 				ReadRoutes:  platform.ReadRoutes,
+				PeersListen: peersListen(own),
 				MetricsPort: own.MetricsPort,
 				Log:         journal,
 			})
@@ -70,6 +71,12 @@
 	return command
 }
 
+// peersListen converts the checked setting; nothing stands for no translation.
+func peersListen(own gooseberrymast.ForwardingSettings) gooseberrymast.Endpoint {
+	endpoint, _ := gooseberrymast.EndpointOf(own.PeersListen)
+	return endpoint
+}
+
 // watchSettings reads the settings again on SIGHUP and now and then, and
 // directs calls to the store where they say. Other changes take effect with
 // the next start, since peers and the platform know the instance by its
--- a/forwarding_settings.go
+++ b/forwarding_settings.go
@@ -1,6 +1,9 @@
 package gooseberrymast
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // ForwardingSettings are the settings of our own for processes that forward
 // packets; the platform's stand in InstanceSettings.
@@ -11,6 +14,10 @@
 	LogBurst int `toml:"log-burst"`
 	// MetricsPort serves metrics on the instance's address; zero serves none.
 	MetricsPort int `toml:"metrics-port"`
+	// PeersListen is where the process takes packets and messages of peers when
+	// its address among peers is translated on the way; otherwise it is the
+	// zero value.
+	PeersListen netip.AddrPort `toml:"peers-listen"`
 	// StoreTimeout bounds each call to the platform's store.
 	StoreTimeout Duration `toml:"store-timeout"`
 }
@@ -43,6 +50,9 @@
 	validateRange(&faults, "log-rate", f.LogRate, 1, MaxLogRate)
 	validateRange(&faults, "log-burst", f.LogBurst, 1, MaxLogRate)
 	validateRange(&faults, "metrics-port", f.MetricsPort, 0, maxPort)
+	if f.PeersListen.IsValid() && !f.PeersListen.Addr().Is4() {
+		faults.add("peers-listen", f.PeersListen, "an IPv4 address and a port")
+	}
 	if timeout := f.StoreTimeout.Std(); timeout < minStoreTimeout || timeout > maxStoreTimeout {
 		faults.add("store-timeout", f.StoreTimeout, "a duration from %s to %s", minStoreTimeout, maxStoreTimeout)
 	}
--- a/runner/member.go
+++ b/runner/member.go
@@ -47,6 +47,9 @@
 	DocumentKey string
 	// ReadRoutes reads the document's object.
 	ReadRoutes func(gooseberrymast.Object) (*gooseberrymast.Routes, error)
+	// PeersListen is where the process listens for peers when that differs from
+	// its endpoint among them; zero where it doesn't.
+	PeersListen gooseberrymast.Endpoint
 	// MetricsPort serves metrics on the instance's address; zero serves none.
 	MetricsPort int
 	// Log takes the process's log lines.
@@ -103,7 +106,7 @@
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
 	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
 	m.wake = make(chan struct{}, 1)
-	conn, err := listen(m.Settings.Peers)
+	conn, err := listen(m.listenAt())
 	if err != nil {
 		return err
 	}
@@ -112,13 +115,21 @@
 	return nil
 }
 
+// listenAt gives where the process listens for peers.
+func (m *member) listenAt() gooseberrymast.Endpoint {
+	if m.PeersListen.IsZero() {
+		return m.Settings.Peers
+	}
+	return m.PeersListen
+}
+
 // serveMetrics serves the metrics if the settings say so. A process that can't
 // goes on without.
 func (m *member) serveMetrics() (stop func()) {
 	if m.MetricsPort == 0 {
 		return func() {}
 	}
-	at := gooseberrymast.Endpoint{IP: m.Settings.Peers.IP, Port: uint16(m.MetricsPort)}
+	at := gooseberrymast.Endpoint{IP: m.listenAt().IP, Port: uint16(m.MetricsPort)}
 	stop, err := serve(at, m.metrics.handler(), m.Log)
 	if err != nil {
 		m.Log.Error(gooseberrymast.EventMetricsUnready).Err(err).Msg("")
--- /dev/null
+++ b/soaker/process.go
@@ -0,0 +1,174 @@
+package soaker
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// restartAfter is the delay with which the platform starts a process again.
+const restartAfter = 300 * time.Millisecond
+
+// process keeps one real program running. Only what it started is signalled.
+type process struct {
+	name        string
+	program     string
+	arguments   []string
+	environment []string
+	log         string
+	starter     *starter
+	// ended is told when the program ended though nobody stopped it.
+	ended func(how string)
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	// stopping is set while the program's end is wanted.
+	stopping bool
+	starts   atomic.Int64
+}
+
+// start starts the program unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		return nil
+	}
+	output, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	command := exec.Command(p.program, p.arguments...)
+	command.Env, command.Stdout, command.Stderr = p.environment, output, output
+	// The program ends with the soak, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	err = p.starter.start(command)
+	if closed := output.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	p.command, p.done, p.stopping = command, make(chan struct{}), false
+	p.starts.Add(1)
+	go p.wait(command, p.done)
+	return nil
+}
+
+// wait reaps the program. One that ended by itself is started again.
+func (p *process) wait(command *exec.Cmd, done chan struct{}) {
+	err := command.Wait()
+	p.mu.Lock()
+	own := !p.stopping
+	p.command = nil
+	close(done)
+	p.mu.Unlock()
+	if !own {
+		return
+	}
+	p.ended(fmt.Sprint(err))
+	time.Sleep(restartAfter)
+	if err := p.start(); err != nil {
+		p.ended(err.Error())
+	}
+}
+
+// signal sends a signal to the program if it runs.
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return
+	}
+	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
+		p.stopping = true
+	}
+	if err := p.command.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.ended(fmt.Sprintf("signal %s: %s", signal, err))
+	}
+}
+
+// stop ends the program and waits: by SIGTERM, and by SIGKILL after grace.
+func (p *process) stop(grace time.Duration) {
+	p.mu.Lock()
+	done, running := p.done, p.command != nil
+	p.mu.Unlock()
+	if !running {
+		return
+	}
+	if grace > 0 {
+		p.signal(syscall.SIGTERM)
+		select {
+		case <-done:
+			return
+		case <-time.After(grace):
+		}
+	}
+	p.signal(syscall.SIGKILL)
+	<-done
+}
+
+// uses gives the program's descriptors and resident mebibytes; ok is false when
+// it doesn't run.
+func (p *process) uses() (descriptors, mebibytes int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0, 0, false
+	}
+	folder := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid))
+	entries, err := os.ReadDir(filepath.Join(folder, "fd"))
+	if err != nil {
+		return 0, 0, false
+	}
+	status, err := os.ReadFile(filepath.Join(folder, "status"))
+	if err != nil {
+		return 0, 0, false
+	}
+	for line := range strings.Lines(string(status)) {
+		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
+			const kibibytes = 1024
+			resident, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")))
+			return len(entries), resident / kibibytes, err == nil
+		}
+	}
+	return 0, 0, false
+}
+
+// starter starts programs from one thread that lasts as long as the soak, since
+// programs get their death signal when the thread that started them ends.
+type starter struct {
+	requests chan startRequest
+}
+
+type startRequest struct {
+	command *exec.Cmd
+	started chan error
+}
+
+func newStarter() *starter {
+	s := &starter{requests: make(chan startRequest)}
+	go func() {
+		runtime.LockOSThread()
+		for request := range s.requests {
+			request.started <- request.command.Start()
+		}
+	}()
+	return s
+}
+
+func (s *starter) start(command *exec.Cmd) error {
+	started := make(chan error)
+	s.requests <- startRequest{command, started}
+	return <-started
+}
