Tests of the soak: each promise can be seen broken

A run in which the soak itself got no processor time excuses no flow but for that moment, and counts it.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -291,7 +291,7 @@
 	return each([]*instance{s.agent(random)}, func(i *instance) error {
 		i.currentServer().crash()
 		wait(ctx, fault.For/4)
-		return i.startServer(s.checker, s.work)
+		return s.startServer(i)
 	})
 }
 
@@ -313,7 +313,7 @@
 				return err
 			}
 			wait(ctx, restartAfter)
-			return i.startServer(s.checker, s.work)
+			return s.startServer(i)
 		})
 	})
 }
--- a/soaker/instance.go
+++ b/soaker/instance.go
@@ -119,11 +119,11 @@
 }
 
 // startServer starts the next incarnation of the instance's server.
-func (i *instance) startServer(checker *Checker, work func() time.Duration) error {
+func (s *soak) startServer(i *instance) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.servers++
-	started, err := startServer(i.settings, i.servers, checker, work)
+	started, err := startServer(i.settings, i.servers, s.checker, s.work, s.options.Sabotage)
 	if err != nil {
 		return err
 	}
--- a/soaker/report.go
+++ b/soaker/report.go
@@ -15,6 +15,9 @@
 	TimedOut int64 `json:"timed-out"`
 	// Starts counts the starts of processes.
 	Starts int64 `json:"starts"`
+	// Late counts the times in which the machine was too busy to hold processes
+	// to bounds of time.
+	Late int64 `json:"late"`
 	// Faults counts the faults by kind.
 	Faults map[string]int `json:"faults"`
 	// Broken counts the violations by promise.
@@ -22,15 +25,16 @@
 	Violations []Violation     `json:"violations"`
 }
 
-func (r *Report) finish(counted *tally, checker *Checker, instances []*instance) {
-	r.Asked, r.Served = counted.asked.Load(), counted.served.Load()
-	r.Refused, r.Cut, r.TimedOut = counted.refused.Load(), counted.cut.Load(), counted.timeouts.Load()
-	r.Violations = checker.Violations()
+func (r *Report) finish(s *soak) {
+	r.Asked, r.Served = s.tally.asked.Load(), s.tally.served.Load()
+	r.Refused, r.Cut, r.TimedOut = s.tally.refused.Load(), s.tally.cut.Load(), s.tally.timeouts.Load()
+	r.Late = s.late.Load()
+	r.Violations = s.checker.Violations()
 	r.Broken = map[Promise]int{}
 	for _, each := range r.Violations {
 		r.Broken[each.Promise]++
 	}
-	for _, i := range instances {
+	for _, i := range s.instances {
 		r.Starts += i.process.starts.Load()
 	}
 }
--- a/soaker/server.go
+++ b/soaker/server.go
@@ -36,6 +36,8 @@
 	checker  *Checker
 	born     time.Time
 	work     func() time.Duration
+	// sabotage lets the server break promises now and then.
+	sabotage bool
 
 	conn   *net.UDPConn
 	health *http.Server
@@ -70,10 +72,10 @@
 const firstSequence = 1000
 
 // startServer starts an incarnation and announces it.
-func startServer(settings gooseberrymast.InstanceSettings, number int, checker *Checker, work func() time.Duration) (*server, error) {
+func startServer(settings gooseberrymast.InstanceSettings, number int, checker *Checker, work func() time.Duration, sabotage bool) (*server, error) {
 	s := &server{
 		name: fmt.Sprintf("%s/%d", settings.Name, number), agent: settings.Name, service: settings.Service, settings: settings,
-		checker: checker, born: time.Now(), work: work, flows: map[gooseberrymast.FlowKey]*serverFlow{},
+		sabotage: sabotage, checker: checker, born: time.Now(), work: work, flows: map[gooseberrymast.FlowKey]*serverFlow{},
 		client: http.Client{Timeout: announceTimeout},
 	}
 	var err error
@@ -220,6 +222,8 @@
 		s.checker.Opened(key, s.name, s.agent, now)
 	}
 	switch {
+	case header.Payload > 0 && known.began && int32(header.Sequence-known.asked) < 0:
+		// A late copy of an earlier request, whose answer the caller has.
 	case header.Payload > 0 && known.began && header.Sequence == known.asked:
 		if known.answer != nil {
 			s.send(key, gooseberrymast.PacketHeader{Acknowledges: true, Sequence: known.from}, known.answer)
@@ -228,6 +232,10 @@
 		known.began, known.asked, known.answer = true, header.Sequence, nil
 		id, once := readRequest(string(platform.Codec{}.Payload(packet)))
 		s.checker.Ran(id, once, s.name, now)
+		if s.sabotaged() {
+			s.checker.Ran(id, once, s.name, now)
+			id += "-of-another"
+		}
 		time.AfterFunc(s.work(), func() { s.finish(key, known, header.Sequence, id) })
 	case header.Finishes:
 		known.ended = true
@@ -254,6 +262,12 @@
 	}
 }
 
+// sabotaged draws whether the server breaks promises with a request.
+func (s *server) sabotaged() bool {
+	const share = 20
+	return s.sabotage && rand.IntN(share) == 0
+}
+
 // send sends a packet of a flow to its caller by the agent.
 func (s *server) send(key gooseberrymast.FlowKey, header gooseberrymast.PacketHeader, payload []byte) {
 	header.Source, header.Destination = key.Service, key.Caller
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gooseberrymast"
@@ -39,6 +40,9 @@
 	// Instances is the number of processes, 6 to 250; two in five are
 	// balancers.
 	Instances int
+	// Sabotage lets the stand-ins break promises now and then, to show that the
+	// checks see it.
+	Sabotage bool
 	// Progress is told of each fault as it begins; nil is told nothing.
 	Progress func(fault Fault)
 }
@@ -78,6 +82,8 @@
 	instances []*instance
 	callers   []*caller
 	tally     tally
+	// late counts the times in which the soak didn't get to run.
+	late atomic.Int64
 
 	documentMu sync.Mutex
 	routes     []gooseberrymast.Route
@@ -135,7 +141,7 @@
 			return err
 		}
 		if i.settings.Role == gooseberrymast.RoleAgent {
-			if err := i.startServer(s.checker, s.work); err != nil {
+			if err := s.startServer(i); err != nil {
 				return err
 			}
 		}
@@ -174,6 +180,10 @@
 		}
 	}
 	go s.look(ctx)
+	go s.watchMachine(ctx)
+	if s.options.Sabotage {
+		go s.sabotage(ctx)
+	}
 	for number, c := range s.callers {
 		for user := range usersPerCaller {
 			random := rand.New(rand.NewPCG(s.options.Seed, uint64(100+number*usersPerCaller+user)))
@@ -215,7 +225,7 @@
 	}
 	cancel()
 	faults.Wait()
-	report.finish(&s.tally, s.checker, s.instances)
+	report.finish(s)
 	select {
 	case err := <-failed:
 		return report, err
@@ -242,6 +252,30 @@
 	}
 }
 
+const (
+	// tickEvery is how often the soak looks whether it gets its processor time.
+	tickEvery = 50 * time.Millisecond
+	// lateTick is the delay from which the machine was too busy for bounds of
+	// time: half of the shortest time-out of the processes.
+	lateTick = 300 * time.Millisecond
+)
+
+// watchMachine records the times in which the soak itself didn't get to run, in
+// which no process can be held to bounds of time.
+func (s *soak) watchMachine(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		wait(ctx, tickEvery)
+		now := time.Now()
+		if now.Sub(last) < lateTick {
+			continue
+		}
+		s.late.Add(1)
+		for _, i := range s.instances {
+			s.checker.Disturb(i.settings.Name, false, last)(now)
+		}
+	}
+}
+
 // versionOf reads the version of the document that a process follows from its
 // metrics; ok is false when it doesn't answer.
 func versionOf(ctx context.Context, client *http.Client, i *instance) (version uint64, ok bool) {
