Pass new flows on from full servers

Cause: at a crest balancers place flows by reports that are up to 200 ms old, so some servers shed while others have free slots. The agent knows what its server works on at the moment: with twice as many requests as slots in progress it passes a new flow to the next of the four candidates; the last one takes it.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -5,6 +5,11 @@
 // Load pattern: agents that restart while their servers keep their flows. An
 // agent that doesn't know a flow gives the packet to its server, which returns
 // what it doesn't hold, and learns the flows again from what the server sends.
+//
+// Load pattern: a crest at which many balancers place flows by reports that are
+// all equally old. The agent alone knows what its server works on at the moment,
+// so one whose server is full passes a new flow on to the next candidate. The
+// last candidate takes it.
 package deliverer
 
 import (
@@ -53,6 +58,9 @@
 type Server struct {
 	Status  tracker.Status
 	Service string
+	// Slots is the number of requests that the server runs at once; zero while
+	// it is unknown.
+	Slots int
 	// Complete is set when the agent has seen every packet of the server's
 	// incarnation, so that it knows all of its flows.
 	Complete bool
@@ -252,6 +260,16 @@
 	return ended
 }
 
+// fullTimes is the work in progress, in times of a server's slots, from which
+// a new flow is passed on: its request would wait for a whole service time.
+const fullTimes = 2
+
+// Full reports whether a server with so many requests in progress takes a new
+// flow only when nobody else does.
+func Full(inProgress, slots int) bool {
+	return slots > 0 && inProgress >= fullTimes*slots
+}
+
 // refuses gives the reason for which a new flow is not taken, and whether the
 // server has certainly not seen it and won't take it a moment later.
 func (d *Deliverer) refuses(hop gooseberrymast.Hop, key gooseberrymast.FlowKey, server Server,
@@ -273,6 +291,9 @@
 	if routes != nil && routes.Version >= hop.Version && !allowed(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
+	if len(hop.Candidates) > 0 && Full(d.busy, server.Slots) {
+		return ReasonServerFull, false
+	}
 	return "", true
 }
 
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -352,3 +352,42 @@
 	d.Expire(epoch.Add(lingers + time.Millisecond))
 	is.Equal(len(d.flows), 0)
 }
+
+// TestCrestAtAFullServer replays new flows that reach a server while it works
+// on twice as many requests as it has slots.
+func TestCrestAtAFullServer(t *testing.T) {
+	tests := []struct {
+		name       string
+		slots      int
+		inProgress int
+		hop        gooseberrymast.Hop
+		want       Action
+	}{
+		{"room is left", 2, 3, placed(next), ToServer},
+		{"full, another candidate is left", 2, 4, placed(next), Forward},
+		{"full, the last candidate", 2, 4, placed(), ToServer},
+		{"slots are not known", 0, 40, placed(next), ToServer},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := Deliverer{}
+			server := ledger
+			for number := range test.inProgress {
+				open, ask := opening(), request(1)
+				open.Source.Port, ask.Source.Port = uint16(number+1), uint16(number+1)
+				d.FromPeer(open, placed(), server, routes, epoch)
+				d.FromPeer(ask, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, server, routes, epoch)
+			}
+			server.Slots = test.slots
+			step := d.FromPeer(opening(), test.hop, server, routes, epoch)
+			is.Equal(step.Action, test.want)
+			if test.want == Forward {
+				is.Equal(step.To, next)
+				is.Equal(step.Reason, ReasonServerFull)
+				is.True(step.Hop.Passed)    // who takes it tells the balancer
+				is.True(!step.Hop.Definite) // a moment later the server may take it
+			}
+		})
+	}
+}
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -41,6 +41,9 @@
 	ReasonServerSilent Reason = "server-silent"
 	// ReasonServerGone: the server has ended.
 	ReasonServerGone Reason = "server-gone"
+	// ReasonServerFull: the server works on as much as it should, and another
+	// candidate is left.
+	ReasonServerFull Reason = "server-full"
 	// ReasonAgentLeaving: the agent is being stopped.
 	ReasonAgentLeaving Reason = "agent-leaving"
 	// ReasonServerRefused: the server returned an opening packet.
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -37,7 +37,7 @@
 		e.servers = append(e.servers, &server{zone: i % pattern.Zones, slots: pattern.Slots, room: pattern.Queue})
 	}
 	for i := range pattern.Balancers {
-		placer, err := newPlacer(policy, zoneName(i%pattern.Zones))
+		placer, err := newPlacer(policy, zoneName(i%pattern.Zones), func() time.Duration { return e.now })
 		if err != nil {
 			return Result{}, err
 		}
@@ -137,7 +137,10 @@
 		zone := r.caller % e.pattern.Zones
 		balancer := e.balancerOf(zone)
 		candidates := append([]chooser.Candidate(nil), e.reports...)
-		r.flow = &flow{server: e.placers[balancer].place(candidates, e.servers, r.class.Once, e.random)}
+		var passes int
+		r.flow = &flow{}
+		r.flow.server, passes = e.placers[balancer].place(candidates, e.servers, r.class.Once, e.random)
+		e.result.Passed += passes
 		e.servers[r.flow.server].flows++
 		// Opening takes a round trip before the request is sent.
 		delay += 2*callerDelay + e.between(zone, r.flow.server)
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -32,6 +32,27 @@
 	}
 }
 
+// TestFullServersPassFlowsOn replays loads whose crests take all slots: with old
+// reports alone, servers are full beside others that have room.
+func TestFullServersPassFlowsOn(t *testing.T) {
+	for _, name := range []string{"magnolia", "burst", "release", "slow-servers"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			pattern, err := PatternOf(name)
+			is.NoErr(err)
+			for seed := range uint64(2) {
+				product, err := Run(pattern, PolicyProduct, seed)
+				is.NoErr(err)
+				keeping, err := Run(pattern, PolicyKeeping, seed)
+				is.NoErr(err)
+				is.True(product.Passed > 0)
+				is.True(product.Shed < keeping.Shed)
+				is.True(product.Worth > keeping.Worth)
+			}
+		})
+	}
+}
+
 // TestFailingServersDrawNoFlows replays servers that fail half of their
 // requests at once. Without a judgment of them they look idle and draw the
 // flows of requests that may not run twice.
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -21,6 +21,8 @@
 	Errors int `json:"errors"`
 	// Lost counts requests that a server failed and that may not run twice.
 	Lost int `json:"lost"`
+	// Passed counts the times that an agent passed a new flow on.
+	Passed int `json:"passed"`
 	// Crossed counts the requests that were sent to another availability zone.
 	Crossed int `json:"crossed"`
 	// Owed is the worth of all requests in time, Earned what was reached.
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -16,7 +16,10 @@
 func (a *Agent) server(now time.Time) deliverer.Server {
 	a.trackerMu.Lock()
 	defer a.trackerMu.Unlock()
-	return deliverer.Server{Status: a.tracker.Status(now), Service: a.tracker.Service(), Complete: a.tracker.Complete()}
+	last, _ := a.tracker.Last()
+	return deliverer.Server{
+		Status: a.tracker.Status(now), Service: a.tracker.Service(), Slots: last.Slots, Complete: a.tracker.Complete(),
+	}
 }
 
 func (a *Agent) announced(announcement gooseberrymast.Announcement) error {
