Remove the entries of instances that are gone, and write a lost one again

Cause: entries of instances that were lost without a word stayed in the store for good, so the list that a newcomer reads grew with every replaced instance, and each newcomer asked them for flows for 0.7 s. A balancer that hears most agents removes those of which it heard nothing for a minute after it read them, if they are as it read them. Test: TestEntriesOfGoneInstancesAreRemoved.

--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -215,7 +215,7 @@
 	step := f.steerer.FromCaller(nil, packet(false), epoch)[0]
 	is.Equal(1+len(step.Hop.Candidates), 2) // ledger and receipts
 
-	f.roster.SetServed(agent(3), []gooseberrymast.Endpoint{address})
+	f.roster.SetStored(agent(3), []gooseberrymast.Endpoint{address}, 1)
 	step = f.steerer.FromCaller(nil, packet(false), epoch)[0]
 	is.Equal(1+len(step.Hop.Candidates), 3) // it says that it served the address
 }
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -46,7 +46,7 @@
 func (s *Steerer) holders(address, except gooseberrymast.Endpoint, now time.Time) []gooseberrymast.Endpoint {
 	var heard []roster.Entry
 	var silent []gooseberrymast.Endpoint
-	hearsMost := s.hearsMost(now)
+	hearsMost := s.HearsMost(now)
 	allowed := s.everAllowed(address)
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
@@ -151,7 +151,7 @@
 	case entry.State == gooseberrymast.StateGone:
 		return true
 	}
-	return s.silentTooLong(entry, now) && s.hearsMost(now)
+	return s.silentTooLong(entry, now) && s.HearsMost(now)
 }
 
 func (s *Steerer) silentTooLong(entry roster.Entry, now time.Time) bool {
@@ -177,7 +177,8 @@
 	return now.Sub(since)
 }
 
-func (s *Steerer) hearsMost(now time.Time) bool {
+// HearsMost reports whether the balancer hears at least half of the agents.
+func (s *Steerer) HearsMost(now time.Time) bool {
 	heard, all := 0, 0
 	s.Roster.Each(func(entry roster.Entry) {
 		if entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone {
--- a/log_event.go
+++ b/log_event.go
@@ -18,6 +18,8 @@
 	EventRegisterFailed     LogEvent = "register-failed"
 	EventEntryNotUpdated    LogEvent = "entry-not-updated"
 	EventEntryNotRemoved    LogEvent = "entry-not-removed"
+	EventEntryRemoved       LogEvent = "entry-removed"
+	EventEntryLost          LogEvent = "entry-lost"
 	EventPeerChanged        LogEvent = "peer-changed"
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
@@ -68,7 +70,7 @@
 var LogEvents = []LogEvent{
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
-	EventEntryNotRemoved, EventPeerChanged, EventPeerForgotten,
+	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -134,6 +134,7 @@
 		a.Timer.Every(pollInterval, func(time.Time) { a.confirm(working) }),
 		a.Timer.Every(announceInterval, a.announce),
 		a.Timer.Every(announceInterval, a.checkServer),
+		a.Timer.Every(verifyInterval, func(time.Time) { a.verifyEntry(working) }),
 		a.Timer.Every(servedInterval, func(now time.Time) { a.recordNews(working, now) }),
 		a.Timer.Every(expireInterval, func(now time.Time) {
 			a.deliverer.Expire(now)
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -89,7 +89,8 @@
 	go b.register(working)
 	stops := []func(){
 		b.Timer.Every(pollInterval, func(time.Time) { b.confirm(working) }),
-		b.Timer.Every(expireInterval, b.expire),
+		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(working, now) }),
+		b.Timer.Every(verifyInterval, func(time.Time) { b.verifyEntry(working) }),
 	}
 	go b.reportAll(working)
 	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
@@ -242,11 +243,16 @@
 	}
 }
 
-func (b *Balancer) expire(now time.Time) {
+func (b *Balancer) expire(ctx context.Context, now time.Time) {
 	b.owned.Expire(now)
 	b.steerer.Expire(now)
-	for _, dropped := range b.roster.Expire(now) {
-		b.Log.Info(gooseberrymast.EventPeerForgotten).Stringer("peer", dropped.Endpoint.AddrPort()).Msg("")
+	dropped := b.roster.Expire(now)
+	for _, entry := range dropped {
+		b.Log.Info(gooseberrymast.EventPeerForgotten).Stringer("peer", entry.Endpoint.AddrPort()).Msg("")
+	}
+	// A balancer that hears few agents takes itself for the one that is cut off.
+	if len(dropped) > 0 && b.steerer.HearsMost(now) {
+		b.removeEntries(ctx, dropped)
 	}
 }
 
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -8,6 +8,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/interpreter"
+	"gooseberrymast/state/roster"
 )
 
 const (
@@ -88,7 +89,7 @@
 			}
 		case err == nil:
 			m.roster.Merge([]gooseberrymast.Peer{each}, now)
-			m.roster.SetServed(each.Endpoint, eachServed.Addresses)
+			m.roster.SetStored(each.Endpoint, eachServed.Addresses, object.Version)
 		}
 	}
 	if m.restore != nil {
@@ -132,6 +133,65 @@
 	return nil
 }
 
+// verifyInterval is the time between two looks whether the process's entry is
+// still in the store: at the size of the letter these are 310 reads a second of
+// the store's 2,000.
+const verifyInterval = 10 * time.Minute
+
+// verifyEntry reads the process's entry in the store and writes it again if
+// somebody removed or changed it.
+func (m *member) verifyEntry(ctx context.Context) {
+	if !m.registered.Load() {
+		return
+	}
+	err := m.callStore(ctx, "verify the entry", func(ctx context.Context) error {
+		found, err := m.Store.Get(ctx, recordKey(m.Settings.Peers))
+		switch {
+		case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+			found = gooseberrymast.Object{Key: recordKey(m.Settings.Peers)}
+			m.Log.Warn(gooseberrymast.EventEntryLost).Msg("")
+		case err != nil:
+			return err
+		default:
+			found = canonical(found)
+		}
+		m.mu.Lock()
+		m.entry = found
+		m.mu.Unlock()
+		return m.updateEntry(ctx)
+	})
+	if err != nil {
+		m.Log.Warn(gooseberrymast.EventEntryNotUpdated).Err(err).Msg("")
+	}
+}
+
+// removePause is the time between two entries that one balancer removes, so
+// that the loss of many instances doesn't load the store.
+const removePause = 50 * time.Millisecond
+
+// removeEntries removes the entries of instances that were in the store when
+// the balancer started and were not heard of since. An entry that was written
+// meanwhile stays, and an instance that is alive after all writes its own again.
+func (b *Balancer) removeEntries(ctx context.Context, dropped []roster.Entry) {
+	for _, entry := range dropped {
+		if entry.Stored == 0 || !entry.Heard.IsZero() || ctx.Err() != nil {
+			continue
+		}
+		err := b.callStore(ctx, "remove an old entry", func(ctx context.Context) error {
+			return b.Store.Delete(ctx, recordKey(entry.Endpoint), entry.Stored)
+		})
+		switch {
+		case errors.Is(err, gooseberrymast.ErrStoreNotFound), errors.Is(err, gooseberrymast.ErrStoreConflict):
+			// Another balancer was first, or the instance is back.
+		case err != nil:
+			b.Log.Warn(gooseberrymast.EventEntryNotRemoved).Stringer("peer", entry.Endpoint.AddrPort()).Err(err).Msg("")
+		default:
+			b.Log.Info(gooseberrymast.EventEntryRemoved).Stringer("peer", entry.Endpoint.AddrPort()).Msg("")
+		}
+		sleep(ctx, b.Timer, removePause)
+	}
+}
+
 // canonical gives an entry with its value as this process would write it,
 // since the store may write the same value in another way.
 func canonical(entry gooseberrymast.Object) gooseberrymast.Object {
--- a/runner/rig_test.go
+++ b/runner/rig_test.go
@@ -95,12 +95,15 @@
 	return object.Version, nil
 }
 
-func (m *memoryStore) Delete(_ context.Context, key string, _ uint64) error {
+func (m *memoryStore) Delete(_ context.Context, key string, expected uint64) error {
 	leave, err := m.enter()
 	defer leave()
 	if err != nil {
 		return err
 	}
+	if expected != 0 && m.objects[key].Version != expected {
+		return gooseberrymast.ErrStoreConflict
+	}
 	delete(m.objects, key)
 	return nil
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -8,6 +8,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/chooser"
+	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
 )
 
@@ -131,3 +132,41 @@
 	}
 	is.True(agent.measure(agent.Timer.Now()).Failing > 3*chooser.FailingLimit)
 }
+
+// TestEntriesOfGoneInstancesAreRemoved replays a store with entries of instances
+// that are gone, one that is back, and one that somebody removed by mistake.
+func TestEntriesOfGoneInstancesAreRemoved(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	startServer(t, 1)
+	agent, _ := r.startAgent(1, 1)
+	gone, back := recordKey(endpointOf(127, 0, 3, 8)), recordKey(endpointOf(127, 0, 3, 9))
+	entry, err := interpreter.EncodeRecord(gooseberrymast.Peer{Endpoint: endpointOf(127, 0, 3, 8), Role: gooseberrymast.RoleAgent}, interpreter.Served{})
+	is.NoErr(err)
+	_, err = r.store.Put(t.Context(), gooseberrymast.Object{Key: gone, Value: entry}, 0)
+	is.NoErr(err)
+	balancer, _ := r.startBalancer(1)
+	_, err = r.store.Put(t.Context(), gooseberrymast.Object{Key: back, Value: entry}, 0)
+	is.NoErr(err)
+	dropped := balancer.roster.Entries(func(each roster.Entry) bool { return each.Heard.IsZero() })
+	is.Equal(len(dropped), 1)
+	dropped = append(dropped, roster.Entry{Peer: gooseberrymast.Peer{Endpoint: endpointOf(127, 0, 3, 9)}, Stored: 1}) // written since
+	balancer.removeEntries(t.Context(), dropped)
+	_, err = r.store.Get(t.Context(), gone)
+	is.Equal(err, gooseberrymast.ErrStoreNotFound)
+	_, err = r.store.Get(t.Context(), back)
+	is.NoErr(err)
+
+	own := recordKey(agent.Settings.Peers)
+	is.NoErr(r.store.Delete(t.Context(), own, 0))
+	agent.verifyEntry(t.Context())
+	_, err = r.store.Get(t.Context(), own)
+	is.NoErr(err)
+	version := r.store.version
+	agent.verifyEntry(t.Context())
+	is.Equal(r.store.version, version) // what is as it should be is not written
+}
+
+func endpointOf(a, b, c, d byte) gooseberrymast.Endpoint {
+	return gooseberrymast.Endpoint{IP: [4]byte{a, b, c, d}, Port: peersPort}
+}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -39,6 +39,9 @@
 	// Served are the addresses whose flows an agent's server has taken, as the
 	// agent's entry in the store says.
 	Served []gooseberrymast.Endpoint
+	// Stored is the version of the peer's entry in the store when it was read
+	// there; zero when it was not.
+	Stored uint64
 }
 
 // Alive reports whether the peer was heard lately.
@@ -98,12 +101,12 @@
 	return changed
 }
 
-// SetServed records the addresses of an agent's entry in the store.
-func (r *Roster) SetServed(agent gooseberrymast.Endpoint, served []gooseberrymast.Endpoint) {
+// SetStored records what a peer's entry in the store says beyond who it is.
+func (r *Roster) SetStored(peer gooseberrymast.Endpoint, served []gooseberrymast.Endpoint, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if entry, known := r.entries[agent]; known {
-		entry.Served = served
+	if entry, known := r.entries[peer]; known {
+		entry.Served, entry.Stored = served, version
 		r.put(entry)
 	}
 }
@@ -124,14 +127,14 @@
 }
 
 // Expire drops the peers that were not heard of for ForgetAfter.
-func (r *Roster) Expire(now time.Time) (dropped []gooseberrymast.Peer) {
+func (r *Roster) Expire(now time.Time) (dropped []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for endpoint, entry := range r.entries {
 		if now.Sub(entry.Told) > ForgetAfter {
 			toggle(&r.digests, entry.Peer)
 			delete(r.entries, endpoint)
-			dropped = append(dropped, entry.Peer)
+			dropped = append(dropped, entry)
 		}
 	}
 	return dropped
