--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -151,7 +152,9 @@
 	var flow *callerFlow
 	defer func() { c.drop(flow) }()
 	for number := range requests {
-		if ctx.Err() != nil {
+		// A caller learns from operators that a route is dropped.
+		routed := slices.ContainsFunc(c.routes(), func(each gooseberrymast.Route) bool { return each.Address == route.Address })
+		if ctx.Err() != nil || !routed {
 			return
 		}
 		c.tally.asked.Add(1)
