Tell peers the age of own reads only

Over links delayed by 150 to 300 ms two peers made it younger by the delay at each pass, so that for seconds nobody's age reached the limit at which it reads the store; a document was in force after 3.2 s. Now a process tells only of its own reads. All instances hear the readers directly, so nothing else changes.

Ruled out: the store. It answered everybody from 24.6 s on; the logs have no store-lost, and no read of the version until 28.5 s. Test: TestAgesDoNotGoInCircles, which failed before.

--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -7,6 +7,10 @@
 // with its rank in the zone, so that the next one takes over by itself when
 // the reader is cut off, paused or gone. A watch that hears nothing confirms
 // nothing, so only reads count.
+//
+// Load pattern: links that delay news. A peer that hears of a read takes it for
+// more recent by the delay. Were the news passed on, two peers would make it
+// ever younger between them, so a process tells only of its own reads.
 package confirmer
 
 import (
@@ -46,8 +50,11 @@
 	// Rank is the process's place among those of its zone that read, from 0.
 	Rank int
 
-	version   uint64
+	version uint64
+	// confirmed is when the version was the latest, by any news, and read when
+	// the process itself read it; zero if it didn't.
 	confirmed time.Time
+	read      time.Time
 	reading   bool
 	retry     time.Time
 	failures  int
@@ -76,7 +83,7 @@
 		return false
 	}
 	newer = version > c.version
-	c.version = version
+	c.version, c.read = version, began
 	c.confirm(began)
 	return newer
 }
@@ -107,7 +114,7 @@
 	if version <= c.version {
 		return false
 	}
-	c.version = version
+	c.version, c.read = version, time.Time{}
 	return true
 }
 
@@ -120,15 +127,21 @@
 	return running >= Patience || !c.confirmed.IsZero() && now.Sub(c.confirmed) <= FreshWithin
 }
 
-// News gives what the process tells its peers.
+// News gives what the process tells its peers: the age of its own read only.
 func (c *Confirmer) News(now time.Time) gooseberrymast.DocumentNews {
 	news := gooseberrymast.DocumentNews{Version: c.version}
-	if !c.confirmed.IsZero() {
-		news.Age, news.Confirmed = now.Sub(c.confirmed), true
+	if !c.read.IsZero() {
+		news.Age, news.Confirmed = now.Sub(c.read), true
 	}
 	return news
 }
 
+// Age gives the time since the version was the latest; known is false when
+// nothing has confirmed any version.
+func (c *Confirmer) Age(now time.Time) (age time.Duration, known bool) {
+	return now.Sub(c.confirmed), !c.confirmed.IsZero()
+}
+
 func (c *Confirmer) confirm(at time.Time) {
 	if at.After(c.confirmed) {
 		c.confirmed = at
--- a/coordination/confirmer/confirmer_test.go
+++ b/coordination/confirmer/confirmer_test.go
@@ -58,7 +58,10 @@
 	is.True(!confirmer.Told(gooseberrymast.DocumentNews{Version: 7, Age: 100 * time.Millisecond, Confirmed: true}, later))
 	is.True(!confirmer.Due(later)) // a peer of the zone has read
 	is.True(!confirmer.Told(gooseberrymast.DocumentNews{Version: 6, Confirmed: true}, later))
-	is.Equal(confirmer.News(later).Age, 100*time.Millisecond) // news of an older version confirm nothing
+	age, known := confirmer.Age(later)
+	is.True(known)
+	is.Equal(age, 100*time.Millisecond)           // news of an older version confirm nothing
+	is.Equal(confirmer.News(later).Age, Interval) // a peer's read is not passed on
 	is.True(confirmer.Told(gooseberrymast.DocumentNews{Version: 8}, later))
 }
 
@@ -163,3 +166,32 @@
 		})
 	}
 }
+
+// TestAgesDoNotGoInCircles replays peers that tell each other of a confirmation
+// by slow links while the store is not read: what they believe must age.
+func TestAgesDoNotGoInCircles(t *testing.T) {
+	is := is.New(t)
+	const delay, interval = 300 * time.Millisecond, 400 * time.Millisecond
+	var peers [3]Confirmer
+	for i := range peers {
+		peers[i].Fetched(7)
+	}
+	peers[0].Read(7, epoch)
+	for at := epoch; at.Before(epoch.Add(5 * time.Second)); at = at.Add(interval) {
+		var told [len(peers)]gooseberrymast.DocumentNews
+		for i := range peers {
+			told[i] = peers[i].News(at)
+		}
+		for i := range peers {
+			for j, news := range told {
+				if i != j {
+					peers[i].Told(news, at.Add(delay))
+				}
+			}
+		}
+		for i := range peers {
+			due := at.Add(delay).Sub(epoch) >= Interval+delay
+			is.Equal(peers[i].Due(at.Add(delay)), due || i == 0 && at.Add(delay).Sub(epoch) >= Interval)
+		}
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -51,8 +51,7 @@
 type DocumentNews struct {
 	// Version is zero when the process holds none.
 	Version uint64
-	// Age is the time since the version was read from the store, there or at
-	// a peer that told of it.
+	// Age is the time since the sender itself read the version from the store.
 	Age time.Duration
 	// Confirmed is set when Age is known.
 	Confirmed bool
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -131,11 +131,12 @@
 		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
 	}
 	m.mu.Lock()
-	news := m.confirmer.News(now)
+	version := m.confirmer.News(now).Version
+	age, known := m.confirmer.Age(now)
 	m.mu.Unlock()
-	gauge(documentVersion, float64(news.Version))
-	if news.Confirmed {
-		gauge(documentAge, news.Age.Seconds())
+	gauge(documentVersion, float64(version))
+	if known {
+		gauge(documentAge, age.Seconds())
 	}
 	type group struct {
 		role  gooseberrymast.Role
