--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -175,10 +175,12 @@
 	return s.disturb(i, grace > 0, func() error {
 		i.process.stop(grace)
 		wait(ctx, down)
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		default:
+			return i.process.start()
 		}
-		return i.process.start()
 	})
 }
 
--- a/soaker/network.go
+++ b/soaker/network.go
@@ -16,17 +16,18 @@
 // by an address at which the network listens, and datagrams go through it, so
 // that links can be harmed.
 type network struct {
-	mu     sync.RWMutex
-	byReal map[netip.Addr]*link
-	random *rand.Rand
+	mu        sync.RWMutex
+	byAddress map[netip.Addr]*link
+	random    *rand.Rand
 }
 
 // link is one instance's connection to its peers.
 type link struct {
 	name string
-	real gooseberrymast.Endpoint
-	conn *net.UDPConn
-	harm harm
+	// listens is where the instance takes datagrams.
+	listens gooseberrymast.Endpoint
+	conn    *net.UDPConn
+	harm    harm
 }
 
 // harm is what happens to the datagrams of one instance.
@@ -43,14 +44,14 @@
 const maxDatagram = 4096
 
 // attach begins to forward for an instance that others know at advertised.
-func (n *network) attach(name string, real, advertised gooseberrymast.Endpoint) error {
+func (n *network) attach(name string, listens, advertised gooseberrymast.Endpoint) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(advertised.AddrPort()))
 	if err != nil {
 		return fmt.Errorf("network: attach %s: %w", name, err)
 	}
-	attached := &link{name: name, real: real, conn: conn}
+	attached := &link{name: name, listens: listens, conn: conn}
 	n.mu.Lock()
-	n.byReal[real.AddrPort().Addr()] = attached
+	n.byAddress[listens.AddrPort().Addr()] = attached
 	n.mu.Unlock()
 	go n.forward(attached)
 	return nil
@@ -68,7 +69,7 @@
 			continue
 		}
 		n.mu.RLock()
-		sender := n.byReal[from.Addr().Unmap()]
+		sender := n.byAddress[from.Addr().Unmap()]
 		n.mu.RUnlock()
 		if sender == nil {
 			continue
@@ -88,7 +89,7 @@
 
 func (n *network) deliver(sender, to *link, datagram []byte) {
 	// A process that isn't there gets nothing, as on any network.
-	_, _ = sender.conn.WriteToUDPAddrPort(datagram, to.real.AddrPort())
+	_, _ = sender.conn.WriteToUDPAddrPort(datagram, to.listens.AddrPort())
 }
 
 // fate decides what happens to a datagram.
@@ -106,19 +107,19 @@
 }
 
 // set harms the links of an instance, or heals them with the zero harm.
-func (n *network) set(real gooseberrymast.Endpoint, harmed harm) {
+func (n *network) set(listens gooseberrymast.Endpoint, harmed harm) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if found := n.byReal[real.AddrPort().Addr()]; found != nil {
+	if found := n.byAddress[listens.AddrPort().Addr()]; found != nil {
 		found.harm = harmed
 	}
 }
 
 // reaches reports whether packets of callers get to an instance.
-func (n *network) reaches(real gooseberrymast.Endpoint) bool {
+func (n *network) reaches(listens gooseberrymast.Endpoint) bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	found := n.byReal[real.AddrPort().Addr()]
+	found := n.byAddress[listens.AddrPort().Addr()]
 	return found == nil || !found.harm.cutIn
 }
 
@@ -126,7 +127,7 @@
 func (n *network) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, each := range n.byReal {
+	for _, each := range n.byAddress {
 		_ = each.conn.Close()
 	}
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -102,7 +102,7 @@
 	}
 	s := &soak{
 		options: options, checker: &Checker{}, starter: newStarter(), random: rand.New(rand.NewPCG(options.Seed, 3)),
-		network: &network{byReal: map[netip.Addr]*link{}, random: rand.New(rand.NewPCG(options.Seed, 4))},
+		network: &network{byAddress: map[netip.Addr]*link{}, random: rand.New(rand.NewPCG(options.Seed, 4))},
 		store: &faultyStore{
 			random: rand.New(rand.NewPCG(options.Seed, 5)), faults: map[string]storeFault{}, conns: map[string][]*silentConn{},
 		},
