--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -93,36 +93,22 @@
 		return fmt.Errorf("caller %s: %w", at, err)
 	}
 	c.conn, c.flows = conn, map[uint16]*callerFlow{}
-	go c.receive()
+	go receive(c.conn, c.take)
 	return nil
 }
 
-func (c *caller) receive() {
-	buffer := make([]byte, maxDatagram)
-	for {
-		length, from, err := c.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		header, err := platform.Codec{}.Decode(buffer[:length])
-		if err != nil {
-			continue
-		}
-		sender, _ := gooseberrymast.EndpointOf(from)
-		c.mu.Lock()
-		flow := c.flows[header.Destination.Port]
-		c.mu.Unlock()
-		if flow == nil || header.FromServer() != flow.key {
-			continue
-		}
-		select {
-		case flow.arrivals <- arrival{header, string(platform.Codec{}.Payload(buffer[:length])), c.nameOf(sender.IP)}:
-		default:
-			// A caller that doesn't keep up loses packets as any would.
-		}
+// take hands a packet to its flow.
+func (c *caller) take(header gooseberrymast.PacketHeader, packet []byte, sender gooseberrymast.Endpoint) {
+	c.mu.Lock()
+	flow := c.flows[header.Destination.Port]
+	c.mu.Unlock()
+	if flow == nil || header.FromServer() != flow.key {
+		return
+	}
+	select {
+	case flow.arrivals <- arrival{header, string(platform.Codec{}.Payload(packet)), c.nameOf(sender.IP)}:
+	default:
+		// A caller that doesn't keep up loses packets as any would.
 	}
 }
 
--- a/soaker/server.go
+++ b/soaker/server.go
@@ -92,7 +92,9 @@
 		}
 	})}
 	go func() { _ = s.health.Serve(listener) }()
-	go s.receive()
+	go receive(s.conn, func(header gooseberrymast.PacketHeader, packet []byte, _ gooseberrymast.Endpoint) {
+		s.take(header, packet, time.Now())
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	go s.announceAll(ctx)
@@ -164,24 +166,6 @@
 	}
 }
 
-func (s *server) receive() {
-	buffer := make([]byte, maxDatagram)
-	for {
-		length, _, err := s.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		header, err := platform.Codec{}.Decode(buffer[:length])
-		if err != nil {
-			continue
-		}
-		s.take(header, append([]byte(nil), buffer[:length]...), time.Now())
-	}
-}
-
 // take handles a packet of a caller.
 func (s *server) take(header gooseberrymast.PacketHeader, packet []byte, now time.Time) {
 	key := header.FromCaller()
