--- a/coordination/assessor/assessor.go
+++ b/coordination/assessor/assessor.go
@@ -18,8 +18,11 @@
 	// second and tried again a few seconds after it was left out.
 	halfLife = 2 * time.Second
 	// prior is the number of good answers that a server is credited with, so
-	// that one failure among few answers is no judgment.
+	// that few answers are no judgment.
 	prior = 5.0
+	// chance is the weight of failures up to which they count as chance: one
+	// alone does at any time, two within a second don't.
+	chance = 1.5
 	// serverErrors is the first status that stands for a failure of the server.
 	serverErrors = 500
 	// statusUnavailable and statusTooManyRequests are how servers refuse work.
@@ -55,6 +58,9 @@
 // Failing gives the share of the latest answers that were failures, 0 to 1.
 func (a *Assessor) Failing(now time.Time) float64 {
 	a.fade(now)
+	if a.failures < chance {
+		return 0
+	}
 	return a.failures / (a.answers + prior)
 }
 
