Count a walk as proof only if the list of agents was read when it began

Whether the list is read was asked when the answers came. A walk that began 21 ms after the start with 7 agents and ended after the list was read (69 ms) took their answers for those of all, and reset a flow of an agent that only the list names.

Ruled out: the agent, which never said not-held.

--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -112,8 +112,10 @@
 
 // walk is the search for a flow's holder, in several chains of candidates.
 type walk struct {
-	of       gooseberrymast.PacketHeader
-	chains   int
+	of     gooseberrymast.PacketHeader
+	chains int
+	// definite is set while all agents that may hold the flow were asked and
+	// have answered for certain.
 	definite bool
 	began    time.Time
 }
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -330,3 +330,24 @@
 	f.hear(agent(2), "ledger", gooseberrymast.StateReady, at)
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward) // it hears one of four
 }
+
+// TestWalkBegunBeforeTheListIsReadProvesNothing replays a balancer that restarts:
+// it hears agents and walks over them before it has read which others may hold
+// the flow, and is answered after that.
+func TestWalkBegunBeforeTheListIsReadProvesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	f.roster = roster.Roster{}
+	for number := 1; number <= 3; number++ {
+		f.hear(agent(number), "ledger", gooseberrymast.StateReady, epoch)
+	}
+	begun := f.steerer.FromCaller(nil, packet(false), epoch)
+	f.roster.Complete()
+	steps := f.absent(begun, true)
+	is.Equal(len(steps), 1)
+	is.Equal(steps[0].Action, Drop)
+	is.Equal(steps[0].Reason, ReasonHolderUnknown)
+
+	steps = f.absent(f.steerer.FromCaller(nil, packet(false), epoch), true)
+	is.Equal(steps[0].Action, Reset) // the next copy's walk asks all
+}
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -90,7 +90,8 @@
 		delete(s.walks, number)
 	}
 	s.serial++
-	s.walks[s.serial] = walk{of: of, chains: chains, definite: true, began: now}
+	// A walk that begins before the store's list is read asks too few.
+	s.walks[s.serial] = walk{of: of, chains: chains, definite: s.Roster.IsComplete(), began: now}
 	return s.serial
 }
 
@@ -110,7 +111,7 @@
 	switch {
 	case !ok || found.chains > 0:
 		return steps
-	case found.definite && s.Roster.IsComplete():
+	case found.definite:
 		return append(steps, Step{Action: Reset, Of: found.of, Reason: ReasonNoHolder})
 	}
 	return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
