Ask whether the list is read before agents are chosen

The same fault in microseconds: agents were chosen, then the balancer asked whether the list was read, which another goroutine may set in between.

--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -243,6 +243,7 @@
 func (s *Steerer) open(header gooseberrymast.PacketHeader, route gooseberrymast.Route,
 	routes *gooseberrymast.Routes, now time.Time) Step {
 	key := header.FromCaller()
+	complete := s.Roster.IsComplete()
 	s.mu.Lock()
 	service, candidates := s.candidates(route, now)
 	chosen := s.chooser.Choose(candidates, placeCandidates, !route.Idempotent, s.Random)
@@ -251,7 +252,7 @@
 		chosen = moveFirst(chosen, owner)
 	}
 	if len(chosen) == 0 {
-		if !s.Roster.IsComplete() {
+		if !complete {
 			return Step{Action: Drop, Reason: ReasonNoAgent}
 		}
 		return Step{Action: Reset, Of: header, Reason: ReasonNoAgent}
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -13,15 +13,18 @@
 // one that has just said that it doesn't.
 func (s *Steerer) walk(steps []Step, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
 	except gooseberrymast.Endpoint, now time.Time) []Step {
+	// Asked first: the list may be read at any moment, and agents that are
+	// chosen before it is are too few.
+	complete := s.Roster.IsComplete()
 	holders := s.holders(header.Destination, except, now)
 	if len(holders) == 0 {
-		if s.Roster.IsComplete() && !except.IsZero() {
+		if complete && !except.IsZero() {
 			return append(steps, Step{Action: Reset, Of: header, Reason: ReasonNoHolder})
 		}
 		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
 	}
 	chainLength := gooseberrymast.MaxCandidates + 1
-	number := s.beginWalk(header, (len(holders)+chainLength-1)/chainLength, now)
+	number := s.beginWalk(header, (len(holders)+chainLength-1)/chainLength, complete, now)
 	for len(holders) > 0 {
 		chain := holders[:min(chainLength, len(holders))]
 		holders = holders[len(chain):]
@@ -77,7 +80,9 @@
 	return append(holders, silent...)
 }
 
-func (s *Steerer) beginWalk(of gooseberrymast.PacketHeader, chains int, now time.Time) uint32 {
+// beginWalk remembers a walk; complete is set when it asks all agents that may
+// hold the flow.
+func (s *Steerer) beginWalk(of gooseberrymast.PacketHeader, chains int, complete bool, now time.Time) uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.walks == nil {
@@ -90,8 +95,7 @@
 		delete(s.walks, number)
 	}
 	s.serial++
-	// A walk that begins before the store's list is read asks too few.
-	s.walks[s.serial] = walk{of: of, chains: chains, definite: s.Roster.IsComplete(), began: now}
+	s.walks[s.serial] = walk{of: of, chains: chains, definite: complete, began: now}
 	return s.serial
 }
 
