--- a/runner/rig_test.go
+++ b/runner/rig_test.go
@@ -209,12 +209,14 @@
 	return r
 }
 
-// document puts a document in force whose only route leads to a service.
-func (r *rig) document(service string) {
+// document puts a document in force whose only route leads to a service, and
+// gives its version.
+func (r *rig) document(service string) uint64 {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	r.store.version++
 	r.store.objects["document"] = gooseberrymast.Object{Key: "document", Version: r.store.version, Value: []byte(service)}
+	return r.store.version
 }
 
 func readTestRoutes(object gooseberrymast.Object) (*gooseberrymast.Routes, error) {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -70,8 +70,7 @@
 	agent, _ := r.startAgent(1, 1)
 	balancer, _ := r.startBalancer(1)
 	r.open(1, 4000)
-	r.document("receipts")
-	version := r.store.version
+	version := r.document("receipts")
 	r.wait("the balancer has the document", func() bool { return balancer.version() == version })
 	r.wait("the agent has the document", func() bool { return agent.version() == version })
 	r.ask(1, 4001, gooseberrymast.PacketHeader{Opens: true}, "", func(header gooseberrymast.PacketHeader, _ string) bool { return header.Resets })
@@ -160,11 +159,12 @@
 	own := recordKey(agent.Settings.Peers)
 	is.NoErr(r.store.Delete(t.Context(), own, 0))
 	agent.verifyEntry(t.Context())
-	_, err = r.store.Get(t.Context(), own)
+	written, err := r.store.Get(t.Context(), own)
 	is.NoErr(err)
-	version := r.store.version
 	agent.verifyEntry(t.Context())
-	is.Equal(r.store.version, version) // what is as it should be is not written
+	again, err := r.store.Get(t.Context(), own)
+	is.NoErr(err)
+	is.Equal(again.Version, written.Version) // what is as it should be is not written
 }
 
 func endpointOf(a, b, c, d byte) gooseberrymast.Endpoint {
