Name the deadline or the peer's refusal when a hand-over ends without a run

Cause: a leaving agent whose hand-over was not sent before the deadline, or was refused by its only peer, placed the request again, found no peer and named the state of its own server (server-leaving). The refusal was not the plain cause. TestDeadlineReachesTheServer met it when the machine was busy.

Ruled out: a late "not run". In all cases the refusal's Ran was true.

Change: unavailableCause names a passed deadline first, then the refusal of the peer that was tried last.

The transport test's other failure (the server never had the request within 50 ms of the real clock) lay in the test: its agents now have a manual timer which moves past the deadline once the server has the request, so the check that the request ran once and the reason hold on any machine. It also checks that nothing ends before the deadline.

--- a/coordination/dispatcher/finish.go
+++ b/coordination/dispatcher/finish.go
@@ -108,7 +108,7 @@
 	case gooseberrymast.ResultFailed:
 		d.handleFailure(now, r)
 	case gooseberrymast.ResultNotSent:
-		d.retry(now, r, recorder.RetryNotSent, d.unavailableCause())
+		d.retry(now, r, recorder.RetryNotSent, d.unavailableCause(now, r))
 	case gooseberrymast.ResultBroken:
 		d.handleBreak(now, r, local)
 	case gooseberrymast.ResultRefused:
@@ -185,7 +185,8 @@
 // handleRefusal places a request again that a peer refused. Starting it or
 // queueing it here is not a retry; another hand-over is.
 func (d *Dispatcher) handleRefusal(now time.Time, r *request, refusal gooseberrymast.Refusal) {
-	why := cause{reason: refusal.Reason, limit: refusal.Limit, value: refusal.Value, forwarded: refusal}
+	why := forwardedCause(refusal)
+	r.peerRefusal = refusal
 	mayQueue := r.atOrigin && r.work.Replayable && !r.mayHaveRun && !r.work.Stream
 	if !mayQueue || !d.ownServerAccepts(now, r) {
 		d.retry(now, r, recorder.RetryRefused, why)
--- a/coordination/dispatcher/place.go
+++ b/coordination/dispatcher/place.go
@@ -109,13 +109,20 @@
 			return
 		}
 	}
-	d.refuse(now, r, d.unavailableCause())
+	d.refuse(now, r, d.unavailableCause(now, r))
 }
 
 // unavailableCause returns the cause of a refusal when neither the agent's own
-// backend server nor a peer can take the request.
-func (d *Dispatcher) unavailableCause() cause {
-	if d.drainer.Leaving() {
+// backend server nor a peer can take the request. A deadline that has passed and
+// the refusal of the last peer that was tried are closer causes than the state of
+// the agent's own server.
+func (d *Dispatcher) unavailableCause(now time.Time, r *request) cause {
+	switch {
+	case !now.Before(r.work.Deadline):
+		return cause{reason: gooseberrymast.ReasonDeadlinePassed}
+	case r.peerRefusal.Reason != "":
+		return forwardedCause(r.peerRefusal)
+	case d.drainer.Leaving():
 		return cause{reason: gooseberrymast.ReasonServerLeaving}
 	}
 	return cause{reason: gooseberrymast.ReasonServerUnhealthy}
--- a/coordination/dispatcher/refuse.go
+++ b/coordination/dispatcher/refuse.go
@@ -19,6 +19,11 @@
 	forwarded gooseberrymast.Refusal
 }
 
+// forwardedCause returns the cause of a refusal that a peer sent.
+func forwardedCause(refusal gooseberrymast.Refusal) cause {
+	return cause{reason: refusal.Reason, limit: refusal.Limit, value: refusal.Value, forwarded: refusal}
+}
+
 // handOverKey identifies a request that a peer handed over.
 type handOverKey struct {
 	origin gooseberrymast.Identity
--- a/coordination/dispatcher/request.go
+++ b/coordination/dispatcher/request.go
@@ -55,6 +55,8 @@
 	probe bool
 	// tried lists the peers that the request was handed over to.
 	tried []gooseberrymast.Identity
+	// peerRefusal is the latest refusal of a peer; zero if none has refused.
+	peerRefusal gooseberrymast.Refusal
 	// ticketSpent is set once the ticket's issuer granted the run.
 	ticketSpent bool
 	// cancelled is set when the caller went away during an attempt.
--- a/coordination/dispatcher/tick.go
+++ b/coordination/dispatcher/tick.go
@@ -106,7 +106,7 @@
 		d.admitter.Remove(entry.ID)
 		r := d.requests[entry.ID]
 		if len(r.tried) > 0 && !d.takeRetry(recorder.RetryRefused) {
-			d.refuse(now, r, d.unavailableCause())
+			d.refuse(now, r, d.unavailableCause(now, r))
 			continue
 		}
 		d.placeElsewhere(now, r)
--- a/transport/terminator/requests_test.go
+++ b/transport/terminator/requests_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,16 +21,24 @@
 	"gooseberrymast/caller"
 	"gooseberrymast/protocol/encoder"
 	"gooseberrymast/standin/backend"
+	"gooseberrymast/state/timer"
 )
 
 // runAllPaths runs a test over both backend protocols, each with requests that the
 // flow's agent serves and with requests that it hands over because it is leaving.
 func runAllPaths(t *testing.T, test func(t *testing.T, s *service, client *caller.Client)) {
+	runAllPathsWithTimer(t, func() gooseberrymast.Timer { return timer.System{} }, test)
+}
+
+// runAllPathsWithTimer is runAllPaths with a timer service of its own for the agents
+// of each path.
+func runAllPathsWithTimer(t *testing.T, newTimer func() gooseberrymast.Timer, test func(t *testing.T, s *service, client *caller.Client)) {
 	for _, http2 := range []bool{false, true} {
 		for _, handedOver := range []bool{false, true} {
 			t.Run(fmt.Sprintf("h2c %v handed over %v", http2, handedOver), func(t *testing.T) {
 				s := newService(t, 0, nil)
 				s.http2 = http2
+				s.timer = newTimer()
 				entry := s.startAgent(newBackend())
 				if handedOver {
 					s.startAgent(newBackend())
@@ -161,13 +170,38 @@
 	})
 }
 
+// The deadline passes on a clock that the test moves once the server has the request.
 func TestDeadlineReachesTheServer(t *testing.T) {
-	runAllPaths(t, func(t *testing.T, s *service, client *caller.Client) {
+	const deadline = 50 * time.Millisecond
+	newTimer := func() gooseberrymast.Timer {
+		manual := &timer.Manual{}
+		manual.Advance(time.Hour) // the dispatcher takes a zero time for no time
+		return manual
+	}
+	runAllPathsWithTimer(t, newTimer, func(t *testing.T, s *service, client *caller.Client) {
 		is := is.New(t)
 		sent := request(t.Context(), http.MethodPost, "/loans", "late", "body")
 		sent.Header.Set(backend.HeaderMode, string(backend.ModeHang))
-		sent.Header.Set(encoder.HeaderConnectTimeout, "50")
-		response, err := client.Do(sent)
+		sent.Header.Set(encoder.HeaderConnectTimeout, strconv.FormatInt(deadline.Milliseconds(), 10))
+		type outcome struct {
+			response *http.Response
+			err      error
+		}
+		ended := make(chan outcome, 1)
+		go func() {
+			response, err := client.Do(sent)
+			ended <- outcome{response, err}
+		}()
+		eventually(t, func() bool { return s.runs("late") == 1 })
+		s.timer.(*timer.Manual).Advance(deadline - 1)
+		select {
+		case early := <-ended:
+			t.Fatalf("ended before its deadline: %v", early)
+		default:
+		}
+		s.timer.(*timer.Manual).Advance(1)
+		answered := <-ended
+		response, err := answered.response, answered.err
 		is.NoErr(err)
 		refusal, ok := caller.RefusalOf(response, nil)
 		is.True(ok)
--- a/transport/terminator/setup_test.go
+++ b/transport/terminator/setup_test.go
@@ -54,6 +54,8 @@
 	roots  *x509.CertPool
 	limits gooseberrymast.Service
 	http2  bool
+	// timer is the timer service of the agents.
+	timer gooseberrymast.Timer
 
 	mu     sync.Mutex
 	agents []*agent
@@ -88,7 +90,7 @@
 	if change != nil {
 		change(&document)
 	}
-	s := &service{t: t, keys: keyer.Random(), limits: document}
+	s := &service{t: t, keys: keyer.Random(), limits: document, timer: timer.System{}}
 	s.tls, s.roots = certificate(t)
 	for range agents {
 		s.startAgent(newBackend())
@@ -143,7 +145,7 @@
 	a.driver = &driver.Driver{
 		Self:       a.self,
 		Dispatcher: a.dispatcher,
-		Timer:      timer.System{},
+		Timer:      s.timer,
 		Executor:   &executor.Executor{Address: address, HTTP2: s.http2},
 		Refuse:     a.dispatcher.Refuse,
 	}
@@ -154,7 +156,7 @@
 		Locate:  s.locate,
 		OnLoad:  a.driver.HandlePeerLoad,
 	}
-	a.hander = &hander.Server{Self: a.self, Service: gooseberrymast.TagOf(serviceName), Local: a.driver, Timer: timer.System{}}
+	a.hander = &hander.Server{Self: a.self, Service: gooseberrymast.TagOf(serviceName), Local: a.driver, Timer: s.timer}
 	a.listener.Handle(linker.KindHandOver, a.hander.Handle)
 	a.terminator = &terminator.Terminator{
 		Transport: a.transport,
@@ -163,7 +165,7 @@
 		Tag:       gooseberrymast.TagOf(serviceName),
 		Keys:      linker.FixedKeys(s.keys),
 		Document:  func() gooseberrymast.Service { return s.limits },
-		Timer:     timer.System{},
+		Timer:     s.timer,
 	}
 	a.driver.Configure(1, s.limits)
 }
