Report inside the zone; relays send summaries to other zones

Cause: every agent reported five times a second to every balancer, and every balancer 2.5 times to every instance.

Ruled out: slower reports to other zones (they save as much as they are slower and lengthen every bound); one relay a zone (its loss leaves a zone unheard).

Change: a process reports to its own availability zone. Two balancers of each zone send summaries to two balancers of every other zone, which pass them on inside theirs. Processes of earlier versions get direct reports.

--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -139,6 +139,10 @@
 	// gone with its flows: an agent whose process was killed is back sooner, and
 	// a caller whose flow is reset by then has time for another try.
 	GoneAfter = 1300 * time.Millisecond
+	// GoneAfterRelayed is the same for an agent of another availability zone. Its
+	// silence is known from relays, and one that loses half of its messages must not
+	// take a live agent for gone: it would have to lose twelve reports in a row.
+	GoneAfterRelayed = 2500 * time.Millisecond
 	// GoneAfterLeaving is the same for an agent that reported that it stops: it
 	// may take longer to start again, and its flows must survive that.
 	GoneAfterLeaving = 4 * time.Second
@@ -169,20 +173,10 @@
 		limit = GoneAfterStart
 	case entry.State == gooseberrymast.StateLeaving:
 		limit = GoneAfterLeaving
+	case entry.Relayed:
+		limit = GoneAfterRelayed
 	}
-	return s.silentFor(entry, now) > limit
-}
-
-// silentFor returns the time since an agent's last report or the last update of
-// its entry, or since the balancer could first have received a report.
-func (s *Steerer) silentFor(entry roster.Entry, now time.Time) time.Duration {
-	since := s.Started
-	for _, at := range []time.Time{entry.ReportedAt, entry.UpdatedAt} {
-		if at.After(since) {
-			since = at
-		}
-	}
-	return now.Sub(since)
+	return entry.Silence(now, s.Started) > limit
 }
 
 // HasMostReports reports whether at least half of the agents have reported recently.
--- a/log_event.go
+++ b/log_event.go
@@ -23,6 +23,8 @@
 	EventPeerChanged        LogEvent = "peer-changed"
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
+	EventZoneIsolated       LogEvent = "zone-isolated"
+	EventRelayChanged       LogEvent = "relay-changed"
 	EventStateChanged       LogEvent = "state-changed"
 	EventReadinessChanged   LogEvent = "readiness-changed"
 	EventDocumentInForce    LogEvent = "document-in-force"
@@ -71,7 +73,7 @@
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
-	EventIncarnationRaised, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
+	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
--- a/peer.go
+++ b/peer.go
@@ -70,4 +70,33 @@
 	Document DocumentStatus
 	// Digests differ when sender and receiver hold different peers.
 	Digests RosterDigests
+	// Relayed is set when peers of other availability zones learn about the sender
+	// from the summaries of its own zone. Otherwise it reports to them itself.
+	Relayed bool
+}
+
+// PeerSummary is what a relay knows about one peer of its availability zone.
+type PeerSummary struct {
+	Peer Peer
+	// Load is from the peer's last report to the relay.
+	Load FlowLoad
+	// Silence is the time since that report, or, without one, since the relay could
+	// first have received it.
+	Silence time.Duration
+	// Heard is set when the peer has reported to the relay.
+	Heard bool
+}
+
+// Summary is what a relay sends to the other availability zones about the peers of
+// its own.
+type Summary struct {
+	// Zone is the relay's availability zone.
+	Zone string
+	// Forwarded is set when the summary was passed on inside the receiver's zone.
+	// It is not passed on again.
+	Forwarded bool
+	// Document is the relay's own status; zero in a forwarded summary, since its age
+	// would be too low by the time that forwarding took.
+	Document DocumentStatus
+	Peers    []PeerSummary
 }
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -53,35 +53,22 @@
 // Report returns the message for a report.
 func Report(report gooseberrymast.Report) *peer.Message {
 	return &peer.Message{Body: &peer.Message_Report{Report: &peer.Report{
-		Self: encodeMember(report.Peer),
-		Load: &peer.Load{
-			Slots:      uint32(report.Load.Slots),
-			InProgress: uint32(report.Load.InProgress),
-			Flows:      uint32(report.Load.Flows),
-			ColdMs:     uint32(report.Load.WarmUpLeft.Milliseconds()),
-
-			FailingPermille: uint32(report.Load.Failing * permille),
-		},
+		Self:              encodeMember(report.Peer),
+		Load:              encodeLoad(report.Load),
 		DocumentVersion:   report.Document.Version,
 		DocumentAgeMs:     uint32(report.Document.Age.Milliseconds()),
 		DocumentConfirmed: report.Document.Confirmed,
 		BalancersDigest:   report.Digests.Balancers,
 		AgentsDigest:      report.Digests.Agents,
+		Relayed:           report.Relayed,
 	}}}
 }
 
 // ReadReport decodes a report.
 func ReadReport(message *peer.Report) gooseberrymast.Report {
-	load := message.GetLoad()
 	return gooseberrymast.Report{
 		Peer: decodeMember(message.GetSelf()),
-		Load: gooseberrymast.FlowLoad{
-			Slots:      int(load.GetSlots()),
-			InProgress: int(load.GetInProgress()),
-			Flows:      int(load.GetFlows()),
-			WarmUpLeft: time.Duration(load.GetColdMs()) * time.Millisecond,
-			Failing:    min(float64(load.GetFailingPermille())/permille, 1),
-		},
+		Load: decodeLoad(message.GetLoad()),
 		Document: gooseberrymast.DocumentStatus{
 			Version:   message.GetDocumentVersion(),
 			Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
@@ -90,6 +77,7 @@
 		Digests: gooseberrymast.RosterDigests{
 			Balancers: message.GetBalancersDigest(), Agents: message.GetAgentsDigest(),
 		},
+		Relayed: message.GetRelayed(),
 	}
 }
 
@@ -139,6 +127,26 @@
 	return decodeEndpoint(message.GetOwner()), held
 }
 
+func encodeLoad(load gooseberrymast.FlowLoad) *peer.Load {
+	return &peer.Load{
+		Slots:           uint32(load.Slots),
+		InProgress:      uint32(load.InProgress),
+		Flows:           uint32(load.Flows),
+		ColdMs:          uint32(load.WarmUpLeft.Milliseconds()),
+		FailingPermille: uint32(load.Failing * permille),
+	}
+}
+
+func decodeLoad(message *peer.Load) gooseberrymast.FlowLoad {
+	return gooseberrymast.FlowLoad{
+		Slots:      int(message.GetSlots()),
+		InProgress: int(message.GetInProgress()),
+		Flows:      int(message.GetFlows()),
+		WarmUpLeft: time.Duration(message.GetColdMs()) * time.Millisecond,
+		Failing:    min(float64(message.GetFailingPermille())/permille, 1),
+	}
+}
+
 func encodeMember(p gooseberrymast.Peer) *peer.Member {
 	return &peer.Member{
 		Endpoint:    encodeEndpoint(p.Endpoint),
--- /dev/null
+++ b/protocol/interpreter/summary.go
@@ -0,0 +1,64 @@
+package interpreter
+
+import (
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/messages/peer"
+)
+
+// maxSummaryPeers is the maximum number of peers in one datagram. A peer with its
+// load takes about 50 bytes, so that all take less than 1,200 bytes.
+const maxSummaryPeers = 22
+
+// Summaries returns the messages of a summary, up to maxSummaryPeers peers in each.
+func Summaries(summary gooseberrymast.Summary) []*peer.Message {
+	var messages []*peer.Message
+	for rest := summary.Peers; len(rest) > 0; {
+		part := rest[:min(maxSummaryPeers, len(rest))]
+		rest = rest[len(part):]
+		message := &peer.Summary{
+			Zone:              summary.Zone,
+			Forwarded:         summary.Forwarded,
+			DocumentVersion:   summary.Document.Version,
+			DocumentAgeMs:     uint32(summary.Document.Age.Milliseconds()),
+			DocumentConfirmed: summary.Document.Confirmed,
+		}
+		for _, p := range part {
+			member := encodeMember(p.Peer)
+			member.Zone = ""
+			message.Peers = append(message.Peers, &peer.SummarisedPeer{
+				Member:    member,
+				Load:      encodeLoad(p.Load),
+				SilenceMs: uint32(p.Silence.Milliseconds()),
+				Heard:     p.Heard,
+			})
+		}
+		messages = append(messages, &peer.Message{Body: &peer.Message_Summary{Summary: message}})
+	}
+	return messages
+}
+
+// ReadSummary decodes a summary.
+func ReadSummary(message *peer.Summary) gooseberrymast.Summary {
+	summary := gooseberrymast.Summary{
+		Zone:      message.GetZone(),
+		Forwarded: message.GetForwarded(),
+		Document: gooseberrymast.DocumentStatus{
+			Version:   message.GetDocumentVersion(),
+			Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
+			Confirmed: message.GetDocumentConfirmed(),
+		},
+	}
+	for _, p := range message.GetPeers() {
+		decoded := gooseberrymast.PeerSummary{
+			Peer:    decodeMember(p.GetMember()),
+			Load:    decodeLoad(p.GetLoad()),
+			Silence: time.Duration(p.GetSilenceMs()) * time.Millisecond,
+			Heard:   p.GetHeard(),
+		}
+		decoded.Peer.Zone = summary.Zone
+		summary.Peers = append(summary.Peers, decoded)
+	}
+	return summary
+}
--- /dev/null
+++ b/protocol/interpreter/summary_test.go
@@ -0,0 +1,43 @@
+package interpreter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+func TestSummariesRoundTrip(t *testing.T) {
+	is := is.New(t)
+	summary := gooseberrymast.Summary{
+		Zone: "cairo-a", Document: gooseberrymast.DocumentStatus{Version: 1 << 40, Age: 250 * time.Millisecond, Confirmed: true},
+	}
+	for number := range 2*maxSummaryPeers + 1 {
+		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{
+			Peer:    testAgent(number),
+			Load:    gooseberrymast.FlowLoad{Slots: 400, InProgress: 300, Flows: 2000, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
+			Silence: time.Duration(number) * time.Millisecond,
+			Heard:   number%2 == 0,
+		})
+	}
+	messages := Summaries(summary)
+	is.Equal(len(messages), 3)
+	var peers []gooseberrymast.PeerSummary
+	for _, message := range messages {
+		read := ReadSummary(roundTrip(t, message).GetSummary())
+		is.Equal(read.Zone, summary.Zone)
+		is.Equal(read.Document, summary.Document)
+		peers = append(peers, read.Peers...)
+	}
+	is.Equal(peers, summary.Peers)
+}
+
+// A member that is missing must not make the process fail.
+func TestSummaryWithoutMembersIsRead(t *testing.T) {
+	is := is.New(t)
+	message := Summaries(gooseberrymast.Summary{Zone: "a", Peers: make([]gooseberrymast.PeerSummary, 1)})[0].GetSummary()
+	message.Peers[0].Member, message.Peers[0].Load = nil, nil
+	is.Equal(len(ReadSummary(message).Peers), 1)
+}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -135,7 +135,7 @@
 	go a.receiveFromServer()
 	go a.register(workCtx)
 	go a.probeServer(workCtx, healthPaths)
-	go a.reportPeriodically(workCtx, agentReportInterval, func() []roster.Entry { return a.roster.Role(gooseberrymast.RoleBalancer) })
+	go a.reportPeriodically(workCtx, agentReportInterval)
 	stops := []func(){
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.confirmDocument(workCtx) }),
 		a.Timer.Every(ownersInterval, a.announceOwners),
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -12,6 +12,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/locator"
+	"gooseberrymast/coordination/relayer"
 	"gooseberrymast/coordination/steerer"
 	"gooseberrymast/protocol/wrapper"
 	"gooseberrymast/state/roster"
@@ -95,9 +96,10 @@
 	stops := []func(){
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
 		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(workCtx, now) }),
+		b.Timer.Every(relayer.TickInterval, b.sendSummary),
 		b.Timer.Every(verifyInterval, func(time.Time) { b.verifyEntry(workCtx) }),
 	}
-	go b.reportToAllPeers(workCtx)
+	go b.reportPeriodically(workCtx, balancerReportInterval)
 	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
 	<-ctx.Done()
 	b.drain()
@@ -225,31 +227,6 @@
 	return gooseberrymast.Endpoint{IP: caller.IP, Port: settings.Packets.Port}
 }
 
-// reportToAllPeers reports to all peers at each interval, and at once after a
-// change.
-func (m *member) reportToAllPeers(ctx context.Context) {
-	m.reportPeriodically(ctx, balancerReportInterval, func() []roster.Entry { return m.roster.Entries(notGone) })
-}
-
-func notGone(entry roster.Entry) bool {
-	return entry.State != gooseberrymast.StateGone
-}
-
-// reportPeriodically reports to the peers returned by recipients at each interval,
-// and at once after a change.
-func (m *member) reportPeriodically(ctx context.Context, interval time.Duration, recipients func() []roster.Entry) {
-	cancel := m.Timer.Every(interval, func(time.Time) { m.triggerReport() })
-	defer cancel()
-	for {
-		m.reportTo(recipients(), m.Timer.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.wake:
-		}
-	}
-}
-
 func (b *Balancer) expire(ctx context.Context, now time.Time) {
 	b.owners.Expire(now)
 	b.steerer.Expire(now)
--- a/runner/member.go
+++ b/runner/member.go
@@ -14,6 +14,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/confirmer"
+	"gooseberrymast/coordination/relayer"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/protocol/messages/peer"
 	"gooseberrymast/protocol/wrapper"
@@ -80,6 +81,14 @@
 	served  func() interpreter.Served
 	restore func(interpreter.Served)
 
+	relayerMu sync.Mutex
+	relayer   relayer.Relayer
+	// isolated and relaying are what was last logged of the relayer's decisions.
+	isolated, relaying bool
+	// zoneChanged is set when a peer of the own zone has changed since the last
+	// summary.
+	zoneChanged atomic.Bool
+
 	mu        sync.Mutex
 	self      gooseberrymast.Peer
 	confirmer confirmer.Confirmer
@@ -111,6 +120,8 @@
 		Service:     m.Settings.Service,
 		Zone:        m.Settings.Zone,
 	}
+	m.roster.Zone = m.Settings.Zone
+	m.relayer = relayer.Relayer{Self: m.Settings.Peers, Role: m.Settings.Role, Zone: m.Settings.Zone, Started: now}
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
 	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
 	m.wake = make(chan struct{}, 1)
@@ -234,6 +245,8 @@
 			owner, keys := interpreter.ReadOwners(body.Owners)
 			m.onFlowOwners(owner, keys, now)
 		}
+	case *peer.Message_Summary:
+		m.handleSummary(interpreter.ReadSummary(body.Summary), sender, now)
 	}
 }
 
@@ -244,26 +257,41 @@
 	}
 	changed, superseded := m.roster.HandleReport(report, now)
 	if changed {
-		m.Log.Info(gooseberrymast.EventPeerChanged).Stringer("peer", report.Peer.Endpoint.AddrPort()).
-			Stringer("role", report.Peer.Role).Stringer("state", report.Peer.State).
-			Uint64("incarnation", report.Peer.Incarnation).Str("service", report.Peer.Service).Msg("")
+		m.logPeerChanged(report.Peer)
+		if report.Peer.Zone == m.Settings.Zone {
+			m.zoneChanged.Store(true)
+		}
 	}
+	m.handleDocumentStatus(report.Document, report.Peer.Endpoint, now)
 	m.mu.Lock()
-	fetch := m.confirmer.HandleStatus(report.Document, now) && now.Sub(m.lastFetch) >= fetchInterval
-	if fetch {
-		m.lastFetch = now
-	}
 	self := m.self
 	sendRoster := m.needsRoster(report, self, superseded, now)
 	m.mu.Unlock()
-	if fetch {
-		m.send(interpreter.DocumentRequest(report.Document.Version), report.Peer.Endpoint)
-	}
 	if sendRoster {
 		m.sendRoster(report.Peer, self)
 	}
 }
 
+func (m *member) logPeerChanged(changed gooseberrymast.Peer) {
+	m.Log.Info(gooseberrymast.EventPeerChanged).Stringer("peer", changed.Endpoint.AddrPort()).
+		Stringer("role", changed.Role).Stringer("state", changed.State).
+		Uint64("incarnation", changed.Incarnation).Str("service", changed.Service).Msg("")
+}
+
+// handleDocumentStatus processes what a peer says of its document, and requests the
+// document if the peer's is newer.
+func (m *member) handleDocumentStatus(status gooseberrymast.DocumentStatus, from gooseberrymast.Endpoint, now time.Time) {
+	m.mu.Lock()
+	fetch := m.confirmer.HandleStatus(status, now) && now.Sub(m.lastFetch) >= fetchInterval
+	if fetch {
+		m.lastFetch = now
+	}
+	m.mu.Unlock()
+	if fetch {
+		m.send(interpreter.DocumentRequest(status.Version), from)
+	}
+}
+
 // needsRoster reports whether this process should send its roster to the sender
 // of a report: because its entry for the sender supersedes the report, or
 // because the two rosters have differed for longer than an update takes to
@@ -324,26 +352,8 @@
 	}
 }
 
-// reportTo sends the process's report to the given peers.
-func (m *member) reportTo(peers []roster.Entry, now time.Time) {
-	m.mu.Lock()
-	report := gooseberrymast.Report{
-		Peer:     m.self,
-		Document: m.confirmer.Status(now),
-		Digests:  m.roster.Digests(m.self),
-	}
-	m.mu.Unlock()
-	if m.load != nil {
-		report.Load = m.load(now)
-	}
-	datagram, err := interpreter.Encode(interpreter.Report(report))
-	if err != nil {
-		m.Log.Error(gooseberrymast.EventEncodeFailed).Err(err).Msg("a report can't be encoded")
-		return
-	}
-	for _, entry := range peers {
-		m.write(m.conn, datagram, entry.Endpoint)
-	}
+func notGone(entry roster.Entry) bool {
+	return entry.State != gooseberrymast.StateGone
 }
 
 func (m *member) send(message *peer.Message, to gooseberrymast.Endpoint) {
@@ -363,14 +373,6 @@
 	}
 }
 
-// triggerReport makes the process report before the next interval.
-func (m *member) triggerReport() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
-}
-
 // callStore makes a call to the store, counts it, and logs when the store becomes
 // unavailable or available again.
 func (m *member) callStore(ctx context.Context, step string, call func(context.Context) error) error {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -19,6 +19,7 @@
 	packets     [packetActions][packetModes]prometheus.Counter
 	refusals    *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
+	summaries   *prometheus.CounterVec
 	serviceTime prometheus.Histogram
 	answers     [answerClasses]prometheus.Counter
 }
@@ -43,6 +44,9 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrymast_store_calls_total", Help: "Calls to the platform's store, by call and outcome.",
 		}, []string{"call", "outcome"}),
+		summaries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrymast_zone_summaries_total", Help: "Summaries of availability zones, by whether they were sent, received or forwarded.",
+		}, []string{"step"}),
 		serviceTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "gooseberrymast_service_seconds", Help: "Time from a request's first packet to its answer's, at the agent.",
 			Buckets: serviceBuckets,
@@ -66,7 +70,7 @@
 			created.packets[action][mode] = packets.WithLabelValues(name, gooseberrymast.HopMode(mode).String())
 		}
 	}
-	created.registry.MustRegister(packets, answers, created.refusals, created.storeCalls, created.serviceTime, &gauges{member: m})
+	created.registry.MustRegister(packets, answers, created.refusals, created.storeCalls, created.summaries, created.serviceTime, &gauges{member: m})
 	return created
 }
 
@@ -93,6 +97,11 @@
 	m.storeCalls.WithLabelValues(call, gooseberrymast.StoreOutcome(err)).Inc()
 }
 
+// countSummaries counts summaries of availability zones by their recipients.
+func (m *metrics) countSummaries(step string, count int) {
+	m.summaries.WithLabelValues(step).Add(float64(count))
+}
+
 // handler returns the HTTP handler that serves the metrics as text.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- /dev/null
+++ b/runner/report.go
@@ -0,0 +1,127 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/protocol/interpreter"
+)
+
+// reportPeriodically reports to peers at each interval, and at once after a change.
+func (m *member) reportPeriodically(ctx context.Context, interval time.Duration) {
+	cancel := m.Timer.Every(interval, func(time.Time) { m.triggerReport() })
+	defer cancel()
+	for {
+		m.report(m.Timer.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+		}
+	}
+}
+
+// triggerReport makes the process report before the next interval.
+func (m *member) triggerReport() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// report sends the process's report to the peers that need it.
+func (m *member) report(now time.Time) {
+	m.relayerMu.Lock()
+	recipients, relayed := m.relayer.Recipients(m.roster.Entries(nil), now)
+	isolated := m.relayer.Isolated()
+	changed := isolated != m.isolated
+	m.isolated = isolated
+	m.relayerMu.Unlock()
+	if changed {
+		m.Log.Warn(gooseberrymast.EventZoneIsolated).Bool("isolated", isolated).Int("recipients", len(recipients)).Msg("")
+	}
+	m.mu.Lock()
+	report := gooseberrymast.Report{
+		Peer:     m.self,
+		Document: m.confirmer.Status(now),
+		Digests:  m.roster.Digests(m.self),
+		Relayed:  relayed,
+	}
+	m.mu.Unlock()
+	if m.load != nil {
+		report.Load = m.load(now)
+	}
+	datagram, err := interpreter.Encode(interpreter.Report(report))
+	if err != nil {
+		m.Log.Error(gooseberrymast.EventEncodeFailed).Err(err).Msg("a report can't be encoded")
+		return
+	}
+	m.writeAll(datagram, recipients)
+}
+
+func (m *member) writeAll(datagram []byte, recipients []gooseberrymast.Endpoint) {
+	for _, recipient := range recipients {
+		m.write(m.conn, datagram, recipient)
+	}
+}
+
+// sendSummary sends a summary of the own zone to other zones if one is due and the
+// balancer is a relay.
+func (b *Balancer) sendSummary(now time.Time) {
+	b.relayerMu.Lock()
+	if !b.relayer.Due(b.zoneChanged.Load(), now) {
+		b.relayerMu.Unlock()
+		return
+	}
+	b.zoneChanged.Store(false)
+	summary, recipients := b.relayer.Summary(b.roster.Entries(nil), b.ownPeer(), now)
+	relaying := b.relayer.Relaying()
+	changed := relaying != b.relaying
+	b.relaying = relaying
+	b.relayerMu.Unlock()
+	if changed {
+		b.Log.Info(gooseberrymast.EventRelayChanged).Bool("relay", relaying).Int("recipients", len(recipients)).Msg("")
+	}
+	if len(recipients) == 0 {
+		return
+	}
+	b.mu.Lock()
+	summary.Document = b.confirmer.Status(now)
+	b.mu.Unlock()
+	b.writeSummary(summary, recipients)
+	b.metrics.countSummaries("sent", len(recipients))
+}
+
+// handleSummary processes a summary of another zone. The one of its zone that
+// received it from there passes it on.
+func (m *member) handleSummary(summary gooseberrymast.Summary, sender gooseberrymast.Endpoint, now time.Time) {
+	for _, changed := range m.roster.HandleSummary(summary, now) {
+		m.logPeerChanged(changed)
+	}
+	if summary.Forwarded {
+		return
+	}
+	m.metrics.countSummaries("received", 1)
+	m.handleDocumentStatus(summary.Document, sender, now)
+	m.relayerMu.Lock()
+	recipients := m.relayer.Forward(m.roster.Entries(nil), summary)
+	m.relayerMu.Unlock()
+	if len(recipients) == 0 {
+		return
+	}
+	summary.Forwarded, summary.Document = true, gooseberrymast.DocumentStatus{}
+	m.writeSummary(summary, recipients)
+	m.metrics.countSummaries("forwarded", len(recipients))
+}
+
+func (m *member) writeSummary(summary gooseberrymast.Summary, recipients []gooseberrymast.Endpoint) {
+	for _, message := range interpreter.Summaries(summary) {
+		datagram, err := interpreter.Encode(message)
+		if err != nil {
+			m.Log.Error(gooseberrymast.EventEncodeFailed).Err(err).Msg("a summary can't be encoded")
+			return
+		}
+		m.writeAll(datagram, recipients)
+	}
+}
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -195,6 +195,9 @@
 	t      *testing.T
 	store  *memoryStore
 	caller *net.UDPConn
+	// zones holds the availability zones of instances by their address; the others
+	// are in zone "a".
+	zones map[[4]byte]string
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -204,7 +207,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = caller.Close() })
-	c := &cluster{t: t, caller: caller, store: &memoryStore{objects: map[string]gooseberrymast.Object{}}}
+	c := &cluster{t: t, caller: caller, zones: map[[4]byte]string{}, store: &memoryStore{objects: map[string]gooseberrymast.Object{}}}
 	c.putDocument("ledger")
 	return c
 }
@@ -233,9 +236,13 @@
 
 func (c *cluster) environment(role gooseberrymast.Role, ip [4]byte) Environment {
 	endpoint := func(port uint16) gooseberrymast.Endpoint { return gooseberrymast.Endpoint{IP: ip, Port: port} }
+	zone := c.zones[ip]
+	if zone == "" {
+		zone = "a"
+	}
 	return Environment{
 		Settings: gooseberrymast.InstanceSettings{
-			Name: fmt.Sprint(ip), Role: role, Zone: "a", Peers: endpoint(peersPort), Packets: endpoint(packetsPort),
+			Name: fmt.Sprint(ip), Role: role, Zone: zone, Peers: endpoint(peersPort), Packets: endpoint(packetsPort),
 			Outbound: endpoint(outboundPort), Readiness: endpoint(readyPort), Announcements: endpoint(announcePort), Server: endpoint(serverPort),
 			Service: "ledger", AnnounceInterval: time.Minute, StopWithin: time.Second,
 		},
--- /dev/null
+++ b/state/roster/entry.go
@@ -0,0 +1,90 @@
+package roster
+
+import (
+	"time"
+
+	"gooseberrymast"
+)
+
+const (
+	// SilentAfter is the time without a report after which a peer receives no
+	// new flows: three report intervals of an agent, 200 ms each, plus delay. A
+	// balancer reports every 400 ms.
+	SilentAfter = 900 * time.Millisecond
+	// StaleViewAfter is the age of the last summary of a relayed peer from which
+	// the peer receives no new flows: the time in which other balancers of its zone
+	// become relays after the loss of all, plus one lost summary.
+	StaleViewAfter = 2 * time.Second
+	// MaxViewAge bounds how long the loss of a zone's summaries delays the verdict
+	// that its peers are silent. Meanwhile an agent that has lost the balancers of
+	// its zone begins to report to those of the others.
+	MaxViewAge = 3 * time.Second
+)
+
+// Entry is one peer with its last report.
+type Entry struct {
+	gooseberrymast.Peer
+	// ReportedAt is when the peer last reported to this process, or to a relay of
+	// its availability zone. It is zero when the entry comes only from other peers
+	// or the store.
+	ReportedAt time.Time
+	// UpdatedAt is when the entry was last updated from any source. A peer that has
+	// not reported is silent since then.
+	UpdatedAt time.Time
+	// Relayed is set for a peer of another availability zone that reports only to
+	// the balancers of its own. Without a summary of these, nothing new is known
+	// about the peer.
+	Relayed bool
+	// UsesRelays is set if the peer's last report said that other zones learn about it
+	// from summaries. Processes of versions without summaries never say so.
+	UsesRelays bool
+	// ViewedAt is when the last summary or report of a relayed peer arrived.
+	ViewedAt time.Time
+	// Load and Document are from the peer's last report.
+	Load     gooseberrymast.FlowLoad
+	Document gooseberrymast.DocumentStatus
+	// Served lists the addresses whose flows an agent's backend server has
+	// accepted, from the agent's entry in the store.
+	Served []gooseberrymast.Endpoint
+	// StoreVersion is the version of the peer's entry in the store as last read; zero
+	// when it was not read.
+	StoreVersion uint64
+}
+
+// Reporting reports whether the peer itself reported within SilentAfter, as far as
+// is known.
+func (e Entry) Reporting(now time.Time) bool {
+	return !e.ReportedAt.IsZero() && e.ReportAge(now) < SilentAfter && (!e.Relayed || now.Sub(e.ViewedAt) < StaleViewAfter)
+}
+
+// ReportAge returns the time between the peer's last report and the latest time at
+// which a later one would be known.
+func (e Entry) ReportAge(now time.Time) time.Duration {
+	return e.knownUntil(now).Sub(e.ReportedAt)
+}
+
+// Silence returns the time for which the peer is known to have been silent, at a
+// process that could first receive reports at the given time.
+func (e Entry) Silence(now, listening time.Time) time.Duration {
+	since := listening
+	for _, at := range []time.Time{e.ReportedAt, e.UpdatedAt} {
+		if at.After(since) {
+			since = at
+		}
+	}
+	return max(0, e.knownUntil(now).Sub(since))
+}
+
+// knownUntil returns the latest time at which a report of the peer would be known.
+// It is earlier than now for a relayed peer, whose summaries may be lost although
+// it reports.
+func (e Entry) knownUntil(now time.Time) time.Time {
+	if !e.Relayed {
+		return now
+	}
+	oldest := now.Add(-MaxViewAge)
+	if e.ViewedAt.After(oldest) {
+		return e.ViewedAt
+	}
+	return oldest
+}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -14,44 +14,18 @@
 	"gooseberrymast"
 )
 
-const (
-	// SilentAfter is the time without a report after which a peer receives no
-	// new flows: three report intervals of an agent, 200 ms each, plus delay. A
-	// balancer reports every 400 ms.
-	SilentAfter = 900 * time.Millisecond
-	// ForgetAfter is the time without an update after which a peer is removed:
-	// the longest duration of a flow, so that a walk still reaches every agent
-	// that may hold one.
-	ForgetAfter = 60 * time.Second
-)
-
-// Entry is one peer with its last report.
-type Entry struct {
-	gooseberrymast.Peer
-	// ReportedAt is when the peer itself last reported; zero when the entry comes
-	// only from other peers or the store.
-	ReportedAt time.Time
-	// UpdatedAt is when the entry was last updated from any source.
-	UpdatedAt time.Time
-	// Load and Document are from the peer's last report.
-	Load     gooseberrymast.FlowLoad
-	Document gooseberrymast.DocumentStatus
-	// Served lists the addresses whose flows an agent's backend server has
-	// accepted, from the agent's entry in the store.
-	Served []gooseberrymast.Endpoint
-	// StoreVersion is the version of the peer's entry in the store as last read; zero
-	// when it was not read.
-	StoreVersion uint64
-}
-
-// Reporting reports whether the peer itself reported within SilentAfter.
-func (e Entry) Reporting(now time.Time) bool {
-	return !e.ReportedAt.IsZero() && now.Sub(e.ReportedAt) < SilentAfter
-}
+// ForgetAfter is the time without an update after which a peer is removed: the
+// longest duration of a flow, so that a walk still reaches every agent that may
+// hold one.
+const ForgetAfter = 60 * time.Second
 
 // Roster holds the peers of one process, without the process itself. The zero
 // value is empty.
 type Roster struct {
+	// Zone is the process's availability zone. Peers of other zones are relayed. If
+	// it is empty, all peers report directly. It is set before use.
+	Zone string
+
 	mu      sync.RWMutex
 	entries map[gooseberrymast.Endpoint]Entry
 	digests gooseberrymast.RosterDigests
@@ -74,7 +48,9 @@
 		changed = true
 	}
 	entry.Peer = report.Peer
-	entry.ReportedAt, entry.UpdatedAt = now, now
+	entry.ReportedAt, entry.UpdatedAt, entry.ViewedAt = now, now, now
+	entry.UsesRelays = report.Relayed
+	entry.Relayed = report.Relayed && r.inOtherZone(report.Peer)
 	entry.Load, entry.Document = report.Load, report.Document
 	r.put(entry)
 	return changed, false
@@ -93,6 +69,9 @@
 		if entry.Incarnation != peer.Incarnation {
 			entry.Load = gooseberrymast.FlowLoad{}
 		}
+		if !found {
+			entry.Relayed = r.inOtherZone(peer)
+		}
 		entry.Peer = peer
 		entry.UpdatedAt = now
 		r.put(entry)
@@ -101,6 +80,49 @@
 	return changed
 }
 
+// sameReport is the difference between two times of a peer's last report from
+// which they stand for two reports. Summaries take different times to arrive.
+const sameReport = 50 * time.Millisecond
+
+// HandleSummary updates the peers of another availability zone from a relay's
+// summary and returns those that are new or changed.
+func (r *Roster) HandleSummary(summary gooseberrymast.Summary, now time.Time) (changed []gooseberrymast.Peer) {
+	if r.Zone == "" || summary.Zone == r.Zone {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, viewed := range summary.Peers {
+		entry, found := r.entries[viewed.Peer.Endpoint]
+		if found && entry.Newer(viewed.Peer) {
+			continue
+		}
+		if !found || viewed.Peer.Newer(entry.Peer) {
+			r.updateDigests(entry.Peer, viewed.Peer, found)
+			changed = append(changed, viewed.Peer)
+		}
+		if found && !entry.Relayed && entry.Reporting(now) && entry.Incarnation == viewed.Peer.Incarnation {
+			// The peer's own reports say more than a relay.
+			entry.Peer = viewed.Peer
+			r.put(entry)
+			continue
+		}
+		if entry.Incarnation != viewed.Peer.Incarnation {
+			entry.Load, entry.ReportedAt = gooseberrymast.FlowLoad{}, time.Time{}
+		}
+		entry.Peer, entry.Relayed, entry.ViewedAt = viewed.Peer, true, now
+		lastSign := now.Add(-viewed.Silence)
+		if lastSign.After(entry.UpdatedAt) {
+			entry.UpdatedAt = lastSign
+		}
+		if viewed.Heard && lastSign.Sub(entry.ReportedAt) > sameReport {
+			entry.ReportedAt, entry.Load = lastSign, viewed.Load
+		}
+		r.put(entry)
+	}
+	return changed
+}
+
 // SetStored sets the fields of a peer that come only from its entry in the store.
 func (r *Roster) SetStored(peer gooseberrymast.Endpoint, served []gooseberrymast.Endpoint, version uint64) {
 	r.mu.Lock()
@@ -187,6 +209,10 @@
 	return r.Entries(func(e Entry) bool { return e.Role == role && e.State != gooseberrymast.StateGone })
 }
 
+func (r *Roster) inOtherZone(peer gooseberrymast.Peer) bool {
+	return r.Zone != "" && peer.Zone != r.Zone
+}
+
 func (r *Roster) updateDigests(before, after gooseberrymast.Peer, found bool) {
 	if found {
 		toggleDigest(&r.digests, before)
