Write an agent's entry once for all routes of its service

Change: an entry names all addresses that the document allows the service, if they are at most 64. A later agent of the instance then queries its server where it would have said that it never served the address. An absent document is read once a second. The last instances of a zone read the document 2.15 s after its last confirmation instead of 1.65 s (3 s are allowed): when a reader was killed, every agent of its zone read once before the next reader's report arrived.

TestEntryIsWrittenOnceForAllRoutesOfTheService and TestAbsentDocumentIsReadOnceASecond replay the two loads.

--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -29,7 +29,7 @@
 	RankDelay = 250 * time.Millisecond
 	// MaxRank bounds the additional age, so that every instance reads for
 	// itself within the time in which a change must be in force.
-	MaxRank = 3
+	MaxRank = 5
 	// RetryAfter is the pause after the first failed read.
 	RetryAfter = 250 * time.Millisecond
 	// MaxJoinAge is the age up to which a joining instance accepts a confirmation
@@ -97,6 +97,13 @@
 	c.retryAt = now.Add(pause)
 }
 
+// HandleAbsent records that the store has no document yet. Its first version comes
+// from a peer or the next read.
+func (c *Confirmer) HandleAbsent(now time.Time) {
+	c.reading = false
+	c.retryAt = now.Add(MaxRetryAfter)
+}
+
 // HandleStatus processes a peer's update. It reports whether the peer holds a newer
 // version, which must then be fetched.
 func (c *Confirmer) HandleStatus(update gooseberrymast.DocumentStatus, now time.Time) (fetch bool) {
--- a/coordination/confirmer/confirmer_test.go
+++ b/coordination/confirmer/confirmer_test.go
@@ -195,3 +195,14 @@
 		}
 	}
 }
+
+// Before the operators' first document all instances wait for it. They must not read
+// as often as after a failure.
+func TestAbsentDocumentIsReadOnceASecond(t *testing.T) {
+	is := is.New(t)
+	var c Confirmer
+	c.BeginRead()
+	c.HandleAbsent(epoch)
+	is.True(!c.Due(epoch.Add(MaxRetryAfter - 1)))
+	is.True(c.Due(epoch.Add(MaxRetryAfter)))
+}
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -45,7 +45,10 @@
 	// is set once it includes those of earlier incarnations of the agent.
 	served   map[gooseberrymast.Endpoint]struct{}
 	restored bool
-	// servedChanges counts the changes of served.
+	// recorded holds the addresses that the agent's entry in the store names, or
+	// will once its write in progress succeeds. servedChanges counts the addresses
+	// of served that it lacked, and the calls of ClearServed.
+	recorded      map[gooseberrymast.Endpoint]struct{}
 	servedChanges int
 }
 
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -1,8 +1,6 @@
 package deliverer
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"gooseberrymast"
@@ -57,50 +55,6 @@
 	return f
 }
 
-func (d *Deliverer) addServed(address gooseberrymast.Endpoint) {
-	if d.served == nil {
-		d.served = map[gooseberrymast.Endpoint]struct{}{}
-	}
-	if _, known := d.served[address]; !known {
-		d.served[address] = struct{}{}
-		d.servedChanges++
-	}
-}
-
-// ServedChanges counts the changes of the addresses that the server has served.
-func (d *Deliverer) ServedChanges() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.servedChanges
-}
-
-// ClearServed clears the addresses served: the server is a new incarnation.
-func (d *Deliverer) ClearServed() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.served = nil
-	d.servedChanges++
-}
-
-// Restore adds the addresses that an earlier incarnation of the agent served.
-func (d *Deliverer) Restore(addresses []gooseberrymast.Endpoint) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, address := range addresses {
-		d.addServed(address)
-	}
-	d.restored = true
-}
-
-// Served returns the addresses whose flows the server has taken, sorted.
-func (d *Deliverer) Served() []gooseberrymast.Endpoint {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	served := slices.Collect(maps.Keys(d.served))
-	slices.SortFunc(served, gooseberrymast.Endpoint.Compare)
-	return served
-}
-
 func (d *Deliverer) dropFlow(key gooseberrymast.FlowKey, f *flow) {
 	d.setBusy(f, false)
 	if !f.closed {
--- /dev/null
+++ b/coordination/deliverer/served_test.go
@@ -0,0 +1,76 @@
+package deliverer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+// routesTo returns routes that allow one service at count addresses.
+func routesTo(service string, count int) *gooseberrymast.Routes {
+	made := &gooseberrymast.Routes{Version: 5, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
+	for i := range count {
+		at := gooseberrymast.Endpoint{IP: [4]byte{198, 18, byte(i >> 8), byte(i)}, Port: 443}
+		made.ByAddress[at] = gooseberrymast.Route{Address: at, Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}}}
+	}
+	return made
+}
+
+// takeFlow lets the server take a flow of an address.
+func takeFlow(d *Deliverer, routes *gooseberrymast.Routes, at gooseberrymast.Endpoint) {
+	header := opening()
+	header.Destination = at
+	d.FromPeer(header, placeHop(), ledger, routes, epoch)
+}
+
+// A server of many routes gets its first flows of each within seconds. Its entry is
+// written for the first one only.
+func TestEntryIsWrittenOnceForAllRoutesOfTheService(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	all := routesTo("ledger", 20)
+	is.Equal(len(d.Record("ledger", all)), 20)
+	before := d.ServedChanges()
+	for at := range all.ByAddress {
+		takeFlow(&d, all, at)
+	}
+	is.Equal(d.ServedChanges(), before)
+	is.Equal(len(d.Served()), 20)
+	// A route of a later document is recorded once it is used.
+	later := routesTo("ledger", 21)
+	last := gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 20}, Port: 443}
+	takeFlow(&d, later, last)
+	is.Equal(d.ServedChanges(), before+1)
+	is.Equal(len(d.Record("ledger", later)), 21)
+}
+
+func TestManyRoutesAreRecordedAsTheyAreServed(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	many := routesTo("ledger", maxRecordedRoutes+1)
+	is.Equal(len(d.Record("ledger", many)), 0)
+	takeFlow(&d, many, gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 3}, Port: 443})
+	is.Equal(d.ServedChanges(), 1)
+	is.Equal(len(d.Record("ledger", many)), 1)
+}
+
+func TestAddressesOfOtherServicesAreNotRecorded(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	is.Equal(d.Record("ledger", routes), []gooseberrymast.Endpoint{address})
+	is.Equal(len(d.Record("ledger", nil)), 0)
+}
+
+// What was recorded beyond what was served must not outlive the server.
+func TestNewServerIsRecordedAnew(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	d.Record("ledger", routes)
+	before := d.ServedChanges()
+	d.ClearServed()
+	is.Equal(d.ServedChanges(), before+1)
+	takeFlow(&d, routes, address)
+	is.Equal(d.ServedChanges(), before+2)
+}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -293,7 +293,14 @@
 
 // currentServed returns what the agent's entry in the store should say.
 func (a *Agent) currentServed() interpreter.Served {
-	return interpreter.Served{Addresses: a.deliverer.Served(), Server: a.serverIncarnation()}
+	incarnation := a.serverIncarnation()
+	var routes *gooseberrymast.Routes
+	// While the incarnation is unknown, the entry must not name addresses that the
+	// server hasn't served: a later agent would take them for those of any.
+	if incarnation != "" {
+		routes = a.currentRoutes()
+	}
+	return interpreter.Served{Addresses: a.deliverer.Record(a.ownPeer().Service, routes), Server: incarnation}
 }
 
 // restoreServed restores what an earlier agent of the instance stored.
--- a/runner/document.go
+++ b/runner/document.go
@@ -53,10 +53,15 @@
 		return err
 	})
 	if err != nil {
+		absent := errors.Is(err, gooseberrymast.ErrStoreNotFound)
 		m.mu.Lock()
-		m.confirmer.HandleFailedRead(m.Timer.Now())
+		if absent {
+			m.confirmer.HandleAbsent(m.Timer.Now())
+		} else {
+			m.confirmer.HandleFailedRead(m.Timer.Now())
+		}
 		m.mu.Unlock()
-		if errors.Is(err, gooseberrymast.ErrStoreNotFound) {
+		if absent {
 			m.Log.Info(gooseberrymast.EventDocumentAbsent).Msg("")
 		}
 		return
