Reuse the buffer of peers between reports

Cause: each report copied and sorted all peers.

Change: the relayer gets the peers in a buffer that is used again, unsorted. Roster.Role has no caller left.

--- a/runner/member.go
+++ b/runner/member.go
@@ -83,6 +83,8 @@
 
 	relayerMu sync.Mutex
 	relayer   relayer.Relayer
+	// relayBuffer is the buffer of relayEntries.
+	relayBuffer []roster.Entry
 	// isolated and relaying are what was last logged of the relayer's decisions.
 	isolated, relaying bool
 	// zoneChanged is set when a peer of the own zone has changed since the last
--- a/runner/report.go
+++ b/runner/report.go
@@ -6,6 +6,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/interpreter"
+	"gooseberrymast/state/roster"
 )
 
 // reportPeriodically reports to peers at each interval, and at once after a change.
@@ -33,7 +34,7 @@
 // report sends the process's report to the peers that need it.
 func (m *member) report(now time.Time) {
 	m.relayerMu.Lock()
-	recipients, relayed := m.relayer.Recipients(m.roster.Entries(nil), now)
+	recipients, relayed := m.relayer.Recipients(m.relayEntries(), now)
 	isolated := m.relayer.Isolated()
 	changed := isolated != m.isolated
 	m.isolated = isolated
@@ -60,6 +61,13 @@
 	m.writeAll(datagram, recipients)
 }
 
+// relayEntries returns all peers in a buffer that the next call overwrites. The caller
+// must hold relayerMu.
+func (m *member) relayEntries() []roster.Entry {
+	m.relayBuffer = m.roster.Append(m.relayBuffer[:0])
+	return m.relayBuffer
+}
+
 func (m *member) writeAll(datagram []byte, recipients []gooseberrymast.Endpoint) {
 	for _, recipient := range recipients {
 		m.write(m.conn, datagram, recipient)
@@ -75,7 +83,7 @@
 		return
 	}
 	b.zoneChanged.Store(false)
-	summary, recipients := b.relayer.Summary(b.roster.Entries(nil), b.ownPeer(), now)
+	summary, recipients := b.relayer.Summary(b.relayEntries(), b.ownPeer(), now)
 	relaying := b.relayer.Relaying()
 	changed := relaying != b.relaying
 	b.relaying = relaying
@@ -105,7 +113,7 @@
 	m.metrics.countSummaries("received", 1)
 	m.handleDocumentStatus(summary.Document, sender, now)
 	m.relayerMu.Lock()
-	recipients := m.relayer.Forward(m.roster.Entries(nil), summary)
+	recipients := m.relayer.Forward(m.relayEntries(), summary)
 	m.relayerMu.Unlock()
 	if len(recipients) == 0 {
 		return
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -204,9 +204,10 @@
 	return kept
 }
 
-// Role returns the peers of a role that are not in StateGone.
-func (r *Roster) Role(role gooseberrymast.Role) []Entry {
-	return r.Entries(func(e Entry) bool { return e.Role == role && e.State != gooseberrymast.StateGone })
+// Append appends all peers to entries, in no particular order.
+func (r *Roster) Append(entries []Entry) []Entry {
+	r.Each(func(entry Entry) { entries = append(entries, entry) })
+	return entries
 }
 
 func (r *Roster) inOtherZone(peer gooseberrymast.Peer) bool {
