Treat an opening packet with the key of a closed flow as a new flow

A caller that used the port again for a new flow passed none of the checks: the new flow reached a server that was leaving, or whose service a later document had taken off the route.

Found by reading for the users' first fault (an answer on a connection in use again). A late copy of the old opening packet still goes to the server, which knows its flow; an opening packet that comes twice opens no second flow.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -119,14 +119,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := header.FromCaller()
-	if f := d.flows[key]; f != nil && server.Status != tracker.Gone {
+	f := d.flows[key]
+	if f != nil && f.closed && header.Opens && header.Copy == 0 {
+		// The caller uses the port of a closed flow for a new one.
+		d.dropFlow(key, f)
+		f = nil
+	}
+	if f != nil && server.Status != tracker.Gone {
 		return d.deliver(f, header, hop, now)
 	}
 	if header.Opens {
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
 			return d.passOn(header, hop, reason, definite)
 		}
-		f := d.addFlow(key, now)
+		f = d.addFlow(key, now)
 		if hop.NotifyOrigin {
 			f.notify = hop.Origin
 		}
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -391,3 +391,43 @@
 		})
 	}
 }
+
+// A caller may use a port again soon after its flow has closed. The new flow must pass
+// the checks that any new flow passes; a late copy of the old one's opening packet is
+// no new flow.
+func TestReusedKeyIsANewFlow(t *testing.T) {
+	leaving := Server{Status: tracker.Leaving, Service: "ledger"}
+	closing := answer(0)
+	closing.Finishes = true
+	late := opening()
+	late.Copy = 1
+	tests := []struct {
+		name   string
+		header gooseberrymast.PacketHeader
+		closed bool
+		server Server
+		action Action
+		reason Reason
+	}{
+		{"closed, server leaving", opening(), true, leaving, Forward, ReasonServerLeaving},
+		{"closed, server takes new flows", opening(), true, ledger, ToServer, ""},
+		{"closed, copy of the old opening packet", late, true, leaving, ToServer, ""},
+		{"open, opening packet twice", opening(), false, leaving, ToServer, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var d Deliverer
+			d.FromPeer(opening(), placeHop(), ledger, routes, epoch)
+			d.FromServer(answer(0), epoch)
+			if test.closed {
+				d.FromServer(closing, epoch)
+			}
+			step := d.FromPeer(test.header, placeHop(next), test.server, routes, epoch.Add(time.Second))
+			is.Equal(step.Action, test.action)
+			is.Equal(step.Reason, test.reason)
+			flows, _ := d.Load()
+			is.True(flows <= 1)
+		})
+	}
+}
