Hide an agent that has neither an entry nor a server

Cause: after a loss of power, agents of instances that were just being taken away start again without their servers and are killed some seconds later, one after the other. Found in the log of one flow: the walk reaches the killed agent and no line follows.

Ruled out: lost chains (agents that were alive answered all), relays (the untouched code has the same tail).

Change: an agent first looks for its entry. If it has none, it writes none and reports to nobody until its server has announced itself or passed the health check. Nobody can have a flow there. The first entry then names the server's incarnation, which saves a write.

TestAgentWithoutServerStaysUnknown covers both cases.

--- a/runner/agent.go
+++ b/runner/agent.go
@@ -83,6 +83,11 @@
 	storedState    entryState
 	nextEntryWrite time.Time
 
+	// serverKnown is closed once the server has announced itself or passed the health
+	// check at the agent's start.
+	serverKnown     chan struct{}
+	serverKnownOnce sync.Once
+
 	// lastCheck is when the server was last checked for failure.
 	lastCheck time.Time
 
@@ -107,6 +112,8 @@
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.flowLoad
 	a.served, a.restore = a.currentServed, a.restoreServed
+	a.awaitServer = a.awaitKnownServer
+	a.serverKnown = make(chan struct{})
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
 		select {
@@ -175,7 +182,7 @@
 		a.triggerReport()
 		sleep(context.Background(), a.Timer, stopPollInterval)
 	}
-	if serverGone {
+	if serverGone && !a.hidden.Load() {
 		// The platform stops the instance once its server has ended.
 		a.resetLost("server-ended")
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -118,6 +118,9 @@
 // would come back without flows.
 func (a *Agent) refreshState(now time.Time) {
 	server := a.serverState(now)
+	if server.Status != tracker.Unknown && server.Status != tracker.Gone {
+		a.serverKnownOnce.Do(func() { close(a.serverKnown) })
+	}
 	state := gooseberrymast.StateStarting
 	switch server.Status {
 	case tracker.Ready:
@@ -137,6 +140,43 @@
 	}
 }
 
+// awaitKnownServer keeps the agent hidden while it has neither an entry in the store
+// nor a server. Such an agent holds no flow, and may be stopped for good before it
+// ever has one; peers that know it would wait for its answers.
+func (a *Agent) awaitKnownServer(ctx context.Context) {
+	backoff := registerBackoff
+	for ctx.Err() == nil {
+		err := a.callStore(ctx, "look for the entry", func(ctx context.Context) error {
+			found, err := a.Store.Get(ctx, entryKey(a.Settings.Peers))
+			if err == nil {
+				a.mu.Lock()
+				a.entry = canonicalEntry(found)
+				a.mu.Unlock()
+			}
+			return err
+		})
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+			a.hidden.Store(true)
+			select {
+			case <-ctx.Done():
+			case <-a.serverKnown:
+				// Its zone's balancers couldn't report to it before.
+				a.relayerMu.Lock()
+				a.relayer.Started = a.Timer.Now()
+				a.relayerMu.Unlock()
+				a.hidden.Store(false)
+			}
+			return
+		}
+		a.Log.Warn(gooseberrymast.EventRegisterFailed).Err(err).Msg("")
+		sleep(ctx, a.Timer, backoff)
+		backoff = min(2*backoff, maxRegisterBackoff)
+	}
+}
+
 // probeServer checks the server's health once, so that a restarted agent doesn't
 // have to wait for the next announcement.
 func (a *Agent) probeServer(ctx context.Context, paths <-chan string) {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -22,6 +22,9 @@
 // register writes the process's entry to the store and loads the entries of
 // its peers. It retries until both succeed.
 func (m *member) register(ctx context.Context) {
+	if m.awaitServer != nil {
+		m.awaitServer(ctx)
+	}
 	backoff := registerBackoff
 	for ctx.Err() == nil {
 		err := m.callStore(ctx, "register", m.registerOnce)
@@ -46,8 +49,13 @@
 	if err != nil {
 		return err
 	}
-	entry := gooseberrymast.Object{Key: entryKey(m.Settings.Peers), Value: value}
-	entry.Version, err = m.Store.Put(ctx, entry, 0)
+	m.mu.Lock()
+	entry := m.entry
+	m.mu.Unlock()
+	if entry.Key == "" {
+		entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers), Value: value}
+		entry.Version, err = m.Store.Put(ctx, entry, 0)
+	}
 	// On a conflict the entry of an earlier process or attempt is there; updateEntry
 	// replaces it.
 	if err != nil && !errors.Is(err, gooseberrymast.ErrStoreConflict) {
--- a/runner/member.go
+++ b/runner/member.go
@@ -107,6 +107,11 @@
 	// entry is the process's entry in the store as last written or read.
 	entry gooseberrymast.Object
 
+	// awaitServer waits until an agent's server is known, unless an earlier agent has
+	// left an entry in the store; nil at a balancer.
+	awaitServer func(ctx context.Context)
+	// hidden is set while an agent must not be known to its peers.
+	hidden atomic.Bool
 	// registered is set once the entry is in the store and the peers are loaded.
 	registered atomic.Bool
 	// wake makes reportPeriodically report at once.
@@ -299,6 +304,9 @@
 // because the two rosters have differed for longer than an update takes to
 // arrive. Agents need only the balancers. The caller must hold the lock.
 func (m *member) needsRoster(report gooseberrymast.Report, self gooseberrymast.Peer, superseded bool, now time.Time) bool {
+	if m.hidden.Load() {
+		return false
+	}
 	own := m.roster.Digests(self)
 	differs := own.Balancers != report.Digests.Balancers
 	if self.Role == gooseberrymast.RoleBalancer && report.Peer.Role == gooseberrymast.RoleBalancer {
--- a/runner/report.go
+++ b/runner/report.go
@@ -33,6 +33,9 @@
 
 // report sends the process's report to the peers that need it.
 func (m *member) report(now time.Time) {
+	if m.hidden.Load() {
+		return
+	}
 	m.relayerMu.Lock()
 	recipients, relayed := m.relayer.Recipients(m.relayEntries(), now)
 	isolated := m.relayer.Isolated()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -171,3 +171,42 @@
 func peersEndpoint(a, b, c, d byte) gooseberrymast.Endpoint {
 	return gooseberrymast.Endpoint{IP: [4]byte{a, b, c, d}, Port: peersPort}
 }
+
+// An instance that is to go may start again without its server, after a loss of power
+// for example, and be stopped for good a moment later. While others know such an
+// agent, each walk waits for its answer.
+func TestAgentWithoutServerStaysUnknown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	c.startAgent(1, 1)
+	balancer, _ := c.startBalancer(1)
+	agent, announce, stop := c.startWaitingAgent(2)
+	key := entryKey(agent.Settings.Peers)
+	c.waitFor("the agent has looked for its entry", agent.hidden.Load)
+	// A balancer that reports to it, since another one named it, learns nothing.
+	balancer.report(balancer.Timer.Now())
+	agent.handleReport(gooseberrymast.Report{Peer: balancer.ownPeer()}, agent.Timer.Now())
+	agent.report(agent.Timer.Now())
+	_, known := balancer.roster.Get(agent.Settings.Peers)
+	is.True(!known)
+	_, err := c.store.Get(t.Context(), key)
+	is.Equal(err, gooseberrymast.ErrStoreNotFound)
+
+	startServer(t, 2)
+	announce(1)
+	c.waitFor("the agent is known", func() bool {
+		entry, _ := balancer.roster.Get(agent.Settings.Peers)
+		return entry.State == gooseberrymast.StateReady
+	})
+	c.waitFor("the entry names the server's incarnation", func() bool {
+		entry, err := c.store.Get(t.Context(), key)
+		return err == nil && strings.Contains(string(entry.Value), "i-1/1")
+	})
+
+	// With an entry, the server may run and hold flows.
+	stop()
+	agent, _, _ = c.startWaitingAgent(2)
+	c.waitFor("the agent is registered before its server has announced itself", agent.registered.Load)
+	is.True(!agent.hidden.Load())
+}
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -273,6 +273,15 @@
 
 // startAgent runs an agent whose server announces itself.
 func (c *cluster) startAgent(number byte, sequence uint64) (agent *Agent, stop func()) {
+	c.t.Helper()
+	agent, announce, stop := c.startWaitingAgent(number)
+	announce(sequence)
+	c.waitFor("the agent is registered", agent.registered.Load)
+	return agent, stop
+}
+
+// startWaitingAgent runs an agent whose server announces itself when announce is called.
+func (c *cluster) startWaitingAgent(number byte) (agent *Agent, announce func(sequence uint64), stop func()) {
 	c.t.Helper()
 	ip := [4]byte{127, 0, 3, number}
 	agent = NewAgent(c.environment(gooseberrymast.RoleAgent, ip))
@@ -282,15 +291,17 @@
 		return http.NotFoundHandler()
 	}
 	stop = c.run(agent.Run)
-	announce := <-announcers
-	if err := announce(gooseberrymast.Announcement{
-		ID: "i-1", StartUnixMs: 1, Sequence: sequence, Service: "ledger", Slots: 4,
-		Address: gooseberrymast.Endpoint{IP: ip, Port: serverPort},
-	}); err != nil {
-		c.t.Fatal(err)
+	handle := <-announcers
+	announce = func(sequence uint64) {
+		c.t.Helper()
+		if err := handle(gooseberrymast.Announcement{
+			ID: "i-1", StartUnixMs: 1, Sequence: sequence, Service: "ledger", Slots: 4,
+			Address: gooseberrymast.Endpoint{IP: ip, Port: serverPort},
+		}); err != nil {
+			c.t.Fatal(err)
+		}
 	}
-	c.waitFor("the agent is registered", agent.registered.Load)
-	return agent, stop
+	return agent, announce, stop
 }
 
 // run runs a process until the returned function is called or the test ends.
