Report to all from a zone whose balancers send no summaries

Cause: in a zone whose balancers were all of an earlier version an agent of this version took itself for connected and reported to its zone only. Balancers of other zones heard nothing of it and reset its flows after four seconds.

Ruled out: the agent's restart 3.5 s before, which balancer-5 had seen as leaving.

Change: an agent counts only balancers that say that they use summaries.

--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -105,11 +105,12 @@
 }
 
 // hearsOwnZone reports whether the process hears what connects it to other zones: an
-// agent needs a balancer; a balancer is one, but needs some peer that knows it.
+// agent needs a balancer that may be a relay; a balancer may be one itself, but needs
+// some peer that knows it.
 func (r *Relayer) hearsOwnZone(entries []roster.Entry, now time.Time) bool {
 	return slices.ContainsFunc(entries, func(entry roster.Entry) bool {
-		return entry.Zone == r.Zone && entry.Reporting(now) &&
-			(r.Role == gooseberrymast.RoleBalancer || entry.Role == gooseberrymast.RoleBalancer)
+		mayRelay := entry.Role == gooseberrymast.RoleBalancer && entry.UsesRelays
+		return entry.Zone == r.Zone && entry.Reporting(now) && (r.Role == gooseberrymast.RoleBalancer || mayRelay)
 	})
 }
 
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -181,6 +181,22 @@
 	})
 }
 
+// In a zone whose balancers are all of an earlier version nobody sends summaries. Its
+// agents report to all (soak seed 1702 with two builds).
+func TestZoneOfEarlierBalancersIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, 3, 2, 4)
+	for _, p := range f.ofZone(gooseberrymast.RoleBalancer, 1) {
+		f.legacy[p] = true
+		f.start(p)
+	}
+	f.run(3*time.Second, nil)
+	f.run(10*time.Second, func() {
+		f.checkNoneFalselyGone()
+		is.Equal(f.missing(), 0)
+	})
+}
+
 // Random kills, restarts and pauses strike a fleet whose messages get lost.
 func TestRandomFaultsBreakNoFlows(t *testing.T) {
 	for seed := range uint64(20) {
