--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -53,18 +53,21 @@
 // Relayer holds the state of one process's decisions. Its exported fields are set
 // before use. It is not safe for concurrent use.
 type Relayer struct {
+	// Self, Role and Zone are those of the process.
 	Self gooseberrymast.Endpoint
 	Role gooseberrymast.Role
 	Zone string
 	// Started is when the process began to receive reports.
 	Started time.Time
 
+	// directUntil is until when the process reports to all.
 	directUntil time.Time
 	isolated    bool
 	lastTick    time.Time
 	lastSummary time.Time
 	relaying    bool
-	rotation    int
+	// rotation counts summaries, for balancers that take turns.
+	rotation int
 }
 
 // Recipients returns the peers that get the process's report. relayed is set if
