--- a/runner/member.go
+++ b/runner/member.go
@@ -299,69 +299,6 @@
 	}
 }
 
-// needsRoster reports whether this process should send its roster to the sender
-// of a report: because its entry for the sender supersedes the report, or
-// because the two rosters have differed for longer than an update takes to
-// arrive. Agents need only the balancers. The caller must hold the lock.
-func (m *member) needsRoster(report gooseberrymast.Report, self gooseberrymast.Peer, superseded bool, now time.Time) bool {
-	if m.hidden.Load() {
-		return false
-	}
-	own := m.roster.Digests(self)
-	differs := own.Balancers != report.Digests.Balancers
-	if self.Role == gooseberrymast.RoleBalancer && report.Peer.Role == gooseberrymast.RoleBalancer {
-		differs = differs || own.Agents != report.Digests.Agents
-	}
-	sender := report.Peer.Endpoint
-	if !differs {
-		delete(m.differsSince, sender)
-	} else if _, known := m.differsSince[sender]; !known {
-		m.differsSince[sender] = now
-	}
-	overdue := differs && now.Sub(m.differsSince[sender]) >= rosterSyncDelay
-	if !overdue && !superseded || now.Sub(m.rosterSent[sender]) < rosterInterval {
-		return false
-	}
-	m.rosterSent[sender] = now
-	return true
-}
-
-// handleRoster merges a list of peers. If it contains an entry for this process
-// that supersedes its own, that entry is from an earlier run, so the process
-// takes a higher incarnation.
-func (m *member) handleRoster(peers []gooseberrymast.Peer, now time.Time) {
-	others := peers[:0]
-	for _, listed := range peers {
-		if listed.Endpoint != m.Settings.Peers {
-			others = append(others, listed)
-			continue
-		}
-		m.mu.Lock()
-		if listed.Newer(m.self) {
-			m.self.Incarnation = listed.Incarnation + 1
-			m.Log.Info(gooseberrymast.EventIncarnationRaised).Uint64("incarnation", m.self.Incarnation).Msg("")
-		}
-		m.mu.Unlock()
-	}
-	if m.roster.Merge(others, now) {
-		m.triggerReport()
-	}
-}
-
-// sendRoster sends a peer the entries that it needs: a balancer gets all, an
-// agent gets the balancers and its own entry, which it needs if superseded.
-func (m *member) sendRoster(to gooseberrymast.Peer, self gooseberrymast.Peer) {
-	peers := []gooseberrymast.Peer{self}
-	for _, entry := range m.roster.Entries(notGone) {
-		if to.Role == gooseberrymast.RoleBalancer || entry.Role == gooseberrymast.RoleBalancer || entry.Endpoint == to.Endpoint {
-			peers = append(peers, entry.Peer)
-		}
-	}
-	for _, message := range interpreter.Rosters(peers) {
-		m.send(message, to.Endpoint)
-	}
-}
-
 func notGone(entry roster.Entry) bool {
 	return entry.State != gooseberrymast.StateGone
 }
