--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -89,10 +89,7 @@
 			"restart-agent": func(t *rapid.T) {
 				a := anyAgent(t)
 				if !a.server.announced {
-					// A server that restarts takes flows before its announcement. If its
-					// agent restarts before that too, the agent can't tell that an earlier
-					// one served this incarnation: docs/design/platform.md, "Open".
-					return
+					return // TestFlowOfUnannouncedServerSurvivesAgentRestart has this case
 				}
 				m.startAgent(a)
 				a.downUntil = m.now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "ticks")) * tick)
@@ -120,3 +117,37 @@
 		t.Fatal("the model resets nothing or opens nothing")
 	}
 }
+
+// A server that restarts takes flows before its first announcement. If its agent
+// restarts before that too, the next agent must not take the server for one that it
+// has seen from its start.
+func TestFlowOfUnannouncedServerSurvivesAgentRestart(t *testing.T) {
+	m := newModel(1, 1, 2)
+	a := m.agents[0]
+	m.announce(a)
+	m.step()
+	m.startServer(a)
+	key := gooseberrymast.FlowKey{Caller: gooseberrymast.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 1}, Service: service}
+	send := func(header gooseberrymast.PacketHeader) {
+		header.Source, header.Destination = key.Caller, key.Service
+		m.fromCaller(m.balancers[0], header)
+		for len(m.packets) > 0 {
+			m.deliver(0)
+		}
+	}
+	request := func() gooseberrymast.PacketHeader {
+		return gooseberrymast.PacketHeader{Acknowledges: true, Acknowledgement: m.callers[key], Payload: 10}
+	}
+	send(gooseberrymast.PacketHeader{Opens: true})
+	send(request())
+	m.startAgent(a)
+	m.announce(a)
+	for _, b := range m.balancers {
+		m.startBalancer(b)
+	}
+	m.step()
+	send(request())
+	if len(m.broken) > 0 {
+		t.Fatalf("reset although its server holds it: %v\n%s", m.broken, m.traceOf(key))
+	}
+}
