Write an agent's entry anew if it was removed during registration

Cause: an agent that had found its entry and no longer found it in the list tried to replace the removed one with each attempt, and never registered. Found by reading the diff; the entry of an agent that was away for a minute may be removed by a balancer at that moment.

TestEntryRemovedDuringRegistrationIsWrittenAnew failed before.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"gooseberrymast"
@@ -52,7 +53,8 @@
 	m.mu.Lock()
 	entry := m.entry
 	m.mu.Unlock()
-	if entry.Key == "" {
+	known := entry.Key != ""
+	if !known {
 		entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers), Value: value}
 		entry.Version, err = m.Store.Put(ctx, entry, 0)
 	}
@@ -65,8 +67,15 @@
 	if err != nil {
 		return err
 	}
-	if found.Key != "" {
+	switch {
+	case found.Key != "":
 		entry = canonicalEntry(found)
+	case known:
+		// It was removed after it was read; the next attempt writes it anew.
+		m.mu.Lock()
+		m.entry = gooseberrymast.Object{}
+		m.mu.Unlock()
+		return fmt.Errorf("register %s: the entry was removed meanwhile: %w", entry.Key, gooseberrymast.ErrStoreConflict)
 	}
 	m.mu.Lock()
 	m.entry = entry
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -210,3 +211,18 @@
 	c.waitFor("the agent is registered before its server has announced itself", agent.registered.Load)
 	is.True(!agent.hidden.Load())
 }
+
+// A balancer may remove the entry of an agent that was away for a minute just as the
+// agent comes back and has read it.
+func TestEntryRemovedDuringRegistrationIsWrittenAnew(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	key := entryKey(agent.Settings.Peers)
+	is.NoErr(c.store.Delete(t.Context(), key, 0))
+	is.True(errors.Is(agent.registerOnce(t.Context()), gooseberrymast.ErrStoreConflict))
+	is.NoErr(agent.registerOnce(t.Context()))
+	_, err := c.store.Get(t.Context(), key)
+	is.NoErr(err)
+}
