Search for a flow's holder past agents that are being restarted

Cause: a walk hands a packet from agent to agent, up to 25 of them. An agent that has just stopped still counts as reporting for 0.9 s, so it stood in the middle of the chain; the packet ended there, and so did each retransmission, while the next agents of the rolling restart took their turn. Class: a search that makes progress only if every participant answers.

Ruled out: a reset (none is logged), a wrong owner record (no balancer held one).

Change: agents that report that they stop, or whose report is late, are queried by chains of their own, at most eight of them, so that a balancer's work for a packet stays bounded when all agents are silent.

TestWalkReachesHolderWhileOtherAgentsRestart failed before. The two older tests that counted a walk's agents in its first chain now count them in all chains; what they demand is the same.

--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -267,7 +268,7 @@
 		for i := 1; i <= 3; i++ {
 			f.report(agent(i), "ledger", gooseberrymast.StateReady, now)
 		}
-		return 1 + len(f.steerer.FromCaller(nil, packet(false), now)[0].Hop.Candidates)
+		return len(slices.Concat(walkChains(f.steerer.FromCaller(nil, packet(false), now))...))
 	}
 	is.Equal(walkLength(epoch.Add(GoneAfterStart)), 4)
 	is.Equal(walkLength(epoch.Add(GoneAfterStart+1)), 3)
@@ -281,8 +282,8 @@
 	f.roster.Merge([]gooseberrymast.Peer{{
 		Endpoint: agent(2), Role: gooseberrymast.RoleAgent, Incarnation: 1, State: gooseberrymast.StateReady, Service: "ledger",
 	}}, at)
-	step := f.steerer.FromCaller(nil, packet(false), at)[0]
-	is.Equal(1+len(step.Hop.Candidates), 2) // agent 2 may hold flows that other balancers placed
+	walked := slices.Concat(walkChains(f.steerer.FromCaller(nil, packet(false), at))...)
+	is.Equal(len(walked), 2) // agent 2 may hold flows that other balancers placed
 }
 
 func TestLeavingAgentIsGoneAfterLongerTimeout(t *testing.T) {
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -16,25 +16,24 @@
 	// Read before the agents are listed: the stored list of peers may complete
 	// at any moment, and agents listed before that may be too few.
 	complete := s.Roster.IsComplete()
-	holders := s.possibleHolders(header.Destination, excluded, now)
-	if len(holders) == 0 {
+	answering, doubtful := s.possibleHolders(header.Destination, excluded, now)
+	chains := appendChains(nil, answering, gooseberrymast.MaxCandidates+1)
+	chains = appendChains(chains, doubtful, min(gooseberrymast.MaxCandidates+1, (len(doubtful)+maxDoubtfulChains-1)/maxDoubtfulChains))
+	if len(chains) == 0 {
 		if complete && !excluded.IsZero() {
 			return append(steps, Step{Action: Reset, CallerHeader: header, Reason: ReasonNoHolder})
 		}
 		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
 	}
-	chainLength := gooseberrymast.MaxCandidates + 1
-	id := s.beginWalk(header, (len(holders)+chainLength-1)/chainLength, complete, now)
-	for ; len(holders) > 0; id++ {
-		chain := holders[:min(chainLength, len(holders))]
-		holders = holders[len(chain):]
+	first := s.beginWalk(header, len(chains), complete, now)
+	for i, chain := range chains {
 		steps = append(steps, Step{Action: Forward, To: chain[0], Hop: gooseberrymast.Hop{
 			Mode:         gooseberrymast.HopWalk,
 			Definite:     true,
 			NotifyOrigin: true,
 			Origin:       hop.Origin,
 			Initiator:    s.Self,
-			Walk:         id,
+			Walk:         first + uint32(i),
 			Version:      hop.Version,
 			Candidates:   chain[1:],
 		}})
@@ -42,13 +41,28 @@
 	return steps
 }
 
+// maxDoubtfulChains is the number of chains over the agents that may not answer. Up to
+// this number each of them has a chain of its own; a balancer's work for one packet
+// stays bounded when all agents are silent.
+const maxDoubtfulChains = 8
+
+// appendChains cuts agents into chains of a length.
+func appendChains(chains [][]gooseberrymast.Endpoint, agents []gooseberrymast.Endpoint, length int) [][]gooseberrymast.Endpoint {
+	for len(agents) > 0 {
+		chain := agents[:min(length, len(agents))]
+		agents = agents[len(chain):]
+		chains = append(chains, chain)
+	}
+	return chains
+}
+
 // possibleHolders returns the agents that may hold a flow of an address: those
 // of the services that the address's route allows or did allow, and those that
-// are stored as having served the address. Agents with a recent report come
-// first, since the others may not answer.
-func (s *Steerer) possibleHolders(address, excluded gooseberrymast.Endpoint, now time.Time) []gooseberrymast.Endpoint {
+// are stored as having served the address. Agents that are being stopped or whose
+// report is late are doubtful: one that doesn't answer ends its chain, and the
+// packet would not reach those behind it.
+func (s *Steerer) possibleHolders(address, excluded gooseberrymast.Endpoint, now time.Time) (answering, doubtful []gooseberrymast.Endpoint) {
 	var reporting []roster.Entry
-	var silent []gooseberrymast.Endpoint
 	mostReporting := s.HasMostReports(now)
 	allowed := s.everAllowed(address)
 	s.Roster.Each(func(entry roster.Entry) {
@@ -56,10 +70,10 @@
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == excluded:
 		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
 		case mostReporting && s.silentTooLong(entry, now):
-		case entry.Reporting(now):
+		case entry.Reporting(now) && entry.ReportAge(now) <= lateReportAge && entry.State != gooseberrymast.StateLeaving:
 			reporting = append(reporting, entry)
 		default:
-			silent = append(silent, entry.Endpoint)
+			doubtful = append(doubtful, entry.Endpoint)
 		}
 	})
 	// A chain goes from zone to zone, beginning with this balancer's own, so that
@@ -73,11 +87,10 @@
 		}
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), a.Endpoint.Compare(b.Endpoint))
 	})
-	holders := make([]gooseberrymast.Endpoint, 0, len(reporting)+len(silent))
 	for _, entry := range reporting {
-		holders = append(holders, entry.Endpoint)
+		answering = append(answering, entry.Endpoint)
 	}
-	return append(holders, silent...)
+	return answering, doubtful
 }
 
 // beginWalk records a walk and returns the id of its first chain; the others follow.
--- /dev/null
+++ b/coordination/steerer/walk_test.go
@@ -0,0 +1,67 @@
+package steerer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+)
+
+// walkChains returns the agents that each chain of a walk goes over.
+func walkChains(steps []Step) (chains [][]gooseberrymast.Endpoint) {
+	for _, step := range steps {
+		if step.Action == Forward && step.Hop.Mode == gooseberrymast.HopWalk {
+			chains = append(chains, append([]gooseberrymast.Endpoint{step.To}, step.Hop.Candidates...))
+		}
+	}
+	return chains
+}
+
+// An agent that is being restarted ends the chain that it is in: the packet never
+// reached the holder behind it, however often it was retransmitted.
+func TestWalkReachesHolderWhileOtherAgentsRestart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(5)
+	now := epoch.Add(lateReportAge + 1)
+	f.report(agent(1), "ledger", gooseberrymast.StateLeaving, now)
+	// Agent 2 was killed: its report is late.
+	for i := 3; i <= 5; i++ {
+		f.report(agent(i), "ledger", gooseberrymast.StateReady, now)
+	}
+	chains := walkChains(f.steerer.FromCaller(nil, packet(false), now))
+	is.Equal(chains, [][]gooseberrymast.Endpoint{{agent(3), agent(4), agent(5)}, chains[1], chains[2]})
+	is.Equal(len(chains[1]), 1)
+	is.Equal(len(chains[2]), 1)
+	is.True(chains[1][0] == agent(1) && chains[2][0] == agent(2) || chains[1][0] == agent(2) && chains[2][0] == agent(1))
+}
+
+// After a loss of power no agent reports. A walk over all of them must not cost a
+// balancer one packet for each.
+func TestWalkOverSilentAgentsHasFewChains(t *testing.T) {
+	for _, test := range []struct{ agents, chains int }{
+		{1, 1}, {maxDoubtfulChains, maxDoubtfulChains}, {maxDoubtfulChains + 1, 5}, {100, maxDoubtfulChains}, {240, 10},
+	} {
+		is := is.New(t)
+		f := newFixture(test.agents)
+		now := epoch.Add(GoneAfter - 1)
+		chains := walkChains(f.steerer.FromCaller(nil, packet(false), now))
+		is.Equal(len(chains), test.chains)
+		walked := map[gooseberrymast.Endpoint]bool{}
+		for _, chain := range chains {
+			is.True(len(chain) <= gooseberrymast.MaxCandidates+1)
+			for _, at := range chain {
+				walked[at] = true
+			}
+		}
+		is.Equal(len(walked), test.agents)
+	}
+}
+
+// Most walks find every agent reporting; they cross between zones in one chain.
+func TestWalkOverAnsweringAgentsIsOneChain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(gooseberrymast.MaxCandidates + 1)
+	is.Equal(len(walkChains(f.steerer.FromCaller(nil, packet(false), epoch.Add(100*time.Millisecond)))), 1)
+}
