Take no announcement or entry as proof that an agent has seen all flows

Callers: a server restarts and takes a flow, and its agent restarts before the server's first announcement (some 0.8 s). The next agent answers that the flow is not held, with certainty, and a balancer resets it although its server serves (FLOW).

Cause: tracker.Complete took two things as proof that no earlier agent had sent the server a flow: another incarnation in the earlier agent's entry, and a sequence number of at most 1 in the first announcement received. A server takes flows before its first announcement, so neither proves it.

Ruled out: comparing the start times of the server and the agent; they are read from two clocks, and clocks jump.

Change: three proofs remain. The agent saw one incarnation follow another, it found the server failed (its address refused a connection) before the first announcement, or the store had no entry of the instance. Tracker has the last one as SetNoPredecessor, called in one place, awaitKnownServer; that reads the store before the agent writes its entry. Before, an agent without an entry read its own fresh entry as an earlier agent's.

TestOnlyAgentWithoutEntryHasSeenAllFlows fails if awaitKnownServer doesn't call SetNoPredecessor. TestCompleteAfterFirstAnnouncement and TestCompleteByPredecessor asserted the two wrong proofs; the table TestCompleteOnlyAfterEndOfServerOrWithoutPredecessor replaces them with one case for each event, in which these two are no proof.

--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -43,11 +43,10 @@
 	server    *server
 	downUntil time.Time
 	sequence  uint64
-	// stored is set while the store has an entry of the agent; served and
-	// incarnation are what it says.
-	stored      bool
-	served      []gooseberrymast.Endpoint
-	incarnation string
+	// stored is set while the store has an entry of the agent; served is what it
+	// says.
+	stored bool
+	served []gooseberrymast.Endpoint
 }
 
 // balancerModel is a balancer.
@@ -158,13 +157,13 @@
 
 // startAgent starts an agent's process, which restores what its entry says.
 func (m *model) startAgent(a *agentModel) {
-	m.log(gooseberrymast.FlowKey{}, "agent %s starts, stored %v %q %v", a.self.Endpoint, a.stored, a.incarnation, a.served)
+	m.log(gooseberrymast.FlowKey{}, "agent %s starts, stored %v %v", a.self.Endpoint, a.stored, a.served)
 	a.self.Incarnation++
 	a.self.Sequence, a.self.State = 0, gooseberrymast.StateStarting
 	a.deliverer = &deliverer.Deliverer{}
 	a.tracker = &tracker.Tracker{Address: a.self.Endpoint, Interval: time.Second}
-	if !a.stored || a.incarnation != "" || len(a.served) == 0 {
-		a.tracker.SetPredecessor(a.incarnation)
+	if !a.stored {
+		a.tracker.SetNoPredecessor()
 	}
 	a.deliverer.Restore(a.served)
 }
@@ -221,7 +220,6 @@
 // record writes an agent's entry, as its process does when the server is known.
 func (m *model) record(a *agentModel) {
 	a.stored = true
-	a.incarnation = a.tracker.Incarnation()
 	a.served = a.deliverer.Record("ledger", m.routes())
 }
 
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -88,9 +88,6 @@
 			"time-2": func(*rapid.T) { m.step() },
 			"restart-agent": func(t *rapid.T) {
 				a := anyAgent(t)
-				if !a.server.announced {
-					return // TestFlowOfUnannouncedServerSurvivesAgentRestart has this case
-				}
 				m.startAgent(a)
 				a.downUntil = m.now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "ticks")) * tick)
 			},
--- a/coordination/tracker/tracker.go
+++ b/coordination/tracker/tracker.go
@@ -14,10 +14,6 @@
 	"gooseberrymast"
 )
 
-// maxFirstSequence is the highest sequence number of an incarnation's first
-// announcement. A server gets no flow before it.
-const maxFirstSequence = 1
-
 // silentIntervals is the number of announcement intervals without an announcement
 // after which a server gets no new flows.
 const silentIntervals = 2.5
@@ -72,15 +68,13 @@
 	lastContact time.Time
 	announced   bool
 	gone        bool
-	// complete is set when the agent has run since before the incarnation took
-	// its first flow.
+	// failed is set once the server was found failed.
+	failed bool
+	// complete is set once no earlier agent can have sent the server a flow that
+	// it holds. A later incarnation doesn't clear it.
 	complete bool
-	// predecessor is the server's incarnation that an earlier agent of this
-	// instance served; it is valid once predecessorKnown is set.
-	predecessor      string
-	predecessorKnown bool
-	probed           bool
-	service          string
+	probed   bool
+	service  string
 }
 
 // HandleAnnouncement processes an announcement. The error is the reason for which
@@ -96,7 +90,9 @@
 		return false, ErrSuperseded
 	}
 	restarted = t.announced && !sameIncarnation(announcement, t.last)
-	if restarted || !t.announced && announcement.Sequence <= maxFirstSequence {
+	// Neither its sequence number nor what an earlier agent recorded shows when an
+	// incarnation took its first flow: it does so before its first announcement.
+	if restarted || !t.announced && t.failed {
 		t.complete = true
 	}
 	t.last, t.lastContact, t.announced, t.gone = announcement, now, true, false
@@ -113,9 +109,9 @@
 	return nil
 }
 
-// MarkFailed records that the server was found failed.
+// MarkFailed records that the server was found failed, with all of its flows.
 func (t *Tracker) MarkFailed() {
-	t.gone = true
+	t.gone, t.failed = true, true
 }
 
 // HandleProbe records the result of a health check that the agent made before it
@@ -150,16 +146,17 @@
 	return t.service
 }
 
-// SetPredecessor records the server's incarnation that an earlier agent of the
-// instance served; empty means none.
-func (t *Tracker) SetPredecessor(incarnation string) {
-	t.predecessor, t.predecessorKnown = incarnation, true
+// SetNoPredecessor records that no earlier agent of the instance has sent the server
+// a flow.
+func (t *Tracker) SetNoPredecessor() {
+	t.complete = true
 }
 
-// Complete reports whether the agent has seen every packet of the server's
-// incarnation: it saw the server start, or no earlier agent served it.
+// Complete reports whether the agent has seen every packet of the flows that the
+// server holds: it saw the server fail or another incarnation replace it, or the
+// instance had no earlier agent.
 func (t *Tracker) Complete() bool {
-	return t.complete || t.announced && t.predecessorKnown && t.predecessor != t.Incarnation()
+	return t.complete
 }
 
 // Incarnation returns the id of the server's incarnation, or "" while it is unknown.
--- a/coordination/tracker/tracker_test.go
+++ b/coordination/tracker/tracker_test.go
@@ -83,34 +83,43 @@
 	is.Equal(tracker.Status(epoch), Ready)
 }
 
-func TestCompleteAfterFirstAnnouncement(t *testing.T) {
-	is := is.New(t)
-	fresh := Tracker{Address: server, Interval: interval}
-	is.True(!fresh.Complete())
-	_, err := fresh.HandleAnnouncement(announcement(1, 1), epoch)
-	is.NoErr(err)
-	is.True(fresh.Complete()) // the server's first announcement
-
-	late := Tracker{Address: server, Interval: interval}
-	_, err = late.HandleAnnouncement(announcement(1, 7), epoch)
-	is.NoErr(err)
-	is.True(!late.Complete()) // the server had flows before the agent started
-	_, err = late.HandleAnnouncement(announcement(2, 3), epoch)
-	is.NoErr(err)
-	is.True(late.Complete()) // a new incarnation, whichever announcement was lost
-}
-
-// After a power loss the server is up before the agent, and its first announcement
-// is lost. The agent must then rely on the incarnation of its predecessor.
-func TestCompleteByPredecessor(t *testing.T) {
-	for predecessor, complete := range map[string]bool{"": true, "i-1/1": true, "i-1/2": false} {
-		is := is.New(t)
-		tracker := Tracker{Address: server, Interval: interval}
-		_, err := tracker.HandleAnnouncement(announcement(2, 2), epoch)
-		is.NoErr(err)
-		is.True(!tracker.Complete())
-		tracker.SetPredecessor(predecessor)
-		is.Equal(tracker.Complete(), complete)
+// Guards against resets of flows that an earlier agent sent the server before its
+// first announcement: only what the agent itself has seen shows that there are none.
+func TestCompleteOnlyAfterEndOfServerOrWithoutPredecessor(t *testing.T) {
+	announce := func(startUnixMs int64, sequence uint64) func(*Tracker) error {
+		return func(t *Tracker) error {
+			_, err := t.HandleAnnouncement(announcement(startUnixMs, sequence), epoch)
+			return err
+		}
+	}
+	fail := func(t *Tracker) error { t.MarkFailed(); return nil }
+	depart := func(t *Tracker) error { return t.HandleDeparture("i-1", 1) }
+	probe := func(t *Tracker) error { t.HandleProbe("ledger", true, epoch); return nil }
+	first := func(t *Tracker) error { t.SetNoPredecessor(); return nil }
+	tests := []struct {
+		name   string
+		events []func(*Tracker) error
+		want   bool
+	}{
+		{"nothing is known", nil, false},
+		{"first announcement of an incarnation", []func(*Tracker) error{announce(1, 1)}, false},
+		{"later announcement", []func(*Tracker) error{announce(1, 7)}, false},
+		{"health check", []func(*Tracker) error{probe, announce(1, 1)}, false},
+		{"departure that the agent can't assign", []func(*Tracker) error{depart, announce(2, 1)}, false},
+		{"a new incarnation", []func(*Tracker) error{announce(1, 7), announce(2, 3)}, true},
+		{"failed before any announcement", []func(*Tracker) error{fail, announce(2, 3)}, true},
+		{"announced after it was found failed", []func(*Tracker) error{announce(1, 7), fail, announce(1, 8)}, false},
+		{"no earlier agent", []func(*Tracker) error{first, announce(1, 7)}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := Tracker{Address: server, Interval: interval}
+			for _, event := range test.events {
+				is.NoErr(event(&tracker))
+			}
+			is.Equal(tracker.Complete(), test.want)
+		})
 	}
 }
 
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -311,12 +311,6 @@
 
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(served interpreter.Served) {
-	// An entry that names no incarnation may be of any, unless no flow was served.
-	if served.Server != "" || len(served.Addresses) == 0 {
-		a.trackerMu.Lock()
-		a.tracker.SetPredecessor(served.Server)
-		a.trackerMu.Unlock()
-	}
 	a.deliverer.Restore(served.Addresses)
 }
 
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -160,6 +160,9 @@
 		case err == nil:
 			return
 		case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+			a.trackerMu.Lock()
+			a.tracker.SetNoPredecessor()
+			a.trackerMu.Unlock()
 			a.hidden.Store(true)
 			select {
 			case <-ctx.Done():
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -212,6 +212,24 @@
 	is.True(!agent.hidden.Load())
 }
 
+// Guards against resets of flows that an earlier agent sent the server: only an agent
+// that finds no entry of its own knows from the store that there was none.
+func TestOnlyAgentWithoutEntryHasSeenAllFlows(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	agent, announce, stop := c.startWaitingAgent(1)
+	c.waitFor("the agent has looked for its entry", agent.hidden.Load)
+	announce(1)
+	is.True(agent.serverState(agent.Timer.Now()).Complete)
+	c.waitFor("the agent is registered", agent.registered.Load)
+	stop()
+	agent, announce, _ = c.startWaitingAgent(1)
+	c.waitFor("the agent is registered again", agent.registered.Load)
+	announce(1) // the earlier agent may have ended before it received this
+	is.True(!agent.serverState(agent.Timer.Now()).Complete)
+}
+
 // A balancer may remove the entry of an agent that was away for a minute just as the
 // agent comes back and has read it.
 func TestEntryRemovedDuringRegistrationIsWrittenAnew(t *testing.T) {
