Assemble a document only from parts of one encoding

New routes are not served, and a route may lead to another service: the same document decides these too.

It keeps that document until the next version, and sends it to peers.

Cause: a document of more than one datagram is sent in parts, and a process that has not received all within 0.1 s asks another peer. Each sender encodes the routes in the order of a Go map, so the parts of two senders have the same version and count, but cut the routes at different places. Collector put such parts together; routes were there twice or not at all. Class of fault: parts are combined by a key (version, count) that doesn't determine their bytes.

Ruled out: a change that dropped the route (all others have 47 routes of that version); walks and agents' answers (reason route-removed, no walk).

Change: routes are encoded in the order of their addresses, and each part has the hash of the whole encoding. Parts with different hashes are not combined, and the assembled document must have the hash. Earlier versions send no hash: from them a document in one part is taken, one in several is refused and read from the store instead. Looked for elsewhere: rosters and summaries are merged entry by entry, and no other message is assembled from parts.

Evidence: TestPartsOfTwoSendersAreNotMixed failed before, both cases.

--- a/protocol/interpreter/document.go
+++ b/protocol/interpreter/document.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"gooseberrymast"
@@ -17,6 +19,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("interpreter.Document: %w", err)
 	}
+	digest := xxhash.Sum64(data)
 	parts := slices.Collect(slices.Chunk(data, maxPartBytes))
 	messages := make([]*peer.Message, 0, len(parts))
 	for i, part := range parts {
@@ -25,6 +28,7 @@
 			Index:   uint32(i),
 			Count:   uint32(len(parts)),
 			Data:    part,
+			Digest:  digest,
 		}}})
 	}
 	return messages, nil
@@ -37,12 +41,14 @@
 // use.
 type Collector struct {
 	version uint64
+	digest  uint64
 	parts   [][]byte
 	missing int
 }
 
 // Add adds a part. It returns the routes when no part is missing any more, and
-// nil before that and for a part of an older version than the one in assembly.
+// nil before that and for a part of an older version than the one in assembly. A part
+// of another encoding of the same version replaces the one in assembly.
 func (c *Collector) Add(part *peer.DocumentPart) (*gooseberrymast.Routes, error) {
 	count, index := int(part.GetCount()), int(part.GetIndex())
 	if count == 0 || count > maxParts || index >= count {
@@ -51,8 +57,8 @@
 	if part.GetVersion() < c.version {
 		return nil, nil
 	}
-	if part.GetVersion() != c.version || len(c.parts) != count {
-		*c = Collector{version: part.GetVersion(), parts: make([][]byte, count), missing: count}
+	if part.GetVersion() != c.version || part.GetDigest() != c.digest || len(c.parts) != count {
+		*c = Collector{version: part.GetVersion(), digest: part.GetDigest(), parts: make([][]byte, count), missing: count}
 	}
 	if c.parts[index] == nil {
 		c.parts[index] = part.GetData()
@@ -61,15 +67,22 @@
 	if c.missing > 0 {
 		return nil, nil
 	}
-	message := &peer.Document{}
-	err := proto.Unmarshal(slices.Concat(c.parts...), message)
+	data := slices.Concat(c.parts...)
 	*c = Collector{}
-	if err != nil {
+	// Earlier versions send no digest and encode the same routes in any order, so
+	// parts of two senders could be mixed.
+	if digest := part.GetDigest(); digest != xxhash.Sum64(data) && (digest != 0 || count > 1) {
+		return nil, fmt.Errorf("Collector.Add: digest of version %d: %w", part.GetVersion(), ErrMalformed)
+	}
+	message := &peer.Document{}
+	if err := proto.Unmarshal(data, message); err != nil {
 		return nil, fmt.Errorf("Collector.Add: %w", err)
 	}
 	return decodeDocument(message)
 }
 
+// encodeDocument encodes routes. All processes that hold the same routes encode them
+// alike.
 func encodeDocument(routes *gooseberrymast.Routes) *peer.Document {
 	message := &peer.Document{Version: routes.Version, IdleMillis: uint32(routes.IdleTimeout.Milliseconds())}
 	indexes := map[string]uint32{}
@@ -82,7 +95,8 @@
 		message.HealthPaths = append(message.HealthPaths, routes.HealthPaths[service])
 		return indexes[service]
 	}
-	for _, route := range routes.ByAddress {
+	for _, address := range slices.SortedFunc(maps.Keys(routes.ByAddress), gooseberrymast.Endpoint.Compare) {
+		route := routes.ByAddress[address]
 		encoded := &peer.Route{
 			Address:     encodeEndpoint(route.Address),
 			Idempotent:  route.Idempotent,
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"gooseberrymast"
@@ -142,11 +144,42 @@
 	is.Equal(read, newer)
 }
 
+// A process that requests the document from two peers receives parts of both. A document
+// put together from two encodings lacks routes, and open flows of these are reset.
+func TestPartsOfTwoSendersAreNotMixed(t *testing.T) {
+	routes := testRoutes(100)
+	other := testRoutes(100)
+	for address, route := range other.ByAddress {
+		route.Timeout += time.Millisecond // encoded as by another build
+		other.ByAddress[address] = route
+	}
+	for name, second := range map[string]*gooseberrymast.Routes{"the same encoding": routes, "another encoding": other} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			earlier, err := Document(routes)
+			is.NoErr(err)
+			later, err := Document(second)
+			is.NoErr(err)
+			is.True(len(later) > 1)
+			var collector Collector
+			var read *gooseberrymast.Routes
+			for _, message := range slices.Concat(earlier[:1], later[1:], later[:1]) {
+				if added, err := collector.Add(message.GetDocumentPart()); err != nil || added != nil {
+					is.NoErr(err)
+					read = added
+				}
+			}
+			is.Equal(read, second)
+		})
+	}
+}
+
 func TestMalformedPartsAreRejected(t *testing.T) {
 	is := is.New(t)
 	var collector Collector
 	for _, part := range []*peer.DocumentPart{
 		{}, {Count: 1, Index: 1}, {Count: maxParts + 1}, {Version: 1, Count: 1, Data: []byte{0xff}},
+		{Version: 1, Count: 1, Digest: 5}, {Version: 1, Count: 1, Data: []byte{0xff}, Digest: xxhash.Sum64([]byte{0xff})},
 	} {
 		_, err := collector.Add(part)
 		is.True(err != nil)
