Tell a restarted server's flows from lost ones without comparing clocks

Callers: a flow that a restarted server took before its first announcement is reset by its agent if the clock of the agent's instance is behind the server's (clock_step).

Cause: DropFlows compared the agent's time of the opening with the start time that the server announces. With the agent's clock ahead, lost flows were taken for the new incarnation's and their callers not told.

Ruled out: dropping the early reset; a caller whose request was received and lost would wait for its deadline.

Change: the server's packets reach its agent in the order in which they were sent, so the agent counts the flows that the server accepts. A flow is lost with an incarnation if that was still running after it had accepted the flow: it announced itself again after the announcement that followed, or sent a later packet on a flow that was its own. Other flows are kept, and the server returns the packets of those that it doesn't hold. Some of the last flows before a crash are therefore reset by their callers' next packet only. Announcements reach the deliverer under the tracker's lock, in their order. One case remains: an agent that is paused longer than a server takes to send two announcements, end, start again and accept a flow.

Evidence: TestFlowOfNewIncarnationSurvivesClockStep failed before ("not true: !reset").

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -41,6 +41,10 @@
 	lastTag   uint32
 	openFlows int
 	busyFlows int
+	// answers counts the flows that the server has accepted. Those up to ownAnswers
+	// were accepted by the incarnation that announced itself last, or before it;
+	// announcedAnswers is the count at its last announcement.
+	answers, ownAnswers, announcedAnswers uint64
 	// served holds the addresses whose flows the server has taken, and restored
 	// is set once it includes those of earlier incarnations of the agent.
 	served   map[gooseberrymast.Endpoint]struct{}
@@ -77,29 +81,6 @@
 	d.leaving = true
 }
 
-// DropFlows drops the flows of a server that has ended or was replaced by a new
-// incarnation. It returns the headers of the packets to answer with a reset, so that
-// the callers of open flows need not wait until their next request fails. A new
-// incarnation may have taken flows before its first announcement; those opened since
-// its start, in Unix milliseconds of the instance's clock, are kept. Zero drops all.
-func (d *Deliverer) DropFlows(startUnixMs int64) []gooseberrymast.PacketHeader {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var resets []gooseberrymast.PacketHeader
-	for key, f := range d.flows {
-		if startUnixMs != 0 && f.openedAt.UnixMilli() >= startUnixMs {
-			continue
-		}
-		if !f.closed && f.answered {
-			resets = append(resets, gooseberrymast.PacketHeader{
-				Source: key.Caller, Destination: key.Service, Acknowledgement: f.lastAck,
-			})
-		}
-		d.dropFlow(key, f)
-	}
-	return resets
-}
-
 // unansweredAfter is the time after which a server that has not answered an
 // opening packet may have failed: it answers within a few milliseconds.
 const unansweredAfter = 100 * time.Millisecond
@@ -200,6 +181,7 @@
 		event = FlowLearned
 	}
 	f.lastUsed = now
+	d.attribute(f, header)
 	step := Step{Action: ToCaller, Event: event}
 	if !f.answered {
 		f.answered = true
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -20,6 +20,9 @@
 	serverBegan bool
 	// answered is set when the server has sent anything.
 	answered bool
+	// answer is the position of the server's last answer to the flow's opening among
+	// those of all flows; zero while there is none.
+	answer uint64
 	// busy is set while a request of the flow is in progress.
 	busy bool
 	// closed is set once the server has ended the flow.
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -183,7 +183,7 @@
 	}
 	if serverGone && !a.hidden.Load() {
 		// The platform stops the instance once its server has ended.
-		a.resetLost("server-ended", 0)
+		a.resetLost("server-ended", a.deliverer.DropFlows())
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
 		defer cancel()
 		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -28,6 +28,11 @@
 	before := a.tracker.Status(now)
 	restarted, err := a.tracker.HandleAnnouncement(announcement, now)
 	after := a.tracker.Status(now)
+	var lost []gooseberrymast.PacketHeader
+	if err == nil {
+		// Under the same lock, so that announcements keep their order.
+		lost = a.deliverer.HandleAnnouncement(restarted)
+	}
 	a.trackerMu.Unlock()
 	if err != nil {
 		a.Log.Warn(gooseberrymast.EventAnnouncementIgnored).Str("server", announcement.ID).
@@ -36,7 +41,7 @@
 	}
 	if restarted {
 		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.StartUnixMs).Msg("")
-		a.resetLost("server-restarted", announcement.StartUnixMs)
+		a.resetLost("server-restarted", lost)
 		a.deliverer.ClearServed()
 		a.assessorMu.Lock()
 		a.assessor.Reset()
@@ -62,10 +67,8 @@
 	return err
 }
 
-// resetLost resets the flows that the server has lost and notifies their callers:
-// those opened before the start of its incarnation, or all if startUnixMs is zero.
-func (a *Agent) resetLost(reason string, startUnixMs int64) {
-	lost := a.deliverer.DropFlows(startUnixMs)
+// resetLost sends the callers of flows that the server has lost a reset.
+func (a *Agent) resetLost(reason string, lost []gooseberrymast.PacketHeader) {
 	for _, header := range lost {
 		a.write(a.outbound, a.Codec.AppendReset(nil, header), callerEndpoint(header.Source, a.Settings))
 		a.metrics.countRefusal(reason)
@@ -106,7 +109,7 @@
 	}
 	line.Err(err).Msg("")
 	a.refreshState(now)
-	a.resetLost("server-dead", 0)
+	a.resetLost("server-dead", a.deliverer.DropFlows())
 }
 
 func (a *Agent) handleMalformed(id string, err error) {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -230,6 +231,31 @@
 	is.True(!agent.serverState(agent.Timer.Now()).Complete)
 }
 
+// The clock of the agent's instance jumps back, and its server restarts, which takes a
+// flow before its first announcement.
+func TestFlowOfNewIncarnationSurvivesClockStep(t *testing.T) {
+	c := newCluster(t)
+	server := startServer(t, 1)
+	agent, announce, _ := c.startWaitingAgent(1)
+	announce(1)
+	c.startBalancer(1)
+	c.openFlow(1, 7000)
+	server.forgetFlows()
+	c.openFlow(1, 7001)
+	is := is.New(t)
+	is.NoErr(agent.handleAnnouncement(gooseberrymast.Announcement{
+		ID: "i-2", StartUnixMs: agent.Timer.Now().Add(time.Minute).UnixMilli(), Sequence: 1, Service: "ledger", Slots: 4,
+		Address: agent.Settings.Server,
+	}))
+	reset := false
+	c.sendUntil(1, 7001, gooseberrymast.PacketHeader{Acknowledges: true}, "request", func(header gooseberrymast.PacketHeader, answer string) bool {
+		reset = reset || header.Resets
+		return answer == "request"
+	})
+	is.True(!reset)
+	c.expectReset(1, 7000)
+}
+
 // A balancer may remove the entry of an agent that was away for a minute just as the
 // agent comes back and has read it.
 func TestEntryRemovedDuringRegistrationIsWrittenAnew(t *testing.T) {
