Keep the addresses of flows that a new incarnation took early

Callers: a server restarts and takes a flow, a document then takes the route from its service, the server announces itself, and its agent restarts. The next agent answers with certainty that the server never served the address, so the open flow may be reset.

Cause: the first announcement of a new incarnation cleared all addresses served, also those of flows taken since the restart, and the entry named only what the routes allow.

Change: the addresses of the flows held stay.

Evidence: TestAddressesOfKeptFlowsStayRecorded failed before (nil instead of the flow's address).

--- a/coordination/deliverer/served.go
+++ b/coordination/deliverer/served.go
@@ -38,12 +38,16 @@
 	return d.servedChanges
 }
 
-// ClearServed clears the addresses served: the server is a new incarnation.
+// ClearServed clears the addresses served, except those of the flows held: the server
+// is a new incarnation, and may have taken these before its first announcement.
 func (d *Deliverer) ClearServed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.served, d.recorded = nil, nil
 	d.servedChanges++
+	for key := range d.flows {
+		d.addServed(key.Service)
+	}
 }
 
 // Restore adds the addresses that an earlier incarnation of the agent recorded.
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -74,3 +74,17 @@
 	takeFlow(&d, routes, address)
 	is.Equal(d.ServedChanges(), before+2)
 }
+
+// Guards against resets of flows that a restarted server took before its first
+// announcement, at an address that a later document no longer allows it: the next
+// agent must query the server for them.
+func TestAddressesOfKeptFlowsStayRecorded(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	takeFlow(&d, routes, address)
+	d.FromServer(answer(0), epoch)
+	d.HandleAnnouncement(true)
+	d.ClearServed()
+	is.Equal(d.Served(), []gooseberrymast.Endpoint{address})
+	is.Equal(d.Record("ledger", nil), []gooseberrymast.Endpoint{address})
+}
