--- a/runner/agent.go
+++ b/runner/agent.go
@@ -183,7 +183,7 @@
 	}
 	if serverGone && !a.hidden.Load() {
 		// The platform stops the instance once its server has ended.
-		a.resetLost("server-ended", 0)
+		a.resetLost("server-ended", a.deliverer.DropFlows())
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
 		defer cancel()
 		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
@@ -311,12 +311,6 @@
 
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(served interpreter.Served) {
-	// An entry that names no incarnation may be of any, unless no flow was served.
-	if served.Server != "" || len(served.Addresses) == 0 {
-		a.trackerMu.Lock()
-		a.tracker.SetPredecessor(served.Server)
-		a.trackerMu.Unlock()
-	}
 	a.deliverer.Restore(served.Addresses)
 }
 
