Search for a flow whose recorded owner is gone

Callers saw an open flow reset by a balancer ("owner-gone") while the server that holds it was sound.

Cause: a balancer's record of a flow's owner is no proof. It may come from placing an opening packet alone, or from an agent whose server answered a copy that the caller didn't acknowledge. With copies through two balancers the flow opens at the second agent; once the first one is gone, the first balancer reset the flow, as did a lookup balancer to which both agents had announced it.

Change: an owner that is gone is forgotten, and the packet is walked over all other agents that may hold the flow. Only a complete, definite walk resets. flow-walked has the reason owner-gone, so that logs show such searches.

Ruled out: an order among records (a confirmed one over a placed one). Two servers that answered copies both confirm; with a walk a wrong record costs a detour and no reset, so nothing depends on the order.

--- /dev/null
+++ b/coordination/steerer/proof_caller_test.go
@@ -0,0 +1,24 @@
+package steerer_test
+
+import (
+	"time"
+
+	"gooseberrymast"
+)
+
+// sendOpening sends a copy of a flow's opening packet to a balancer.
+func (m *model) sendOpening(b *balancerModel, key gooseberrymast.FlowKey, number int) {
+	m.log(key, "caller sends copy %d to %s", number, b.self.Endpoint)
+	m.copies[key] = number + 1
+	m.send(packet{to: b.self.Endpoint, fromCaller: true, header: gooseberrymast.PacketHeader{
+		Source: key.Caller, Destination: key.Service, Opens: true, Copy: number,
+	}})
+}
+
+// losePower takes the power from an agent's instance for a time: its server loses
+// all flows.
+func (m *model) losePower(a *agentModel, duration time.Duration) {
+	m.startServer(a)
+	m.startAgent(a)
+	a.downUntil = m.now.Add(duration)
+}
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -49,7 +49,8 @@
 	// ReasonNoHolder: every agent that may hold the flow has answered that it
 	// doesn't.
 	ReasonNoHolder Reason = "no-holder"
-	// ReasonOwnerGone: the flow's owner is gone.
+	// ReasonOwnerGone: the flow's recorded owner is gone, so that the flow is searched
+	// for.
 	ReasonOwnerGone Reason = "owner-gone"
 	// ReasonHolderUnknown: the walk found no holder, but not every agent has
 	// answered definitely.
@@ -64,7 +65,8 @@
 	Hop gooseberrymast.Hop
 	// CallerHeader is the caller's packet that Reset answers.
 	CallerHeader gooseberrymast.PacketHeader
-	// Reason is set for Drop and Reset.
+	// Reason is set for Drop and Reset, and for the walk of a flow whose recorded
+	// owner is gone.
 	Reason Reason
 }
 
@@ -184,7 +186,7 @@
 	}
 	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: s.Self, Version: routes.Version}
 	if owner, found := s.Owners.Find(key, now); found {
-		return append(steps, s.deliver(header, owner, hop, now))
+		return s.deliver(steps, header, owner, hop, now)
 	}
 	for _, lookup := range locator.LookupBalancers(key, s.readyBalancers(now)) {
 		if lookup != s.Self && !lookup.IsZero() {
@@ -203,7 +205,7 @@
 	case gooseberrymast.HopLookup:
 		if owner, found := s.Owners.Find(key, now); found {
 			hop.Mode, hop.NotifyOrigin = gooseberrymast.HopDeliver, true
-			return append(steps, s.deliver(header, owner, hop, now))
+			return s.deliver(steps, header, owner, hop, now)
 		}
 		return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, now)
 	case gooseberrymast.HopReturn:
@@ -215,15 +217,23 @@
 	return steps
 }
 
-// deliver forwards a packet to the owner of its flow. If the owner is
-// considered gone it resets the flow, so that the caller need not wait for its
-// deadline.
-func (s *Steerer) deliver(header gooseberrymast.PacketHeader, owner gooseberrymast.Endpoint, hop gooseberrymast.Hop,
-	now time.Time) Step {
-	if s.gone(owner, now) {
-		return Step{Action: Reset, CallerHeader: header, Reason: ReasonOwnerGone}
+// deliver forwards a packet to the recorded owner of its flow. If that agent is
+// considered gone, the flow is searched for at the others: a copy of its opening
+// packet may have opened it at one of them.
+func (s *Steerer) deliver(steps []Step, header gooseberrymast.PacketHeader, owner gooseberrymast.Endpoint,
+	hop gooseberrymast.Hop, now time.Time) []Step {
+	if !s.gone(owner, now) {
+		return append(steps, Step{Action: Forward, To: owner, Hop: hop})
 	}
-	return Step{Action: Forward, To: owner, Hop: hop}
+	s.Owners.Forget(header.FromCaller(), owner)
+	first := len(steps)
+	steps = s.walk(steps, header, hop, owner, now)
+	for i := first; i < len(steps); i++ {
+		if steps[i].Action == Forward {
+			steps[i].Reason = ReasonOwnerGone
+		}
+	}
+	return steps
 }
 
 // handleUnrouted decides on a packet to an address that has no route.
