Relays report the agents that they hear after most of a zone's were lost

Cause: a relay that hears fewer than half of its zone's agents said nothing, in case it was cut off. When two of a zone's three agents lose power for longer, the third is alive but in no summary; 3 s (MaxViewAge) and 2.5 s (GoneAfterRelayed) later every other zone takes it for gone, resets its flows and leaves it out of walks. The agent itself hears its balancers, so it doesn't report to other zones. In a zone of three a planned change or loss of two is enough.

Change: such a relay's summaries contain the peers that report to it and nothing of the others, so that a relay that is cut off still makes nobody look silent. One that hears no agent stays silent.

Failed before: TestLastAgentOfAZoneIsHeardElsewhere (11.15s: balancer 10.0.0.1:7000 resets a flow of agent 10.1.0.102:7000, which runs).

--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -12,7 +12,8 @@
 //
 // A relay may be lost, paused or cut off. So nobody concludes from missing
 // summaries that a peer has failed, a relay that hears few agents of its zone says
-// nothing, and an agent that hears no balancer of its own zone reports to all.
+// nothing of those that it doesn't hear, and an agent that hears no balancer of its
+// own zone reports to all.
 package relayer
 
 import (
@@ -128,19 +129,24 @@
 }
 
 // Summary returns the summary of the own zone and its recipients. Both are empty if
-// the process is not a relay, or knows too little: fewer than half of the zone's
-// agents report, so that the process is probably cut off or has just started.
+// the process is not a relay, or hears no agent of the zone. If fewer than half of
+// the zone's agents report, the process may be cut off or have just started, or the
+// others were lost: the summary then contains only the peers that report, without
+// which other zones would take them for gone too.
 func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
 	r.lastSummary = now
 	rank, relays := r.rank(entries, self, now)
-	r.relaying = rank < relaysPerZone && r.hearsMostAgents(entries, now)
+	heard, total := r.countAgents(entries, now)
+	r.relaying = rank < relaysPerZone && (heard > 0 || total == 0)
 	if !r.relaying {
 		return gooseberrymast.Summary{}, nil
 	}
+	hearsMost := 2*heard >= total
 	summary := gooseberrymast.Summary{Zone: r.Zone, Peers: []gooseberrymast.PeerSummary{{Peer: self, Heard: true}}}
 	for _, entry := range entries {
 		silence := entry.Silence(now, r.Started)
-		if entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone && silence > goneKept {
+		if entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone && silence > goneKept ||
+			!hearsMost && !entry.Reporting(now) {
 			continue
 		}
 		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{
@@ -186,8 +192,8 @@
 	return a.Endpoint.Compare(b.Endpoint)
 }
 
-func (r *Relayer) hearsMostAgents(entries []roster.Entry, now time.Time) bool {
-	heard, total := 0, 0
+// countAgents returns the number of the zone's agents that report, and of all.
+func (r *Relayer) countAgents(entries []roster.Entry, now time.Time) (heard, total int) {
 	for _, entry := range entries {
 		if entry.Role != gooseberrymast.RoleAgent || entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone {
 			continue
@@ -197,7 +203,7 @@
 			heard++
 		}
 	}
-	return 2*heard >= total
+	return heard, total
 }
 
 // summaryRecipients returns the balancers of other zones that get a relay's summary.
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -238,3 +238,24 @@
 	_, recipients := relay.relayer.Summary(relay.roster.Entries(nil), relay.self, f.now.Add(5100*time.Millisecond))
 	is.Equal(len(recipients), 0) // it has heard none of its agents since
 }
+
+// Two of a zone's three agents lose power for good. The third one serves on, and no
+// balancer of another zone may take it for gone because the relays of its zone hear
+// few agents.
+func TestLastAgentOfAZoneIsHeardElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 3, 3, 3)
+	f.run(5*time.Second, nil)
+	agents := f.ofZone(gooseberrymast.RoleAgent, 1)
+	f.stop(agents[0])
+	f.stop(agents[1])
+	f.run(15*time.Second, f.checkNoneFalselyGone)
+	is.Equal(f.missing(), 0)
+	for i, lost := range f.processes {
+		for _, balancer := range f.processes {
+			if lost.down && balancer.steerer != nil {
+				is.True(f.takesForGone(balancer, i))
+			}
+		}
+	}
+}
