Hide a new agent until its entry is written

Callers: an agent without an entry takes flows while the store fails, and ends before its entry is written. Its successor finds no entry, takes itself for the instance's first agent, and answers with certainty that flows are not held which the server holds.

Cause: awaitKnownServer let peers know the agent as soon as its server had announced itself, before the entry was written. Peers that still know the address of an earlier instance report to it, and place flows there.

Change: the agent stays hidden until the write of its entry was acknowledged, or found an entry. No entry in the store then means that no agent has served, unless the store lost it.

Evidence: TestAgentStaysHiddenUntilItsEntryIsWritten failed before (not hidden while the store is down).

--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -144,9 +144,10 @@
 	}
 }
 
-// awaitKnownServer keeps the agent hidden while it has neither an entry in the store
-// nor a server. Such an agent holds no flow, and may be stopped for good before it
-// ever has one; peers that know it would wait for its answers.
+// awaitKnownServer waits for the server and hides the agent if the store has no entry of
+// it. Such an agent holds no flow, and may be stopped for good before it ever has a
+// server; peers that know it would wait for its answers. It stays hidden until its entry
+// is written, so that no entry means that no agent has served.
 func (a *Agent) awaitKnownServer(ctx context.Context) {
 	backoff := registerBackoff
 	for ctx.Err() == nil {
@@ -170,11 +171,6 @@
 			select {
 			case <-ctx.Done():
 			case <-a.serverKnown:
-				// Its zone's balancers couldn't report to it before.
-				a.relayerMu.Lock()
-				a.relayer.Started = a.Timer.Now()
-				a.relayerMu.Unlock()
-				a.hidden.Store(false)
 			}
 			return
 		}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -63,6 +63,7 @@
 	if err != nil && !errors.Is(err, gooseberrymast.ErrStoreConflict) {
 		return err
 	}
+	m.reveal()
 	found, err := m.loadPeers(ctx)
 	if err != nil {
 		return err
@@ -83,6 +84,18 @@
 	return m.updateEntry(ctx)
 }
 
+// reveal lets peers know a process that was hidden.
+func (m *member) reveal() {
+	if !m.hidden.Load() {
+		return
+	}
+	// Its zone's balancers couldn't report to it before.
+	m.relayerMu.Lock()
+	m.relayer.Started = m.Timer.Now()
+	m.relayerMu.Unlock()
+	m.hidden.Store(false)
+}
+
 // loadPeers merges the entries of all instances into the roster, restores what an
 // earlier agent of this instance and service stored, and returns the process's own
 // entry.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -231,6 +231,31 @@
 	is.True(!agent.serverState(agent.Timer.Now()).Complete)
 }
 
+// Guards against an agent that takes flows without an entry: its successor would find
+// none and take itself for the instance's first agent.
+func TestAgentStaysHiddenUntilItsEntryIsWritten(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	agent, announce, _ := c.startWaitingAgent(1)
+	c.waitFor("the agent has looked for its entry", agent.hidden.Load)
+	setDown := func(down bool) {
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		c.store.down = down
+	}
+	setDown(true)
+	announce(1)
+	c.waitFor("the agent has tried to write its entry", func() bool {
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		return agent.storeFailed
+	})
+	is.True(agent.hidden.Load())
+	setDown(false)
+	c.waitFor("the agent is known", func() bool { return agent.registered.Load() && !agent.hidden.Load() })
+}
+
 // The clock of the agent's instance jumps back, and its server restarts, which takes a
 // flow before its first announcement.
 func TestFlowOfNewIncarnationSurvivesClockStep(t *testing.T) {
