Answer only a flow's first opening packet with a reset

An open flow could be reset by an agent or balancer that refused another copy of its opening packet.

Cause: callers retransmit an opening packet after 200 and 600 ms, and the fabric may hand each copy to another balancer. A copy that was slow arrives after another one has opened the flow. If all of its candidates refuse for certain (leaving, gone), the last one reset the flow; so did a balancer without candidates, or without the route since its document is older.

Change: only the first opening packet is answered by a reset, and only by the balancer that placed it. Its last candidate reports the refusal there (HopAbsent for the walk id in the hop), and the balancer resets if it placed the packet less than 200 ms ago, before the next copy is due; later than that, and for copies, the caller's next copy or its time-out decides.

Weighed: never resetting an opening. Callers of a service whose servers all refuse would wait 1.4 s each time, and a refused request must be answered at once.

The model assumes that a first opening packet reaches its balancer within 200 ms or never: a balancer that reads later than that is not in touch.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -134,7 +134,7 @@
 	}
 	if header.Opens {
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
-			return d.passOn(header, hop, reason, definite)
+			return d.passOn(hop, reason, definite)
 		}
 		f = d.addFlow(key, now)
 		if hop.NotifyOrigin {
@@ -180,7 +180,7 @@
 	}
 	d.pending[header.Tag%maxPending] = pendingPacket{}
 	if header.Opens {
-		return d.passOn(header, found.hop, ReasonServerRefused, true)
+		return d.passOn(found.hop, ReasonServerRefused, true)
 	}
 	return d.answerNotHeld(header, found.hop, ReasonNotHeld, true)
 }
@@ -316,8 +316,10 @@
 	return ok && route.Allows(service)
 }
 
-// passOn forwards a new flow to the next candidate, or ends its opening.
-func (d *Deliverer) passOn(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, reason Reason, definite bool) Step {
+// passOn forwards a new flow to the next candidate, or ends its opening: the balancer
+// that placed it decides whether the flow may be reset, since a copy of the opening
+// packet may have opened it elsewhere.
+func (d *Deliverer) passOn(hop gooseberrymast.Hop, reason Reason, definite bool) Step {
 	hop.Definite = hop.Definite && definite
 	hop.NotifyOrigin = true
 	if len(hop.Candidates) > 0 {
@@ -325,8 +327,9 @@
 		hop.Candidates = hop.Candidates[1:]
 		return Step{Action: Forward, To: next, Hop: hop, Reason: reason}
 	}
-	if hop.Definite {
-		return Step{Action: Reset, CallerHeader: header, Reason: reason}
+	if hop.Definite && !hop.Initiator.IsZero() {
+		hop.Mode = gooseberrymast.HopAbsent
+		return Step{Action: Forward, To: hop.Initiator, Hop: hop, Reason: reason}
 	}
 	return Step{Action: Drop, Reason: reason}
 }
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -19,8 +19,6 @@
 	ToCaller
 	// Forward sends the packet to a peer.
 	Forward
-	// Reset sends the caller a reset of the flow.
-	Reset
 )
 
 // Reason says why a packet doesn't reach the server.
@@ -63,8 +61,6 @@
 	// To and Hop are set for Forward.
 	To  gooseberrymast.Endpoint
 	Hop gooseberrymast.Hop
-	// CallerHeader is the caller's packet that Reset answers.
-	CallerHeader gooseberrymast.PacketHeader
 	// Notify is a balancer to notify that this agent owns the flow.
 	Notify gooseberrymast.Endpoint
 	// Reason is set when the packet doesn't reach the server.
--- a/coordination/steerer/owner_test.go
+++ b/coordination/steerer/owner_test.go
@@ -95,3 +95,38 @@
 	is.Equal(steps[0].To, agent(2))
 	is.Equal(f.answerWalk(steps, true)[0].Action, Reset)
 }
+
+// A copy of an opening packet may arrive after another copy has opened the flow.
+func TestOnlyTheFirstOpeningPacketIsReset(t *testing.T) {
+	later := packet(true)
+	later.Copy = 1
+	t.Run("no agent", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(0)
+		is.Equal(f.steerer.FromCaller(nil, packet(true), epoch)[0].Action, Reset)
+		is.Equal(f.steerer.FromCaller(nil, later, epoch)[0].Action, Drop)
+	})
+	t.Run("no route", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(2)
+		first, second := packet(true), later
+		first.Destination, second.Destination = endpoint("198.18.9.9:1"), endpoint("198.18.9.9:1")
+		is.Equal(f.steerer.FromCaller(nil, first, epoch)[0].Action, Reset)
+		is.Equal(f.steerer.FromCaller(nil, second, epoch)[0].Action, Drop)
+	})
+	t.Run("refused by all candidates", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(5)
+		refuse := func(header gooseberrymast.PacketHeader, at time.Time) []Step {
+			hop := f.steerer.FromCaller(nil, header, epoch)[0].Hop
+			hop.Mode, hop.Candidates = gooseberrymast.HopAbsent, nil
+			return f.steerer.FromPeer(nil, header, hop, agent(1), at)
+		}
+		steps := refuse(packet(true), epoch.Add(firstRetransmission-1))
+		is.Equal(len(steps), 1)
+		is.Equal(steps[0].Action, Reset)
+		is.Equal(steps[0].Reason, ReasonNoAgent)
+		is.Equal(refuse(packet(true), epoch.Add(firstRetransmission))[0].Action, Drop) // the copy may have opened it
+		is.Equal(len(refuse(later, epoch)), 0)
+	})
+}
--- a/coordination/steerer/proof_caller_test.go
+++ b/coordination/steerer/proof_caller_test.go
@@ -6,7 +6,9 @@
 	"gooseberrymast"
 )
 
-// sendOpening sends a copy of a flow's opening packet to a balancer.
+// sendOpening sends a copy of a flow's opening packet to a balancer. The first one
+// arrives at once or is lost: the caller sends the second 200 ms later, and a balancer
+// that receives packets later than that is not in touch.
 func (m *model) sendOpening(b *balancerModel, key gooseberrymast.FlowKey, number int) {
 	m.log(key, "caller sends copy %d to %s", number, b.self.Endpoint)
 	m.copies[key] = number + 1
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -44,7 +44,8 @@
 	ReasonNoRoute Reason = "no-route"
 	// ReasonRouteRemoved: the document no longer has the flow's route.
 	ReasonRouteRemoved Reason = "route-removed"
-	// ReasonNoAgent: no agent of the route's services accepts new flows.
+	// ReasonNoAgent: no agent of the route's services accepts new flows, or all
+	// candidates for a flow refused it.
 	ReasonNoAgent Reason = "no-agent"
 	// ReasonNoHolder: every agent that may hold the flow has answered that it
 	// doesn't.
@@ -114,7 +115,8 @@
 	allowed map[gooseberrymast.Endpoint][]string
 }
 
-// walk is the search for a flow's holder, along several chains of candidates.
+// walk is the search for a flow's holder, along several chains of candidates, or the
+// offer of a new flow to one chain.
 type walk struct {
 	header        gooseberrymast.PacketHeader
 	pendingChains int
@@ -212,7 +214,7 @@
 		s.Owners.Forget(key, sender)
 		return s.walk(steps, header, hop, sender, now)
 	case gooseberrymast.HopAbsent:
-		return s.handleAbsent(steps, hop)
+		return s.handleAbsent(steps, hop, now)
 	}
 	return steps
 }
@@ -243,7 +245,7 @@
 	s.routesMu.RUnlock()
 	switch {
 	case header.Opens:
-		return Step{Action: Reset, CallerHeader: header, Reason: ReasonNoRoute}
+		return refuseOpening(header, ReasonNoRoute)
 	case removed:
 		return Step{Action: Reset, CallerHeader: header, Reason: ReasonRouteRemoved}
 	}
@@ -270,17 +272,31 @@
 		if !complete {
 			return Step{Action: Drop, Reason: ReasonNoAgent}
 		}
-		return Step{Action: Reset, CallerHeader: header, Reason: ReasonNoAgent}
+		return refuseOpening(header, ReasonNoAgent)
 	}
 	s.Owners.Record(key, chosen[0], now)
-	return Step{Action: Forward, To: chosen[0], Hop: gooseberrymast.Hop{
+	hop := gooseberrymast.Hop{
 		Mode:       gooseberrymast.HopPlace,
 		Definite:   true,
 		Origin:     s.Self,
 		Version:    routes.Version,
 		Service:    gooseberrymast.ServiceHash(service),
 		Candidates: chosen[1:],
-	}}
+	}
+	if header.Copy == 0 {
+		hop.Initiator, hop.Walk = s.Self, s.beginWalk(header, 1, true, now)
+	}
+	return Step{Action: Forward, To: chosen[0], Hop: hop}
+}
+
+// refuseOpening returns the step for an opening packet that can't be served. Only the
+// first one is answered by a reset: another balancer may have placed a copy, and the
+// flow may be open when a later copy arrives.
+func refuseOpening(header gooseberrymast.PacketHeader, reason Reason) Step {
+	if header.Copy > 0 {
+		return Step{Action: Drop, Reason: reason}
+	}
+	return Step{Action: Reset, CallerHeader: header, Reason: reason}
 }
 
 const (
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -108,9 +108,14 @@
 	return first
 }
 
-// handleAbsent processes the answer at the end of one chain of a walk. A second
-// answer of a chain, from a duplicated packet, is ignored.
-func (s *Steerer) handleAbsent(steps []Step, hop gooseberrymast.Hop) []Step {
+// firstRetransmission is the time after which a caller retransmits an opening packet.
+// A refusal that arrives later may concern a flow that the copy has opened.
+const firstRetransmission = 200 * time.Millisecond
+
+// handleAbsent processes the answer at the end of one chain of a walk, or of the
+// candidates for a new flow. A second answer of a chain, from a duplicated packet, is
+// ignored.
+func (s *Steerer) handleAbsent(steps []Step, hop gooseberrymast.Hop, now time.Time) []Step {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, ok := s.walks[hop.Walk]
@@ -123,10 +128,14 @@
 	switch {
 	case w.pendingChains > 0:
 		return steps
-	case w.definite:
+	case !w.definite:
+		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
+	case !w.header.Opens:
 		return append(steps, Step{Action: Reset, CallerHeader: w.header, Reason: ReasonNoHolder})
+	case now.Sub(w.started) >= firstRetransmission:
+		return append(steps, Step{Action: Drop, Reason: ReasonNoAgent})
 	}
-	return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
+	return append(steps, refuseOpening(w.header, ReasonNoAgent))
 }
 
 // Expire drops walks that were not answered in time.
--- a/hop.go
+++ b/hop.go
@@ -20,7 +20,7 @@
 	// to its origin.
 	HopReturn
 	// HopAbsent: the last candidate of a walk reports that none of them holds
-	// the flow.
+	// the flow, or that of a new flow that none takes it.
 	HopAbsent
 )
 
@@ -59,8 +59,9 @@
 	NotifyOrigin bool
 	// Origin is the balancer that received the packet from the caller.
 	Origin Endpoint
-	// Initiator is the balancer that started the walk; Walk is the number of the chain
-	// at that balancer.
+	// Initiator is the balancer that started the walk or placed the new flow; Walk is
+	// the number of the chain at that balancer. Initiator is zero for a retransmitted
+	// opening packet, which is never answered by a reset.
 	Initiator Endpoint
 	Walk      uint32
 	// Version is the version of the routes that the balancer used.
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -72,8 +72,6 @@
 		a.write(a.outbound, packet, callerEndpoint(key.Caller, a.Settings))
 	case deliverer.Forward:
 		a.write(a.conn, append(wrapper.Append(make([]byte, 0, maxDatagram), step.Hop), packet...), step.To)
-	case deliverer.Reset:
-		a.write(a.outbound, a.Codec.AppendReset(nil, step.CallerHeader), callerEndpoint(key.Caller, a.Settings))
 	}
 	if !step.Notify.IsZero() {
 		a.send(interpreter.Owners(a.Settings.Peers, []gooseberrymast.FlowKey{key}), step.Notify)
--- a/runner/record.go
+++ b/runner/record.go
@@ -79,8 +79,6 @@
 // newLogLine starts the log line of a step, or returns nil if the step isn't logged.
 func (a *Agent) newLogLine(step deliverer.Step, key gooseberrymast.FlowKey) *log.Entry {
 	switch {
-	case step.Action == deliverer.Reset:
-		return a.Log.Info(gooseberrymast.EventFlowReset)
 	case step.Action == deliverer.Drop:
 		return a.Log.Info(gooseberrymast.EventPacketDropped)
 	case step.Action == deliverer.Forward && step.Hop.Mode == gooseberrymast.HopPlace:
@@ -106,8 +104,7 @@
 }
 
 var agentActionNames = [...]string{
-	deliverer.Drop: "drop", deliverer.ToServer: "to-server", deliverer.ToCaller: "to-caller",
-	deliverer.Forward: "forward", deliverer.Reset: "reset",
+	deliverer.Drop: "drop", deliverer.ToServer: "to-server", deliverer.ToCaller: "to-caller", deliverer.Forward: "forward",
 }
 
 func routesVersion(routes *gooseberrymast.Routes) uint64 {
