Walk past agents that may not run

Cause: agents forward a walk along one chain, so that an agent that is away ends it. Those that leave, are late or are silent stood anywhere in the chain; while others restarted one after the other, each retransmission of a caller reached the servers in front of them again, and never the holder behind. Ruled out: the owner's own restart (0.56 s), a false verdict of "gone" (the owner was named in each chain).

Change: an agent that may not run has a chain of its own. The walk still ends only with the answers of all chains, so what counts as proof is the same.

Tests: TestWalkReachesHolderBehindRestartingAgent failed before in all three cases (1, 1 and 3 of 4 agents reached). TestWalkSkipsAgentThatNeverReported and TestWalkIncludesAgentLearnedFromPeers counted the agents of the first chain; they count those of all chains now, with the same expected figures.

--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -16,18 +16,15 @@
 	// Read before the agents are listed: the stored list of peers may complete
 	// at any moment, and agents listed before that may be too few.
 	complete := s.Roster.IsComplete()
-	holders := s.possibleHolders(header.Destination, excluded, now)
-	if len(holders) == 0 {
+	chains := chainsOf(s.possibleHolders(header.Destination, excluded, now), now)
+	if len(chains) == 0 {
 		if complete && !excluded.IsZero() {
 			return append(steps, Step{Action: Reset, CallerHeader: header, Reason: ReasonNoHolder})
 		}
 		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
 	}
-	chainLength := gooseberrymast.MaxCandidates + 1
-	id := s.beginWalk(header, (len(holders)+chainLength-1)/chainLength, complete, now)
-	for ; len(holders) > 0; id++ {
-		chain := holders[:min(chainLength, len(holders))]
-		holders = holders[len(chain):]
+	id := s.beginWalk(header, len(chains), complete, now)
+	for _, chain := range chains {
 		steps = append(steps, Step{Action: Forward, To: chain[0], Hop: gooseberrymast.Hop{
 			Mode:         gooseberrymast.HopWalk,
 			Definite:     true,
@@ -38,17 +35,39 @@
 			Version:      hop.Version,
 			Candidates:   chain[1:],
 		}})
+		id++
 	}
 	return steps
 }
 
+// chainsOf returns the chains along which agents forward a walk. An agent that may
+// not run, and so may not forward it, has a chain of its own: behind it, others would
+// not be reached until it runs again.
+func chainsOf(holders []roster.Entry, now time.Time) [][]gooseberrymast.Endpoint {
+	var chains, single [][]gooseberrymast.Endpoint
+	var chain []gooseberrymast.Endpoint
+	for _, entry := range holders {
+		if !entry.Reporting(now) || entry.ReportAge(now) > lateReportAge || entry.State == gooseberrymast.StateLeaving {
+			single = append(single, []gooseberrymast.Endpoint{entry.Endpoint})
+			continue
+		}
+		chain = append(chain, entry.Endpoint)
+		if len(chain) > gooseberrymast.MaxCandidates {
+			chains, chain = append(chains, chain), nil
+		}
+	}
+	if len(chain) > 0 {
+		chains = append(chains, chain)
+	}
+	return append(chains, single...)
+}
+
 // possibleHolders returns the agents that may hold a flow of an address: those
 // of the services that the address's route allows or did allow, and those that
-// are stored as having served the address. Agents with a recent report come
-// first, since the others may not answer.
-func (s *Steerer) possibleHolders(address, excluded gooseberrymast.Endpoint, now time.Time) []gooseberrymast.Endpoint {
-	var reporting []roster.Entry
-	var silent []gooseberrymast.Endpoint
+// are stored as having served the address. They are ordered by zone, beginning with
+// this balancer's own, so that a chain crosses between zones as seldom as possible.
+func (s *Steerer) possibleHolders(address, excluded gooseberrymast.Endpoint, now time.Time) []roster.Entry {
+	var holders []roster.Entry
 	mostReporting := s.HasMostReports(now)
 	allowed := s.everAllowed(address)
 	s.Roster.Each(func(entry roster.Entry) {
@@ -56,15 +75,11 @@
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == excluded:
 		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
 		case mostReporting && s.silentTooLong(entry, now):
-		case entry.Reporting(now):
-			reporting = append(reporting, entry)
 		default:
-			silent = append(silent, entry.Endpoint)
+			holders = append(holders, entry)
 		}
 	})
-	// A chain goes from zone to zone, beginning with this balancer's own, so that
-	// it crosses between zones as seldom as possible.
-	slices.SortFunc(reporting, func(a, b roster.Entry) int {
+	slices.SortFunc(holders, func(a, b roster.Entry) int {
 		if (a.Zone == s.Zone) != (b.Zone == s.Zone) {
 			if a.Zone == s.Zone {
 				return -1
@@ -73,11 +88,7 @@
 		}
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), a.Endpoint.Compare(b.Endpoint))
 	})
-	holders := make([]gooseberrymast.Endpoint, 0, len(reporting)+len(silent))
-	for _, entry := range reporting {
-		holders = append(holders, entry.Endpoint)
-	}
-	return append(holders, silent...)
+	return holders
 }
 
 // beginWalk records a walk and returns the id of its first chain; the others follow.
