Count the silence of peers only while the queue was read

What callers could see: an open flow is reset by a balancer while its server serves (FLOW, first form), after the balancer was paused or lacked processor time.

Cause: silence was counted by the wall clock. When a balancer goes on after a pause, reports wait in its receive queue. Once it has read those of half of the agents, it no longer takes itself for cut off, and the others seem to have been silent for as long as it was away. A relay reports that silence to other zones, too.

Change: each balancer sends itself a marker every 0.1 s. Since it passes the same queue, all that arrived before it has been read. Silence counts up to the last marker read, and begins anew after 0.5 s without one, since the queue may have overflowed. A pause is logged as listening-resumed.

Tests of verdicts after silence now let the balancer listen until then, with the same bounds.

--- a/coordination/relayer/fleet_test.go
+++ b/coordination/relayer/fleet_test.go
@@ -44,13 +44,17 @@
 	undisturbedSince time.Time
 	zoneChanged      bool
 	inbox            []message
-	sentReports      int
+	// readLimit bounds the messages read in a step; zero is no bound.
+	readLimit   int
+	sentReports int
 }
 
-// message is a report or a summary in flight.
+// message is a report, a summary or a marker in flight.
 type message struct {
 	report  gooseberrymast.Report
 	summary *gooseberrymast.Summary
+	// marker is when a balancer sent this to itself.
+	marker time.Time
 }
 
 // fleet simulates the reports and summaries of balancers and agents.
@@ -106,6 +110,7 @@
 	p.down, p.started, p.undisturbedSince, p.inbox = false, f.now, f.now, nil
 	p.self.Incarnation++
 	p.roster = roster.Roster{Zone: p.self.Zone}
+	p.roster.StartListening(f.now)
 	p.relayer = relayer.Relayer{Self: p.self.Endpoint, Role: p.self.Role, Zone: p.self.Zone, Started: f.now}
 	if f.legacy[p] {
 		p.roster.Zone = ""
@@ -123,7 +128,7 @@
 	}
 	p.owners = &locator.Locator{Lifetime: time.Hour}
 	p.steerer = &steerer.Steerer{
-		Self: p.self.Endpoint, Zone: p.self.Zone, Started: f.now, Roster: &p.roster, Owners: p.owners,
+		Self: p.self.Endpoint, Zone: p.self.Zone, Roster: &p.roster, Owners: p.owners,
 		Random: rand.New(rand.NewPCG(1, 1)),
 	}
 	p.steerer.SetRoutes(&gooseberrymast.Routes{Version: 1, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
@@ -175,8 +180,12 @@
 }
 
 func (f *fleet) act(p *process) {
-	inbox := p.inbox
-	p.inbox = nil
+	read := len(p.inbox)
+	if p.readLimit > 0 {
+		read = min(read, p.readLimit)
+	}
+	inbox := p.inbox[:read]
+	p.inbox = p.inbox[read:]
 	for _, m := range inbox {
 		f.receive(p, m)
 	}
@@ -188,6 +197,9 @@
 	if running%interval == step {
 		f.report(p)
 	}
+	if p.self.Role == gooseberrymast.RoleBalancer && running%roster.MarkerInterval == 0 {
+		p.inbox = append(p.inbox, message{marker: f.now})
+	}
 	if p.self.Role != gooseberrymast.RoleBalancer || f.legacy[p] || running%relayer.TickInterval != 0 {
 		return
 	}
@@ -195,13 +207,17 @@
 		return
 	}
 	p.zoneChanged = false
-	summary, recipients := p.relayer.Summary(p.roster.Entries(nil), p.self, f.now)
+	summary, recipients := p.relayer.Summary(p.roster.Entries(nil), p.self, p.roster.Listening(), f.now)
 	for _, recipient := range recipients {
 		f.send(p, recipient, message{summary: &summary})
 	}
 }
 
 func (f *fleet) receive(p *process, m message) {
+	if !m.marker.IsZero() {
+		p.roster.HandleMarker(m.marker)
+		return
+	}
 	if m.summary == nil {
 		if changed, _ := p.roster.HandleReport(m.report, f.now); changed && m.report.Peer.Zone == p.self.Zone {
 			p.zoneChanged = true
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -130,7 +130,8 @@
 // Summary returns the summary of the own zone and its recipients. Both are empty if
 // the process is not a relay, or knows too little: fewer than half of the zone's
 // agents report, so that the process is probably cut off or has just started.
-func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
+func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, listening roster.Listening,
+	now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
 	r.lastSummary = now
 	rank, relays := r.rank(entries, self, now)
 	r.relaying = rank < relaysPerZone && r.hearsMostAgents(entries, now)
@@ -139,7 +140,7 @@
 	}
 	summary := gooseberrymast.Summary{Zone: r.Zone, Peers: []gooseberrymast.PeerSummary{{Peer: self, Heard: true}}}
 	for _, entry := range entries {
-		silence := entry.Silence(now, r.Started)
+		silence := entry.Silence(listening)
 		if entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone && silence > goneKept {
 			continue
 		}
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -235,6 +235,34 @@
 	relay := f.ofZone(gooseberrymast.RoleBalancer, 0)[0]
 	is.True(relay.relayer.Due(false, f.now.Add(400*time.Millisecond)))
 	is.True(!relay.relayer.Due(true, f.now.Add(5*time.Second)))
-	_, recipients := relay.relayer.Summary(relay.roster.Entries(nil), relay.self, f.now.Add(5100*time.Millisecond))
+	_, recipients := relay.relayer.Summary(relay.roster.Entries(nil), relay.self, relay.roster.Listening(), f.now.Add(5100*time.Millisecond))
 	is.Equal(len(recipients), 0) // it has heard none of its agents since
 }
+
+// A balancer is paused and then reads the messages that have waited one by one. The
+// agents whose messages it has not reached yet were not silent.
+func TestBalancerBehindItsQueueTakesNoAgentForGone(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newFleet(t, seed, 3, 2, 8)
+		f.loss = 0.0015
+		// The pause begins between the reports of the own zone's agents and the
+		// summaries of the others, so that the summaries come first in the queue.
+		f.run(5650*time.Millisecond, nil)
+		for _, balancer := range f.ofZone(gooseberrymast.RoleBalancer, 1) {
+			f.pause(balancer, 4*time.Second)
+			balancer.readLimit = 1
+		}
+		f.run(4*time.Second, nil)
+		for end := f.now.Add(3 * time.Second); f.now.Before(end); {
+			f.run(step, nil)
+			for _, balancer := range f.ofZone(gooseberrymast.RoleBalancer, 1) {
+				for i, agent := range f.processes {
+					if agent.steerer == nil && f.takesForGone(balancer, i) {
+						t.Fatalf("seed %d, %v: balancer %s resets a flow of agent %s, which runs",
+							seed, f.now.Sub(epoch), balancer.self.Endpoint, agent.self.Endpoint)
+					}
+				}
+			}
+		}
+	}
+}
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -174,10 +174,11 @@
 	m.log(gooseberrymast.FlowKey{}, "balancer %s starts", b.self.Endpoint)
 	b.self.Incarnation++
 	b.roster = &roster.Roster{Zone: b.self.Zone}
+	b.roster.StartListening(m.now)
 	b.owners = &locator.Locator{}
 	b.relayer = &relayer.Relayer{Self: b.self.Endpoint, Role: b.self.Role, Zone: b.self.Zone, Started: m.now}
 	b.steerer = &steerer.Steerer{
-		Self: b.self.Endpoint, Zone: b.self.Zone, Started: m.now, Roster: b.roster, Owners: b.owners, Random: m.random,
+		Self: b.self.Endpoint, Zone: b.self.Zone, Roster: b.roster, Owners: b.owners, Random: m.random,
 	}
 	b.steerer.SetRoutes(m.routes())
 	for _, a := range m.agents {
@@ -248,8 +249,9 @@
 				other.roster.HandleReport(gooseberrymast.Report{Peer: b.self, Relayed: true}, m.now)
 			}
 		}
+		b.roster.HandleMarker(m.now)
 		b.relayer.Due(false, m.now)
-		summary, _ := b.relayer.Summary(b.roster.Entries(nil), b.self, m.now)
+		summary, _ := b.relayer.Summary(b.roster.Entries(nil), b.self, b.roster.Listening(), m.now)
 		for _, other := range m.balancers {
 			other.roster.HandleSummary(summary, m.now)
 		}
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -86,8 +86,6 @@
 	Self gooseberrymast.Endpoint
 	// Zone is the balancer's availability zone.
 	Zone string
-	// Started is when the balancer began to receive reports from its peers.
-	Started time.Time
 	// Roster holds the reports of the peers.
 	Roster *roster.Roster
 	// Owners holds the known owners of flows.
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -44,9 +44,10 @@
 func newFixture(agents int) *fixture {
 	f := &fixture{}
 	f.steerer = Steerer{
-		Self: self, Zone: "a", Started: epoch, Roster: &f.roster, Owners: &f.owners,
+		Self: self, Zone: "a", Roster: &f.roster, Owners: &f.owners,
 		Random: rand.New(rand.NewPCG(1, 2)),
 	}
+	f.roster.StartListening(epoch)
 	for i := 1; i <= agents; i++ {
 		f.report(agent(i), "ledger", gooseberrymast.StateReady, epoch)
 	}
@@ -55,8 +56,17 @@
 	return f
 }
 
+// listen lets the balancer read its queue up to a time.
+func (f *fixture) listen(until time.Time) {
+	for at := f.roster.Listening().Until; at.Before(until); {
+		at = at.Add(min(roster.MarkerInterval, until.Sub(at)))
+		f.roster.HandleMarker(at)
+	}
+}
+
 func (f *fixture) report(agent gooseberrymast.Endpoint, service string, state gooseberrymast.State, now time.Time) {
 	f.sequence++
+	f.listen(now)
 	f.roster.HandleReport(gooseberrymast.Report{Peer: gooseberrymast.Peer{
 		Endpoint: agent, Role: gooseberrymast.RoleAgent, Incarnation: 1, Sequence: f.sequence, State: state, Service: service, Zone: "a",
 	}, Load: gooseberrymast.FlowLoad{Slots: 4}}, now)
@@ -197,6 +207,7 @@
 	t.Run("the list of peers was not read from the store", func(t *testing.T) {
 		is := is.New(t)
 		f := &fixture{}
+		f.roster.StartListening(epoch)
 		f.steerer = Steerer{Self: self, Roster: &f.roster, Owners: &f.owners, Random: rand.New(rand.NewPCG(1, 2))}
 		f.steerer.SetRoutes(routes(1, map[gooseberrymast.Endpoint][]string{address: {"ledger"}}))
 		f.report(agent(1), "ledger", gooseberrymast.StateReady, epoch)
@@ -263,7 +274,9 @@
 	at := epoch.Add(GoneAfterLeaving)
 	f.report(agent(2), "ledger", gooseberrymast.StateReady, at)
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward)
-	is.Equal(f.steerer.FromCaller(nil, packet(false), at.Add(time.Millisecond))[0].Action, Reset)
+	at = at.Add(time.Millisecond)
+	f.listen(at)
+	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Reset)
 }
 
 // An opening packet is retransmitted after 200 and 600 ms while the chosen agent
@@ -296,6 +309,7 @@
 	f := newFixture(4)
 	f.owners.Record(packet(false).FromCaller(), agent(1), epoch)
 	at := epoch.Add(time.Minute)
+	f.listen(at)
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward)
 	f.report(agent(2), "ledger", gooseberrymast.StateReady, at)
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward) // it receives reports from one of four
@@ -308,6 +322,7 @@
 	is := is.New(t)
 	f := newFixture(3)
 	f.roster = roster.Roster{}
+	f.roster.StartListening(epoch)
 	for number := 1; number <= 3; number++ {
 		f.report(agent(number), "ledger", gooseberrymast.StateReady, epoch)
 	}
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -70,11 +70,12 @@
 	var holders []roster.Entry
 	mostReporting := s.HasMostReports(now)
 	allowed := s.everAllowed(address)
+	listening := s.Roster.Listening()
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == excluded:
 		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
-		case mostReporting && s.silentTooLong(entry, now):
+		case mostReporting && silentTooLong(entry, listening):
 		default:
 			holders = append(holders, entry)
 		}
@@ -180,10 +181,10 @@
 	case entry.State == gooseberrymast.StateGone:
 		return true
 	}
-	return s.silentTooLong(entry, now) && s.HasMostReports(now)
+	return silentTooLong(entry, s.Roster.Listening()) && s.HasMostReports(now)
 }
 
-func (s *Steerer) silentTooLong(entry roster.Entry, now time.Time) bool {
+func silentTooLong(entry roster.Entry, listening roster.Listening) bool {
 	limit := GoneAfter
 	switch {
 	case entry.ReportedAt.IsZero():
@@ -193,7 +194,7 @@
 	case entry.Relayed:
 		limit = GoneAfterRelayed
 	}
-	return entry.Silence(now, s.Started) > limit
+	return entry.Silence(listening) > limit
 }
 
 // HasMostReports reports whether at least half of the agents have reported recently.
--- a/log_event.go
+++ b/log_event.go
@@ -25,6 +25,7 @@
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
 	EventZoneIsolated       LogEvent = "zone-isolated"
 	EventRelayChanged       LogEvent = "relay-changed"
+	EventListeningResumed   LogEvent = "listening-resumed"
 	EventStateChanged       LogEvent = "state-changed"
 	EventReadinessChanged   LogEvent = "readiness-changed"
 	EventDocumentInForce    LogEvent = "document-in-force"
@@ -73,7 +74,7 @@
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
-	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
+	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -69,7 +69,7 @@
 	}
 	random := rand.New(rand.NewPCG(uint64(b.started.UnixNano()), gooseberrymast.RendezvousScore(0, b.Settings.Peers)))
 	b.steerer = steerer.Steerer{
-		Self: b.Settings.Peers, Zone: b.Settings.Zone, Started: b.started, Roster: &b.roster, Owners: &b.owners, Random: random,
+		Self: b.Settings.Peers, Zone: b.Settings.Zone, Roster: &b.roster, Owners: &b.owners, Random: random,
 	}
 	b.onRoutes = func(routes *gooseberrymast.Routes) { b.steerer.SetRoutes(routes) }
 	b.onFlowOwners = func(owner gooseberrymast.Endpoint, keys []gooseberrymast.FlowKey, now time.Time) {
@@ -97,6 +97,7 @@
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
 		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(workCtx, now) }),
 		b.Timer.Every(relayer.TickInterval, b.sendSummary),
+		b.Timer.Every(roster.MarkerInterval, b.sendMarker),
 		b.Timer.Every(verifyInterval, func(time.Time) { b.verifyEntry(workCtx) }),
 	}
 	go b.reportPeriodically(workCtx, balancerReportInterval)
--- a/runner/member.go
+++ b/runner/member.go
@@ -67,6 +67,8 @@
 	roster  roster.Roster
 	conn    *net.UDPConn
 	metrics *metrics
+	// began is when the process began to receive messages.
+	began time.Time
 	// onRoutes is called with routes that replace those in force.
 	onRoutes func(*gooseberrymast.Routes)
 	// load returns the load of the backend server; nil at a balancer.
@@ -137,6 +139,8 @@
 		return err
 	}
 	m.conn = conn
+	m.began = now
+	m.roster.StartListening(now)
 	m.metrics = newMetrics(m)
 	return nil
 }
@@ -254,6 +258,8 @@
 		}
 	case *peer.Message_Summary:
 		m.handleSummary(interpreter.ReadSummary(body.Summary), sender, now)
+	case *peer.Message_Marker:
+		m.handleMarker(body.Marker, now)
 	}
 }
 
--- a/runner/report.go
+++ b/runner/report.go
@@ -86,7 +86,7 @@
 		return
 	}
 	b.zoneChanged.Store(false)
-	summary, recipients := b.relayer.Summary(b.relayEntries(), b.ownPeer(), now)
+	summary, recipients := b.relayer.Summary(b.relayEntries(), b.ownPeer(), b.roster.Listening(), now)
 	relaying := b.relayer.Relaying()
 	changed := relaying != b.relaying
 	b.relaying = relaying
--- a/runner/roster.go
+++ b/runner/roster.go
@@ -5,6 +5,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/interpreter"
+	"gooseberrymast/protocol/messages/peer"
 )
 
 // needsRoster reports whether this process should send its roster to the sender
@@ -69,3 +70,21 @@
 		m.send(message, to.Endpoint)
 	}
 }
+
+// sendMarker sends the process a message through its own receive queue.
+func (m *member) sendMarker(now time.Time) {
+	m.send(interpreter.Marker(m.began, now), m.listenEndpoint())
+}
+
+// handleMarker processes a marker. One of another process, or of an earlier one on
+// this endpoint, says nothing of this process's queue.
+func (m *member) handleMarker(marker *peer.Marker, now time.Time) {
+	sentAt, own := interpreter.ReadMarker(marker, m.began)
+	if !own || sentAt.After(now) {
+		m.Log.Warn(gooseberrymast.EventMessageMalformed).Msg("a marker of another process")
+		return
+	}
+	if missed := m.roster.HandleMarker(sentAt); missed > 0 {
+		m.Log.Warn(gooseberrymast.EventListeningResumed).Int64("missed-ms", missed.Milliseconds()).Msg("")
+	}
+}
--- a/state/roster/entry.go
+++ b/state/roster/entry.go
@@ -64,15 +64,15 @@
 }
 
 // Silence returns the time for which the peer is known to have been silent, at a
-// process that could first receive reports at the given time.
-func (e Entry) Silence(now, listening time.Time) time.Duration {
-	since := listening
+// process that has listened over the given span.
+func (e Entry) Silence(listening Listening) time.Duration {
+	since := listening.Since
 	for _, at := range []time.Time{e.ReportedAt, e.UpdatedAt} {
 		if at.After(since) {
 			since = at
 		}
 	}
-	return max(0, e.knownUntil(now).Sub(since))
+	return max(0, e.knownUntil(listening.Until).Sub(since))
 }
 
 // knownUntil returns the latest time at which a report of the peer would be known.
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -30,7 +30,8 @@
 	entries map[gooseberrymast.Endpoint]Entry
 	digests gooseberrymast.RosterDigests
 	// complete is set once the store's complete list was merged.
-	complete bool
+	complete  bool
+	listening Listening
 }
 
 // HandleReport updates a peer from its own report. It returns whether the peer is
--- a/state/roster/summary_test.go
+++ b/state/roster/summary_test.go
@@ -18,6 +18,11 @@
 	}}}
 }
 
+// listened returns the span of a process that has listened all the while.
+func listened(until time.Time) Listening {
+	return Listening{Since: epoch.Add(-time.Hour), Until: until}
+}
+
 func get(roster *Roster) Entry {
 	entry, _ := roster.Get(peer(1, 0, 0).Endpoint)
 	return entry
@@ -33,14 +38,14 @@
 	is.True(get(&roster).Relayed)
 	// Without another summary nothing new is known.
 	later := epoch.Add(StaleViewAfter - 1)
-	is.Equal(get(&roster).Silence(later, epoch.Add(-time.Hour)), 100*time.Millisecond)
+	is.Equal(get(&roster).Silence(listened(later)), 100*time.Millisecond)
 	is.True(get(&roster).Reporting(later))
 	is.True(!get(&roster).Reporting(epoch.Add(StaleViewAfter)))
 	// The loss of all summaries delays the verdict by MaxViewAge.
-	is.Equal(get(&roster).Silence(epoch.Add(MaxViewAge+time.Second), epoch.Add(-time.Hour)), 1100*time.Millisecond)
+	is.Equal(get(&roster).Silence(listened(epoch.Add(MaxViewAge+time.Second))), 1100*time.Millisecond)
 	// The relay says that the agent is silent.
 	roster.HandleSummary(summaryOf(2*time.Second, true, 1), epoch.Add(1900*time.Millisecond))
-	is.Equal(get(&roster).Silence(epoch.Add(2*time.Second), epoch.Add(-time.Hour)), 2*time.Second)
+	is.Equal(get(&roster).Silence(listened(epoch.Add(2*time.Second))), 2*time.Second)
 	is.True(!get(&roster).Reporting(epoch.Add(2 * time.Second)))
 }
 
@@ -51,7 +56,7 @@
 	roster.HandleSummary(summaryOf(0, true, 1), epoch)
 	later := epoch.Add(4 * time.Second)
 	roster.HandleSummary(summaryOf(300*time.Millisecond, false, 1), later)
-	is.Equal(get(&roster).Silence(later, epoch), 300*time.Millisecond)
+	is.Equal(get(&roster).Silence(Listening{Since: epoch, Until: later}), 300*time.Millisecond)
 }
 
 func TestSummariesOfTwoRelaysAreOneReport(t *testing.T) {
