--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -133,7 +133,8 @@
 // the zone's agents report, the process may be cut off or have just started, or the
 // others were lost: the summary then contains only the peers that report, without
 // which other zones would take them for gone too.
-func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
+func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, listening roster.Listening,
+	now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
 	r.lastSummary = now
 	rank, relays := r.rank(entries, self, now)
 	heard, total := r.countAgents(entries, now)
@@ -144,7 +145,7 @@
 	hearsMost := 2*heard >= total
 	summary := gooseberrymast.Summary{Zone: r.Zone, Peers: []gooseberrymast.PeerSummary{{Peer: self, Heard: true}}}
 	for _, entry := range entries {
-		silence := entry.Silence(now, r.Started)
+		silence := entry.Silence(listening)
 		if entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone && silence > goneKept ||
 			!hearsMost && !entry.Reporting(now) {
 			continue
--- a/coordination/steerer/owner_test.go
+++ b/coordination/steerer/owner_test.go
@@ -91,7 +91,9 @@
 	at := epoch.Add(GoneAfterLeaving)
 	f.report(agent(2), "ledger", gooseberrymast.StateReady, at)
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].To, agent(1))
-	steps := f.steerer.FromCaller(nil, packet(false), at.Add(time.Millisecond))
+	at = at.Add(time.Millisecond)
+	f.listen(at)
+	steps := f.steerer.FromCaller(nil, packet(false), at)
 	is.Equal(steps[0].To, agent(2))
 	is.Equal(f.answerWalk(steps, true)[0].Action, Reset)
 }
--- a/coordination/steerer/walk_test.go
+++ b/coordination/steerer/walk_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/state/roster"
 )
 
 // walkChains returns the agents that each chain of a walk goes over.
@@ -65,3 +66,42 @@
 	f := newFixture(gooseberrymast.MaxCandidates + 1)
 	is.Equal(len(walkChains(f.steerer.FromCaller(nil, packet(false), epoch.Add(100*time.Millisecond)))), 1)
 }
+
+// An agent forwards a walk to the next one of its chain, so one that restarts ends
+// the chain. The holder of the flow may be behind it.
+func TestWalkReachesHolderBehindRestartingAgent(t *testing.T) {
+	tests := []struct {
+		name string
+		down func(f *fixture, now time.Time)
+	}{
+		{"leaves", func(f *fixture, now time.Time) { f.report(agent(2), "ledger", gooseberrymast.StateLeaving, now) }},
+		{"is late", func(f *fixture, now time.Time) {
+			f.report(agent(2), "ledger", gooseberrymast.StateReady, now.Add(-lateReportAge-1))
+		}},
+		{"is silent", func(f *fixture, now time.Time) {
+			f.report(agent(2), "ledger", gooseberrymast.StateReady, now.Add(-roster.SilentAfter))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(4)
+			now := epoch.Add(time.Minute)
+			f.report(agent(1), "ledger", gooseberrymast.StateReady, now.Add(-roster.SilentAfter))
+			test.down(f, now)
+			for i := 3; i <= 4; i++ {
+				f.report(agent(i), "ledger", gooseberrymast.StateReady, now)
+			}
+			reached := map[gooseberrymast.Endpoint]bool{}
+			for _, step := range f.steerer.FromCaller(nil, packet(false), now) {
+				for _, next := range append([]gooseberrymast.Endpoint{step.To}, step.Hop.Candidates...) {
+					reached[next] = true
+					if next == agent(1) || next == agent(2) {
+						break
+					}
+				}
+			}
+			is.Equal(len(reached), 4)
+		})
+	}
+}
