Reset no flow of a lost server that its caller has not acknowledged there

What callers saw: an open flow is reset by an agent whose own server has ended or restarted, though the flow is open at another server, which is sound.

Cause: two servers may answer copies of one opening packet, and the caller acknowledges one of them. The agent of the other one keeps the flow as answered, and resets it together with all others once its server is lost. Class: as with records of owners, an offer was taken for the opening.

Change: a flow is reset with its server only if its caller has sent a packet after the opening. Without one the reset had no acknowledgement number to be near to either, so that callers of open flows ignored it at best.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -225,7 +225,7 @@
 func (d *Deliverer) deliver(f *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, now time.Time) Step {
 	f.lastUsed = now
 	if !header.Opens {
-		f.lastAck = header.Acknowledgement
+		f.lastAck, f.acknowledged = header.Acknowledgement, true
 	}
 	if header.Payload > 0 {
 		end := header.Sequence + uint32(header.Payload)
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -10,8 +10,11 @@
 	openedAt time.Time
 	lastUsed time.Time
 	closedAt time.Time
-	// lastAck is the caller's last acknowledgement number.
-	lastAck uint32
+	// lastAck is the caller's last acknowledgement number, and acknowledged is set once
+	// the caller has sent one. Before that the flow may be open at another server, which
+	// answered a copy of its opening packet.
+	lastAck      uint32
+	acknowledged bool
 	// callerEnd is the sequence number after the last byte from the caller.
 	callerEnd uint32
 	// serverEnd is the sequence number after the last byte from the server, and
