Don't reset a flow that the lost server accepted but another one opened

An open flow could be reset by the agent of a server that had ended or restarted, though it was open at another server.

Cause: two servers may answer copies of an opening packet; the flow opens at the one whose number the caller acknowledges. The other agent keeps the flow as answered, and when its server was lost, DropFlows reset it.

Change: DropFlows resets only flows that have opened at the lost server: a packet of the caller acknowledged numbers of this server, or the server sent data. All others are dropped; if a caller does use one, a walk proves that nobody holds it.

Failed before: TestFlowThatOpenedElsewhereIsNotReset, in the cases "never acknowledged" and "the other server acknowledged". TestCallersOfLostFlowsAreReset and TestFlowsOfTheNewIncarnationAreKept now use numbers that acknowledge the server, as callers do; what they demand is the same.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -82,6 +82,8 @@
 // the callers of open flows need not wait until their next request fails. A new
 // incarnation may have taken flows before its first announcement; those opened since
 // its start, in Unix milliseconds of the instance's clock, are kept. Zero drops all.
+// A flow that the server accepted and the caller did not acknowledge is not reset: it
+// may have opened at another server.
 func (d *Deliverer) DropFlows(startUnixMs int64) []gooseberrymast.PacketHeader {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -90,7 +92,7 @@
 		if startUnixMs != 0 && f.openedAt.UnixMilli() >= startUnixMs {
 			continue
 		}
-		if !f.closed && f.answered {
+		if !f.closed && f.opened {
 			resets = append(resets, gooseberrymast.PacketHeader{
 				Source: key.Caller, Destination: key.Service, Acknowledgement: f.lastAck,
 			})
@@ -200,6 +202,7 @@
 		event = FlowLearned
 	}
 	f.lastUsed = now
+	f.opened = f.opened || header.Payload > 0
 	step := Step{Action: ToCaller, Event: event}
 	if !f.answered {
 		f.answered = true
@@ -244,6 +247,7 @@
 	f.lastUsed = now
 	if !header.Opens {
 		f.lastAck = header.Acknowledgement
+		f.opened = f.opened || f.acknowledges(header)
 	}
 	if header.Payload > 0 {
 		end := header.Sequence + uint32(header.Payload)
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -20,6 +20,9 @@
 	serverBegan bool
 	// answered is set when the server has sent anything.
 	answered bool
+	// opened is set when the flow has opened at this server: the caller has
+	// acknowledged it, or it has sent data.
+	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
 	// closed is set once the server has ended the flow.
@@ -33,6 +36,17 @@
 	announced [2]gooseberrymast.Endpoint
 }
 
+// maxInFlight bounds the bytes that a server has sent and a caller has not yet
+// acknowledged: 16 packets of 1,200 bytes.
+const maxInFlight = 16 * 1200
+
+// acknowledges reports whether a caller's packet acknowledges what this server has
+// sent. Servers choose their first sequence numbers at random, so a packet for another
+// one doesn't.
+func (f *flow) acknowledges(header gooseberrymast.PacketHeader) bool {
+	return f.serverBegan && f.serverEnd-header.Acknowledgement <= maxInFlight
+}
+
 // recordPending records the hop of a packet for the case that the server returns
 // it, and returns the packet's tag.
 func (d *Deliverer) recordPending(hop gooseberrymast.Hop) uint32 {
