Reset a flow of a removed route only if it was known before

A balancer whose document has removed a route reset every flow of its address, although a later document, which it doesn't have yet, may have the route again and other balancers may have opened the flow under it.

Change: the owners that a balancer has recorded carry the epoch in which they were recorded; a document that removes routes begins one. A flow of a removed route is reset if its owner was recorded before the route was removed, so that the document did drop it. Other packets are dropped, as for a route that never was. Epochs are counted at the balancer: no clock and no version is compared.

Judged, no fault: a balancer without the route drops the packets of open flows; it has no document, or an older one, for 3 s at most. Remaining: a balancer that placed the first opening packet before the removal, while a copy opened the flow by another balancer under the later document, within 600 ms; not closed.

Failed before: TestFlowOfRestoredRouteIsNotReset (Reset instead of Drop). TestRemovedRouteResetsItsFlows now opens its flow before the route is removed.

--- a/coordination/locator/locator.go
+++ b/coordination/locator/locator.go
@@ -11,6 +11,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gooseberrymast"
@@ -35,6 +36,7 @@
 	Lifetime time.Duration
 
 	shards [shardCount]shard
+	epoch  atomic.Uint64
 }
 
 // DefaultLifetime is the longest time that a flow may last.
@@ -48,6 +50,22 @@
 type owner struct {
 	agent    gooseberrymast.Endpoint
 	lastUsed time.Time
+	// epoch is the one in which the agent was recorded first.
+	epoch uint64
+}
+
+// BeginEpoch begins a new epoch and returns its number.
+func (l *Locator) BeginEpoch() uint64 {
+	return l.epoch.Add(1)
+}
+
+// RecordedBefore reports whether a flow's owner was recorded before an epoch.
+func (l *Locator) RecordedBefore(key gooseberrymast.FlowKey, epoch uint64, now time.Time) bool {
+	s := l.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.owners[key]
+	return ok && found.epoch < epoch && now.Sub(found.lastUsed) <= l.lifetime()
 }
 
 // Find returns the owner of a flow.
@@ -75,7 +93,11 @@
 	if len(s.owners) >= maxOwnersPerShard {
 		s.evict()
 	}
-	s.owners[key] = owner{agent: agent, lastUsed: now}
+	epoch := l.epoch.Load()
+	if before, ok := s.owners[key]; ok && before.agent == agent {
+		epoch = before.epoch
+	}
+	s.owners[key] = owner{agent: agent, lastUsed: now, epoch: epoch}
 }
 
 // Forget drops a flow's owner if it is the given agent.
--- a/coordination/locator/locator_test.go
+++ b/coordination/locator/locator_test.go
@@ -122,3 +122,20 @@
 		locator.Find(key(i%10_000), epoch)
 	}
 }
+
+// Only what was known before an epoch counts as older, and the same owner announced
+// again stays as old as it was.
+func TestOwnerIsRecordedInAnEpoch(t *testing.T) {
+	is := is.New(t)
+	var l Locator
+	l.Record(key(1), instance(1), epoch)
+	began := l.BeginEpoch()
+	l.Record(key(2), instance(1), epoch)
+	l.Record(key(1), instance(1), epoch)
+	is.True(l.RecordedBefore(key(1), began, epoch))
+	is.True(!l.RecordedBefore(key(2), began, epoch))
+	is.True(l.RecordedBefore(key(2), l.BeginEpoch(), epoch))
+	is.True(!l.RecordedBefore(key(1), began, epoch.Add(DefaultLifetime+1))) // expired
+	l.Record(key(1), instance(2), epoch)
+	is.True(!l.RecordedBefore(key(1), began, epoch)) // another owner
+}
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -109,7 +109,9 @@
 
 	routesMu sync.RWMutex
 	routes   *gooseberrymast.Routes
-	removed  map[gooseberrymast.Endpoint]struct{}
+	// removed holds the addresses without a route that had one, with the epoch of
+	// Owners that began when the route was removed.
+	removed map[gooseberrymast.Endpoint]uint64
 	// allowed holds, for each address, every service that its route has allowed
 	// since the process started.
 	allowed map[gooseberrymast.Endpoint][]string
@@ -134,12 +136,13 @@
 		return false
 	}
 	if s.removed == nil {
-		s.removed = map[gooseberrymast.Endpoint]struct{}{}
+		s.removed = map[gooseberrymast.Endpoint]uint64{}
 	}
 	if s.routes != nil {
+		epoch := s.Owners.BeginEpoch()
 		for address := range s.routes.ByAddress {
 			if _, ok := newRoutes.ByAddress[address]; !ok {
-				s.removed[address] = struct{}{}
+				s.removed[address] = epoch
 			}
 		}
 	}
@@ -181,7 +184,7 @@
 	}
 	route, ok := routes.Lookup(key.Service)
 	if !ok {
-		return append(steps, s.handleUnrouted(header))
+		return append(steps, s.handleUnrouted(header, now))
 	}
 	if header.Opens {
 		return append(steps, s.placeFlow(header, route, routes, now))
@@ -238,15 +241,16 @@
 	return steps
 }
 
-// handleUnrouted decides on a packet to an address that has no route.
-func (s *Steerer) handleUnrouted(header gooseberrymast.PacketHeader) Step {
+// handleUnrouted decides on a packet to an address that has no route. A flow that was
+// known before its route was removed is reset.
+func (s *Steerer) handleUnrouted(header gooseberrymast.PacketHeader, now time.Time) Step {
 	s.routesMu.RLock()
-	_, removed := s.removed[header.Destination]
+	epoch, removed := s.removed[header.Destination]
 	s.routesMu.RUnlock()
 	switch {
 	case header.Opens:
 		return refuseOpening(header, ReasonNoRoute)
-	case removed:
+	case removed && s.Owners.RecordedBefore(header.FromCaller(), epoch, now):
 		return Step{Action: Reset, CallerHeader: header, Reason: ReasonRouteRemoved}
 	}
 	// The flow may have been opened under a later document, which this balancer
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -144,6 +144,9 @@
 func TestRemovedRouteResetsItsFlows(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
+	opening := packet(true)
+	opening.Destination = removed
+	f.steerer.FromCaller(nil, opening, epoch)
 	is.True(f.steerer.SetRoutes(routes(2, map[gooseberrymast.Endpoint][]string{address: {"ledger"}})))
 	is.True(!f.steerer.SetRoutes(routes(1, nil))) // an older document changes nothing
 	header := packet(false)
@@ -153,6 +156,21 @@
 	is.Equal(step.Reason, ReasonRouteRemoved)
 }
 
+// A document removes a route and a later one, which this balancer doesn't have yet,
+// has it again. Flows that other balancers opened under that one must not be reset.
+func TestFlowOfRestoredRouteIsNotReset(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	f.steerer.SetRoutes(routes(2, map[gooseberrymast.Endpoint][]string{address: {"ledger"}}))
+	header := packet(false)
+	header.Destination = removed
+	is.Equal(f.steerer.FromCaller(nil, header, epoch)[0].Action, Drop)
+	f.owners.Record(header.FromCaller(), agent(1), epoch) // its owner announces it to this balancer
+	is.Equal(f.steerer.FromCaller(nil, header, epoch)[0].Action, Drop)
+	f.steerer.SetRoutes(routes(3, map[gooseberrymast.Endpoint][]string{address: {"ledger"}, removed: {"ledger"}}))
+	is.Equal(f.steerer.FromCaller(nil, header, epoch)[0].To, agent(1))
+}
+
 func TestUnknownFlowIsForwardedToLookupBalancer(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
