--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -182,6 +182,7 @@
 	}
 	f.lastUsed = now
 	d.attribute(f, header)
+	f.opened = f.opened || header.Payload > 0
 	step := Step{Action: ToCaller, Event: event}
 	if !f.answered {
 		f.answered = true
@@ -225,7 +226,8 @@
 func (d *Deliverer) deliver(f *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, now time.Time) Step {
 	f.lastUsed = now
 	if !header.Opens {
-		f.lastAck, f.acknowledged = header.Acknowledgement, true
+		f.lastAck = header.Acknowledgement
+		f.opened = f.opened || f.acknowledges(header)
 	}
 	if header.Payload > 0 {
 		end := header.Sequence + uint32(header.Payload)
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -10,11 +10,8 @@
 	openedAt time.Time
 	lastUsed time.Time
 	closedAt time.Time
-	// lastAck is the caller's last acknowledgement number, and acknowledged is set once
-	// the caller has sent one. Before that the flow may be open at another server, which
-	// answered a copy of its opening packet.
-	lastAck      uint32
-	acknowledged bool
+	// lastAck is the caller's last acknowledgement number.
+	lastAck uint32
 	// callerEnd is the sequence number after the last byte from the caller.
 	callerEnd uint32
 	// serverEnd is the sequence number after the last byte from the server, and
@@ -26,6 +23,10 @@
 	// answer is the position of the server's last answer to the flow's opening among
 	// those of all flows; zero while there is none.
 	answer uint64
+	// opened is set when the flow has opened at this server: the caller has
+	// acknowledged it, or it has sent data. Before that it may be open at another
+	// server, which answered a copy of its opening packet.
+	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
 	// closed is set once the server has ended the flow.
@@ -39,6 +40,17 @@
 	announced [2]gooseberrymast.Endpoint
 }
 
+// maxInFlight bounds the bytes that a server has sent and a caller has not yet
+// acknowledged: 16 packets of 1,200 bytes.
+const maxInFlight = 16 * 1200
+
+// acknowledges reports whether a caller's packet acknowledges what this server has
+// sent. Servers choose their first sequence numbers at random, so a packet for another
+// one doesn't.
+func (f *flow) acknowledges(header gooseberrymast.PacketHeader) bool {
+	return f.serverBegan && f.serverEnd-header.Acknowledgement <= maxInFlight
+}
+
 // recordPending records the hop of a packet for the case that the server returns
 // it, and returns the packet's tag.
 func (d *Deliverer) recordPending(hop gooseberrymast.Hop) uint32 {
--- a/coordination/deliverer/restart_test.go
+++ b/coordination/deliverer/restart_test.go
@@ -35,7 +35,7 @@
 	acknowledges := func(number uint16) func(*Deliverer) {
 		return func(d *Deliverer) {
 			d.FromPeer(gooseberrymast.PacketHeader{
-				Source: at(number), Destination: address, Acknowledges: true, Acknowledgement: 99,
+				Source: at(number), Destination: address, Acknowledges: true, Acknowledgement: 1,
 			}, gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
 		}
 	}
