Reset no flow that is open at another server

Callers: a caller's copy of an opening packet, or one that the network duplicated, is placed at a second server, which accepts it too. The caller opens the flow at the server whose answer comes first. When the second server fails, ends or restarts, its agent resets the caller, and with it the flow that the first server holds (FLOW).

Cause: an agent took a flow as open once its server had answered the opening.

Ruled out: the agent's answers to walks; by the trace the reset follows "announces itself, restarted true" at the second agent.

Change: a flow is open once another packet of it has passed, from the caller without being returned, or from the server. Only such flows are reset.

The case "accepted here and opened elsewhere" of TestOnlyFlowsOfEarlierIncarnationAreLost failed before.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -187,6 +187,7 @@
 		f.answered = true
 		step.Notify = f.notify
 	}
+	f.opened = f.opened || !header.Opens
 	if f.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
 		step.Request = d.endRequest(f, now)
 		// The end of a flow may overtake the answer before it; then its sequence
@@ -226,6 +227,7 @@
 	f.lastUsed = now
 	if !header.Opens {
 		f.lastAck = header.Acknowledgement
+		f.opened = true
 	}
 	if header.Payload > 0 {
 		end := header.Sequence + uint32(header.Payload)
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -23,6 +23,9 @@
 	// answer is the position of the server's last answer to the flow's opening among
 	// those of all flows; zero while there is none.
 	answer uint64
+	// opened is set once a packet of the open flow has passed. A flow that is only
+	// answered may be open at another server, which took a copy of its opening packet.
+	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
 	// closed is set once the server has ended the flow.
--- a/coordination/deliverer/restart.go
+++ b/coordination/deliverer/restart.go
@@ -41,7 +41,7 @@
 		if !lost(f) {
 			continue
 		}
-		if !f.closed && f.answered {
+		if !f.closed && f.opened {
 			resets = append(resets, gooseberrymast.PacketHeader{
 				Source: key.Caller, Destination: key.Service, Acknowledgement: f.lastAck,
 			})
--- a/coordination/deliverer/restart_test.go
+++ b/coordination/deliverer/restart_test.go
@@ -17,13 +17,13 @@
 	at := func(number uint16) gooseberrymast.Endpoint {
 		return gooseberrymast.Endpoint{IP: caller.IP, Port: caller.Port + number}
 	}
-	opens := func(number uint16) func(*Deliverer) {
+	receives := func(number uint16, header gooseberrymast.PacketHeader) func(*Deliverer) {
 		return func(d *Deliverer) {
-			header := opening()
 			header.Source = at(number)
 			d.FromPeer(header, placeHop(), ledger, routes, epoch)
 		}
 	}
+	opens := func(number uint16) func(*Deliverer) { return receives(number, opening()) }
 	sends := func(number uint16, header gooseberrymast.PacketHeader) func(*Deliverer) {
 		return func(d *Deliverer) {
 			header.Destination = at(number)
@@ -32,9 +32,14 @@
 	}
 	accept := answer(0)
 	accept.Opens = true
-	taken := func(number uint16) func(*Deliverer) {
+	accepted := func(number uint16) func(*Deliverer) {
 		return func(d *Deliverer) { opens(number)(d); sends(number, accept)(d) }
 	}
+	acknowledgement := request(1)
+	acknowledgement.Payload = 0
+	taken := func(number uint16) func(*Deliverer) {
+		return func(d *Deliverer) { accepted(number)(d); receives(number, acknowledgement)(d) }
+	}
 	announced := func(d *Deliverer) { d.HandleAnnouncement(false) }
 	ended := answer(0)
 	ended.Resets = true
@@ -57,6 +62,7 @@
 			taken(1), taken(2), announced, announced, sends(2, accept), sends(2, answer(400)),
 		}, []uint16{1}, 1},
 		{"recorded from what the server sent", []func(*Deliverer){sends(1, answer(400)), announced, announced}, []uint16{1}, 0},
+		{"accepted here and opened elsewhere", []func(*Deliverer){accepted(1), announced, announced}, nil, 0},
 		{"not accepted", []func(*Deliverer){announced, opens(1)}, nil, 0},
 	}
 	for _, test := range tests {
