Announce no flow that is open at another server

Callers: two agents announce the same flow to its lookup balancers if a copy of its opening packet was accepted by a second server. Packets of the open flow are then forwarded to that server, which returns them (FLOW, if three in a row are).

Change: a flow is announced once another packet of it has passed.

Evidence: TestFlowOpenedElsewhereIsNotAnnounced failed before (announced to one balancer, want none).

--- a/coordination/deliverer/announce.go
+++ b/coordination/deliverer/announce.go
@@ -27,7 +27,7 @@
 	defer d.mu.Unlock()
 	var updates map[gooseberrymast.Endpoint][]gooseberrymast.FlowKey
 	for key, f := range d.flows {
-		if f.closed || !f.answered || now.Sub(f.openedAt) < minAnnounceAge {
+		if f.closed || !f.opened || now.Sub(f.openedAt) < minAnnounceAge {
 			continue
 		}
 		lookups := locator.LookupBalancers(key, balancers)
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -338,6 +338,20 @@
 	is.True(len(d.Announce([]gooseberrymast.Endpoint{third}, nil, later)[third]) == 1) // a new lookup balancer
 }
 
+// Two servers accept a flow if a copy of its opening packet reaches the second one. The
+// caller opens it at one of them; only that one's agent owns it.
+func TestFlowOpenedElsewhereIsNotAnnounced(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{}
+	d.FromPeer(opening(), placeHop(), ledger, routes, epoch)
+	accept := answer(0)
+	accept.Opens = true
+	d.FromServer(accept, epoch)
+	is.Equal(len(d.Announce([]gooseberrymast.Endpoint{balancer}, nil, epoch.Add(minAnnounceAge))), 0)
+	d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
+	is.Equal(len(d.Announce([]gooseberrymast.Endpoint{balancer}, nil, epoch.Add(minAnnounceAge))), 1)
+}
+
 func TestClosedFlowsExpire(t *testing.T) {
 	is := is.New(t)
 	d := Deliverer{}
