Check the server of an agent that is stopped before it knows it

Callers: after a loss of power, requests on lost flows wait for their deadline for four seconds.

Cause: peers wait 4 s for an agent that reports that it leaves, and no walk proves anything meanwhile. An agent that is stopped before its first check of the server reports that it leaves, though the server is gone.

Change: an agent that is stopped while it doesn't know its server, or the server has been silent, connects to it first. If that is refused, it reports gone and removes its entry, as it does when the server departs.

Evidence: TestAgentStoppedAtStartReportsThatItsServerIsGone failed before.

--- a/runner/agent.go
+++ b/runner/agent.go
@@ -170,7 +170,13 @@
 	began := a.Timer.Now()
 	a.stopping.Store(true)
 	a.deliverer.Leave()
-	serverGone := a.serverState(began).Status == tracker.Gone
+	status := a.serverState(began).Status
+	if status == tracker.Unknown || status == tracker.Silent {
+		// Peers wait for the return of an agent that leaves, unless its server is gone.
+		a.connectToServer(began, status)
+		status = a.serverState(began).Status
+	}
+	serverGone := status == tracker.Gone
 	state := gooseberrymast.StateLeaving
 	if serverGone {
 		state = gooseberrymast.StateGone
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -78,9 +78,8 @@
 
 // checkServer checks whether the server has failed if it leaves packets
 // unanswered, has stopped its announcements, or has not announced itself since the
-// agent started. A failed server's instance refuses connections. The agent has to
-// detect this because a failed server has no flows, and the agent must report so
-// when it is queried for one.
+// agent started. The agent has to detect this because a failed server has no flows,
+// and the agent must report so when it is queried for one.
 func (a *Agent) checkServer(now time.Time) {
 	status := a.serverState(now).Status
 	suspicious := status == tracker.Silent || status == tracker.Unknown ||
@@ -89,6 +88,12 @@
 		return
 	}
 	a.lastCheck = now
+	a.connectToServer(now, status)
+}
+
+// connectToServer connects to the server and closes the connection. A failed server's
+// instance refuses it.
+func (a *Agent) connectToServer(now time.Time, status tracker.Status) {
 	conn, err := net.DialTimeout("tcp4", a.Settings.Server.String(), serverCheckTimeout)
 	if err == nil {
 		if err := conn.Close(); err != nil {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -231,6 +231,25 @@
 	is.True(!agent.serverState(agent.Timer.Now()).Complete)
 }
 
+// An instance that is to go may start again after a loss of power, without its server,
+// and be stopped at once. Walks wait for seconds for an agent that reports that it leaves.
+func TestAgentStoppedAtStartReportsThatItsServerIsGone(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	agent, announce, stop := c.startWaitingAgent(1)
+	announce(1)
+	c.waitFor("the agent is registered", agent.registered.Load)
+	stop()
+	key := entryKey(agent.Settings.Peers)
+	_, err := c.store.Get(t.Context(), key)
+	is.NoErr(err)
+	agent, _, stop = c.startWaitingAgent(1)
+	stop()
+	is.Equal(agent.ownPeer().State, gooseberrymast.StateGone)
+	_, err = c.store.Get(t.Context(), key)
+	is.Equal(err, gooseberrymast.ErrStoreNotFound)
+}
+
 // Guards against an agent that takes flows without an entry: its successor would find
 // none and take itself for the instance's first agent.
 func TestAgentStaysHiddenUntilItsEntryIsWritten(t *testing.T) {
