--- a/coordination/deliverer/restart_test.go
+++ b/coordination/deliverer/restart_test.go
@@ -17,13 +17,13 @@
 	at := func(number uint16) gooseberrymast.Endpoint {
 		return gooseberrymast.Endpoint{IP: caller.IP, Port: caller.Port + number}
 	}
-	opens := func(number uint16) func(*Deliverer) {
+	receives := func(number uint16, header gooseberrymast.PacketHeader) func(*Deliverer) {
 		return func(d *Deliverer) {
-			header := opening()
 			header.Source = at(number)
 			d.FromPeer(header, placeHop(), ledger, routes, epoch)
 		}
 	}
+	opens := func(number uint16) func(*Deliverer) { return receives(number, opening()) }
 	sends := func(number uint16, header gooseberrymast.PacketHeader) func(*Deliverer) {
 		return func(d *Deliverer) {
 			header.Destination = at(number)
