Relays that hear few agents pass on those that they hear

Cause: a relay that hears fewer than half of its zone's agents took itself for cut off and sent no summaries at all. When most agents of a zone are lost, the others of that zone run and report to it, and so don't report to other zones directly; but the other zones hear nothing of them, and take them for gone after 5.5 s (3 s without a summary count as unknown, then 2.5 s as silence). A zone with two or three agents gets there with the loss of two.

Change: such a relay passes on the peers that it hears and claims no silence of the others. That a peer has reported is true whatever the relay misses. The verdict on agents that are dead takes the same 5.5 s as before in this case, and is unchanged in all others.

Tests: TestAgentIsHeardElsewhereAfterLossOfMostOfItsZone failed before (11.35 s: "balancer 10.0.0.1:7000 resets a flow of agent 10.1.0.102:7000, which runs"); it also wants the killed agents to be taken for gone.

--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -11,8 +11,8 @@
 // hears, and a wrong guess costs only a few datagrams.
 //
 // A relay may be lost, paused or cut off. So nobody concludes from missing
-// summaries that a peer has failed, a relay that hears few agents of its zone says
-// nothing, and an agent that hears no balancer of its own zone reports to all.
+// summaries that a peer has failed, a relay that hears few agents of its zone passes
+// on only those, and an agent that hears no balancer of its own zone reports to all.
 package relayer
 
 import (
@@ -128,20 +128,24 @@
 }
 
 // Summary returns the summary of the own zone and its recipients. Both are empty if
-// the process is not a relay, or knows too little: fewer than half of the zone's
-// agents report, so that the process is probably cut off or has just started.
+// the process is not a relay, or hears no agent of its zone. If it hears fewer than
+// half of them, it may be cut off or have just started, or the others are lost: it
+// then passes on the peers that it hears, and claims no silence.
 func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, listening roster.Listening,
 	now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
 	r.lastSummary = now
 	rank, relays := r.rank(entries, self, now)
-	r.relaying = rank < relaysPerZone && r.hearsMostAgents(entries, now)
+	heard, total := r.countAgents(entries, now)
+	r.relaying = rank < relaysPerZone && (heard > 0 || total == 0)
 	if !r.relaying {
 		return gooseberrymast.Summary{}, nil
 	}
+	claimsSilence := 2*heard >= total
 	summary := gooseberrymast.Summary{Zone: r.Zone, Peers: []gooseberrymast.PeerSummary{{Peer: self, Heard: true}}}
 	for _, entry := range entries {
 		silence := entry.Silence(listening)
-		if entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone && silence > goneKept {
+		isGone := entry.State == gooseberrymast.StateGone
+		if entry.Zone != r.Zone || isGone && silence > goneKept || !claimsSilence && !isGone && !entry.Reporting(now) {
 			continue
 		}
 		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{
@@ -187,8 +191,8 @@
 	return a.Endpoint.Compare(b.Endpoint)
 }
 
-func (r *Relayer) hearsMostAgents(entries []roster.Entry, now time.Time) bool {
-	heard, total := 0, 0
+// countAgents returns the number of agents of the own zone that report, and of all.
+func (r *Relayer) countAgents(entries []roster.Entry, now time.Time) (heard, total int) {
 	for _, entry := range entries {
 		if entry.Role != gooseberrymast.RoleAgent || entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone {
 			continue
@@ -198,7 +202,7 @@
 			heard++
 		}
 	}
-	return 2*heard >= total
+	return heard, total
 }
 
 // summaryRecipients returns the balancers of other zones that get a relay's summary.
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -136,6 +136,27 @@
 	}
 }
 
+// Most agents of a zone are lost for good. Its relays hear fewer than half of those in
+// the list, and the others go on serving their flows.
+func TestAgentIsHeardElsewhereAfterLossOfMostOfItsZone(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newFleet(t, seed, 3, 2, 3)
+		f.loss = 0.0015
+		f.run(5*time.Second, nil)
+		agents := f.ofZone(gooseberrymast.RoleAgent, 1)
+		f.stop(agents[0])
+		f.stop(agents[1])
+		f.run(20*time.Second, f.checkNoneFalselyGone)
+		for i, agent := range f.processes {
+			for _, balancer := range f.ofZone(gooseberrymast.RoleBalancer, 2) {
+				if agent.down && !f.takesForGone(balancer, i) {
+					t.Fatalf("seed %d: balancer %s waits for agent %s, which was killed", seed, balancer.self.Endpoint, agent.self.Endpoint)
+				}
+			}
+		}
+	}
+}
+
 // Agents whose zone has no balancer report to all of the others, and stop when one
 // is back.
 func TestAgentsOfAZoneWithoutBalancersReportToAll(t *testing.T) {
