Tell balancers that start which agents stop as planned

Cause: an agent that has reported that it stops is awaited for 4 s, but a balancer that starts meanwhile has not heard that. It takes the agent from the store's list as one that has never reported, and for gone after 0.7 s. Besides, the last reports of an agent go only to the balancers of its zone: if the only one is just being restarted, nobody hears them.

Change: a balancer that hears a new incarnation of another one sends it the peers that have reported that they stop, and for these the limit of 4 s holds even if this balancer has never heard them. An agent that stops sends its last reports to all balancers if its zone has fewer than two that stay.

Test: TestStartingBalancerAwaitsAgentThatRestarts failed before (6.45 s: "balancer 10.0.0.1:7000 resets a flow of agent 10.0.0.100:7000, which restarts"), and with each half of the change alone. The simulated store lists agents as starting, as the real one does.

--- a/coordination/relayer/fleet_test.go
+++ b/coordination/relayer/fleet_test.go
@@ -55,6 +55,8 @@
 	summary *gooseberrymast.Summary
 	// marker is when a balancer sent this to itself.
 	marker time.Time
+	// departures is a list of peers that leave.
+	departures []gooseberrymast.Peer
 }
 
 // fleet simulates the reports and summaries of balancers and agents.
@@ -118,7 +120,7 @@
 	for _, other := range f.processes {
 		if other != p {
 			listed := other.self
-			listed.Incarnation, listed.Sequence = 0, 0
+			listed.Incarnation, listed.Sequence, listed.State = 0, 0, gooseberrymast.StateStarting
 			p.roster.Merge([]gooseberrymast.Peer{listed}, f.now)
 		}
 	}
@@ -218,16 +220,26 @@
 		p.roster.HandleMarker(m.marker)
 		return
 	}
+	if m.departures != nil {
+		p.roster.Merge(m.departures, f.now)
+		return
+	}
 	if m.summary == nil {
 		if changed, _ := p.roster.HandleReport(m.report, f.now); changed && m.report.Peer.Zone == p.self.Zone {
 			p.zoneChanged = true
 		}
+		f.sendDepartures(p, m.report.Peer)
 		return
 	}
 	if f.legacy[p] {
 		return
 	}
 	p.roster.HandleSummary(*m.summary, f.now)
+	if !m.summary.Forwarded {
+		for _, viewed := range m.summary.Peers {
+			f.sendDepartures(p, viewed.Peer)
+		}
+	}
 	forwarded := *m.summary
 	forwarded.Forwarded = true
 	for _, recipient := range p.relayer.Forward(p.roster.Entries(nil), *m.summary) {
@@ -235,6 +247,15 @@
 	}
 }
 
+func (f *fleet) sendDepartures(p *process, balancer gooseberrymast.Peer) {
+	if !p.relayer.Restarted(balancer) {
+		return
+	}
+	if leaving := relayer.Departures(p.roster.Entries(nil)); len(leaving) > 0 {
+		f.send(p, balancer.Endpoint, message{departures: leaving})
+	}
+}
+
 func (f *fleet) report(p *process) {
 	recipients, relayed := p.relayer.Recipients(p.roster.Entries(nil), f.now)
 	if f.legacy[p] {
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -63,11 +63,14 @@
 	// directUntil is until when the process reports to all.
 	directUntil time.Time
 	isolated    bool
+	leaving     bool
 	lastTick    time.Time
 	lastSummary time.Time
 	relaying    bool
 	// rotation counts summaries, for balancers that take turns.
 	rotation int
+	// informed holds the last incarnation of each balancer for which Restarted was called.
+	informed map[gooseberrymast.Endpoint]uint64
 }
 
 // Recipients returns the peers that get the process's report. relayed is set if
@@ -77,7 +80,7 @@
 	if r.isolated {
 		r.directUntil = now.Add(directTail)
 	}
-	toAll := now.Before(r.directUntil)
+	toAll := now.Before(r.directUntil) || r.leaving && r.readyBalancers(entries, now) < relaysPerZone
 	for _, entry := range entries {
 		if !r.reportsTo(entry) {
 			continue
@@ -92,6 +95,24 @@
 	return recipients, !r.isolated
 }
 
+// Leave records that the process stops. If its zone may lack a relay, all balancers
+// get its last reports: no later one makes up for them.
+func (r *Relayer) Leave() {
+	r.leaving = true
+}
+
+// readyBalancers returns the number of balancers of the own zone that report and stay.
+func (r *Relayer) readyBalancers(entries []roster.Entry, now time.Time) int {
+	ready := 0
+	for _, entry := range entries {
+		if entry.Role == gooseberrymast.RoleBalancer && entry.Zone == r.Zone &&
+			entry.State == gooseberrymast.StateReady && entry.Reporting(now) {
+			ready++
+		}
+	}
+	return ready
+}
+
 // Isolated reports whether the last call of Recipients found no balancer of the
 // process's own zone.
 func (r *Relayer) Isolated() bool {
@@ -264,3 +285,29 @@
 	}
 	return recipients
 }
+
+// Restarted reports whether a peer is a balancer of an incarnation for which it was not
+// called before. Such a balancer has to be sent Departures.
+func (r *Relayer) Restarted(peer gooseberrymast.Peer) bool {
+	if r.Role != gooseberrymast.RoleBalancer || peer.Role != gooseberrymast.RoleBalancer ||
+		peer.Incarnation == 0 || r.informed[peer.Endpoint] == peer.Incarnation {
+		return false
+	}
+	if r.informed == nil {
+		r.informed = map[gooseberrymast.Endpoint]uint64{}
+	}
+	r.informed[peer.Endpoint] = peer.Incarnation
+	return true
+}
+
+// Departures returns the peers that have reported that they stop. A balancer that
+// starts meanwhile has never heard them, and would take them for lost too early.
+func Departures(entries []roster.Entry) []gooseberrymast.Peer {
+	var leaving []gooseberrymast.Peer
+	for _, entry := range entries {
+		if entry.State == gooseberrymast.StateLeaving {
+			leaving = append(leaving, entry.Peer)
+		}
+	}
+	return leaving
+}
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// A balancer restarts while an agent does, so it has never heard that the agent
+// stops as planned. The others have.
+func TestStartingBalancerAwaitsAgentThatRestarts(t *testing.T) {
+	for _, balancers := range []int{1, 2} {
+		for zone := range 2 {
+			f := newFleet(t, 1, 3, balancers, 4)
+			f.run(5*time.Second, nil)
+			agent, balancer := f.ofZone(gooseberrymast.RoleAgent, 0)[0], f.ofZone(gooseberrymast.RoleBalancer, zone)[0]
+			f.stop(balancer)
+			agent.self.State = gooseberrymast.StateLeaving
+			agent.self.Sequence++
+			agent.relayer.Leave()
+			f.report(agent)
+			f.run(600*time.Millisecond, nil)
+			f.stop(agent)
+			f.start(balancer)
+			f.run(2*time.Second, func() {
+				for i, p := range f.processes {
+					if p == agent && f.takesForGone(balancer, i) {
+						t.Fatalf("%d balancers a zone, %v: balancer %s resets a flow of agent %s, which restarts",
+							balancers, f.now.Sub(epoch), balancer.self.Endpoint, agent.self.Endpoint)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Agents whose zone has no balancer report to all of the others, and stop when one
 // is back.
 func TestAgentsOfAZoneWithoutBalancersReportToAll(t *testing.T) {
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -161,8 +161,9 @@
 	// silence is known from relays, and one that loses half of its messages must not
 	// take a live agent for gone: it would have to lose twelve reports in a row.
 	GoneAfterRelayed = 2500 * time.Millisecond
-	// GoneAfterLeaving is the same for an agent that reported that it stops: it
-	// may take longer to start again, and its flows must survive that.
+	// GoneAfterLeaving is the same for an agent that reported, to this balancer or
+	// another, that it stops: it may take longer to start again, and its flows must
+	// survive that.
 	GoneAfterLeaving = 4 * time.Second
 	// GoneAfterStart is the same for an agent that has never sent a report. After
 	// a restart of the whole cluster all agents report within 0.3 s of each other,
@@ -187,10 +188,10 @@
 func silentTooLong(entry roster.Entry, listening roster.Listening) bool {
 	limit := GoneAfter
 	switch {
-	case entry.ReportedAt.IsZero():
-		limit = GoneAfterStart
 	case entry.State == gooseberrymast.StateLeaving:
 		limit = GoneAfterLeaving
+	case entry.ReportedAt.IsZero():
+		limit = GoneAfterStart
 	case entry.Relayed:
 		limit = GoneAfterRelayed
 	}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -177,6 +177,9 @@
 	}
 	a.setState(state, a.ownPeer().Service)
 	a.Log.Info(gooseberrymast.EventStopping).Bool("server-ended", serverGone).Msg("")
+	a.relayerMu.Lock()
+	a.relayer.Leave()
+	a.relayerMu.Unlock()
 	for range finalReports {
 		a.triggerReport()
 		sleep(context.Background(), a.Timer, stopPollInterval)
--- a/runner/member.go
+++ b/runner/member.go
@@ -276,6 +276,7 @@
 		}
 	}
 	m.handleDocumentStatus(report.Document, report.Peer.Endpoint, now)
+	m.sendDepartures(report.Peer)
 	m.mu.Lock()
 	self := m.self
 	sendRoster := m.needsRoster(report, self, superseded, now)
--- a/runner/report.go
+++ b/runner/report.go
@@ -115,6 +115,9 @@
 	}
 	m.metrics.countSummaries("received", 1)
 	m.handleDocumentStatus(summary.Document, sender, now)
+	for _, viewed := range summary.Peers {
+		m.sendDepartures(viewed.Peer)
+	}
 	m.relayerMu.Lock()
 	recipients := m.relayer.Forward(m.relayEntries(), summary)
 	m.relayerMu.Unlock()
--- a/runner/roster.go
+++ b/runner/roster.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/relayer"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/protocol/messages/peer"
 )
@@ -71,6 +72,19 @@
 	}
 }
 
+// sendDepartures sends the peers that stop to a balancer that has started.
+func (m *member) sendDepartures(peer gooseberrymast.Peer) {
+	m.relayerMu.Lock()
+	var leaving []gooseberrymast.Peer
+	if m.relayer.Restarted(peer) {
+		leaving = relayer.Departures(m.relayEntries())
+	}
+	m.relayerMu.Unlock()
+	for _, message := range interpreter.Rosters(leaving) {
+		m.send(message, peer.Endpoint)
+	}
+}
+
 // sendMarker sends the process a message through its own receive queue.
 func (m *member) sendMarker(now time.Time) {
 	m.send(interpreter.Marker(m.began, now), m.listenEndpoint())
