--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -328,6 +328,7 @@
 	d := Deliverer{}
 	d.FromPeer(opening(), placeHop(), ledger, routes, epoch)
 	d.FromServer(answer(0), epoch)
+	d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
 	lookups := []gooseberrymast.Endpoint{balancer, next}
 	is.Equal(len(d.Announce(lookups, nil, epoch)), 0) // too early: most flows end before
 	later := epoch.Add(minAnnounceAge)
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -11,9 +11,8 @@
 // hears, and a wrong guess costs only a few datagrams.
 //
 // A relay may be lost, paused or cut off. So nobody concludes from missing
-// summaries that a peer has failed, a relay that hears few agents of its zone says
-// nothing of those that it doesn't hear, and an agent that hears no balancer of its
-// own zone reports to all.
+// summaries that a peer has failed, a relay that hears few agents of its zone passes
+// on only those, and an agent that hears no balancer of its own zone reports to all.
 package relayer
 
 import (
@@ -64,11 +63,14 @@
 	// directUntil is until when the process reports to all.
 	directUntil time.Time
 	isolated    bool
+	leaving     bool
 	lastTick    time.Time
 	lastSummary time.Time
 	relaying    bool
 	// rotation counts summaries, for balancers that take turns.
 	rotation int
+	// informed holds the last incarnation of each balancer for which Restarted was called.
+	informed map[gooseberrymast.Endpoint]uint64
 }
 
 // Recipients returns the peers that get the process's report. relayed is set if
@@ -78,7 +80,7 @@
 	if r.isolated {
 		r.directUntil = now.Add(directTail)
 	}
-	toAll := now.Before(r.directUntil)
+	toAll := now.Before(r.directUntil) || r.leaving && r.readyBalancers(entries, now) < relaysPerZone
 	for _, entry := range entries {
 		if !r.reportsTo(entry) {
 			continue
@@ -93,6 +95,24 @@
 	return recipients, !r.isolated
 }
 
+// Leave records that the process stops. If its zone may lack a relay, all balancers
+// get its last reports: no later one makes up for them.
+func (r *Relayer) Leave() {
+	r.leaving = true
+}
+
+// readyBalancers returns the number of balancers of the own zone that report and stay.
+func (r *Relayer) readyBalancers(entries []roster.Entry, now time.Time) int {
+	ready := 0
+	for _, entry := range entries {
+		if entry.Role == gooseberrymast.RoleBalancer && entry.Zone == r.Zone &&
+			entry.State == gooseberrymast.StateReady && entry.Reporting(now) {
+			ready++
+		}
+	}
+	return ready
+}
+
 // Isolated reports whether the last call of Recipients found no balancer of the
 // process's own zone.
 func (r *Relayer) Isolated() bool {
@@ -129,10 +149,9 @@
 }
 
 // Summary returns the summary of the own zone and its recipients. Both are empty if
-// the process is not a relay, or hears no agent of the zone. If fewer than half of
-// the zone's agents report, the process may be cut off or have just started, or the
-// others were lost: the summary then contains only the peers that report, without
-// which other zones would take them for gone too.
+// the process is not a relay, or hears no agent of its zone. If it hears fewer than
+// half of them, it may be cut off or have just started, or the others are lost: it
+// then passes on the peers that it hears, and claims no silence.
 func (r *Relayer) Summary(entries []roster.Entry, self gooseberrymast.Peer, listening roster.Listening,
 	now time.Time) (gooseberrymast.Summary, []gooseberrymast.Endpoint) {
 	r.lastSummary = now
@@ -142,12 +161,12 @@
 	if !r.relaying {
 		return gooseberrymast.Summary{}, nil
 	}
-	hearsMost := 2*heard >= total
+	claimsSilence := 2*heard >= total
 	summary := gooseberrymast.Summary{Zone: r.Zone, Peers: []gooseberrymast.PeerSummary{{Peer: self, Heard: true}}}
 	for _, entry := range entries {
 		silence := entry.Silence(listening)
-		if entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone && silence > goneKept ||
-			!hearsMost && !entry.Reporting(now) {
+		isGone := entry.State == gooseberrymast.StateGone
+		if entry.Zone != r.Zone || isGone && silence > goneKept || !claimsSilence && !isGone && !entry.Reporting(now) {
 			continue
 		}
 		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{
@@ -193,7 +212,7 @@
 	return a.Endpoint.Compare(b.Endpoint)
 }
 
-// countAgents returns the number of the zone's agents that report, and of all.
+// countAgents returns the number of agents of the own zone that report, and of all.
 func (r *Relayer) countAgents(entries []roster.Entry, now time.Time) (heard, total int) {
 	for _, entry := range entries {
 		if entry.Role != gooseberrymast.RoleAgent || entry.Zone != r.Zone || entry.State == gooseberrymast.StateGone {
@@ -266,3 +285,29 @@
 	}
 	return recipients
 }
+
+// Restarted reports whether a peer is a balancer of an incarnation for which it was not
+// called before. Such a balancer has to be sent Departures.
+func (r *Relayer) Restarted(peer gooseberrymast.Peer) bool {
+	if r.Role != gooseberrymast.RoleBalancer || peer.Role != gooseberrymast.RoleBalancer ||
+		peer.Incarnation == 0 || r.informed[peer.Endpoint] == peer.Incarnation {
+		return false
+	}
+	if r.informed == nil {
+		r.informed = map[gooseberrymast.Endpoint]uint64{}
+	}
+	r.informed[peer.Endpoint] = peer.Incarnation
+	return true
+}
+
+// Departures returns the peers that have reported that they stop. A balancer that
+// starts meanwhile has never heard them, and would take them for lost too early.
+func Departures(entries []roster.Entry) []gooseberrymast.Peer {
+	var leaving []gooseberrymast.Peer
+	for _, entry := range entries {
+		if entry.State == gooseberrymast.StateLeaving {
+			leaving = append(leaving, entry.Peer)
+		}
+	}
+	return leaving
+}
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -136,6 +136,55 @@
 	}
 }
 
+// Most agents of a zone are lost for good. Its relays hear fewer than half of those in
+// the list, and the others go on serving their flows.
+func TestAgentIsHeardElsewhereAfterLossOfMostOfItsZone(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newFleet(t, seed, 3, 2, 3)
+		f.loss = 0.0015
+		f.run(5*time.Second, nil)
+		agents := f.ofZone(gooseberrymast.RoleAgent, 1)
+		f.stop(agents[0])
+		f.stop(agents[1])
+		f.run(20*time.Second, f.checkNoneFalselyGone)
+		for i, agent := range f.processes {
+			for _, balancer := range f.ofZone(gooseberrymast.RoleBalancer, 2) {
+				if agent.down && !f.takesForGone(balancer, i) {
+					t.Fatalf("seed %d: balancer %s waits for agent %s, which was killed", seed, balancer.self.Endpoint, agent.self.Endpoint)
+				}
+			}
+		}
+	}
+}
+
+// A balancer restarts while an agent does, so it has never heard that the agent
+// stops as planned. The others have.
+func TestStartingBalancerAwaitsAgentThatRestarts(t *testing.T) {
+	for _, balancers := range []int{1, 2} {
+		for zone := range 2 {
+			f := newFleet(t, 1, 3, balancers, 4)
+			f.run(5*time.Second, nil)
+			agent, balancer := f.ofZone(gooseberrymast.RoleAgent, 0)[0], f.ofZone(gooseberrymast.RoleBalancer, zone)[0]
+			f.stop(balancer)
+			agent.self.State = gooseberrymast.StateLeaving
+			agent.self.Sequence++
+			agent.relayer.Leave()
+			f.report(agent)
+			f.run(600*time.Millisecond, nil)
+			f.stop(agent)
+			f.start(balancer)
+			f.run(2*time.Second, func() {
+				for i, p := range f.processes {
+					if p == agent && f.takesForGone(balancer, i) {
+						t.Fatalf("%d balancers a zone, %v: balancer %s resets a flow of agent %s, which restarts",
+							balancers, f.now.Sub(epoch), balancer.self.Endpoint, agent.self.Endpoint)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Agents whose zone has no balancer report to all of the others, and stop when one
 // is back.
 func TestAgentsOfAZoneWithoutBalancersReportToAll(t *testing.T) {
