--- a/runner/agent.go
+++ b/runner/agent.go
@@ -307,8 +307,8 @@
 func (a *Agent) currentServed() interpreter.Served {
 	incarnation := a.serverIncarnation()
 	var routes *gooseberrymast.Routes
-	// While the incarnation is unknown, the entry must not name addresses that the
-	// server hasn't served: a later agent would take them for those of any.
+	// While the incarnation is unknown, the entry names only what the server has
+	// served: a later agent queries its server for each address that it names.
 	if incarnation != "" {
 		routes = a.currentRoutes()
 	}
