Messages: the operators' number of a document beside the store's revision

The store's revision names a document only until the store is restored from a copy: revisions then go back and are issued again. Versions of a document become a type with the operators' number, the store's revision and a digest of the content. Number and digest, the store's era and the time of the last read of the document get fields in Report, Summary, DocumentPart and Document. The old fields keep the revision, so that instances of earlier builds go on as before. New flows carry the number in bytes of the hop's header that were zero in that mode; an earlier build passes them on unread.

No change in behaviour yet: no document has a number until ReadRoutes reads it.

--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -51,7 +51,7 @@
 	// Rank is the rank of the process among those of its zone that read, from 0.
 	Rank int
 
-	version uint64
+	version gooseberrymast.DocumentVersion
 	// confirmed is when the version was last confirmed as the latest, by any
 	// update; ownRead is when the process itself read it, zero if it didn't.
 	confirmed time.Time
@@ -77,13 +77,13 @@
 
 // HandleRead records that a read which began at a time found a version. It reports
 // whether the version is newer than the one in force.
-func (c *Confirmer) HandleRead(version uint64, began time.Time) (newer bool) {
+func (c *Confirmer) HandleRead(version gooseberrymast.DocumentVersion, began time.Time) (newer bool) {
 	c.reading = false
 	c.failures = 0
-	if version < c.version {
+	if c.version.Newer(version) {
 		return false
 	}
-	newer = version > c.version
+	newer = version.Newer(c.version)
 	c.version, c.ownRead = version, began
 	c.confirm(began)
 	return newer
@@ -107,10 +107,10 @@
 // HandleStatus processes a peer's update. It reports whether the peer holds a newer
 // version, which must then be fetched.
 func (c *Confirmer) HandleStatus(update gooseberrymast.DocumentStatus, now time.Time) (fetch bool) {
-	if update.Version > c.version {
+	if update.Version.Newer(c.version) {
 		return true
 	}
-	if update.Version == c.version && update.Confirmed && c.version > 0 {
+	if update.Version.Same(c.version) && update.Confirmed && !c.version.IsZero() {
 		c.confirm(now.Add(-update.Age))
 	}
 	return false
@@ -118,8 +118,8 @@
 
 // HandleFetched records that a version was fetched from a peer. It reports whether
 // the version is newer than the one in force.
-func (c *Confirmer) HandleFetched(version uint64) (newer bool) {
-	if version <= c.version {
+func (c *Confirmer) HandleFetched(version gooseberrymast.DocumentVersion) (newer bool) {
+	if !version.Newer(c.version) {
 		return false
 	}
 	c.version, c.ownRead = version, time.Time{}
@@ -129,7 +129,7 @@
 // Usable reports whether an instance that has run for a time since it joined may
 // serve callers by the document that it holds.
 func (c *Confirmer) Usable(now time.Time, running time.Duration) bool {
-	if c.version == 0 {
+	if c.version.IsZero() {
 		return false
 	}
 	return running >= MaxJoinWait || !c.confirmed.IsZero() && now.Sub(c.confirmed) <= MaxJoinAge
--- a/coordination/confirmer/confirmer_test.go
+++ b/coordination/confirmer/confirmer_test.go
@@ -14,6 +14,11 @@
 
 var epoch = time.Unix(1000, 0)
 
+// numbered returns a version of the operators' document.
+func numbered(number uint64) gooseberrymast.DocumentVersion {
+	return gooseberrymast.DocumentVersion{Number: number, Digest: number}
+}
+
 func TestReadsByAgeAndRank(t *testing.T) {
 	tests := []struct {
 		rank int
@@ -33,7 +38,7 @@
 		is.True(confirmer.Due(epoch)) // nothing is confirmed
 		confirmer.BeginRead()
 		is.True(!confirmer.Due(epoch))
-		is.True(confirmer.HandleRead(7, epoch))
+		is.True(confirmer.HandleRead(numbered(7), epoch))
 		is.Equal(confirmer.Due(epoch.Add(test.age)), test.due)
 	}
 }
@@ -41,28 +46,28 @@
 func TestStaleReadIsIgnored(t *testing.T) {
 	is := is.New(t)
 	var confirmer Confirmer
-	is.True(confirmer.HandleRead(7, epoch))
-	is.True(!confirmer.HandleRead(6, epoch.Add(time.Second))) // a stale read
+	is.True(confirmer.HandleRead(numbered(7), epoch))
+	is.True(!confirmer.HandleRead(numbered(6), epoch.Add(time.Second))) // a stale read
 	update := confirmer.Status(epoch.Add(time.Second))
-	is.Equal(update.Version, uint64(7))
+	is.Equal(update.Version, numbered(7))
 	is.Equal(update.Age, time.Second) // the stale read confirms nothing
-	is.True(!confirmer.HandleFetched(7))
-	is.True(confirmer.HandleFetched(8))
+	is.True(!confirmer.HandleFetched(numbered(7)))
+	is.True(confirmer.HandleFetched(numbered(8)))
 }
 
 func TestPeerUpdateConfirmsSameVersionOnly(t *testing.T) {
 	is := is.New(t)
 	var confirmer Confirmer
-	confirmer.HandleRead(7, epoch)
+	confirmer.HandleRead(numbered(7), epoch)
 	later := epoch.Add(Interval)
-	is.True(!confirmer.HandleStatus(gooseberrymast.DocumentStatus{Version: 7, Age: 100 * time.Millisecond, Confirmed: true}, later))
+	is.True(!confirmer.HandleStatus(gooseberrymast.DocumentStatus{Version: numbered(7), Age: 100 * time.Millisecond, Confirmed: true}, later))
 	is.True(!confirmer.Due(later)) // a peer of the zone has read
-	is.True(!confirmer.HandleStatus(gooseberrymast.DocumentStatus{Version: 6, Confirmed: true}, later))
+	is.True(!confirmer.HandleStatus(gooseberrymast.DocumentStatus{Version: numbered(6), Confirmed: true}, later))
 	age, known := confirmer.Age(later)
 	is.True(known)
 	is.Equal(age, 100*time.Millisecond)             // an update with an older version confirms nothing
 	is.Equal(confirmer.Status(later).Age, Interval) // a peer's read is not passed on
-	is.True(confirmer.HandleStatus(gooseberrymast.DocumentStatus{Version: 8}, later))
+	is.True(confirmer.HandleStatus(gooseberrymast.DocumentStatus{Version: numbered(8)}, later))
 }
 
 func TestFailedReadsBackOff(t *testing.T) {
@@ -90,7 +95,7 @@
 	var zone [instances]Confirmer
 	for rank := range zone {
 		zone[rank].Rank = rank
-		zone[rank].HandleRead(1, epoch)
+		zone[rank].HandleRead(numbered(1), epoch)
 	}
 	changedAt := epoch.Add(Interval - time.Millisecond)
 	var timeouts [instances]time.Time
@@ -113,7 +118,7 @@
 			if !now.Before(changedAt) {
 				version = 2
 			}
-			c.HandleRead(version, now)
+			c.HandleRead(numbered(version), now)
 		}
 		for i := range zone {
 			for j := range zone {
@@ -121,7 +126,7 @@
 					zone[i].HandleFetched(update.Version)
 				}
 			}
-			if inForce[i].IsZero() && zone[i].Status(now).Version == 2 {
+			if inForce[i].IsZero() && zone[i].Status(now).Version == numbered(2) {
 				inForce[i] = now
 			}
 		}
@@ -142,20 +147,20 @@
 		want    bool
 	}{
 		{"no document", func(*Confirmer) {}, time.Minute, false},
-		{"a document of unknown age", func(c *Confirmer) { c.HandleFetched(7) }, running, false},
+		{"a document of unknown age", func(c *Confirmer) { c.HandleFetched(numbered(7)) }, running, false},
 		{"a peer's old confirmation", func(c *Confirmer) {
-			c.HandleFetched(7)
-			c.HandleStatus(gooseberrymast.DocumentStatus{Version: 7, Age: 5 * time.Second, Confirmed: true}, epoch)
+			c.HandleFetched(numbered(7))
+			c.HandleStatus(gooseberrymast.DocumentStatus{Version: numbered(7), Age: 5 * time.Second, Confirmed: true}, epoch)
 		}, running, false},
 		{"a peer's old confirmation, after the longest wait", func(c *Confirmer) {
-			c.HandleFetched(7)
-			c.HandleStatus(gooseberrymast.DocumentStatus{Version: 7, Age: 5 * time.Second, Confirmed: true}, epoch)
+			c.HandleFetched(numbered(7))
+			c.HandleStatus(gooseberrymast.DocumentStatus{Version: numbered(7), Age: 5 * time.Second, Confirmed: true}, epoch)
 		}, MaxJoinWait, true},
 		{"a peer's recent confirmation", func(c *Confirmer) {
-			c.HandleFetched(7)
-			c.HandleStatus(gooseberrymast.DocumentStatus{Version: 7, Age: time.Second, Confirmed: true}, epoch)
+			c.HandleFetched(numbered(7))
+			c.HandleStatus(gooseberrymast.DocumentStatus{Version: numbered(7), Age: time.Second, Confirmed: true}, epoch)
 		}, running, true},
-		{"its own read", func(c *Confirmer) { c.HandleRead(7, epoch) }, running, true},
+		{"its own read", func(c *Confirmer) { c.HandleRead(numbered(7), epoch) }, running, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -174,9 +179,9 @@
 	const delay, interval = 300 * time.Millisecond, 400 * time.Millisecond
 	var peers [3]Confirmer
 	for i := range peers {
-		peers[i].HandleFetched(7)
+		peers[i].HandleFetched(numbered(7))
 	}
-	peers[0].HandleRead(7, epoch)
+	peers[0].HandleRead(numbered(7), epoch)
 	for at := epoch; at.Before(epoch.Add(5 * time.Second)); at = at.Add(interval) {
 		var updates [len(peers)]gooseberrymast.DocumentStatus
 		for i := range peers {
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -302,7 +302,7 @@
 	case hop.Service != gooseberrymast.ServiceHash(server.Service):
 		return ReasonWrongService, false
 	}
-	if routes != nil && routes.Version >= hop.Version && !routeAllows(routes, key, server.Service) {
+	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
 	if len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -19,7 +19,7 @@
 	key      = gooseberrymast.FlowKey{Caller: caller, Service: address}
 	epoch    = time.Unix(1000, 0)
 	ledger   = Server{Status: tracker.Ready, Service: "ledger"}
-	routes   = &gooseberrymast.Routes{Version: 5, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
+	routes   = &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 5}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
 		address: {Address: address, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
 		other:   {Address: other, Backends: []gooseberrymast.WeightedService{{Service: "receipts", Weight: 1}}},
 	}}
@@ -47,7 +47,7 @@
 
 func placeHop(candidates ...gooseberrymast.Endpoint) gooseberrymast.Hop {
 	return gooseberrymast.Hop{
-		Mode: gooseberrymast.HopPlace, Definite: true, Origin: balancer, Version: 5,
+		Mode: gooseberrymast.HopPlace, Definite: true, Origin: balancer, Version: gooseberrymast.DocumentVersion{Number: 5},
 		Service: gooseberrymast.ServiceHash("ledger"), Candidates: candidates,
 	}
 }
@@ -97,10 +97,10 @@
 	header := opening()
 	header.Destination = other
 	hop := placeHop()
-	hop.Version = 4
+	hop.Version.Number = 4
 	step := d.FromPeer(header, hop, ledger, routes, epoch)
 	is.Equal(step.Reason, ReasonWrongService) // the agent's later document doesn't allow it
-	hop.Version = 6
+	hop.Version.Number = 6
 	step = d.FromPeer(header, hop, ledger, routes, epoch)
 	is.Equal(step.Action, ToServer) // the balancer's document is later than the agent's
 }
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -10,7 +10,7 @@
 
 // routesTo returns routes that allow one service at count addresses.
 func routesTo(service string, count int) *gooseberrymast.Routes {
-	made := &gooseberrymast.Routes{Version: 5, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
+	made := &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 5}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
 	for i := range count {
 		at := gooseberrymast.Endpoint{IP: [4]byte{198, 18, byte(i >> 8), byte(i)}, Port: 443}
 		made.ByAddress[at] = gooseberrymast.Route{Address: at, Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}}}
--- a/coordination/relayer/fleet_test.go
+++ b/coordination/relayer/fleet_test.go
@@ -126,7 +126,7 @@
 		Self: p.self.Endpoint, Zone: p.self.Zone, Started: f.now, Roster: &p.roster, Owners: p.owners,
 		Random: rand.New(rand.NewPCG(1, 1)),
 	}
-	p.steerer.SetRoutes(&gooseberrymast.Routes{Version: 1, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
+	p.steerer.SetRoutes(&gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 1}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
 		address: {Address: address, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
 	}})
 	for i, other := range f.processes {
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -143,7 +143,7 @@
 }
 
 func (m *model) routes() *gooseberrymast.Routes {
-	return &gooseberrymast.Routes{Version: 1, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
+	return &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 1}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
 		service: {Address: service, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
 	}}
 }
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -126,7 +126,7 @@
 func (s *Steerer) SetRoutes(newRoutes *gooseberrymast.Routes) bool {
 	s.routesMu.Lock()
 	defer s.routesMu.Unlock()
-	if s.routes != nil && newRoutes.Version <= s.routes.Version {
+	if s.routes != nil && !newRoutes.Version.Newer(s.routes.Version) {
 		return false
 	}
 	if s.removed == nil {
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -62,8 +62,8 @@
 	}, Load: gooseberrymast.FlowLoad{Slots: 4}}, now)
 }
 
-func routes(version uint64, services map[gooseberrymast.Endpoint][]string) *gooseberrymast.Routes {
-	made := &gooseberrymast.Routes{Version: version, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
+func routes(number uint64, services map[gooseberrymast.Endpoint][]string) *gooseberrymast.Routes {
+	made := &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: number}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
 	for at, names := range services {
 		route := gooseberrymast.Route{Address: at}
 		for _, name := range names {
--- a/hop.go
+++ b/hop.go
@@ -63,8 +63,9 @@
 	// at that balancer.
 	Initiator Endpoint
 	Walk      uint32
-	// Version is the version of the routes that the balancer used.
-	Version uint64
+	// Version is the version of the routes that the balancer used. Its number is sent with
+	// new flows only, its digest never.
+	Version DocumentVersion
 	// Service is the ServiceHash of the service that a new flow is assigned to.
 	Service uint64
 	// Candidates are the agents to try after the receiver.
--- a/peer.go
+++ b/peer.go
@@ -50,7 +50,15 @@
 // time since it was confirmed to be the latest.
 type DocumentStatus struct {
 	// Version is zero when the process holds none.
-	Version uint64
+	Version DocumentVersion
+	// StoreEra is the highest era of the store that the process has seen; zero when it
+	// has seen none.
+	StoreEra uint64
+	// ReadAge is the time since the sender itself read the store's document, whichever
+	// version it found there.
+	ReadAge time.Duration
+	// Read is set when ReadAge is valid.
+	Read bool
 	// Age is the time since the sender itself read the version from the store.
 	Age time.Duration
 	// Confirmed is set when Age is valid.
--- a/protocol/interpreter/document.go
+++ b/protocol/interpreter/document.go
@@ -21,7 +21,9 @@
 	messages := make([]*peer.Message, 0, len(parts))
 	for i, part := range parts {
 		messages = append(messages, &peer.Message{Body: &peer.Message_DocumentPart{DocumentPart: &peer.DocumentPart{
-			Version: routes.Version,
+			Version: routes.Version.Revision,
+			Number:  routes.Version.Number,
+			Digest:  routes.Version.Digest,
 			Index:   uint32(i),
 			Count:   uint32(len(parts)),
 			Data:    part,
@@ -36,7 +38,7 @@
 // Collector assembles a document from its parts. The zero value is ready to
 // use.
 type Collector struct {
-	version uint64
+	version gooseberrymast.DocumentVersion
 	parts   [][]byte
 	missing int
 }
@@ -48,11 +50,12 @@
 	if count == 0 || count > maxParts || index >= count {
 		return nil, fmt.Errorf("Collector.Add: part %d of %d: %w", index, count, ErrMalformed)
 	}
-	if part.GetVersion() < c.version {
+	version := gooseberrymast.DocumentVersion{Number: part.GetNumber(), Revision: part.GetVersion(), Digest: part.GetDigest()}
+	if c.version.Newer(version) {
 		return nil, nil
 	}
-	if part.GetVersion() != c.version || len(c.parts) != count {
-		*c = Collector{version: part.GetVersion(), parts: make([][]byte, count), missing: count}
+	if !version.Same(c.version) || len(c.parts) != count {
+		*c = Collector{version: version, parts: make([][]byte, count), missing: count}
 	}
 	if c.parts[index] == nil {
 		c.parts[index] = part.GetData()
@@ -70,8 +73,36 @@
 	return decodeDocument(message)
 }
 
+// documentStatusMessage is a message that contains a DocumentStatus.
+type documentStatusMessage interface {
+	GetDocumentVersion() uint64
+	GetDocumentNumber() uint64
+	GetDocumentDigest() uint64
+	GetDocumentAgeMs() uint32
+	GetDocumentConfirmed() bool
+	GetDocumentReadAgeMs() uint32
+	GetDocumentRead() bool
+	GetStoreEra() uint64
+}
+
+func readDocumentStatus(message documentStatusMessage) gooseberrymast.DocumentStatus {
+	return gooseberrymast.DocumentStatus{
+		Version: gooseberrymast.DocumentVersion{
+			Number: message.GetDocumentNumber(), Revision: message.GetDocumentVersion(), Digest: message.GetDocumentDigest(),
+		},
+		Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
+		Confirmed: message.GetDocumentConfirmed(),
+		ReadAge:   time.Duration(message.GetDocumentReadAgeMs()) * time.Millisecond,
+		Read:      message.GetDocumentRead(),
+		StoreEra:  message.GetStoreEra(),
+	}
+}
+
 func encodeDocument(routes *gooseberrymast.Routes) *peer.Document {
-	message := &peer.Document{Version: routes.Version, IdleMillis: uint32(routes.IdleTimeout.Milliseconds())}
+	message := &peer.Document{
+		Version: routes.Version.Revision, Number: routes.Version.Number, Digest: routes.Version.Digest,
+		IdleMillis: uint32(routes.IdleTimeout.Milliseconds()),
+	}
 	indexes := map[string]uint32{}
 	indexOf := func(service string) uint32 {
 		if i, ok := indexes[service]; ok {
@@ -101,7 +132,9 @@
 
 func decodeDocument(message *peer.Document) (*gooseberrymast.Routes, error) {
 	routes := &gooseberrymast.Routes{
-		Version:     message.GetVersion(),
+		Version: gooseberrymast.DocumentVersion{
+			Number: message.GetNumber(), Revision: message.GetVersion(), Digest: message.GetDigest(),
+		},
 		ByAddress:   make(map[gooseberrymast.Endpoint]gooseberrymast.Route, len(message.GetRoutes())),
 		IdleTimeout: time.Duration(message.GetIdleMillis()) * time.Millisecond,
 		HealthPaths: map[string]string{},
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -55,9 +55,14 @@
 	return &peer.Message{Body: &peer.Message_Report{Report: &peer.Report{
 		Self:              encodeMember(report.Peer),
 		Load:              encodeLoad(report.Load),
-		DocumentVersion:   report.Document.Version,
+		DocumentVersion:   report.Document.Version.Revision,
+		DocumentNumber:    report.Document.Version.Number,
+		DocumentDigest:    report.Document.Version.Digest,
 		DocumentAgeMs:     uint32(report.Document.Age.Milliseconds()),
 		DocumentConfirmed: report.Document.Confirmed,
+		DocumentReadAgeMs: uint32(report.Document.ReadAge.Milliseconds()),
+		DocumentRead:      report.Document.Read,
+		StoreEra:          report.Document.StoreEra,
 		BalancersDigest:   report.Digests.Balancers,
 		AgentsDigest:      report.Digests.Agents,
 		Relayed:           report.Relayed,
@@ -67,13 +72,9 @@
 // ReadReport decodes a report.
 func ReadReport(message *peer.Report) gooseberrymast.Report {
 	return gooseberrymast.Report{
-		Peer: decodeMember(message.GetSelf()),
-		Load: decodeLoad(message.GetLoad()),
-		Document: gooseberrymast.DocumentStatus{
-			Version:   message.GetDocumentVersion(),
-			Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
-			Confirmed: message.GetDocumentConfirmed(),
-		},
+		Peer:     decodeMember(message.GetSelf()),
+		Load:     decodeLoad(message.GetLoad()),
+		Document: readDocumentStatus(message),
 		Digests: gooseberrymast.RosterDigests{
 			Balancers: message.GetBalancersDigest(), Agents: message.GetAgentsDigest(),
 		},
@@ -106,8 +107,8 @@
 }
 
 // DocumentRequest returns the message that requests a version of the document.
-func DocumentRequest(version uint64) *peer.Message {
-	return &peer.Message{Body: &peer.Message_DocumentRequest{DocumentRequest: &peer.DocumentRequest{Version: version}}}
+func DocumentRequest(version gooseberrymast.DocumentVersion) *peer.Message {
+	return &peer.Message{Body: &peer.Message_DocumentRequest{DocumentRequest: &peer.DocumentRequest{Version: version.Revision}}}
 }
 
 // Owners returns the message by which an agent reports the flows that it owns.
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/messages/peer"
@@ -48,14 +49,44 @@
 func TestReportRoundTrip(t *testing.T) {
 	is := is.New(t)
 	report := gooseberrymast.Report{
-		Peer:     testAgent(1),
-		Load:     gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
-		Document: gooseberrymast.DocumentStatus{Version: 19, Age: 250 * time.Millisecond, Confirmed: true},
-		Digests:  gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
+		Peer: testAgent(1),
+		Load: gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
+		Document: gooseberrymast.DocumentStatus{
+			Version: gooseberrymast.DocumentVersion{Number: 19, Revision: 1 << 33, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
+			StoreEra: 2, ReadAge: 125 * time.Millisecond, Read: true,
+		},
+		Digests: gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
 	}
 	is.Equal(ReadReport(roundTrip(t, Report(report)).GetReport()), report)
 }
 
+// Earlier builds order documents by the store's revision. It must not be read as the
+// operators' number, nor the number sent in its place.
+func TestEarlierBuildsExchangeRevisionsOnly(t *testing.T) {
+	is := is.New(t)
+	report := Report(gooseberrymast.Report{Document: gooseberrymast.DocumentStatus{
+		Version: gooseberrymast.DocumentVersion{Number: 14, Revision: 520, Digest: 3},
+	}}).GetReport()
+	is.Equal(report.GetDocumentVersion(), uint64(520))
+	earlier := gooseberrymast.DocumentVersion{Revision: 520}
+	is.Equal(ReadReport(&peer.Report{DocumentVersion: 520}).Document.Version, earlier)
+	is.Equal(ReadSummary(&peer.Summary{DocumentVersion: 520}).Document.Version, earlier)
+	routes := testRoutes(1)
+	messages, err := Document(routes)
+	is.NoErr(err)
+	part := messages[0].GetDocumentPart()
+	is.Equal(part.GetVersion(), routes.Version.Revision)
+	sent := &peer.Document{}
+	is.NoErr(proto.Unmarshal(part.GetData(), sent))
+	is.Equal(sent.GetVersion(), routes.Version.Revision)
+	data, err := proto.Marshal(&peer.Document{Version: 520})
+	is.NoErr(err)
+	var collector Collector
+	read, err := collector.Add(&peer.DocumentPart{Version: 520, Count: 1, Data: data})
+	is.NoErr(err)
+	is.Equal(read.Version, earlier)
+}
+
 func TestRostersRoundTrip(t *testing.T) {
 	is := is.New(t)
 	var peers, read []gooseberrymast.Peer
@@ -81,7 +112,7 @@
 
 func testRoutes(count int) *gooseberrymast.Routes {
 	routes := &gooseberrymast.Routes{
-		Version: 12, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
+		Version: gooseberrymast.DocumentVersion{Number: 12, Revision: 40, Digest: 1 << 62}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
 		HealthPaths: map[string]string{"ledger": "/healthz", "receipts": "/ok"},
 	}
 	for i := range count {
@@ -123,7 +154,7 @@
 func TestPartsOfOlderVersionAreIgnored(t *testing.T) {
 	is := is.New(t)
 	older, newer := testRoutes(100), testRoutes(101)
-	newer.Version++
+	newer.Version.Number++
 	olderParts, err := Document(older)
 	is.NoErr(err)
 	newerParts, err := Document(newer)
--- a/protocol/interpreter/summary.go
+++ b/protocol/interpreter/summary.go
@@ -20,9 +20,14 @@
 		message := &peer.Summary{
 			Zone:              summary.Zone,
 			Forwarded:         summary.Forwarded,
-			DocumentVersion:   summary.Document.Version,
+			DocumentVersion:   summary.Document.Version.Revision,
+			DocumentNumber:    summary.Document.Version.Number,
+			DocumentDigest:    summary.Document.Version.Digest,
 			DocumentAgeMs:     uint32(summary.Document.Age.Milliseconds()),
 			DocumentConfirmed: summary.Document.Confirmed,
+			DocumentReadAgeMs: uint32(summary.Document.ReadAge.Milliseconds()),
+			DocumentRead:      summary.Document.Read,
+			StoreEra:          summary.Document.StoreEra,
 		}
 		for _, p := range part {
 			member := encodeMember(p.Peer)
@@ -44,11 +49,7 @@
 	summary := gooseberrymast.Summary{
 		Zone:      message.GetZone(),
 		Forwarded: message.GetForwarded(),
-		Document: gooseberrymast.DocumentStatus{
-			Version:   message.GetDocumentVersion(),
-			Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
-			Confirmed: message.GetDocumentConfirmed(),
-		},
+		Document:  readDocumentStatus(message),
 	}
 	for _, p := range message.GetPeers() {
 		decoded := gooseberrymast.PeerSummary{
--- a/protocol/interpreter/summary_test.go
+++ b/protocol/interpreter/summary_test.go
@@ -12,7 +12,10 @@
 func TestSummariesRoundTrip(t *testing.T) {
 	is := is.New(t)
 	summary := gooseberrymast.Summary{
-		Zone: "cairo-a", Document: gooseberrymast.DocumentStatus{Version: 1 << 40, Age: 250 * time.Millisecond, Confirmed: true},
+		Zone: "cairo-a", Document: gooseberrymast.DocumentStatus{
+			Version: gooseberrymast.DocumentVersion{Number: 1 << 40, Revision: 1 << 41, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
+			StoreEra: 1 << 40, ReadAge: 125 * time.Millisecond, Read: true,
+		},
 	}
 	for number := range 2*maxSummaryPeers + 1 {
 		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{
--- a/protocol/wrapper/wrapper.go
+++ b/protocol/wrapper/wrapper.go
@@ -2,8 +2,12 @@
 // the system forwards to another. The layout is fixed and small, since every
 // packet carries it. With lengths in bytes:
 //
-//	kind 1 | mode 1 | flags 1 | number of candidates 1 | walk 4 | version 8 |
+//	kind 1 | mode 1 | flags 1 | number of candidates 1 | walk 4 | revision 8 |
 //	service 8 | origin 6 | initiator 6 | 6 for each candidate | packet
+//
+// The revision is the store's revision of the sender's document. In HopPlace, which has
+// no walk, walk and the first 4 bytes of initiator are the higher and the lower half of
+// the document's number, or zero from earlier builds.
 package wrapper
 
 import (
@@ -46,11 +50,17 @@
 	}
 	candidates := hop.Candidates[:min(len(hop.Candidates), gooseberrymast.MaxCandidates)]
 	datagram = append(datagram, KindPacket, byte(hop.Mode), flags, byte(len(candidates)))
-	datagram = binary.BigEndian.AppendUint32(datagram, hop.Walk)
-	datagram = binary.BigEndian.AppendUint64(datagram, hop.Version)
+	walk, initiator := hop.Walk, hop.Initiator
+	if hop.Mode == gooseberrymast.HopPlace {
+		walk = uint32(hop.Version.Number >> 32)
+		initiator = gooseberrymast.Endpoint{}
+		binary.BigEndian.PutUint32(initiator.IP[:], uint32(hop.Version.Number))
+	}
+	datagram = binary.BigEndian.AppendUint32(datagram, walk)
+	datagram = binary.BigEndian.AppendUint64(datagram, hop.Version.Revision)
 	datagram = binary.BigEndian.AppendUint64(datagram, hop.Service)
 	datagram = appendEndpoint(datagram, hop.Origin)
-	datagram = appendEndpoint(datagram, hop.Initiator)
+	datagram = appendEndpoint(datagram, initiator)
 	for _, candidate := range candidates {
 		datagram = appendEndpoint(datagram, candidate)
 	}
@@ -75,11 +85,15 @@
 		Definite:     datagram[2]&flagDefinite != 0,
 		NotifyOrigin: datagram[2]&flagPassed != 0,
 		Walk:         binary.BigEndian.Uint32(datagram[4:]),
-		Version:      binary.BigEndian.Uint64(datagram[8:]),
+		Version:      gooseberrymast.DocumentVersion{Revision: binary.BigEndian.Uint64(datagram[8:])},
 		Service:      binary.BigEndian.Uint64(datagram[16:]),
 		Origin:       decodeEndpoint(datagram[24:]),
 		Initiator:    decodeEndpoint(datagram[30:]),
 	}
+	if mode == gooseberrymast.HopPlace {
+		hop.Version.Number = uint64(hop.Walk)<<32 | uint64(binary.BigEndian.Uint32(hop.Initiator.IP[:]))
+		hop.Walk, hop.Initiator = 0, gooseberrymast.Endpoint{}
+	}
 	if count > 0 {
 		hop.Candidates = make([]gooseberrymast.Endpoint, count)
 		for i := range hop.Candidates {
--- a/protocol/wrapper/wrapper_test.go
+++ b/protocol/wrapper/wrapper_test.go
@@ -14,7 +14,7 @@
 		Mode: gooseberrymast.HopWalk, Definite: true, NotifyOrigin: true,
 		Origin:    gooseberrymast.Endpoint{IP: [4]byte{10, 1, 0, 1}, Port: 7000},
 		Initiator: gooseberrymast.Endpoint{IP: [4]byte{10, 1, 0, 2}, Port: 7001},
-		Walk:      77, Version: 1 << 40, Service: 1<<63 + 5,
+		Walk:      77, Version: gooseberrymast.DocumentVersion{Revision: 1 << 40}, Service: 1<<63 + 5,
 	}
 	for i := range candidates {
 		hop.Candidates = append(hop.Candidates, gooseberrymast.Endpoint{IP: [4]byte{10, 2, 0, byte(i)}, Port: 7000})
@@ -35,6 +35,35 @@
 	}
 }
 
+// Only new flows need the operators' number.
+func TestNewFlowsCarryTheDocumentNumber(t *testing.T) {
+	is := is.New(t)
+	hop := gooseberrymast.Hop{
+		Mode: gooseberrymast.HopPlace, Definite: true, Service: 3,
+		Version: gooseberrymast.DocumentVersion{Number: 1<<40 + 7, Revision: 1 << 41},
+	}
+	read, _, err := Split(Append(nil, hop))
+	is.NoErr(err)
+	is.Equal(read, hop)
+}
+
+// Earlier builds read the revision at the place of the version, and neither walk nor
+// initiator of a new flow; they send both as zero.
+func TestNewFlowsOfEarlierBuildsHaveNoNumber(t *testing.T) {
+	is := is.New(t)
+	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopPlace, Version: gooseberrymast.DocumentVersion{Revision: 520}}
+	datagram := Append(nil, hop)
+	is.Equal(datagram[:24], []byte{
+		KindPacket, byte(gooseberrymast.HopPlace), 0, 0,
+		0, 0, 0, 0,
+		0, 0, 0, 0, 0, 0, 2, 8,
+		0, 0, 0, 0, 0, 0, 0, 0,
+	})
+	read, _, err := Split(datagram)
+	is.NoErr(err)
+	is.Equal(read, hop)
+}
+
 func TestMalformedHeadersAreRejected(t *testing.T) {
 	good := Append(nil, testHop(2))
 	changed := func(at int, value byte) []byte {
--- a/route.go
+++ b/route.go
@@ -43,8 +43,7 @@
 // Routes are the routes of one version of the operators' document. They are
 // immutable.
 type Routes struct {
-	// Version rises with each accepted change; zero means no document.
-	Version uint64
+	Version DocumentVersion
 	// ByAddress holds each route once.
 	ByAddress map[Endpoint]Route
 	// IdleTimeout is the time after which an idle flow may be discarded.
--- a/runner/document.go
+++ b/runner/document.go
@@ -69,9 +69,9 @@
 	m.mu.Lock()
 	current := m.routes
 	m.mu.Unlock()
-	if current != nil && stored.Version <= current.Version {
+	if current != nil && stored.Version <= current.Version.Revision {
 		m.mu.Lock()
-		m.confirmer.HandleRead(stored.Version, now)
+		m.confirmer.HandleRead(gooseberrymast.DocumentVersion{Revision: stored.Version}, now)
 		m.mu.Unlock()
 		return
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		m.confirmer.HandleFailedRead(m.Timer.Now())
 	} else {
-		m.confirmer.HandleRead(stored.Version, now)
+		m.confirmer.HandleRead(routes.Version, now)
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -108,7 +108,7 @@
 // applyRoutes puts routes in force unless a later version already is.
 func (m *member) applyRoutes(routes *gooseberrymast.Routes, source string) {
 	m.mu.Lock()
-	if m.routes != nil && m.routes.Version >= routes.Version {
+	if m.routes != nil && !routes.Version.Newer(m.routes.Version) {
 		m.mu.Unlock()
 		return
 	}
@@ -116,7 +116,7 @@
 	m.documentParts = nil
 	m.mu.Unlock()
 	m.onRoutes(routes)
-	m.Log.Info(gooseberrymast.EventDocumentInForce).Uint64("version", routes.Version).
+	m.Log.Info(gooseberrymast.EventDocumentInForce).Uint64("version", routes.Version.Revision).
 		Int("routes", len(routes.ByAddress)).Str("source", source).Msg("")
 	m.triggerReport()
 }
--- a/runner/record.go
+++ b/runner/record.go
@@ -114,5 +114,5 @@
 	if routes == nil {
 		return 0
 	}
-	return routes.Version
+	return routes.Version.Revision
 }
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -227,7 +227,7 @@
 		return nil, errors.New("empty")
 	}
 	return &gooseberrymast.Routes{
-		Version: object.Version,
+		Version: gooseberrymast.DocumentVersion{Revision: object.Version},
 		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{serviceAddress: {
 			Address: serviceAddress, Backends: []gooseberrymast.WeightedService{{Service: string(object.Value), Weight: 1}},
 		}},
