Create an agent's entry anew when an update finds it gone

What callers saw: nothing at once; the store got calls in vain. The entry goes when a balancer removes it after a minute of silence, or when the store is restored from a copy that is older than the entry. Meanwhile a successor of the agent finds no entry.

Change: such an update records that the entry is lost, logs it, and the next attempt creates it.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -133,11 +133,17 @@
 	}
 	entry.Value = value
 	entry.Version, err = m.Store.Put(ctx, entry, entry.Version)
-	if errors.Is(err, gooseberrymast.ErrStoreConflict) || errors.Is(err, gooseberrymast.ErrStoreUnknown) {
+	switch {
+	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+		return m.handleLostEntry(err)
+	case errors.Is(err, gooseberrymast.ErrStoreConflict), errors.Is(err, gooseberrymast.ErrStoreUnknown):
 		// An earlier write took effect although its response was lost. No other
 		// process writes this entry, so the next attempt continues from the stored
 		// version.
 		latest, readErr := m.Store.Get(ctx, entry.Key)
+		if errors.Is(readErr, gooseberrymast.ErrStoreNotFound) {
+			return m.handleLostEntry(err)
+		}
 		if readErr != nil {
 			return errors.Join(err, readErr)
 		}
@@ -155,6 +161,16 @@
 	return nil
 }
 
+// handleLostEntry records that the process's entry is no longer in the store, so that
+// the next attempt creates it, and returns the error of the attempt that found this.
+func (m *member) handleLostEntry(err error) error {
+	m.mu.Lock()
+	m.entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers)}
+	m.mu.Unlock()
+	m.Log.Warn(gooseberrymast.EventEntryLost).Msg("")
+	return err
+}
+
 // verifyInterval is the time between two checks that the process's entry is
 // still in the store. At the required fleet size this causes 310 reads per
 // second; the store handles 2,000.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -226,3 +226,20 @@
 	_, err := c.store.Get(t.Context(), key)
 	is.NoErr(err)
 }
+
+// The entry of a running agent may be removed, or lost when the store is restored from
+// an earlier copy. Its updates then failed every 250 ms until the next verification.
+func TestUpdateOfLostEntryCreatesIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	key := entryKey(agent.Settings.Peers)
+	is.NoErr(c.store.Delete(t.Context(), key, 0))
+	address := gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 9}, Port: 443}
+	agent.deliverer.Restore([]gooseberrymast.Endpoint{address})
+	c.waitFor("the entry names the address", func() bool {
+		entry, err := c.store.Get(t.Context(), key)
+		return err == nil && strings.Contains(string(entry.Value), address.String())
+	})
+}
