Verify entries soon after the store was restored

What callers saw: an instance that starts after a restore doesn't find running ones, whose entries were written after the copy: for up to 10 minutes, the interval of the verification of an entry.

Cause: nobody noticed that the store had lost what it had acknowledged.

Change: coordination/verifier tracks the store's era, which the store's client reads from each response and peers name in reports and summaries (store_era).

Ruled out: watches (a waiting watch is cut by the restore and each costs a call); every instance polling the era itself (17,000 reads per interval).

--- a/log_event.go
+++ b/log_event.go
@@ -13,6 +13,7 @@
 	EventSettingsInvalid    LogEvent = "settings-invalid"
 	EventStoreLost          LogEvent = "store-lost"
 	EventStoreRegained      LogEvent = "store-regained"
+	EventStoreRestored      LogEvent = "store-restored"
 	EventStoreUnreadable    LogEvent = "store-entry-unreadable"
 	EventRegistered         LogEvent = "registered"
 	EventRegisterFailed     LogEvent = "register-failed"
@@ -71,7 +72,7 @@
 // LogEvents lists every event.
 var LogEvents = []LogEvent{
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
-	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
+	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
--- a/peer.go
+++ b/peer.go
@@ -54,6 +54,9 @@
 	// StoreEra is the highest era of the store that the process has seen; zero when it
 	// has seen none.
 	StoreEra uint64
+	// SettledEra is the highest era that the process knows to have settled: every
+	// running instance has had the time to verify its entry in the store.
+	SettledEra uint64
 	// ReadAge is the time since the sender itself read the store's document, whichever
 	// version it found there.
 	ReadAge time.Duration
--- a/protocol/interpreter/document.go
+++ b/protocol/interpreter/document.go
@@ -83,6 +83,7 @@
 	GetDocumentReadAgeMs() uint32
 	GetDocumentRead() bool
 	GetStoreEra() uint64
+	GetSettledEra() uint64
 }
 
 func readDocumentStatus(message documentStatusMessage) gooseberrymast.DocumentStatus {
@@ -90,11 +91,12 @@
 		Version: gooseberrymast.DocumentVersion{
 			Number: message.GetDocumentNumber(), Revision: message.GetDocumentVersion(), Digest: message.GetDocumentDigest(),
 		},
-		Age:       time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
-		Confirmed: message.GetDocumentConfirmed(),
-		ReadAge:   time.Duration(message.GetDocumentReadAgeMs()) * time.Millisecond,
-		Read:      message.GetDocumentRead(),
-		StoreEra:  message.GetStoreEra(),
+		Age:        time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
+		Confirmed:  message.GetDocumentConfirmed(),
+		ReadAge:    time.Duration(message.GetDocumentReadAgeMs()) * time.Millisecond,
+		Read:       message.GetDocumentRead(),
+		StoreEra:   message.GetStoreEra(),
+		SettledEra: message.GetSettledEra(),
 	}
 }
 
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -63,6 +63,7 @@
 		DocumentReadAgeMs: uint32(report.Document.ReadAge.Milliseconds()),
 		DocumentRead:      report.Document.Read,
 		StoreEra:          report.Document.StoreEra,
+		SettledEra:        report.Document.SettledEra,
 		BalancersDigest:   report.Digests.Balancers,
 		AgentsDigest:      report.Digests.Agents,
 		Relayed:           report.Relayed,
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -53,7 +53,7 @@
 		Load: gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
 		Document: gooseberrymast.DocumentStatus{
 			Version: gooseberrymast.DocumentVersion{Number: 19, Revision: 1 << 33, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
-			StoreEra: 2, ReadAge: 125 * time.Millisecond, Read: true,
+			StoreEra: 2, SettledEra: 1, ReadAge: 125 * time.Millisecond, Read: true,
 		},
 		Digests: gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
 	}
--- a/protocol/interpreter/record.go
+++ b/protocol/interpreter/record.go
@@ -19,16 +19,26 @@
 	// and Server identifies the server's incarnation.
 	Served []string `json:"served,omitempty"`
 	Server string   `json:"server,omitempty"`
+	// VerifiedEra and SettledEra are as in Served.
+	VerifiedEra uint64 `json:"verified-era,omitempty"`
+	SettledEra  uint64 `json:"settled-era,omitempty"`
 }
 
-// Served holds the addresses that an agent's server has served, as recorded in
-// the store.
+// Served holds what a process's entry in the store says about an agent's server, and
+// about the store's eras.
 type Served struct {
 	// Addresses lists the addresses whose flows the server has accepted.
 	Addresses []gooseberrymast.Endpoint
 	// Server identifies the incarnation of the server; empty while it is
 	// unknown.
 	Server string
+	// VerifiedEra is the era of the store in which the agent wrote the entry, if the
+	// entry names every address whose flows the server may hold; otherwise zero. In a
+	// later era, later writes of the entry may be lost.
+	VerifiedEra uint64
+	// SettledEra is the highest era that the writer knew to have settled: every running
+	// instance had had the time to verify its entry.
+	SettledEra uint64
 }
 
 // EncodeRecord encodes a peer's value in the store.
@@ -39,6 +49,9 @@
 		Service:  peer.Service,
 		Zone:     peer.Zone,
 		Server:   served.Server,
+
+		VerifiedEra: served.VerifiedEra,
+		SettledEra:  served.SettledEra,
 	}
 	for _, address := range served.Addresses {
 		stored.Served = append(stored.Served, address.String())
@@ -58,7 +71,7 @@
 	if err := json.Unmarshal(value, &decoded); err != nil {
 		return gooseberrymast.Peer{}, Served{}, fmt.Errorf("interpreter.DecodeRecord: %w", err)
 	}
-	served := Served{Server: decoded.Server}
+	served := Served{Server: decoded.Server, VerifiedEra: decoded.VerifiedEra, SettledEra: decoded.SettledEra}
 	for _, text := range decoded.Served {
 		address, err := gooseberrymast.ParseEndpoint(text)
 		if err != nil {
--- a/protocol/interpreter/summary.go
+++ b/protocol/interpreter/summary.go
@@ -28,6 +28,7 @@
 			DocumentReadAgeMs: uint32(summary.Document.ReadAge.Milliseconds()),
 			DocumentRead:      summary.Document.Read,
 			StoreEra:          summary.Document.StoreEra,
+			SettledEra:        summary.Document.SettledEra,
 		}
 		for _, p := range part {
 			member := encodeMember(p.Peer)
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -146,7 +146,8 @@
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.confirmDocument(workCtx) }),
 		a.Timer.Every(ownersInterval, a.announceOwners),
 		a.Timer.Every(ownersInterval, a.checkServer),
-		a.Timer.Every(verifyInterval, func(time.Time) { a.verifyEntry(workCtx) }),
+		a.Timer.Every(verifyInterval, func(time.Time) { _ = a.verifyEntry(workCtx) }),
+		a.Timer.Every(eraCheckInterval, func(time.Time) { a.verifyAfterRestore(workCtx) }),
 		a.Timer.Every(entryCheckInterval, func(now time.Time) { a.recordServed(workCtx, now) }),
 		a.Timer.Every(expireInterval, func(now time.Time) {
 			a.deliverer.Expire(now)
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -97,7 +97,8 @@
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
 		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(workCtx, now) }),
 		b.Timer.Every(relayer.TickInterval, b.sendSummary),
-		b.Timer.Every(verifyInterval, func(time.Time) { b.verifyEntry(workCtx) }),
+		b.Timer.Every(verifyInterval, func(time.Time) { _ = b.verifyEntry(workCtx) }),
+		b.Timer.Every(eraCheckInterval, func(time.Time) { b.verifyAfterRestore(workCtx) }),
 	}
 	go b.reportPeriodically(workCtx, balancerReportInterval)
 	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -178,9 +178,9 @@
 
 // verifyEntry reads the process's entry from the store and writes it again if
 // it was removed or changed.
-func (m *member) verifyEntry(ctx context.Context) {
+func (m *member) verifyEntry(ctx context.Context) error {
 	if !m.registered.Load() {
-		return
+		return nil
 	}
 	err := m.callStore(ctx, "verify the entry", func(ctx context.Context) error {
 		found, err := m.Store.Get(ctx, entryKey(m.Settings.Peers))
@@ -201,6 +201,7 @@
 	if err != nil {
 		m.Log.Warn(gooseberrymast.EventEntryNotUpdated).Err(err).Msg("")
 	}
+	return err
 }
 
 // removeInterval is the time between two removals by one balancer, so that the
--- a/runner/member.go
+++ b/runner/member.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"gooseberrymast"
 	"gooseberrymast/coordination/confirmer"
 	"gooseberrymast/coordination/relayer"
+	"gooseberrymast/coordination/verifier"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/protocol/messages/peer"
 	"gooseberrymast/protocol/wrapper"
@@ -45,6 +47,10 @@
 	Settings gooseberrymast.InstanceSettings
 	Codec    gooseberrymast.PacketCodec
 	Store    gooseberrymast.ObjectStore
+	// StoreEra returns the store's era as of its latest response. It rises each time
+	// that the store is restored from an earlier copy, and is zero while it is unknown.
+	// Nil if the store has no eras.
+	StoreEra func() uint64
 	Timer    gooseberrymast.Timer
 	// DocumentKey is the key of the document in the store.
 	DocumentKey string
@@ -96,6 +102,7 @@
 	confirmer confirmer.Confirmer
 	collector interpreter.Collector
 	routes    *gooseberrymast.Routes
+	verifier  verifier.Verifier
 	// documentParts are the datagrams of routes, or nil until a peer requests them.
 	documentParts [][]byte
 	lastFetch     time.Time
@@ -128,6 +135,7 @@
 		Zone:        m.Settings.Zone,
 	}
 	m.roster.Zone = m.Settings.Zone
+	m.verifier.Offset = rand.Float64()
 	m.relayer = relayer.Relayer{Self: m.Settings.Peers, Role: m.Settings.Role, Zone: m.Settings.Zone, Started: now}
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
 	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
@@ -288,7 +296,9 @@
 // handleDocumentStatus processes what a peer says of its document, and requests the
 // document if the peer's is newer.
 func (m *member) handleDocumentStatus(status gooseberrymast.DocumentStatus, from gooseberrymast.Endpoint, now time.Time) {
+	m.handleEra(status.StoreEra, "peer")
 	m.mu.Lock()
+	m.verifier.HandleSettled(status.SettledEra)
 	fetch := m.confirmer.HandleStatus(status, now) && now.Sub(m.lastFetch) >= fetchInterval
 	if fetch {
 		m.lastFetch = now
@@ -325,6 +335,7 @@
 func (m *member) callStore(ctx context.Context, step string, call func(context.Context) error) error {
 	err := call(ctx)
 	m.metrics.countStoreCall(step, err)
+	m.observeStoreEra()
 	failed := errors.Is(err, gooseberrymast.ErrStoreUnavailable) || errors.Is(err, gooseberrymast.ErrStoreUnknown)
 	m.mu.Lock()
 	changed := failed != m.storeFailed
--- a/runner/report.go
+++ b/runner/report.go
@@ -48,7 +48,7 @@
 	m.mu.Lock()
 	report := gooseberrymast.Report{
 		Peer:     m.self,
-		Document: m.confirmer.Status(now),
+		Document: m.documentStatus(now),
 		Digests:  m.roster.Digests(m.self),
 		Relayed:  relayed,
 	}
@@ -98,7 +98,7 @@
 		return
 	}
 	b.mu.Lock()
-	summary.Document = b.confirmer.Status(now)
+	summary.Document = b.documentStatus(now)
 	b.mu.Unlock()
 	b.writeSummary(summary, recipients)
 	b.metrics.countSummaries("sent", len(recipients))
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -160,10 +160,10 @@
 
 	own := entryKey(agent.Settings.Peers)
 	is.NoErr(c.store.Delete(t.Context(), own, 0))
-	agent.verifyEntry(t.Context())
+	is.NoErr(agent.verifyEntry(t.Context()))
 	written, err := c.store.Get(t.Context(), own)
 	is.NoErr(err)
-	agent.verifyEntry(t.Context())
+	is.NoErr(agent.verifyEntry(t.Context()))
 	again, err := c.store.Get(t.Context(), own)
 	is.NoErr(err)
 	is.Equal(again.Version, written.Version) // an unchanged entry is not written again
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -198,6 +198,8 @@
 	// zones holds the availability zones of instances by their address; the others
 	// are in zone "a".
 	zones map[[4]byte]string
+	// standin, if set, is used instead of store.
+	standin *standinStore
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -240,7 +242,7 @@
 	if zone == "" {
 		zone = "a"
 	}
-	return Environment{
+	environment := Environment{
 		Settings: gooseberrymast.InstanceSettings{
 			Name: fmt.Sprint(ip), Role: role, Zone: zone, Peers: endpoint(peersPort), Packets: endpoint(packetsPort),
 			Outbound: endpoint(outboundPort), Readiness: endpoint(readyPort), Announcements: endpoint(announcePort), Server: endpoint(serverPort),
@@ -248,6 +250,12 @@
 		},
 		Codec: platform.Codec{}, Store: c.store, Timer: timer.System{}, DocumentKey: "document", ReadRoutes: readRoutesFixture,
 	}
+	if c.standin != nil {
+		store := platform.NewStore(c.standin.address, waitTimeout)
+		environment.Store, environment.StoreEra = store, store.Era
+		environment.DocumentKey, environment.ReadRoutes = platform.DocumentKey, platform.ReadRoutes
+	}
+	return environment
 }
 
 // startBalancer runs a balancer until the returned function is called.
