Documents are ordered by the operators' number, not by the store's revision

Hypotheses: (1) the order by revision: later documents get lower revisions than the one in force, look old, and are refused until the counter has passed the old mark; (2) reads after the return fail or are refused by the store's rates; (3) instances regress in the gap. (2) is ruled out: the calls were answered.

Change: ReadRoutes reads the number; a document without one is unreadable. The confirmer orders by number. An older document neither regresses an instance nor confirms its own, but counts as a read, also for peers with the same version. An instance that knows of a later version from a peer isn't ready by an older one before the join wait has passed. The same number and content under another revision confirms; other content under the number in force is replaced by what the store holds and logged, so that all instances end up with the same. The log shows number, revision and era of the document in force, and reads of an older document (document-older) or other content (document-conflict).

Failed before (scratch copy with the former code, tests of this commit): TestDocumentsOfRestoredStoreAreOrderedByNumber, TestReadRoutes, TestReadRoutesRejectsMalformedDocuments, TestOlderDocumentOfRestoredStoreNeitherRegressesNorConfirms (read again at once), TestRestoredStoreIsReadAsSeldomAsBefore (2428 != 22), TestJoiningInstanceDoesNotServeByDocumentOfRestoredStore (4 of 6 cases), TestRepeatedWriteOfSameDocumentConfirms, TestOtherContentOfSameNumberReplacesRoutes, TestDocumentStaysInForceAcrossRestoreOfStore (11 != 14 with the client's rising versions; without them too many reads), TestStoreDecidesBetweenContentsOfOneNumber (without rising versions).

The inputs of TestReadRoutesRejectsMalformedDocuments got a number, so that each still fails by its own fault.

--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -57,6 +57,7 @@
 				Settings:    settings,
 				Codec:       platform.Codec{},
 				Store:       store,
+				StoreEra:    store.Era,
 				Timer:       timer.System{},
 				DocumentKey: platform.DocumentKey,
 				ReadRoutes:  platform.ReadRoutes,
--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -12,6 +12,12 @@
 // read for more recent than it was, by the delay. If updates were passed on, two
 // peers would make the read ever more recent between them, so a process reports
 // only its own reads.
+//
+// Load pattern: a store that was restored from an earlier copy holds an older document
+// than the one in force until operators have repeated their writes. A read of an
+// older version confirms nothing. It still counts as a read: peers with the same
+// version in force would find the same, so that the store isn't read more often than
+// at other times.
 package confirmer
 
 import (
@@ -52,10 +58,17 @@
 	Rank int
 
 	version gooseberrymast.DocumentVersion
+	// latest is the latest version that any peer has reported.
+	latest gooseberrymast.DocumentVersion
 	// confirmed is when the version was last confirmed as the latest, by any
 	// update; ownRead is when the process itself read it, zero if it didn't.
 	confirmed time.Time
 	ownRead   time.Time
+	// read is when the store's document was last read, whichever version was found, by
+	// the process or a peer with the same version in force. storeRead is the process's
+	// own last such read.
+	read      time.Time
+	storeRead time.Time
 	reading   bool
 	retryAt   time.Time
 	failures  int
@@ -67,7 +80,11 @@
 		return false
 	}
 	limit := Interval + time.Duration(min(c.Rank, MaxRank))*RankDelay
-	return c.confirmed.IsZero() || now.Sub(c.confirmed) >= limit
+	last := c.read
+	if c.confirmed.After(last) {
+		last = c.confirmed
+	}
+	return last.IsZero() || now.Sub(last) >= limit
 }
 
 // BeginRead records that a read has begun.
@@ -76,17 +93,26 @@
 }
 
 // HandleRead records that a read which began at a time found a version. It reports
-// whether the version is newer than the one in force.
-func (c *Confirmer) HandleRead(version gooseberrymast.DocumentVersion, began time.Time) (newer bool) {
+// whether the version replaces the one in force: it is newer, or has the same number
+// with other content or another revision. The store decides between contents with one
+// number, so that all instances end up with the same.
+func (c *Confirmer) HandleRead(version gooseberrymast.DocumentVersion, began time.Time) (replaces bool) {
 	c.reading = false
 	c.failures = 0
+	c.storeRead = began
+	c.recordRead(began)
 	if c.version.Newer(version) {
 		return false
 	}
-	newer = version.Newer(c.version)
-	c.version, c.ownRead = version, began
+	replaces = version != c.version
+	c.version = version
+	if c.latest.Newer(version) {
+		c.ownRead = time.Time{}
+		return replaces
+	}
+	c.ownRead = began
 	c.confirm(began)
-	return newer
+	return replaces
 }
 
 // HandleFailedRead records that a read failed.
@@ -107,10 +133,19 @@
 // HandleStatus processes a peer's update. It reports whether the peer holds a newer
 // version, which must then be fetched.
 func (c *Confirmer) HandleStatus(update gooseberrymast.DocumentStatus, now time.Time) (fetch bool) {
+	if update.Version.Newer(c.latest) {
+		c.latest = update.Version
+	}
 	if update.Version.Newer(c.version) {
 		return true
 	}
-	if update.Version.Same(c.version) && update.Confirmed && !c.version.IsZero() {
+	if c.version.IsZero() || !update.Version.Same(c.version) {
+		return false
+	}
+	if update.Read {
+		c.recordRead(now.Add(-update.ReadAge))
+	}
+	if update.Confirmed && !c.latest.Newer(c.version) {
 		c.confirm(now.Add(-update.Age))
 	}
 	return false
@@ -132,16 +167,22 @@
 	if c.version.IsZero() {
 		return false
 	}
-	return running >= MaxJoinWait || !c.confirmed.IsZero() && now.Sub(c.confirmed) <= MaxJoinAge
+	if running >= MaxJoinWait {
+		return true
+	}
+	return !c.latest.Newer(c.version) && !c.confirmed.IsZero() && now.Sub(c.confirmed) <= MaxJoinAge
 }
 
-// Status returns the update for the peers. It has the age of the process's own read
+// Status returns the update for the peers. It has the ages of the process's own reads
 // only.
 func (c *Confirmer) Status(now time.Time) gooseberrymast.DocumentStatus {
 	update := gooseberrymast.DocumentStatus{Version: c.version}
 	if !c.ownRead.IsZero() {
 		update.Age, update.Confirmed = now.Sub(c.ownRead), true
 	}
+	if !c.storeRead.IsZero() {
+		update.ReadAge, update.Read = now.Sub(c.storeRead), true
+	}
 	return update
 }
 
@@ -151,6 +192,12 @@
 	return now.Sub(c.confirmed), !c.confirmed.IsZero()
 }
 
+func (c *Confirmer) recordRead(at time.Time) {
+	if at.After(c.read) {
+		c.read = at
+	}
+}
+
 func (c *Confirmer) confirm(at time.Time) {
 	if at.After(c.confirmed) {
 		c.confirmed = at
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -122,11 +122,11 @@
 	started  time.Time
 }
 
-// SetRoutes applies routes of a higher version and reports whether it did.
+// SetRoutes applies routes unless those in force are newer, and reports whether it did.
 func (s *Steerer) SetRoutes(newRoutes *gooseberrymast.Routes) bool {
 	s.routesMu.Lock()
 	defer s.routesMu.Unlock()
-	if s.routes != nil && !newRoutes.Version.Newer(s.routes.Version) {
+	if s.routes != nil && s.routes.Version.Newer(newRoutes.Version) {
 		return false
 	}
 	if s.removed == nil {
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -132,6 +132,17 @@
 	is.Equal(f.steerer.FromCaller(nil, unknown, epoch)[0].Action, Reset)
 }
 
+// The store decides between two contents of one number, so that the other one may
+// already be in force.
+func TestOtherContentOfSameNumberReplacesRoutes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	is.True(f.steerer.SetRoutes(routes(1, map[gooseberrymast.Endpoint][]string{address: {"ledger"}})))
+	header := packet(false)
+	header.Destination = removed
+	is.Equal(f.steerer.FromCaller(nil, header, epoch)[0].Reason, ReasonRouteRemoved)
+}
+
 func TestRemovedRouteResetsItsFlows(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
--- a/log_event.go
+++ b/log_event.go
@@ -29,6 +29,8 @@
 	EventReadinessChanged   LogEvent = "readiness-changed"
 	EventDocumentInForce    LogEvent = "document-in-force"
 	EventDocumentAbsent     LogEvent = "document-absent"
+	EventDocumentOlder      LogEvent = "document-older"
+	EventDocumentConflict   LogEvent = "document-conflict"
 	EventDocumentUnreadable LogEvent = "document-unreadable"
 )
 
@@ -74,7 +76,7 @@
 	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
-	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
+	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -173,6 +173,36 @@
 	is.Equal(read, newer)
 }
 
+// A later document may have a lower revision, and two contents the same number.
+func TestPartsOfOtherDocumentsAreNotMixed(t *testing.T) {
+	is := is.New(t)
+	older, newer := testRoutes(100), testRoutes(101)
+	older.Version.Revision, newer.Version.Revision = 60, 50
+	newer.Version.Number++
+	same := testRoutes(101)
+	same.Version = newer.Version
+	same.Version.Digest++
+	same.IdleTimeout++
+	var parts [3][]*peer.Message
+	for i, routes := range []*gooseberrymast.Routes{older, newer, same} {
+		var err error
+		parts[i], err = Document(routes)
+		is.NoErr(err)
+	}
+	var collector Collector
+	_, err := collector.Add(parts[2][0].GetDocumentPart())
+	is.NoErr(err)
+	var read *gooseberrymast.Routes
+	for _, message := range parts[1] {
+		late, err := collector.Add(parts[0][1].GetDocumentPart())
+		is.NoErr(err)
+		is.Equal(late, nil)
+		read, err = collector.Add(message.GetDocumentPart())
+		is.NoErr(err)
+	}
+	is.Equal(read, newer)
+}
+
 func TestMalformedPartsAreRejected(t *testing.T) {
 	is := is.New(t)
 	var collector Collector
--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -28,7 +28,7 @@
 	balancer.steerer = steerer.Steerer{
 		Roster: &balancer.roster, Owners: &balancer.owners, Random: rand.New(rand.NewPCG(1, 2)),
 	}
-	routes, err := readRoutesFixture(gooseberrymast.Object{Version: 1, Value: []byte("ledger")})
+	routes, err := readRoutesFixture(gooseberrymast.Object{Version: 1, Value: []byte("1 ledger")})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/runner/document.go
+++ b/runner/document.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -66,28 +67,63 @@
 		}
 		return
 	}
-	m.mu.Lock()
-	current := m.routes
-	m.mu.Unlock()
-	if current != nil && stored.Version <= current.Version.Revision {
+	routes, err := m.decodeDocument(stored)
+	if err != nil {
 		m.mu.Lock()
-		m.confirmer.HandleRead(gooseberrymast.DocumentVersion{Revision: stored.Version}, now)
+		m.confirmer.HandleFailedRead(m.Timer.Now())
 		m.mu.Unlock()
+		m.Log.Error(gooseberrymast.EventDocumentUnreadable).Uint64("store-era", m.storeEra()).Err(err).Msg("")
 		return
 	}
+	m.handleDocumentRead(routes, now)
+}
+
+// decodedDocument is a stored document and its routes.
+type decodedDocument struct {
+	stored gooseberrymast.Object
+	routes *gooseberrymast.Routes
+}
+
+// decodeDocument decodes a stored document unless the last read found the same. Only
+// the goroutine that reads the document calls it.
+func (m *member) decodeDocument(stored gooseberrymast.Object) (*gooseberrymast.Routes, error) {
+	last := m.lastDocument
+	if last.routes != nil && last.stored.Version == stored.Version && bytes.Equal(last.stored.Value, stored.Value) {
+		return last.routes, nil
+	}
 	routes, err := m.ReadRoutes(stored)
-	m.mu.Lock()
 	if err != nil {
-		m.confirmer.HandleFailedRead(m.Timer.Now())
-	} else {
-		m.confirmer.HandleRead(routes.Version, now)
+		return nil, err
+	}
+	m.lastDocument = decodedDocument{stored: stored, routes: routes}
+	return routes, nil
+}
+
+// handleDocumentRead processes a document that a read of the store, which began at a
+// time, has found.
+func (m *member) handleDocumentRead(routes *gooseberrymast.Routes, began time.Time) {
+	m.mu.Lock()
+	var inForce gooseberrymast.DocumentVersion
+	if m.routes != nil {
+		inForce = m.routes.Version
+	}
+	replaces := m.confirmer.HandleRead(routes.Version, began)
+	if replaces {
+		m.setRoutes(routes)
 	}
 	m.mu.Unlock()
-	if err != nil {
-		m.Log.Error(gooseberrymast.EventDocumentUnreadable).Uint64("version", stored.Version).Err(err).Msg("")
-		return
+	found := routes.Version
+	switch {
+	case inForce.Newer(found):
+		m.Log.Warn(gooseberrymast.EventDocumentOlder).Uint64("version", inForce.Number).
+			Uint64("found", found.Number).Uint64("revision", found.Revision).Uint64("store-era", m.storeEra()).Msg("")
+	case found.Number == inForce.Number && !found.Same(inForce):
+		m.Log.Error(gooseberrymast.EventDocumentConflict).Uint64("version", found.Number).
+			Uint64("revision", found.Revision).Uint64("store-era", m.storeEra()).Msg("")
+	}
+	if replaces {
+		m.applyRoutes(routes, "store")
 	}
-	m.applyRoutes(routes, "store")
 }
 
 // handleDocumentPart processes a part of a document that a peer sent.
@@ -95,9 +131,13 @@
 	m.mu.Lock()
 	routes, err := m.collector.Add(part)
 	newer := routes != nil && m.confirmer.HandleFetched(routes.Version)
+	if newer {
+		m.setRoutes(routes)
+	}
 	m.mu.Unlock()
 	if err != nil {
-		m.Log.Warn(gooseberrymast.EventDocumentUnreadable).Uint64("version", part.GetVersion()).Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventDocumentUnreadable).Uint64("version", part.GetNumber()).
+			Uint64("revision", part.GetVersion()).Err(err).Msg("")
 		return
 	}
 	if newer {
@@ -105,22 +145,30 @@
 	}
 }
 
-// applyRoutes puts routes in force unless a later version already is.
-func (m *member) applyRoutes(routes *gooseberrymast.Routes, source string) {
-	m.mu.Lock()
-	if m.routes != nil && !routes.Version.Newer(m.routes.Version) {
-		m.mu.Unlock()
-		return
-	}
+// setRoutes records the routes in force. The caller must hold mu.
+func (m *member) setRoutes(routes *gooseberrymast.Routes) {
 	m.routes = routes
 	m.documentParts = nil
-	m.mu.Unlock()
+}
+
+// applyRoutes puts routes in force that setRoutes has recorded.
+func (m *member) applyRoutes(routes *gooseberrymast.Routes, source string) {
 	m.onRoutes(routes)
-	m.Log.Info(gooseberrymast.EventDocumentInForce).Uint64("version", routes.Version.Revision).
+	m.Log.Info(gooseberrymast.EventDocumentInForce).Uint64("version", routes.Version.Number).
+		Uint64("revision", routes.Version.Revision).Uint64("store-era", m.storeEra()).
 		Int("routes", len(routes.ByAddress)).Str("source", source).Msg("")
 	m.triggerReport()
 }
 
+// storeEra returns the era of the store's latest response, or zero if it is unknown.
+func (m *member) storeEra() uint64 {
+	if m.StoreEra == nil {
+		return 0
+	}
+	era, _ := m.StoreEra()
+	return era
+}
+
 // sendDocument sends the document in force to a peer.
 func (m *member) sendDocument(to gooseberrymast.Endpoint) {
 	parts, err := m.documentDatagrams()
--- a/runner/member.go
+++ b/runner/member.go
@@ -45,6 +45,8 @@
 	Settings gooseberrymast.InstanceSettings
 	Codec    gooseberrymast.PacketCodec
 	Store    gooseberrymast.ObjectStore
+	// StoreEra returns the era of the store's latest response; nil if it is never known.
+	StoreEra func() (era uint64, known bool)
 	Timer    gooseberrymast.Timer
 	// DocumentKey is the key of the document in the store.
 	DocumentKey string
@@ -96,6 +98,9 @@
 	confirmer confirmer.Confirmer
 	collector interpreter.Collector
 	routes    *gooseberrymast.Routes
+	// lastDocument is the document that the last read of the store has found. Only
+	// confirmDocument uses it.
+	lastDocument decodedDocument
 	// documentParts are the datagrams of routes, or nil until a peer requests them.
 	documentParts [][]byte
 	lastFetch     time.Time
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -143,7 +143,7 @@
 	version := m.confirmer.Status(now).Version
 	age, known := m.confirmer.Age(now)
 	m.mu.Unlock()
-	gauge(documentVersionDesc, float64(version.Revision))
+	gauge(documentVersionDesc, float64(version.Number))
 	if known {
 		gauge(documentAgeDesc, age.Seconds())
 	}
--- a/runner/record.go
+++ b/runner/record.go
@@ -110,9 +110,10 @@
 	deliverer.Forward: "forward", deliverer.Reset: "reset",
 }
 
+// routesVersion returns the operators' number of routes, or zero without any.
 func routesVersion(routes *gooseberrymast.Routes) uint64 {
 	if routes == nil {
 		return 0
 	}
-	return routes.Version.Revision
+	return routes.Version.Number
 }
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -195,6 +194,10 @@
 	t      *testing.T
 	store  *memoryStore
 	caller *net.UDPConn
+	// documentNumber is the number of the document that was stored last.
+	documentNumber uint64
+	// adapt, if set, changes the environment of instances that start.
+	adapt func(*Environment)
 	// zones holds the availability zones of instances by their address; the others
 	// are in zone "a".
 	zones map[[4]byte]string
@@ -213,23 +216,29 @@
 }
 
 // putDocument stores a document whose only route leads to the given service, and
-// returns its version.
+// returns its number.
 func (c *cluster) putDocument(service string) uint64 {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	c.store.version++
-	c.store.objects["document"] = gooseberrymast.Object{Key: "document", Version: c.store.version, Value: []byte(service)}
-	return c.store.version
+	c.documentNumber += 3
+	value := fmt.Appendf(nil, "%d %s", c.documentNumber, service)
+	c.store.objects["document"] = gooseberrymast.Object{Key: "document", Version: c.store.version, Value: value}
+	return c.documentNumber
 }
 
 func readRoutesFixture(object gooseberrymast.Object) (*gooseberrymast.Routes, error) {
-	if len(object.Value) == 0 {
-		return nil, errors.New("empty")
+	var number uint64
+	var service string
+	if _, err := fmt.Sscan(string(object.Value), &number, &service); err != nil {
+		return nil, fmt.Errorf("read routes: %w", err)
 	}
 	return &gooseberrymast.Routes{
-		Version: gooseberrymast.DocumentVersion{Revision: object.Version},
+		Version: gooseberrymast.DocumentVersion{
+			Number: number, Revision: object.Version, Digest: gooseberrymast.ServiceHash(service),
+		},
 		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{serviceAddress: {
-			Address: serviceAddress, Backends: []gooseberrymast.WeightedService{{Service: string(object.Value), Weight: 1}},
+			Address: serviceAddress, Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}},
 		}},
 	}, nil
 }
@@ -240,7 +249,7 @@
 	if zone == "" {
 		zone = "a"
 	}
-	return Environment{
+	environment := Environment{
 		Settings: gooseberrymast.InstanceSettings{
 			Name: fmt.Sprint(ip), Role: role, Zone: zone, Peers: endpoint(peersPort), Packets: endpoint(packetsPort),
 			Outbound: endpoint(outboundPort), Readiness: endpoint(readyPort), Announcements: endpoint(announcePort), Server: endpoint(serverPort),
@@ -248,6 +257,10 @@
 		},
 		Codec: platform.Codec{}, Store: c.store, Timer: timer.System{}, DocumentKey: "document", ReadRoutes: readRoutesFixture,
 	}
+	if c.adapt != nil {
+		c.adapt(&environment)
+	}
+	return environment
 }
 
 // startBalancer runs a balancer until the returned function is called.
--- a/soaker/document.go
+++ b/soaker/document.go
@@ -60,7 +60,8 @@
 func (s *soak) publishDocument() error {
 	s.documentMu.Lock()
 	defer s.documentMu.Unlock()
-	text, err := platform.FormatDocument(s.routes, services)
+	s.documentNumber++
+	text, err := platform.FormatDocument(s.documentNumber, s.routes, services)
 	if err != nil {
 		return err
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -88,7 +88,9 @@
 	lateTicks atomic.Int64
 
 	documentMu sync.Mutex
-	routes     []gooseberrymast.Route
+	// documentNumber is the number of the document published last.
+	documentNumber uint64
+	routes         []gooseberrymast.Route
 
 	// workMu guards random, from which the times of work are drawn.
 	workMu sync.Mutex
