--- a/runner/era.go
+++ b/runner/era.go
@@ -29,13 +29,6 @@
 	}
 }
 
-// observeStoreEra processes the era of the store's latest response.
-func (m *member) observeStoreEra() {
-	if m.StoreEra != nil {
-		m.handleEra(m.StoreEra(), "store")
-	}
-}
-
 // countInstances returns the number of instances that the process knows of, itself
 // included.
 func (m *member) countInstances() int {
--- a/runner/member.go
+++ b/runner/member.go
@@ -103,6 +103,9 @@
 	collector interpreter.Collector
 	routes    *gooseberrymast.Routes
 	verifier  verifier.Verifier
+	// lastDocument is the document that the last read of the store has found. Only
+	// confirmDocument uses it.
+	lastDocument decodedDocument
 	// documentParts are the datagrams of routes, or nil until a peer requests them.
 	documentParts [][]byte
 	lastFetch     time.Time
@@ -335,7 +338,7 @@
 func (m *member) callStore(ctx context.Context, step string, call func(context.Context) error) error {
 	err := call(ctx)
 	m.metrics.countStoreCall(step, err)
-	m.observeStoreEra()
+	m.handleEra(m.storeEra(), "store")
 	failed := errors.Is(err, gooseberrymast.ErrStoreUnavailable) || errors.Is(err, gooseberrymast.ErrStoreUnknown)
 	m.mu.Lock()
 	changed := failed != m.storeFailed
--- a/runner/restore_test.go
+++ b/runner/restore_test.go
@@ -1,9 +1,7 @@
 package runner
 
 import (
-	"net/http/httptest"
 	"slices"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,32 +10,10 @@
 	"gooseberrymast/platform"
 )
 
-// standinStore is a stand-in for the platform's store at an address.
-type standinStore struct {
-	platform.StandinStore
-	address gooseberrymast.Endpoint
-}
-
-// useStandinStore makes the instances that a cluster starts from then on use a store
-// that can be restored. It holds the operators' document.
-func (c *cluster) useStandinStore() {
-	c.t.Helper()
-	c.standin = &standinStore{}
-	server := httptest.NewServer(&c.standin.StandinStore)
-	c.t.Cleanup(server.Close)
-	address, err := gooseberrymast.ParseEndpoint(strings.TrimPrefix(server.URL, "http://"))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	c.standin.address = address
-	c.standin.Set(platform.DocumentKey, []byte(`{"version":3,"routes":[{"host":"198.18.0.1","pathPrefix":"/443/",`+
-		`"type":"idempotent","service":"ledger","timeoutMs":1000}],"services":[{"name":"ledger"}],"limits":{"idleTimeoutMs":60000}}`))
-}
-
-func (c *cluster) waitForEntry(endpoint gooseberrymast.Endpoint) {
+func (c *cluster) waitForEntry(store *restorableStore, endpoint gooseberrymast.Endpoint) {
 	c.t.Helper()
 	c.waitFor("the entry "+entryKey(endpoint)+" is in the store", func() bool {
-		return slices.Contains(c.standin.Keys(), entryKey(endpoint))
+		return slices.Contains(store.Keys(), entryKey(endpoint))
 	})
 }
 
@@ -45,15 +21,15 @@
 // that starts doesn't find those that run.
 func TestEntriesAreWrittenAgainAfterRestore(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t)
-	c.useStandinStore()
+	c, store := newRestorableCluster(t)
+	store.setDocument(3, "ledger")
 	startServer(t, 1)
-	earlier := c.standin.Copy()
+	earlier := store.Copy()
 	agent, _ := c.startAgent(1, 1)
 	balancer, _ := c.startBalancer(1)
 	c.waitFor("the balancer is registered", balancer.registered.Load)
-	c.standin.Restore(earlier)()
-	is.Equal(c.standin.Keys(), []string{platform.DocumentKey})
-	c.waitForEntry(agent.Settings.Peers)
-	c.waitForEntry(balancer.Settings.Peers)
+	store.Restore(earlier)()
+	is.Equal(store.Keys(), []string{platform.DocumentKey})
+	c.waitForEntry(store, agent.Settings.Peers)
+	c.waitForEntry(store, balancer.Settings.Peers)
 }
