Take no entry for proof before the store's era has settled

Cause: what a process read from the store counted as proof of what other processes had written there. After a restore it isn't: - a balancer that starts reads a list without the agents whose entries were written after the copy, takes it as complete, and its walks prove resets; - an agent that starts finds an entry that lacks the addresses served last, and denies their flows with certainty; - an agent that starts finds no entry at all, and takes itself for the instance's first, so that it has seen all flows.

Change: a list is proof if the era had settled when it was read (verifier.Settled: every running instance had 4 s and its share of the store's rate to verify its entry). A process knows this by its own clock, by a peer (settled_era) or by an entry in the list: the first balancer of each zone records the settled era, one write per zone and era, so that processes that start after the loss of all others don't wait. Until then a balancer's walks end in silence instead of a reset, and it reads the list again once the era has settled. An agent's entry names the era in which it was last verified, if it names all that the server may hold; in a later era the next agent still asks its server for the addresses there, but denies nothing. No entry is proof only in a settled era. Stores that name no era are taken at their word, as before. Ordinary starts wait for nothing where a peer or the list knows the era.

Costs: one write per agent after a restore; one write more for a new agent; agents of a cluster's very first start, and those after an upgrade, deny less until their server is another incarnation (they ask it instead).

Ruled out: a wait at each start; the age of the era in messages (it says no more than the settled era and isn't kept when all are lost); wall clocks.

Left: an agent that was written after the copy, was away from before the restore until after the era had settled (4 s and more) and whose server lived on is not in the list of a balancer that starts meanwhile.

TestOnlyAgentWithoutEntryHasSeenAllFlows holds, its store names no era. Restore of the deliverer has a parameter more; its callers in tests pass true, which is what it did.

--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -194,7 +194,7 @@
 			is := is.New(t)
 			d := Deliverer{}
 			if test.restored {
-				d.Restore(test.served)
+				d.Restore(test.served, true)
 			}
 			header := request(1)
 			header.Destination = test.address
@@ -231,7 +231,7 @@
 func TestFlowIsRecordedFromServerPackets(t *testing.T) {
 	is := is.New(t)
 	d := Deliverer{}
-	d.Restore(nil)
+	d.Restore(nil, true)
 	is.Equal(d.FromServer(answer(500), epoch).Action, ToCaller)
 	flows, _ := d.Load()
 	is.Equal(flows, 1)
--- a/coordination/deliverer/served.go
+++ b/coordination/deliverer/served.go
@@ -46,14 +46,15 @@
 	d.servedChanges++
 }
 
-// Restore adds the addresses that an earlier incarnation of the agent recorded.
-func (d *Deliverer) Restore(addresses []gooseberrymast.Endpoint) {
+// Restore adds the addresses that an earlier incarnation of the agent recorded. all is
+// set if it is sure that no earlier incarnation has served others.
+func (d *Deliverer) Restore(addresses []gooseberrymast.Endpoint, all bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, address := range addresses {
 		d.addServed(address)
 	}
-	d.restored = true
+	d.restored = d.restored || all
 }
 
 // Served returns the addresses whose flows the server has taken, sorted.
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -165,7 +165,7 @@
 	if !a.stored {
 		a.tracker.SetNoPredecessor()
 	}
-	a.deliverer.Restore(a.served)
+	a.deliverer.Restore(a.served, true)
 }
 
 // startBalancer starts a balancer's process, which reads the store's list.
--- a/log_event.go
+++ b/log_event.go
@@ -21,6 +21,8 @@
 	EventEntryNotRemoved    LogEvent = "entry-not-removed"
 	EventEntryRemoved       LogEvent = "entry-removed"
 	EventEntryLost          LogEvent = "entry-lost"
+	EventPeersLoaded        LogEvent = "peers-loaded"
+	EventPeersNotLoaded     LogEvent = "peers-not-loaded"
 	EventPeerChanged        LogEvent = "peer-changed"
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
@@ -75,7 +77,7 @@
 var LogEvents = []LogEvent{
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
-	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
+	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -70,6 +70,9 @@
 
 	trackerMu sync.Mutex
 	tracker   tracker.Tracker
+	// servedProven is set once it is sure that the deliverer knows all addresses that
+	// earlier agents have served. It is guarded by trackerMu.
+	servedProven bool
 
 	assessorMu sync.Mutex
 	assessor   assessor.Assessor
@@ -307,12 +310,34 @@
 	if incarnation != "" {
 		routes = a.currentRoutes()
 	}
-	return interpreter.Served{Addresses: a.deliverer.Record(a.ownPeer().Service, routes), Server: incarnation}
+	return interpreter.Served{
+		Addresses: a.deliverer.Record(a.ownPeer().Service, routes), Server: incarnation, VerifiedEra: a.verifiedEra(),
+	}
 }
 
 // restoreServed restores what an earlier agent of the instance stored.
-func (a *Agent) restoreServed(served interpreter.Served) {
-	a.deliverer.Restore(served.Addresses)
+func (a *Agent) restoreServed(earlier predecessor) {
+	a.trackerMu.Lock()
+	if earlier.proven && !earlier.found {
+		a.tracker.SetNoPredecessor()
+	}
+	a.servedProven = a.servedProven || earlier.proven
+	a.trackerMu.Unlock()
+	a.deliverer.Restore(earlier.served.Addresses, earlier.proven)
+}
+
+// verifiedEra returns the store's era if the agent knows every address whose flows its
+// server may hold, and otherwise zero.
+func (a *Agent) verifiedEra() uint64 {
+	a.trackerMu.Lock()
+	proven := a.servedProven || a.tracker.Complete()
+	a.trackerMu.Unlock()
+	if !proven {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.verifier.Era()
 }
 
 // recordServed updates the agent's entry when its server has served an address
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -160,9 +160,12 @@
 		case err == nil:
 			return
 		case errors.Is(err, gooseberrymast.ErrStoreNotFound):
-			a.trackerMu.Lock()
-			a.tracker.SetNoPredecessor()
-			a.trackerMu.Unlock()
+			// The store may have lost the entry, unless the era has settled.
+			if a.eraState().settled {
+				a.trackerMu.Lock()
+				a.tracker.SetNoPredecessor()
+				a.trackerMu.Unlock()
+			}
 			a.hidden.Store(true)
 			select {
 			case <-ctx.Done():
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -53,6 +53,11 @@
 	// documentUsable is set once hasUsableDocument has been true. It is guarded by
 	// member.mu.
 	documentUsable bool
+	// recordedEra is the settled era that the balancer's entry in the store names, and
+	// settledRetryAt is when a failed call for a settled era may be repeated. Only
+	// handleSettledEra uses them.
+	recordedEra    uint64
+	settledRetryAt time.Time
 }
 
 // NewBalancer returns a balancer; Run starts it.
@@ -87,6 +92,7 @@
 	}
 	defer stopReadiness()
 	b.countOwners = b.owners.Len
+	b.served = b.settledEra
 	defer b.serveMetrics()()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -99,6 +105,7 @@
 		b.Timer.Every(relayer.TickInterval, b.sendSummary),
 		b.Timer.Every(verifyInterval, func(time.Time) { _ = b.verifyEntry(workCtx) }),
 		b.Timer.Every(eraCheckInterval, func(time.Time) { b.verifyAfterRestore(workCtx) }),
+		b.Timer.Every(eraCheckInterval, func(now time.Time) { b.handleSettledEra(workCtx, now) }),
 	}
 	go b.reportPeriodically(workCtx, balancerReportInterval)
 	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -31,8 +31,8 @@
 		err := m.callStore(ctx, "register", m.registerOnce)
 		if err == nil {
 			m.registered.Store(true)
-			m.roster.MarkComplete()
-			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).Msg("")
+			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).
+				Bool("complete", m.roster.IsComplete()).Uint64("store-era", m.storeEra()).Msg("")
 			m.triggerReport()
 			return
 		}
@@ -58,12 +58,13 @@
 		entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers), Value: value}
 		entry.Version, err = m.Store.Put(ctx, entry, 0)
 	}
+	created := !known && err == nil
 	// On a conflict the entry of an earlier process or attempt is there; updateEntry
 	// replaces it.
 	if err != nil && !errors.Is(err, gooseberrymast.ErrStoreConflict) {
 		return err
 	}
-	found, err := m.loadPeers(ctx)
+	found, err := m.loadPeers(ctx, created)
 	if err != nil {
 		return err
 	}
@@ -85,8 +86,9 @@
 
 // loadPeers merges the entries of all instances into the roster, restores what an
 // earlier agent of this instance and service stored, and returns the process's own
-// entry.
-func (m *member) loadPeers(ctx context.Context) (own gooseberrymast.Object, err error) {
+// entry. created is set if the process has just created that.
+func (m *member) loadPeers(ctx context.Context, created bool) (own gooseberrymast.Object, err error) {
+	before := m.eraState()
 	objects, err := m.Store.List(ctx, peersPrefix)
 	if err != nil && objects == nil {
 		return own, err
@@ -94,17 +96,20 @@
 	if err != nil {
 		m.Log.Warn(gooseberrymast.EventStoreUnreadable).Err(err).Msg("")
 	}
+	m.handleEra(m.storeEra(), "store")
 	self := m.ownPeer()
 	now := m.Timer.Now()
-	var served interpreter.Served
+	var served, ownServed interpreter.Served
+	var settled uint64
 	for _, object := range objects {
 		peer, peerServed, err := interpreter.DecodeRecord(object.Value)
 		if err != nil {
 			m.Log.Warn(gooseberrymast.EventStoreUnreadable).Str("key", object.Key).Err(err).Msg("")
 		}
+		settled = max(settled, peerServed.SettledEra)
 		switch {
 		case object.Key == entryKey(self.Endpoint):
-			own = object
+			own, ownServed = object, peerServed
 			if err == nil && peer.Service == self.Service {
 				served = peerServed
 			}
@@ -113,8 +118,16 @@
 			m.roster.SetStored(peer.Endpoint, peerServed.Addresses, object.Version)
 		}
 	}
-	if m.restore != nil {
-		m.restore(served)
+	era, complete := m.handleList(before, settled)
+	if complete {
+		m.roster.MarkComplete()
+	}
+	switch {
+	case m.restore == nil:
+	case created:
+		m.restore(predecessor{proven: complete})
+	case own.Key != "":
+		m.restore(predecessor{found: true, served: served, proven: era == 0 || ownServed.VerifiedEra == era})
 	}
 	return own, nil
 }
--- a/runner/member.go
+++ b/runner/member.go
@@ -82,10 +82,10 @@
 	// countOwners returns the number of flow owners that a balancer has stored;
 	// nil at an agent.
 	countOwners func() int
-	// served returns what the agent's entry says about its server, and restore
-	// receives what an earlier agent stored there; both nil at a balancer.
+	// served returns what the process's entry says besides its description, and restore
+	// receives what an earlier agent stored there; restore is nil at a balancer.
 	served  func() interpreter.Served
-	restore func(interpreter.Served)
+	restore func(predecessor)
 
 	relayerMu sync.Mutex
 	relayer   relayer.Relayer
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -255,7 +255,7 @@
 	key := entryKey(agent.Settings.Peers)
 	is.NoErr(c.store.Delete(t.Context(), key, 0))
 	address := gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 9}, Port: 443}
-	agent.deliverer.Restore([]gooseberrymast.Endpoint{address})
+	agent.deliverer.Restore([]gooseberrymast.Endpoint{address}, true)
 	c.waitFor("the entry names the address", func() bool {
 		entry, err := c.store.Get(t.Context(), key)
 		return err == nil && strings.Contains(string(entry.Value), address.String())
