--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -122,12 +122,14 @@
 	inProgressDesc   = prometheus.NewDesc("gooseberrymast_requests_in_progress", "Requests that the server has not answered.", nil, nil)
 	failingDesc      = prometheus.NewDesc("gooseberrymast_failing_share", "Share of the server's latest answers that were failures.", nil, nil)
 	linesDroppedDesc = prometheus.NewDesc("gooseberrymast_log_lines_dropped_total", "Log lines lost since the output was slow.", nil, nil)
+	storeEraDesc     = prometheus.NewDesc("gooseberrymast_store_era", "Highest era of the store observed; zero if it is unknown.", nil, nil)
+	settledEraDesc   = prometheus.NewDesc("gooseberrymast_store_settled_era", "Highest era of the store known to have settled.", nil, nil)
 	flowOwnersDesc   = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (*gauges) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, flowOwnersDesc} {
+	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc, flowOwnersDesc} {
 		out <- desc
 	}
 }
@@ -142,7 +144,10 @@
 	m.mu.Lock()
 	version := m.confirmer.Status(now).Version
 	age, known := m.confirmer.Age(now)
+	era, settledEra := m.verifier.Era(), m.verifier.SettledEra()
 	m.mu.Unlock()
+	gauge(storeEraDesc, float64(era))
+	gauge(settledEraDesc, float64(settledEra))
 	gauge(documentVersionDesc, float64(version.Number))
 	if known {
 		gauge(documentAgeDesc, age.Seconds())
