--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -49,7 +49,6 @@
 		{"store-refuses-some", 2, injectStoreFault(storeFault{unavailable: true}, false)},
 		{"store-limits-some", 1, injectStoreFault(storeFault{rateLimited: true}, false)},
 		{"store-connections-silent", 1, (*soak).silenceStoreConnections},
-		{"store-restored", 2, (*soak).restoreStore},
 		{"document", 3, (*soak).changeDocument},
 		{"document-storm", 1, (*soak).changeDocumentRepeatedly},
 		{"hangup", 1, (*soak).sendHangup},
@@ -260,22 +259,6 @@
 	return nil
 }
 
-// restoreStore restores the store from a copy that was made at the start of the fault.
-// Operators repeat their writes a while later, and write nothing new before.
-func (s *soak) restoreStore(ctx context.Context, fault Fault, random *rand.Rand) error {
-	earlier := s.store.objects.Copy()
-	gap := time.Duration(random.Int64N(int64(fault.Duration/2) + 1))
-	sleep(ctx, fault.Duration-gap)
-	end := s.checker.BeginDisturbance(storeName, false, time.Now())
-	defer func() { end(time.Now()) }()
-	s.writeMu.Lock()
-	defer s.writeMu.Unlock()
-	repeatOperatorWrites := s.store.objects.Restore(earlier)
-	sleep(ctx, gap)
-	repeatOperatorWrites()
-	return nil
-}
-
 func (s *soak) changeDocument(_ context.Context, _ Fault, random *rand.Rand) error {
 	return s.changeRoutes(random)
 }
