A store that has lost the document is not read more often than at other times

What callers would see: no wrong answer, but ten times the calls to the store while it was restored from a copy without any document. Each instance read for itself once a second, since an absent document counted neither as a confirmation nor as a read that peers could rely on.

A process that has a document in force now treats its absence like an older document. Before the first document nothing changes.

--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -123,11 +123,17 @@
 	c.retryAt = now.Add(pause)
 }
 
-// HandleAbsent records that the store has no document yet. Its first version comes
-// from a peer or the next read.
+// HandleAbsent records that the store has no document: operators have not written it
+// yet, or not again after a restore. The first version comes from a peer or the next
+// read.
 func (c *Confirmer) HandleAbsent(now time.Time) {
 	c.reading = false
-	c.retryAt = now.Add(MaxRetryAfter)
+	if c.version.IsZero() {
+		c.retryAt = now.Add(MaxRetryAfter)
+		return
+	}
+	c.storeRead = now
+	c.recordRead(now)
 }
 
 // HandleStatus processes a peer's update. It reports whether the peer holds a newer
--- a/coordination/confirmer/restored_test.go
+++ b/coordination/confirmer/restored_test.go
@@ -37,9 +37,10 @@
 	is.True(c.Due(epoch.Add(Interval)))
 }
 
-// The store holds an older document than all instances of a zone. They read it no more
-// often than a current one: the first in rank once per interval.
+// The store holds an older document than all instances of a zone, or none. They read it
+// no more often than a current one: the first in rank once per interval.
 func TestRestoredStoreIsReadAsSeldomAsBefore(t *testing.T) {
+	const absent = 0
 	const instances, tick, reportInterval, gap = 12, 90 * time.Millisecond, 400 * time.Millisecond, 20 * time.Second
 	reads := func(found uint64) (count int) {
 		var zone [instances]Confirmer
@@ -50,9 +51,14 @@
 		lastReport := epoch
 		for now := epoch; now.Before(epoch.Add(gap)); now = now.Add(tick) {
 			for i := range zone {
-				if zone[i].Due(now) {
+				if !zone[i].Due(now) {
+					continue
+				}
+				count++
+				if found == absent {
+					zone[i].HandleAbsent(now)
+				} else {
 					zone[i].HandleRead(numbered(found), now)
-					count++
 				}
 			}
 			if now.Sub(lastReport) < reportInterval {
@@ -69,6 +75,7 @@
 	}
 	is := is.New(t)
 	is.Equal(reads(11), reads(14))
+	is.Equal(reads(absent), reads(14))
 }
 
 // An instance that starts while the store holds an older document must not serve by
