soak: restore the store from an earlier copy

No soak fault made the store lose what it had acknowledged, so that neither the order of documents nor entries that come back or are lost were tried with real processes outside the bench. store-restored copies the store, answers 503 for a while and returns from the copy in a new era; operators repeat the lost writes some time later.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -49,6 +49,7 @@
 		{"store-refuses-some", 2, injectStoreFault(storeFault{unavailable: true}, false)},
 		{"store-limits-some", 1, injectStoreFault(storeFault{rateLimited: true}, false)},
 		{"store-connections-silent", 1, (*soak).silenceStoreConnections},
+		{"store-restored", 2, (*soak).restoreStore},
 		{"document", 3, (*soak).changeDocument},
 		{"document-storm", 1, (*soak).changeDocumentRepeatedly},
 		{"hangup", 1, (*soak).sendHangup},
--- a/soaker/store.go
+++ b/soaker/store.go
@@ -31,6 +31,8 @@
 // its own store addresses, so that faults can be set per instance.
 type faultyStore struct {
 	objects platform.StandinStore
+	// restoreMu is held by a restore from its copy to the last repeated write.
+	restoreMu sync.Mutex
 
 	mu      sync.Mutex
 	random  *rand.Rand
