--- a/runner/document.go
+++ b/runner/document.go
@@ -165,8 +165,7 @@
 	if m.StoreEra == nil {
 		return 0
 	}
-	era, _ := m.StoreEra()
-	return era
+	return m.StoreEra()
 }
 
 // sendDocument sends the document in force to a peer.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -160,10 +160,10 @@
 
 	own := entryKey(agent.Settings.Peers)
 	is.NoErr(c.store.Delete(t.Context(), own, 0))
-	agent.verifyEntry(t.Context())
+	is.NoErr(agent.verifyEntry(t.Context()))
 	written, err := c.store.Get(t.Context(), own)
 	is.NoErr(err)
-	agent.verifyEntry(t.Context())
+	is.NoErr(agent.verifyEntry(t.Context()))
 	again, err := c.store.Get(t.Context(), own)
 	is.NoErr(err)
 	is.Equal(again.Version, written.Version) // an unchanged entry is not written again
@@ -212,6 +212,24 @@
 	is.True(!agent.hidden.Load())
 }
 
+// Guards against resets of flows that an earlier agent sent the server: only an agent
+// that finds no entry of its own knows from the store that there was none.
+func TestOnlyAgentWithoutEntryHasSeenAllFlows(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	agent, announce, stop := c.startWaitingAgent(1)
+	c.waitFor("the agent has looked for its entry", agent.hidden.Load)
+	announce(1)
+	is.True(agent.serverState(agent.Timer.Now()).Complete)
+	c.waitFor("the agent is registered", agent.registered.Load)
+	stop()
+	agent, announce, _ = c.startWaitingAgent(1)
+	c.waitFor("the agent is registered again", agent.registered.Load)
+	announce(1) // the earlier agent may have ended before it received this
+	is.True(!agent.serverState(agent.Timer.Now()).Complete)
+}
+
 // A balancer may remove the entry of an agent that was away for a minute just as the
 // agent comes back and has read it.
 func TestEntryRemovedDuringRegistrationIsWrittenAnew(t *testing.T) {
@@ -226,3 +244,20 @@
 	_, err := c.store.Get(t.Context(), key)
 	is.NoErr(err)
 }
+
+// The entry of a running agent may be removed, or lost when the store is restored from
+// an earlier copy. Its updates then failed every 250 ms until the next verification.
+func TestUpdateOfLostEntryCreatesIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	key := entryKey(agent.Settings.Peers)
+	is.NoErr(c.store.Delete(t.Context(), key, 0))
+	address := gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 9}, Port: 443}
+	agent.deliverer.Restore([]gooseberrymast.Endpoint{address}, true)
+	c.waitFor("the entry names the address", func() bool {
+		entry, err := c.store.Get(t.Context(), key)
+		return err == nil && strings.Contains(string(entry.Value), address.String())
+	})
+}
