--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -19,7 +19,7 @@
 	key      = gooseberrymast.FlowKey{Caller: caller, Service: address}
 	epoch    = time.Unix(1000, 0)
 	ledger   = Server{Status: tracker.Ready, Service: "ledger"}
-	routes   = &gooseberrymast.Routes{Version: 5, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
+	routes   = &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 5}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
 		address: {Address: address, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
 		other:   {Address: other, Backends: []gooseberrymast.WeightedService{{Service: "receipts", Weight: 1}}},
 	}}
@@ -47,7 +47,7 @@
 
 func placeHop(candidates ...gooseberrymast.Endpoint) gooseberrymast.Hop {
 	return gooseberrymast.Hop{
-		Mode: gooseberrymast.HopPlace, Definite: true, Origin: balancer, Version: 5,
+		Mode: gooseberrymast.HopPlace, Definite: true, Origin: balancer, Version: gooseberrymast.DocumentVersion{Number: 5},
 		Service: gooseberrymast.ServiceHash("ledger"), Candidates: candidates, Initiator: balancer, Walk: 9,
 	}
 }
@@ -97,14 +97,39 @@
 	header := opening()
 	header.Destination = other
 	hop := placeHop()
-	hop.Version = 4
+	hop.Version.Number = 4
 	step := d.FromPeer(header, hop, ledger, routes, epoch)
 	is.Equal(step.Reason, ReasonWrongService) // the agent's later document doesn't allow it
-	hop.Version = 6
+	hop.Version.Number = 6
 	step = d.FromPeer(header, hop, ledger, routes, epoch)
 	is.Equal(step.Action, ToServer) // the balancer's document is later than the agent's
 }
 
+// After a restore of the store a later document may have a lower revision. A balancer of
+// an earlier build sends the revision only.
+func TestOpeningIsJudgedByDocumentNumber(t *testing.T) {
+	is := is.New(t)
+	header := opening()
+	header.Destination = other
+	current := *routes
+	current.Version = gooseberrymast.DocumentVersion{Number: 5, Revision: 50}
+	tests := []struct {
+		sent   gooseberrymast.DocumentVersion
+		action Action
+	}{
+		{gooseberrymast.DocumentVersion{Number: 6, Revision: 40}, ToServer},
+		{gooseberrymast.DocumentVersion{Number: 4, Revision: 60}, Forward},
+		{gooseberrymast.DocumentVersion{Revision: 60}, ToServer},
+		{gooseberrymast.DocumentVersion{Revision: 40}, Forward},
+	}
+	for _, test := range tests {
+		hop := placeHop()
+		hop.Version = test.sent
+		var d Deliverer
+		is.Equal(d.FromPeer(header, hop, ledger, &current, epoch).Action, test.action)
+	}
+}
+
 func TestOpeningAfterIndefiniteRefusalIsNotReset(t *testing.T) {
 	is := is.New(t)
 	d := Deliverer{}
@@ -169,7 +194,7 @@
 			is := is.New(t)
 			d := Deliverer{}
 			if test.restored {
-				d.Restore(test.served)
+				d.Restore(test.served, true)
 			}
 			header := request(1)
 			header.Destination = test.address
@@ -206,7 +231,7 @@
 func TestFlowIsRecordedFromServerPackets(t *testing.T) {
 	is := is.New(t)
 	d := Deliverer{}
-	d.Restore(nil)
+	d.Restore(nil, true)
 	is.Equal(d.FromServer(answer(500), epoch).Action, ToCaller)
 	flows, _ := d.Load()
 	is.Equal(flows, 1)
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -153,7 +153,7 @@
 }
 
 func (m *model) routes() *gooseberrymast.Routes {
-	return &gooseberrymast.Routes{Version: 1, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
+	return &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 1}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
 		service: {Address: service, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
 	}}
 }
@@ -176,7 +176,7 @@
 	if !a.stored {
 		a.tracker.SetNoPredecessor()
 	}
-	a.deliverer.Restore(a.served)
+	a.deliverer.Restore(a.served, true)
 }
 
 // startBalancer starts a balancer's process, which reads the store's list.
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-func routes(version uint64, services map[gooseberrymast.Endpoint][]string) *gooseberrymast.Routes {
-	made := &gooseberrymast.Routes{Version: version, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
+func routes(number uint64, services map[gooseberrymast.Endpoint][]string) *gooseberrymast.Routes {
+	made := &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: number}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
 	for at, names := range services {
 		route := gooseberrymast.Route{Address: at}
 		for _, name := range names {
@@ -152,6 +152,20 @@
 	is.Equal(f.steerer.FromCaller(nil, unknown, epoch)[0].Action, Reset)
 }
 
+// The store decides between two contents of one number, so that the other one may
+// already be in force.
+func TestOtherContentOfSameNumberReplacesRoutes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	opening := packet(true)
+	opening.Destination = removed
+	f.steerer.FromCaller(nil, opening, epoch)
+	is.True(f.steerer.SetRoutes(routes(1, map[gooseberrymast.Endpoint][]string{address: {"ledger"}})))
+	header := packet(false)
+	header.Destination = removed
+	is.Equal(f.steerer.FromCaller(nil, header, epoch)[0].Reason, ReasonRouteRemoved)
+}
+
 func TestRemovedRouteResetsItsFlows(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
--- a/hop.go
+++ b/hop.go
@@ -60,12 +60,13 @@
 	// Origin is the balancer that received the packet from the caller.
 	Origin Endpoint
 	// Initiator is the balancer that started the walk or placed the new flow; Walk is
-	// the number of the chain at that balancer. Initiator is zero for a retransmitted
-	// opening packet, which is never answered by a reset.
+	// the number of the chain at that balancer. For a new flow Initiator is Origin, or zero
+	// for a retransmitted opening packet, which is never answered by a reset.
 	Initiator Endpoint
 	Walk      uint32
-	// Version is the version of the routes that the balancer used.
-	Version uint64
+	// Version is the version of the routes that the balancer used. Its number is sent with
+	// new flows only, its digest never.
+	Version DocumentVersion
 	// Service is the ServiceHash of the service that a new flow is assigned to.
 	Service uint64
 	// Candidates are the agents to try after the receiver.
--- a/log_event.go
+++ b/log_event.go
@@ -13,6 +13,7 @@
 	EventSettingsInvalid    LogEvent = "settings-invalid"
 	EventStoreLost          LogEvent = "store-lost"
 	EventStoreRegained      LogEvent = "store-regained"
+	EventStoreRestored      LogEvent = "store-restored"
 	EventStoreUnreadable    LogEvent = "store-entry-unreadable"
 	EventRegistered         LogEvent = "registered"
 	EventRegisterFailed     LogEvent = "register-failed"
@@ -20,6 +21,8 @@
 	EventEntryNotRemoved    LogEvent = "entry-not-removed"
 	EventEntryRemoved       LogEvent = "entry-removed"
 	EventEntryLost          LogEvent = "entry-lost"
+	EventPeersLoaded        LogEvent = "peers-loaded"
+	EventPeersNotLoaded     LogEvent = "peers-not-loaded"
 	EventPeerChanged        LogEvent = "peer-changed"
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
@@ -30,6 +33,8 @@
 	EventReadinessChanged   LogEvent = "readiness-changed"
 	EventDocumentInForce    LogEvent = "document-in-force"
 	EventDocumentAbsent     LogEvent = "document-absent"
+	EventDocumentOlder      LogEvent = "document-older"
+	EventDocumentConflict   LogEvent = "document-conflict"
 	EventDocumentUnreadable LogEvent = "document-unreadable"
 )
 
@@ -72,10 +77,10 @@
 // LogEvents lists every event.
 var LogEvents = []LogEvent{
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
-	EventStoreRegained, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
-	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeerChanged, EventPeerForgotten,
+	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
+	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
-	EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
+	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
--- a/protocol/interpreter/document.go
+++ b/protocol/interpreter/document.go
@@ -24,11 +24,13 @@
 	messages := make([]*peer.Message, 0, len(parts))
 	for i, part := range parts {
 		messages = append(messages, &peer.Message{Body: &peer.Message_DocumentPart{DocumentPart: &peer.DocumentPart{
-			Version: routes.Version,
-			Index:   uint32(i),
-			Count:   uint32(len(parts)),
-			Data:    part,
-			Digest:  digest,
+			Version:        routes.Version.Revision,
+			Number:         routes.Version.Number,
+			Digest:         routes.Version.Digest,
+			Index:          uint32(i),
+			Count:          uint32(len(parts)),
+			Data:           part,
+			EncodingDigest: digest,
 		}}})
 	}
 	return messages, nil
@@ -40,10 +42,11 @@
 // Collector assembles a document from its parts. The zero value is ready to
 // use.
 type Collector struct {
-	version uint64
-	digest  uint64
-	parts   [][]byte
-	missing int
+	version gooseberrymast.DocumentVersion
+	// encodingDigest is of the encoding that the parts are from.
+	encodingDigest uint64
+	parts          [][]byte
+	missing        int
 }
 
 // Add adds a part. It returns the routes when no part is missing any more, and
@@ -54,11 +57,12 @@
 	if count == 0 || count > maxParts || index >= count {
 		return nil, fmt.Errorf("Collector.Add: part %d of %d: %w", index, count, ErrMalformed)
 	}
-	if part.GetVersion() < c.version {
+	version := gooseberrymast.DocumentVersion{Number: part.GetNumber(), Revision: part.GetVersion(), Digest: part.GetDigest()}
+	if c.version.Newer(version) {
 		return nil, nil
 	}
-	if part.GetVersion() != c.version || part.GetDigest() != c.digest || len(c.parts) != count {
-		*c = Collector{version: part.GetVersion(), digest: part.GetDigest(), parts: make([][]byte, count), missing: count}
+	if !version.Same(c.version) || part.GetEncodingDigest() != c.encodingDigest || len(c.parts) != count {
+		*c = Collector{version: version, encodingDigest: part.GetEncodingDigest(), parts: make([][]byte, count), missing: count}
 	}
 	if c.parts[index] == nil {
 		c.parts[index] = part.GetData()
@@ -71,8 +75,8 @@
 	*c = Collector{}
 	// Earlier versions send no digest and encode the same routes in any order, so
 	// parts of two senders could be mixed.
-	if digest := part.GetDigest(); digest != xxhash.Sum64(data) && (digest != 0 || count > 1) {
-		return nil, fmt.Errorf("Collector.Add: digest of version %d: %w", part.GetVersion(), ErrMalformed)
+	if digest := part.GetEncodingDigest(); digest != xxhash.Sum64(data) && (digest != 0 || count > 1) {
+		return nil, fmt.Errorf("Collector.Add: encoding digest of version %d: %w", part.GetVersion(), ErrMalformed)
 	}
 	message := &peer.Document{}
 	if err := proto.Unmarshal(data, message); err != nil {
@@ -81,10 +85,40 @@
 	return decodeDocument(message)
 }
 
+// documentStatusMessage is a message that contains a DocumentStatus.
+type documentStatusMessage interface {
+	GetDocumentVersion() uint64
+	GetDocumentNumber() uint64
+	GetDocumentDigest() uint64
+	GetDocumentAgeMs() uint32
+	GetDocumentConfirmed() bool
+	GetDocumentReadAgeMs() uint32
+	GetDocumentRead() bool
+	GetStoreEra() uint64
+	GetSettledEra() uint64
+}
+
+func readDocumentStatus(message documentStatusMessage) gooseberrymast.DocumentStatus {
+	return gooseberrymast.DocumentStatus{
+		Version: gooseberrymast.DocumentVersion{
+			Number: message.GetDocumentNumber(), Revision: message.GetDocumentVersion(), Digest: message.GetDocumentDigest(),
+		},
+		Age:        time.Duration(message.GetDocumentAgeMs()) * time.Millisecond,
+		Confirmed:  message.GetDocumentConfirmed(),
+		ReadAge:    time.Duration(message.GetDocumentReadAgeMs()) * time.Millisecond,
+		Read:       message.GetDocumentRead(),
+		StoreEra:   message.GetStoreEra(),
+		SettledEra: message.GetSettledEra(),
+	}
+}
+
 // encodeDocument encodes routes. All processes that hold the same routes encode them
 // alike.
 func encodeDocument(routes *gooseberrymast.Routes) *peer.Document {
-	message := &peer.Document{Version: routes.Version, IdleMillis: uint32(routes.IdleTimeout.Milliseconds())}
+	message := &peer.Document{
+		Version: routes.Version.Revision, Number: routes.Version.Number, Digest: routes.Version.Digest,
+		IdleMillis: uint32(routes.IdleTimeout.Milliseconds()),
+	}
 	indexes := map[string]uint32{}
 	indexOf := func(service string) uint32 {
 		if i, ok := indexes[service]; ok {
@@ -115,7 +149,9 @@
 
 func decodeDocument(message *peer.Document) (*gooseberrymast.Routes, error) {
 	routes := &gooseberrymast.Routes{
-		Version:     message.GetVersion(),
+		Version: gooseberrymast.DocumentVersion{
+			Number: message.GetNumber(), Revision: message.GetVersion(), Digest: message.GetDigest(),
+		},
 		ByAddress:   make(map[gooseberrymast.Endpoint]gooseberrymast.Route, len(message.GetRoutes())),
 		IdleTimeout: time.Duration(message.GetIdleMillis()) * time.Millisecond,
 		HealthPaths: map[string]string{},
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"gooseberrymast"
 	"gooseberrymast/protocol/messages/peer"
@@ -50,14 +51,44 @@
 func TestReportRoundTrip(t *testing.T) {
 	is := is.New(t)
 	report := gooseberrymast.Report{
-		Peer:     testAgent(1),
-		Load:     gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
-		Document: gooseberrymast.DocumentStatus{Version: 19, Age: 250 * time.Millisecond, Confirmed: true},
-		Digests:  gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
+		Peer: testAgent(1),
+		Load: gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
+		Document: gooseberrymast.DocumentStatus{
+			Version: gooseberrymast.DocumentVersion{Number: 19, Revision: 1 << 33, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
+			StoreEra: 2, SettledEra: 1, ReadAge: 125 * time.Millisecond, Read: true,
+		},
+		Digests: gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
 	}
 	is.Equal(ReadReport(roundTrip(t, Report(report)).GetReport()), report)
 }
 
+// Earlier builds order documents by the store's revision. It must not be read as the
+// operators' number, nor the number sent in its place.
+func TestEarlierBuildsExchangeRevisionsOnly(t *testing.T) {
+	is := is.New(t)
+	report := Report(gooseberrymast.Report{Document: gooseberrymast.DocumentStatus{
+		Version: gooseberrymast.DocumentVersion{Number: 14, Revision: 520, Digest: 3},
+	}}).GetReport()
+	is.Equal(report.GetDocumentVersion(), uint64(520))
+	earlier := gooseberrymast.DocumentVersion{Revision: 520}
+	is.Equal(ReadReport(&peer.Report{DocumentVersion: 520}).Document.Version, earlier)
+	is.Equal(ReadSummary(&peer.Summary{DocumentVersion: 520}).Document.Version, earlier)
+	routes := testRoutes(1)
+	messages, err := Document(routes)
+	is.NoErr(err)
+	part := messages[0].GetDocumentPart()
+	is.Equal(part.GetVersion(), routes.Version.Revision)
+	sent := &peer.Document{}
+	is.NoErr(proto.Unmarshal(part.GetData(), sent))
+	is.Equal(sent.GetVersion(), routes.Version.Revision)
+	data, err := proto.Marshal(&peer.Document{Version: 520})
+	is.NoErr(err)
+	var collector Collector
+	read, err := collector.Add(&peer.DocumentPart{Version: 520, Count: 1, Data: data})
+	is.NoErr(err)
+	is.Equal(read.Version, earlier)
+}
+
 func TestRostersRoundTrip(t *testing.T) {
 	is := is.New(t)
 	var peers, read []gooseberrymast.Peer
@@ -83,7 +114,7 @@
 
 func testRoutes(count int) *gooseberrymast.Routes {
 	routes := &gooseberrymast.Routes{
-		Version: 12, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
+		Version: gooseberrymast.DocumentVersion{Number: 12, Revision: 40, Digest: 1 << 62}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
 		HealthPaths: map[string]string{"ledger": "/healthz", "receipts": "/ok"},
 	}
 	for i := range count {
@@ -125,7 +156,7 @@
 func TestPartsOfOlderVersionAreIgnored(t *testing.T) {
 	is := is.New(t)
 	older, newer := testRoutes(100), testRoutes(101)
-	newer.Version++
+	newer.Version.Number++
 	olderParts, err := Document(older)
 	is.NoErr(err)
 	newerParts, err := Document(newer)
@@ -174,12 +205,42 @@
 	}
 }
 
+// A later document may have a lower revision, and two contents the same number.
+func TestPartsOfOtherDocumentsAreNotMixed(t *testing.T) {
+	is := is.New(t)
+	older, newer := testRoutes(100), testRoutes(101)
+	older.Version.Revision, newer.Version.Revision = 60, 50
+	newer.Version.Number++
+	same := testRoutes(101)
+	same.Version = newer.Version
+	same.Version.Digest++
+	same.IdleTimeout++
+	var parts [3][]*peer.Message
+	for i, routes := range []*gooseberrymast.Routes{older, newer, same} {
+		var err error
+		parts[i], err = Document(routes)
+		is.NoErr(err)
+	}
+	var collector Collector
+	_, err := collector.Add(parts[2][0].GetDocumentPart())
+	is.NoErr(err)
+	var read *gooseberrymast.Routes
+	for _, message := range parts[1] {
+		late, err := collector.Add(parts[0][1].GetDocumentPart())
+		is.NoErr(err)
+		is.Equal(late, nil)
+		read, err = collector.Add(message.GetDocumentPart())
+		is.NoErr(err)
+	}
+	is.Equal(read, newer)
+}
+
 func TestMalformedPartsAreRejected(t *testing.T) {
 	is := is.New(t)
 	var collector Collector
 	for _, part := range []*peer.DocumentPart{
 		{}, {Count: 1, Index: 1}, {Count: maxParts + 1}, {Version: 1, Count: 1, Data: []byte{0xff}},
-		{Version: 1, Count: 1, Digest: 5}, {Version: 1, Count: 1, Data: []byte{0xff}, Digest: xxhash.Sum64([]byte{0xff})},
+		{Version: 1, Count: 1, EncodingDigest: 5}, {Version: 1, Count: 1, Data: []byte{0xff}, EncodingDigest: xxhash.Sum64([]byte{0xff})},
 	} {
 		_, err := collector.Add(part)
 		is.True(err != nil)
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -31,8 +31,8 @@
 		err := m.callStore(ctx, "register", m.registerOnce)
 		if err == nil {
 			m.registered.Store(true)
-			m.roster.MarkComplete()
-			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).Msg("")
+			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).
+				Bool("complete", m.roster.IsComplete()).Uint64("store-era", m.storeEra()).Msg("")
 			m.triggerReport()
 			return
 		}
@@ -58,13 +58,14 @@
 		entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers), Value: value}
 		entry.Version, err = m.Store.Put(ctx, entry, 0)
 	}
+	created := !known && err == nil
 	// On a conflict the entry of an earlier process or attempt is there; updateEntry
 	// replaces it.
 	if err != nil && !errors.Is(err, gooseberrymast.ErrStoreConflict) {
 		return err
 	}
 	m.reveal()
-	found, err := m.loadPeers(ctx)
+	found, err := m.loadPeers(ctx, created)
 	if err != nil {
 		return err
 	}
@@ -98,8 +99,9 @@
 
 // loadPeers merges the entries of all instances into the roster, restores what an
 // earlier agent of this instance and service stored, and returns the process's own
-// entry.
-func (m *member) loadPeers(ctx context.Context) (own gooseberrymast.Object, err error) {
+// entry. created is set if the process has just created that.
+func (m *member) loadPeers(ctx context.Context, created bool) (own gooseberrymast.Object, err error) {
+	before := m.eraState()
 	objects, err := m.Store.List(ctx, peersPrefix)
 	if err != nil && objects == nil {
 		return own, err
@@ -107,17 +109,20 @@
 	if err != nil {
 		m.Log.Warn(gooseberrymast.EventStoreUnreadable).Err(err).Msg("")
 	}
+	m.handleEra(m.storeEra(), "store")
 	self := m.ownPeer()
 	now := m.Timer.Now()
-	var served interpreter.Served
+	var served, ownServed interpreter.Served
+	var settled uint64
 	for _, object := range objects {
 		peer, peerServed, err := interpreter.DecodeRecord(object.Value)
 		if err != nil {
 			m.Log.Warn(gooseberrymast.EventStoreUnreadable).Str("key", object.Key).Err(err).Msg("")
 		}
+		settled = max(settled, peerServed.SettledEra)
 		switch {
 		case object.Key == entryKey(self.Endpoint):
-			own = object
+			own, ownServed = object, peerServed
 			if err == nil && peer.Service == self.Service {
 				served = peerServed
 			}
@@ -126,8 +131,16 @@
 			m.roster.SetStored(peer.Endpoint, peerServed.Addresses, object.Version)
 		}
 	}
-	if m.restore != nil {
-		m.restore(served)
+	era, complete := m.handleList(before, settled)
+	if complete {
+		m.roster.MarkComplete()
+	}
+	switch {
+	case m.restore == nil:
+	case created:
+		m.restore(predecessor{proven: complete})
+	case own.Key != "":
+		m.restore(predecessor{found: true, served: served, proven: era == 0 || ownServed.VerifiedEra == era})
 	}
 	return own, nil
 }
@@ -146,11 +159,17 @@
 	}
 	entry.Value = value
 	entry.Version, err = m.Store.Put(ctx, entry, entry.Version)
-	if errors.Is(err, gooseberrymast.ErrStoreConflict) || errors.Is(err, gooseberrymast.ErrStoreUnknown) {
+	switch {
+	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
+		return m.handleLostEntry(err)
+	case errors.Is(err, gooseberrymast.ErrStoreConflict), errors.Is(err, gooseberrymast.ErrStoreUnknown):
 		// An earlier write took effect although its response was lost. No other
 		// process writes this entry, so the next attempt continues from the stored
 		// version.
 		latest, readErr := m.Store.Get(ctx, entry.Key)
+		if errors.Is(readErr, gooseberrymast.ErrStoreNotFound) {
+			return m.handleLostEntry(err)
+		}
 		if readErr != nil {
 			return errors.Join(err, readErr)
 		}
@@ -168,6 +187,16 @@
 	return nil
 }
 
+// handleLostEntry records that the process's entry is no longer in the store, so that
+// the next attempt creates it, and returns the error of the attempt that found this.
+func (m *member) handleLostEntry(err error) error {
+	m.mu.Lock()
+	m.entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers)}
+	m.mu.Unlock()
+	m.Log.Warn(gooseberrymast.EventEntryLost).Msg("")
+	return err
+}
+
 // verifyInterval is the time between two checks that the process's entry is
 // still in the store. At the required fleet size this causes 310 reads per
 // second; the store handles 2,000.
@@ -175,9 +204,9 @@
 
 // verifyEntry reads the process's entry from the store and writes it again if
 // it was removed or changed.
-func (m *member) verifyEntry(ctx context.Context) {
+func (m *member) verifyEntry(ctx context.Context) error {
 	if !m.registered.Load() {
-		return
+		return nil
 	}
 	err := m.callStore(ctx, "verify the entry", func(ctx context.Context) error {
 		found, err := m.Store.Get(ctx, entryKey(m.Settings.Peers))
@@ -198,6 +227,7 @@
 	if err != nil {
 		m.Log.Warn(gooseberrymast.EventEntryNotUpdated).Err(err).Msg("")
 	}
+	return err
 }
 
 // removeInterval is the time between two removals by one balancer, so that the
--- a/runner/member.go
+++ b/runner/member.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"gooseberrymast"
 	"gooseberrymast/coordination/confirmer"
 	"gooseberrymast/coordination/relayer"
+	"gooseberrymast/coordination/verifier"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/protocol/messages/peer"
 	"gooseberrymast/protocol/wrapper"
@@ -45,6 +47,10 @@
 	Settings gooseberrymast.InstanceSettings
 	Codec    gooseberrymast.PacketCodec
 	Store    gooseberrymast.ObjectStore
+	// StoreEra returns the store's era as of its latest response. It rises each time
+	// that the store is restored from an earlier copy, and is zero while it is unknown.
+	// Nil if the store has no eras.
+	StoreEra func() uint64
 	Timer    gooseberrymast.Timer
 	// DocumentKey is the key of the document in the store.
 	DocumentKey string
@@ -78,10 +84,10 @@
 	// countOwners returns the number of flow owners that a balancer has stored;
 	// nil at an agent.
 	countOwners func() int
-	// served returns what the agent's entry says about its server, and restore
-	// receives what an earlier agent stored there; both nil at a balancer.
+	// served returns what the process's entry says besides its description, and restore
+	// receives what an earlier agent stored there; restore is nil at a balancer.
 	served  func() interpreter.Served
-	restore func(interpreter.Served)
+	restore func(predecessor)
 
 	relayerMu sync.Mutex
 	relayer   relayer.Relayer
@@ -98,6 +104,10 @@
 	confirmer confirmer.Confirmer
 	collector interpreter.Collector
 	routes    *gooseberrymast.Routes
+	verifier  verifier.Verifier
+	// lastDocument is the document that the last read of the store has found. Only
+	// confirmDocument uses it.
+	lastDocument decodedDocument
 	// documentParts are the datagrams of routes, or nil until a peer requests them.
 	documentParts [][]byte
 	lastFetch     time.Time
@@ -130,6 +140,7 @@
 		Zone:        m.Settings.Zone,
 	}
 	m.roster.Zone = m.Settings.Zone
+	m.verifier.Offset = rand.Float64()
 	m.relayer = relayer.Relayer{Self: m.Settings.Peers, Role: m.Settings.Role, Zone: m.Settings.Zone, Started: now}
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
 	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
@@ -295,7 +306,9 @@
 // handleDocumentStatus processes what a peer says of its document, and requests the
 // document if the peer's is newer.
 func (m *member) handleDocumentStatus(status gooseberrymast.DocumentStatus, from gooseberrymast.Endpoint, now time.Time) {
+	m.handleEra(status.StoreEra, "peer")
 	m.mu.Lock()
+	m.verifier.HandleSettled(status.SettledEra)
 	fetch := m.confirmer.HandleStatus(status, now) && now.Sub(m.lastFetch) >= fetchInterval
 	if fetch {
 		m.lastFetch = now
@@ -332,6 +345,7 @@
 func (m *member) callStore(ctx context.Context, step string, call func(context.Context) error) error {
 	err := call(ctx)
 	m.metrics.countStoreCall(step, err)
+	m.handleEra(m.storeEra(), "store")
 	failed := errors.Is(err, gooseberrymast.ErrStoreUnavailable) || errors.Is(err, gooseberrymast.ErrStoreUnknown)
 	m.mu.Lock()
 	changed := failed != m.storeFailed
--- a/runner/record.go
+++ b/runner/record.go
@@ -107,9 +107,10 @@
 	deliverer.Drop: "drop", deliverer.ToServer: "to-server", deliverer.ToCaller: "to-caller", deliverer.Forward: "forward",
 }
 
+// routesVersion returns the operators' number of routes, or zero without any.
 func routesVersion(routes *gooseberrymast.Routes) uint64 {
 	if routes == nil {
 		return 0
 	}
-	return routes.Version
+	return routes.Version.Number
 }
