Send an agent's last reports to other zones

Cause: an agent that stops sent its last reports to its own zone only, unless it heard fewer than two balancers there that stay. Balancers that were lost or paused less than 0.9 s ago still count as heard; then nobody knows of the planned stop, and the balancers that start next take the agent for gone after 0.7 s. Found by the model: one balancer of the zone was restarted and the other paused.

Change: the last reports go to two balancers of each other zone in any case, which bounds them by the number of zones.

Tests: TestPlannedStopIsKnownWithoutRelaysOfTheZone failed before (6.05 s: "balancer 10.0.0.1:7000 resets a flow of agent 10.0.0.100:7000, which restarts"). TestResetsNeedProofWhileReportsAreMissing extends the model: 3% of reports, summaries and lists are lost, balancers are paused for up to 6 s and then read their queue (100 messages) piece by piece, agents restart as planned for up to 3 s or are killed for up to 6 s, balancers restart as planned or are killed. Passed 1500 checks of 200 steps (go test ./coordination/steerer -run ResetsNeedProofWhileReports -rapid.checks 1500 -rapid.steps 200); without the lists that starting balancers are sent it fails within these. With silence counted by the wall clock it still passes 1500, so that fault is guarded by TestBalancerBehindItsQueueTakesNoAgentForGone alone. Loss of a whole zone's links is not in the model.

--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -80,7 +80,7 @@
 	if r.isolated {
 		r.directUntil = now.Add(directTail)
 	}
-	toAll := now.Before(r.directUntil) || r.leaving && r.readyBalancers(entries, now) < relaysPerZone
+	toAll := now.Before(r.directUntil)
 	for _, entry := range entries {
 		if !r.reportsTo(entry) {
 			continue
@@ -92,27 +92,22 @@
 			recipients = append(recipients, entry.Endpoint)
 		}
 	}
+	if r.leaving {
+		for _, balancer := range slices.Concat(r.balancersOfOtherZones(entries, now)...) {
+			if !slices.Contains(recipients, balancer) {
+				recipients = append(recipients, balancer)
+			}
+		}
+	}
 	return recipients, !r.isolated
 }
 
-// Leave records that the process stops. If its zone may lack a relay, all balancers
-// get its last reports: no later one makes up for them.
+// Leave records that the process stops. Its last reports go to balancers of all zones,
+// since the relays of its own may stop or be paused at the same time.
 func (r *Relayer) Leave() {
 	r.leaving = true
 }
 
-// readyBalancers returns the number of balancers of the own zone that report and stay.
-func (r *Relayer) readyBalancers(entries []roster.Entry, now time.Time) int {
-	ready := 0
-	for _, entry := range entries {
-		if entry.Role == gooseberrymast.RoleBalancer && entry.Zone == r.Zone &&
-			entry.State == gooseberrymast.StateReady && entry.Reporting(now) {
-			ready++
-		}
-	}
-	return ready
-}
-
 // Isolated reports whether the last call of Recipients found no balancer of the
 // process's own zone.
 func (r *Relayer) Isolated() bool {
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -185,6 +185,36 @@
 	}
 }
 
+// All balancers of a zone are lost just before an agent of it stops as planned. Those
+// of other zones must hear of that, to tell the balancers that start.
+func TestPlannedStopIsKnownWithoutRelaysOfTheZone(t *testing.T) {
+	f := newFleet(t, 1, 3, 3, 4)
+	f.run(5*time.Second, nil)
+	balancers := f.ofZone(gooseberrymast.RoleBalancer, 0)
+	agent := f.ofZone(gooseberrymast.RoleAgent, 0)[0]
+	for _, balancer := range balancers {
+		f.stop(balancer)
+	}
+	agent.self.State = gooseberrymast.StateLeaving
+	agent.self.Sequence++
+	agent.relayer.Leave()
+	f.report(agent)
+	f.stop(agent)
+	f.run(200*time.Millisecond, nil)
+	for _, balancer := range balancers {
+		f.start(balancer)
+	}
+	f.run(2*time.Second, func() {
+		for i, p := range f.processes {
+			for _, balancer := range balancers {
+				if p == agent && f.takesForGone(balancer, i) {
+					t.Fatalf("%v: balancer %s resets a flow of agent %s, which restarts", f.now.Sub(epoch), balancer.self.Endpoint, agent.self.Endpoint)
+				}
+			}
+		}
+	})
+}
+
 // Agents whose zone has no balancer report to all of the others, and stop when one
 // is back.
 func TestAgentsOfAZoneWithoutBalancersReportToAll(t *testing.T) {
--- /dev/null
+++ b/coordination/steerer/proof_reports_test.go
@@ -0,0 +1,157 @@
+package steerer_test
+
+import (
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/coordination/relayer"
+	"gooseberrymast/coordination/tracker"
+	"gooseberrymast/state/roster"
+)
+
+const (
+	// maxInbox bounds the messages that wait at a balancer: more are lost.
+	maxInbox = 100
+	// hearsZoneFor is how long an agent takes a balancer that doesn't run for one that does.
+	hearsZoneFor = roster.SilentAfter
+	// balancerDrain is how long a balancer runs on when it is stopped.
+	balancerDrain = 1200 * time.Millisecond
+)
+
+// step moves the time and lets the reports arrive.
+func (m *model) step() {
+	m.now = m.now.Add(tick)
+	for _, a := range m.agents {
+		if m.now.Before(a.downUntil) || !a.stored {
+			continue
+		}
+		if a.tracker.Status(m.now) != tracker.Unknown {
+			m.announce(a)
+		}
+		m.reportAgent(a)
+		m.announceOwners(a)
+	}
+	m.read()
+	for _, b := range m.balancers {
+		if !m.now.Before(b.pausedUntil) {
+			m.reportBalancer(b)
+		}
+	}
+	m.read()
+}
+
+// reportAgent sends an agent's report to the balancers of its zone, and to all if
+// none of these runs.
+func (m *model) reportAgent(a *agentModel) {
+	isolated := true
+	for _, b := range m.balancers {
+		isolated = isolated && (b.self.Zone != a.self.Zone || m.now.Sub(b.lastRan) > hearsZoneFor)
+	}
+	report := gooseberrymast.Report{Peer: a.self, Load: gooseberrymast.FlowLoad{Slots: 2}, Relayed: !isolated}
+	for _, b := range m.balancers {
+		if isolated || b.self.Zone == a.self.Zone {
+			m.post(b, func() { b.roster.HandleReport(report, m.now) })
+		}
+	}
+}
+
+// reportBalancer sends a balancer's report and, if it is a relay, its summary.
+func (m *model) reportBalancer(b *balancerModel) {
+	report := gooseberrymast.Report{Peer: b.self, Relayed: true}
+	b.relayer.Due(false, m.now)
+	summary, _ := b.relayer.Summary(b.roster.Entries(nil), b.self, b.roster.Listening(), m.now)
+	for _, other := range m.balancers {
+		switch {
+		case other == b:
+		case other.self.Zone == b.self.Zone:
+			m.post(other, func() {
+				other.roster.HandleReport(report, m.now)
+				m.sendDepartures(other, b)
+			})
+		case len(summary.Peers) > 0:
+			m.post(other, func() {
+				other.roster.HandleSummary(summary, m.now)
+				m.sendDepartures(other, b)
+			})
+		}
+	}
+	marker := m.now
+	b.inbox = append(b.inbox, func() { b.roster.HandleMarker(marker) })
+}
+
+// sendDepartures sends the peers that stop to a balancer that has started.
+func (m *model) sendDepartures(from, to *balancerModel) {
+	if !from.relayer.Restarted(to.self) {
+		return
+	}
+	leaving := relayer.Departures(from.roster.Entries(nil))
+	m.post(to, func() { to.roster.Merge(leaving, m.now) })
+}
+
+// post puts a message into a balancer's inbox.
+func (m *model) post(b *balancerModel, handle func()) {
+	if m.loss > 0 && m.random.Float64() < m.loss || len(b.inbox) >= maxInbox {
+		return
+	}
+	b.inbox = append(b.inbox, handle)
+}
+
+// read lets the balancers that run read what has arrived.
+func (m *model) read() {
+	for _, b := range m.balancers {
+		if m.now.Before(b.pausedUntil) {
+			continue
+		}
+		b.lastRan = m.now
+		count := len(b.inbox)
+		if b.readLimit > 0 {
+			count = min(count, b.readLimit)
+		}
+		messages := b.inbox[:count]
+		b.inbox = b.inbox[count:]
+		for _, handle := range messages {
+			handle()
+		}
+		if len(b.inbox) == 0 {
+			b.readLimit = 0
+		}
+	}
+}
+
+func (m *model) announceOwners(a *agentModel) {
+	var balancers []gooseberrymast.Endpoint
+	for _, b := range m.balancers {
+		balancers = append(balancers, b.self.Endpoint)
+	}
+	for to, keys := range a.deliverer.Announce(balancers, nil, m.now) {
+		for _, key := range keys {
+			m.send(packet{to: to, from: a.self.Endpoint, owner: true, header: gooseberrymast.PacketHeader{Source: key.Caller, Destination: key.Service}})
+		}
+	}
+}
+
+// finalReports is the number of reports of an agent that stops.
+const finalReports = 3
+
+// restartAsPlanned lets an agent report that it stops, and start again after a while.
+// Its server runs on.
+func (m *model) restartAsPlanned(a *agentModel, down time.Duration) {
+	m.log(gooseberrymast.FlowKey{}, "agent %s stops as planned for %v", a.self.Endpoint, down)
+	a.self.State = gooseberrymast.StateLeaving
+	a.self.Sequence++
+	for range finalReports {
+		for _, b := range m.balancers {
+			report := gooseberrymast.Report{Peer: a.self, Relayed: true}
+			m.post(b, func() { b.roster.HandleReport(report, m.now) })
+		}
+	}
+	m.startAgent(a)
+	a.downUntil = m.now.Add(down)
+}
+
+// pause lets a balancer read nothing for a while, and then at most a number of
+// messages in a tick until it has caught up.
+func (m *model) pause(b *balancerModel, duration time.Duration, readLimit int) {
+	m.log(gooseberrymast.FlowKey{}, "balancer %s is paused for %v, then reads %d messages a tick", b.self.Endpoint, duration, readLimit)
+	b.pausedUntil, b.readLimit = m.now.Add(duration), readLimit
+}
