Soak: callers go on while operators wait to repeat lost writes

The fault store-restored held documentMu until the operators' writes were repeated. Callers read the routes under it, so that no flow was opened in just the time that the fault is about. A mutex of its own keeps operators from writing meanwhile.

--- a/soaker/document.go
+++ b/soaker/document.go
@@ -58,6 +58,8 @@
 
 // publishDocument writes the document to the store.
 func (s *soak) publishDocument() error {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
 	s.documentMu.Lock()
 	defer s.documentMu.Unlock()
 	s.documentNumber++
--- a/soaker/restore.go
+++ b/soaker/restore.go
@@ -23,8 +23,8 @@
 	}
 	sleep(ctx, fault.Duration/4)
 	// Operators write no other document before they have repeated the lost ones.
-	s.documentMu.Lock()
-	defer s.documentMu.Unlock()
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
 	repeat := s.store.objects.Restore(earlier)
 	for _, i := range s.instances {
 		s.store.setFault(i.settings.Name, storeFault{})
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -87,6 +87,9 @@
 	// lateTicks counts the times at which the soak was scheduled too late.
 	lateTicks atomic.Int64
 
+	// writeMu is held while operators write to the store, and from the store's restore
+	// until they have repeated their writes. It is locked before documentMu.
+	writeMu    sync.Mutex
 	documentMu sync.Mutex
 	// documentNumber is the number of the document published last.
 	documentNumber uint64
