--- a/runner/document_test.go
+++ b/runner/document_test.go
@@ -17,6 +17,23 @@
 	"gooseberrymast/platform"
 )
 
+// readRoutesFixture reads documents of putDocument.
+func readRoutesFixture(object gooseberrymast.Object) (*gooseberrymast.Routes, error) {
+	var number uint64
+	var service string
+	if _, err := fmt.Sscan(string(object.Value), &number, &service); err != nil {
+		return nil, fmt.Errorf("read routes: %w", err)
+	}
+	return &gooseberrymast.Routes{
+		Version: gooseberrymast.DocumentVersion{
+			Number: number, Revision: object.Version, Digest: gooseberrymast.ServiceHash(service),
+		},
+		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{serviceAddress: {
+			Address: serviceAddress, Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}},
+		}},
+	}, nil
+}
+
 // restorableStore serves a stand-in store and counts the reads of the document.
 type restorableStore struct {
 	platform.StandinStore
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -227,22 +227,6 @@
 	return c.documentNumber
 }
 
-func readRoutesFixture(object gooseberrymast.Object) (*gooseberrymast.Routes, error) {
-	var number uint64
-	var service string
-	if _, err := fmt.Sscan(string(object.Value), &number, &service); err != nil {
-		return nil, fmt.Errorf("read routes: %w", err)
-	}
-	return &gooseberrymast.Routes{
-		Version: gooseberrymast.DocumentVersion{
-			Number: number, Revision: object.Version, Digest: gooseberrymast.ServiceHash(service),
-		},
-		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{serviceAddress: {
-			Address: serviceAddress, Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}},
-		}},
-	}, nil
-}
-
 func (c *cluster) environment(role gooseberrymast.Role, ip [4]byte) Environment {
 	endpoint := func(port uint16) gooseberrymast.Endpoint { return gooseberrymast.Endpoint{IP: ip, Port: port} }
 	zone := c.zones[ip]
