Recognise a server's answer to an opening packet

What callers could see: after a restart of a server, open flows of the new incarnation are reset by its agent.

Cause: the agent attributes flows to the incarnations of its server by the order of the answers to opening packets, which it took from the header's Opens. The platform's codec sets that for callers' opening packets only, so that an answer by a new incarnation to a copy of an earlier opening packet looked like a packet of the earlier one, and all flows accepted up to then counted as the earlier one's. The tests set a flag that no server's packet has.

With the former condition the case "both incarnations accepted copies of an opening" of TestOnlyFlowsOfEarlierIncarnationAreLost fails.

--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -348,7 +348,7 @@
 	d := Deliverer{}
 	d.FromPeer(opening(), placeHop(), ledger, routes, epoch)
 	accept := answer(0)
-	accept.Opens = true
+	accept.Accepts = true
 	d.FromServer(accept, epoch)
 	is.Equal(len(d.Announce([]gooseberrymast.Endpoint{balancer}, nil, epoch.Add(minAnnounceAge))), 0)
 	d.FromPeer(request(1), gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}, ledger, routes, epoch)
--- a/coordination/deliverer/restart.go
+++ b/coordination/deliverer/restart.go
@@ -56,7 +56,7 @@
 // were sent, so those of an earlier incarnation precede those of a later one.
 func (d *Deliverer) attribute(f *flow, header gooseberrymast.PacketHeader) {
 	switch {
-	case header.Opens || f.answer == 0:
+	case header.Accepts || f.answer == 0:
 		d.answers++
 		f.answer = d.answers
 	case f.answer <= d.ownAnswers && !header.Resets:
--- a/coordination/deliverer/restart_test.go
+++ b/coordination/deliverer/restart_test.go
@@ -31,7 +31,7 @@
 		}
 	}
 	accept := answer(0)
-	accept.Opens = true
+	accept.Accepts = true
 	acknowledges := func(number uint16) func(*Deliverer) {
 		return func(d *Deliverer) {
 			d.FromPeer(gooseberrymast.PacketHeader{
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -346,7 +346,7 @@
 			a.server.flows[key] = m.numbers
 		}
 		answer := gooseberrymast.PacketHeader{
-			Source: key.Service, Destination: key.Caller, Sequence: a.server.flows[key] - 1, Acknowledges: true,
+			Source: key.Service, Destination: key.Caller, Sequence: a.server.flows[key] - 1, Accepts: true, Acknowledges: true,
 		}
 		m.executeAgent(a, a.deliverer.FromServer(answer, m.now), header)
 		if m.callers[key] == 0 && m.random.IntN(lostAnswers) != 0 {
--- a/packet.go
+++ b/packet.go
@@ -13,8 +13,10 @@
 	Copy int
 	// Payload is the number of payload bytes.
 	Payload int
-	// Opens, Acknowledges, Finishes and Resets are the flags of a packet.
-	Opens, Acknowledges, Finishes, Resets bool
+	// Opens is set in a caller's opening packet, and Accepts in a server's answer to it.
+	Opens, Accepts bool
+	// Acknowledges, Finishes and Resets are the other flags of a packet.
+	Acknowledges, Finishes, Resets bool
 	// Returned is set in a packet that a backend server returns to its agent.
 	Returned bool
 }
