--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -218,7 +218,7 @@
 
 func TestRecordRoundTrip(t *testing.T) {
 	is := is.New(t)
-	served := Served{Addresses: []gooseberrymast.Endpoint{testEndpoint(3), testEndpoint(4)}, Server: "i-1/5"}
+	served := Served{Addresses: []gooseberrymast.Endpoint{testEndpoint(3), testEndpoint(4)}, Server: "i-1/5", VerifiedEra: 3, SettledEra: 2}
 	value, err := EncodeRecord(testAgent(1), served)
 	is.NoErr(err)
 	read, readServed, err := DecodeRecord(value)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -261,3 +261,7 @@
 		return err == nil && strings.Contains(string(entry.Value), address.String())
 	})
 }
+
+func containsAddress(value string) bool {
+	return strings.Contains(value, serviceAddress.String())
+}
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -396,7 +396,3 @@
 func discardAnnouncements(func(gooseberrymast.Announcement) error, func(string, int64) error, func(string, error)) http.Handler {
 	return http.NotFoundHandler()
 }
-
-func containsAddress(value string) bool {
-	return strings.Contains(value, serviceAddress.String())
-}
