Bound the chains of a walk for agents that may not run

After the loss of most agents every flow is searched for, and that is many packets between zones.

Change: these agents share at most six chains. With six or fewer of them, each still has its own.

--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -40,26 +40,32 @@
 	return steps
 }
 
+// maxUncertainChains bounds the chains of agents that may not run. After a loss of most
+// agents every flow is searched for, and a packet for each agent would fill the links.
+const maxUncertainChains = 6
+
 // chainsOf returns the chains along which agents forward a walk. An agent that may
-// not run, and so may not forward it, has a chain of its own: behind it, others would
-// not be reached until it runs again.
+// not run, and so may not forward it, has a chain of its own as far as
+// maxUncertainChains allows: others behind it would not be reached until it runs again.
 func chainsOf(holders []roster.Entry, now time.Time) [][]gooseberrymast.Endpoint {
-	var chains, single [][]gooseberrymast.Endpoint
-	var chain []gooseberrymast.Endpoint
+	var chains [][]gooseberrymast.Endpoint
+	var certain, uncertain []gooseberrymast.Endpoint
 	for _, entry := range holders {
 		if !entry.Reporting(now) || entry.ReportAge(now) > lateReportAge || entry.State == gooseberrymast.StateLeaving {
-			single = append(single, []gooseberrymast.Endpoint{entry.Endpoint})
-			continue
-		}
-		chain = append(chain, entry.Endpoint)
-		if len(chain) > gooseberrymast.MaxCandidates {
-			chains, chain = append(chains, chain), nil
+			uncertain = append(uncertain, entry.Endpoint)
+		} else {
+			certain = append(certain, entry.Endpoint)
 		}
 	}
-	if len(chain) > 0 {
+	const maxLength = gooseberrymast.MaxCandidates + 1
+	for chain := range slices.Chunk(certain, maxLength) {
+		chains = append(chains, chain)
+	}
+	length := min((len(uncertain)+maxUncertainChains-1)/maxUncertainChains, maxLength)
+	for chain := range slices.Chunk(uncertain, max(length, 1)) {
 		chains = append(chains, chain)
 	}
-	return append(chains, single...)
+	return chains
 }
 
 // possibleHolders returns the agents that may hold a flow of an address: those
--- a/coordination/steerer/walk_test.go
+++ b/coordination/steerer/walk_test.go
@@ -86,3 +86,17 @@
 		})
 	}
 }
+
+// After the loss of most agents each flow is searched for. A packet for each agent
+// that may not run would fill the links.
+func TestWalkAfterLossOfMostAgentsHasFewChains(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(40)
+	now := epoch.Add(roster.SilentAfter)
+	for i := 1; i <= 4; i++ {
+		f.report(agent(i), "ledger", gooseberrymast.StateReady, now)
+	}
+	steps := f.steerer.FromCaller(nil, packet(false), now)
+	is.Equal(walked(steps), 40)
+	is.Equal(len(steps), 1+maxUncertainChains)
+}
