--- a/coordination/steerer/walk_test.go
+++ b/coordination/steerer/walk_test.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -116,6 +117,6 @@
 		f.report(agent(i), "ledger", gooseberrymast.StateReady, now)
 	}
 	steps := f.steerer.FromCaller(nil, packet(false), now)
-	is.Equal(walked(steps), 40)
-	is.Equal(len(steps), 1+maxUncertainChains)
+	is.Equal(len(slices.Concat(walkChains(steps)...)), 40)
+	is.Equal(len(steps), 1+maxDoubtfulChains)
 }
