Introduce a new instance to all balancers before its server takes flows

What callers could see: an open flow is reset by a balancer while its server, on an instance that was just added, serves (FLOW).

Cause: the balancer that first hears of a new agent places flows there at once. Balancers of other zones learn of it by a summary, up to 1 s later if one is lost. If the fabric moves a flow to one of these meanwhile, its walk goes over all agents that it knows, each answers definitely, and the flow is reset. Class: proof by all known participants, while one isn't known yet.

Change: an agent without an entry of its own, which its peers therefore learn of only now, keeps its server out of use for 1.2 s (status introduced): it reports that it is starting and refuses new flows for the moment. Agents that restart have an entry and take flows at once. Left: an agent that restarts within the 1.2 s counts as known.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -275,6 +275,8 @@
 	switch {
 	case server.Status == tracker.Unknown:
 		return ReasonServerUnknown, false
+	case server.Status == tracker.Introduced:
+		return ReasonServerIntroduced, false
 	case server.Status == tracker.Silent:
 		return ReasonServerSilent, false
 	case server.Status == tracker.Gone:
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -33,6 +33,8 @@
 	ReasonNeverServed Reason = "never-served"
 	// ReasonServerUnknown: the server has not announced itself yet.
 	ReasonServerUnknown Reason = "server-unknown"
+	// ReasonServerIntroduced: not all balancers know the server's instance yet.
+	ReasonServerIntroduced Reason = "server-introduced"
 	// ReasonServerLeaving: the server takes no new flows.
 	ReasonServerLeaving Reason = "server-leaving"
 	// ReasonServerSilent: the server's announcements have stopped.
--- /dev/null
+++ b/coordination/steerer/newcomer_test.go
@@ -0,0 +1,84 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrymast"
+)
+
+// A balancer that restarts reads a new agent from the store and places a flow there,
+// before the other balancers have received the agent's first report.
+func TestFlowOfNewAgentSurvivesWalkOfUninformedBalancer(t *testing.T) {
+	m := newModel(1, 5, 4)
+	for _, a := range m.agents {
+		m.announce(a)
+	}
+	m.step()
+	m.step()
+	m.addAgent(5)
+	m.announce(m.agents[5])
+	m.startBalancer(m.balancers[0])
+	for port := uint16(1); port <= 100; port++ {
+		openFlow(m, m.balancers[0], port)
+		for _, b := range m.balancers[1:] {
+			sendRequest(m, b, port)
+		}
+	}
+	if len(m.broken) > 0 {
+		t.Fatalf("reset although its server holds it: %v\n%s", m.broken, m.traceOf(m.broken[0]))
+	}
+}
+
+// An agent is away for a second, and a balancer restarts meanwhile, which has never
+// received a report of it.
+func TestFlowOfAgentThatIsAwaySurvivesBalancerRestart(t *testing.T) {
+	m := newModel(1, 3, 2)
+	for _, a := range m.agents {
+		m.announce(a)
+	}
+	m.step()
+	m.step()
+	for port := uint16(1); port <= 20; port++ {
+		openFlow(m, m.balancers[0], port)
+	}
+	m.startAgent(m.agents[0])
+	m.agents[0].downUntil = m.now.Add(time.Second)
+	for _, b := range m.balancers {
+		m.startBalancer(b)
+	}
+	for range 4 {
+		m.step()
+	}
+	for port := uint16(1); port <= 20; port++ {
+		sendRequest(m, m.balancers[0], port)
+	}
+	if len(m.broken) > 0 {
+		t.Fatalf("reset although its server holds it: %v\n%s", m.broken, m.traceOf(m.broken[0]))
+	}
+}
+
+func flowOf(port uint16) gooseberrymast.FlowKey {
+	return gooseberrymast.FlowKey{Caller: gooseberrymast.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Service: service}
+}
+
+func deliverAll(m *model) {
+	for len(m.packets) > 0 {
+		m.deliver(0)
+	}
+}
+
+func openFlow(m *model, b *balancerModel, port uint16) {
+	key := flowOf(port)
+	m.fromCaller(b, gooseberrymast.PacketHeader{Source: key.Caller, Destination: key.Service, Opens: true})
+	deliverAll(m)
+	sendRequest(m, b, port)
+}
+
+func sendRequest(m *model, b *balancerModel, port uint16) {
+	key := flowOf(port)
+	m.fromCaller(b, gooseberrymast.PacketHeader{
+		Source: key.Caller, Destination: key.Service, Acknowledges: true, Acknowledgement: m.callers[key], Payload: 10,
+	})
+	deliverAll(m)
+}
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -244,7 +244,13 @@
 	if restarted {
 		a.deliverer.ClearServed()
 	}
+	if !a.stored && m.now.After(time.Unix(1000, 0)) {
+		a.tracker.BeginIntroduction(m.now)
+	}
 	a.self.State = gooseberrymast.StateReady
+	if a.tracker.Status(m.now) == tracker.Introduced {
+		a.self.State = gooseberrymast.StateStarting
+	}
 	if a.server.leaving {
 		a.self.State = gooseberrymast.StateLeaving
 	}
--- a/coordination/tracker/tracker.go
+++ b/coordination/tracker/tracker.go
@@ -18,6 +18,11 @@
 // after which a server gets no new flows.
 const silentIntervals = 2.5
 
+// introductionTime is the time from a new instance's first report until all balancers
+// know it: a report of the agent, 0.2 s, and two summaries of its zone, 0.4 s each, of
+// which one is lost, plus delay.
+const introductionTime = 1200 * time.Millisecond
+
 // The reasons for which an announcement is ignored.
 var (
 	ErrForeignAddress = errors.New("the announcement names the address of another server")
@@ -40,6 +45,9 @@
 	Silent
 	// Gone: the server has announced its end, or was found failed.
 	Gone
+	// Introduced: the server is ready, but not all balancers know its instance yet. One
+	// that doesn't would prove that nobody holds the server's flows.
+	Introduced
 )
 
 // String returns the status in kebab case.
@@ -53,6 +61,8 @@
 		return "silent"
 	case Gone:
 		return "gone"
+	case Introduced:
+		return "introduced"
 	}
 	return "unknown"
 }
@@ -75,6 +85,8 @@
 	complete bool
 	probed   bool
 	service  string
+	// introducedAt is when all balancers know a new instance; zero for one that is known.
+	introducedAt time.Time
 }
 
 // HandleAnnouncement processes an announcement. The error is the reason for which
@@ -129,18 +141,24 @@
 	switch {
 	case t.gone:
 		return Gone
-	case !t.announced && t.probed && !silent:
-		return Ready
-	case !t.announced:
+	case !t.announced && (!t.probed || silent):
 		return Unknown
-	case t.last.Leaving:
+	case t.announced && t.last.Leaving:
 		return Leaving
 	case silent:
 		return Silent
+	case now.Before(t.introducedAt):
+		return Introduced
 	}
 	return Ready
 }
 
+// BeginIntroduction records that peers begin to learn of a new instance. Its server gets
+// no flow for introductionTime.
+func (t *Tracker) BeginIntroduction(now time.Time) {
+	t.introducedAt = now.Add(introductionTime)
+}
+
 // Service returns the name of the server's service, or "" while it is unknown.
 func (t *Tracker) Service() string {
 	return t.service
--- a/coordination/tracker/tracker_test.go
+++ b/coordination/tracker/tracker_test.go
@@ -134,3 +134,20 @@
 	is.NoErr(err)
 	is.Equal(tracker.Status(epoch), Ready)
 }
+
+// A balancer that doesn't know a new instance yet would prove that nobody holds the flows
+// of its server.
+func TestNewInstanceIsIntroducedBeforeItTakesFlows(t *testing.T) {
+	is := is.New(t)
+	known, recent := &Tracker{Address: server, Interval: interval}, &Tracker{Address: server, Interval: interval}
+	for _, tracked := range []*Tracker{known, recent} {
+		_, err := tracked.HandleAnnouncement(announcement(1, 1), epoch)
+		is.NoErr(err)
+	}
+	recent.BeginIntroduction(epoch)
+	is.Equal(known.Status(epoch), Ready)
+	is.Equal(recent.Status(epoch.Add(introductionTime-1)), Introduced)
+	is.Equal(recent.Status(epoch.Add(introductionTime)), Ready)
+	is.NoErr(recent.HandleDeparture(announcement(1, 1).ID, 0))
+	is.Equal(recent.Status(epoch), Gone)
+}
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -114,7 +114,7 @@
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.flowLoad
 	a.served, a.restore = a.currentServed, a.restoreServed
-	a.awaitServer = a.awaitKnownServer
+	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
 	a.serverKnown = make(chan struct{})
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -212,3 +212,12 @@
 		a.refreshState(now)
 	}
 }
+
+// beginIntroduction keeps flows from the server of a new instance until all balancers
+// know it.
+func (a *Agent) beginIntroduction(now time.Time) {
+	a.trackerMu.Lock()
+	a.tracker.BeginIntroduction(now)
+	a.trackerMu.Unlock()
+	a.refreshState(now)
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -90,9 +90,13 @@
 	if !m.hidden.Load() {
 		return
 	}
+	now := m.Timer.Now()
+	if m.onReveal != nil {
+		m.onReveal(now)
+	}
 	// Its zone's balancers couldn't report to it before.
 	m.relayerMu.Lock()
-	m.relayer.Started = m.Timer.Now()
+	m.relayer.Started = now
 	m.relayerMu.Unlock()
 	m.hidden.Store(false)
 }
--- a/runner/member.go
+++ b/runner/member.go
@@ -122,8 +122,10 @@
 	// awaitServer waits until an agent's server is known, unless an earlier agent has
 	// left an entry in the store; nil at a balancer.
 	awaitServer func(ctx context.Context)
-	// hidden is set while an agent must not be known to its peers.
-	hidden atomic.Bool
+	// hidden is set while an agent must not be known to its peers. onReveal is called before
+	// they learn of it; nil at a balancer.
+	hidden   atomic.Bool
+	onReveal func(now time.Time)
 	// registered is set once the entry is in the store and the peers are loaded.
 	registered atomic.Bool
 	// wake makes reportPeriodically report at once.
