Ask the server for flows of an address that its agent's entry lacks

What callers could see: an open flow is reset although its server serves (FLOW), after its agent restarted while the store was away or within 250 ms of the server's first flow of a new route.

Cause: an agent records an address after its server has taken a flow of it. A restarted agent took its entry for complete, and answered with certainty that the server never served an address that had not been recorded yet. Class: what the store acknowledged last, taken for all that happened.

Change: the routes in force decide besides the entry whether the server is asked, and an agent without a document answers nothing definitely.

TestWalkGoesToServerOrIsAnswered demanded the definite answer for an allowed address that the entry lacks. It demands it now for an address that no route allows, and the question to the server for the other; the case "a server that has just started is not asked" holds. TestWalkWithoutDocumentIsNotAnsweredDefinitely failed before.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -132,7 +132,7 @@
 		return d.answerNotHeld(header, hop, ReasonNotHeld, true)
 	}
 	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
-		return d.answerNotHeld(header, hop, ReasonNeverServed, d.restored)
+		return d.answerNotHeld(header, hop, ReasonNeverServed, d.restored && routes != nil)
 	}
 	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
 }
@@ -212,14 +212,15 @@
 	return step
 }
 
-// mayHold reports whether the server may hold a flow that the agent doesn't:
-// it has taken flows of the address, under this incarnation of the agent or an
-// earlier one. Until the earlier ones are restored, the routes decide.
+// mayHold reports whether the server may hold a flow that the agent doesn't: it has
+// taken flows of the address, under this incarnation of the agent or an earlier one, or
+// the routes allow it. An earlier agent may have been stopped before it could record an
+// address that was new.
 func (d *Deliverer) mayHold(key gooseberrymast.FlowKey, service string, routes *gooseberrymast.Routes) bool {
 	if _, served := d.served[key.Service]; served {
 		return true
 	}
-	return !d.restored && routeAllows(routes, key, service)
+	return routeAllows(routes, key, service)
 }
 
 // deliver decides on a packet of a known flow: it goes to the server.
--- a/coordination/deliverer/deliverer_test.go
+++ b/coordination/deliverer/deliverer_test.go
@@ -144,6 +144,17 @@
 	is.True(step.Notify.IsZero())
 }
 
+// The agent that restarted has its entry but no document yet, which may allow an address
+// that the entry lacks.
+func TestWalkWithoutDocumentIsNotAnsweredDefinitely(t *testing.T) {
+	is := is.New(t)
+	d := Deliverer{}
+	d.Restore(nil, true)
+	step := d.FromPeer(request(1), walkHop(), ledger, nil, epoch)
+	is.Equal(step.Action, Forward)
+	is.True(!step.Hop.Definite)
+}
+
 func TestWalkGoesToServerOrIsAnswered(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -156,7 +167,8 @@
 	}{
 		{"an earlier incarnation served the address", ledger, true, []gooseberrymast.Endpoint{address}, address, ToServer, false},
 		{"a document in the past allowed the address", ledger, true, []gooseberrymast.Endpoint{other}, other, ToServer, false},
-		{"the server never served the address", ledger, true, nil, address, Forward, true},
+		{"the server never served the address", ledger, true, nil, other, Forward, true},
+		{"the entry lacks an address that the routes allow", ledger, true, nil, address, ToServer, false},
 		{"a server that has just started is not asked", Server{}, true, nil, address, Forward, true},
 		{"what was served is not known yet", ledger, false, nil, address, ToServer, false},
 		{"not known yet, but not allowed", ledger, false, nil, other, Forward, false},
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -32,8 +32,7 @@
 				m.pause(m.balancers[anyOf(t, len(m.balancers))], time.Duration(ticks)*tick, rapid.IntRange(4, 40).Draw(t, "limit"))
 			},
 			"restart-agent": func(t *rapid.T) {
-				// TestFlowOfUnannouncedServerSurvivesAgentRestart has the other case.
-				if a := m.agents[anyOf(t, len(m.agents))]; a.server.announced && !m.now.Before(a.downUntil) {
+				if a := m.agents[anyOf(t, len(m.agents))]; !m.now.Before(a.downUntil) {
 					m.restartAsPlanned(a, time.Duration(rapid.IntRange(0, 15).Draw(t, "ticks"))*tick)
 				}
 			},
@@ -58,7 +57,7 @@
 				b.excusedUntil = m.now.Add(stableWindow)
 			},
 			"kill-agent": func(t *rapid.T) {
-				if a := m.agents[anyOf(t, len(m.agents))]; a.server.announced && !m.now.Before(a.downUntil) {
+				if a := m.agents[anyOf(t, len(m.agents))]; !m.now.Before(a.downUntil) {
 					m.startAgent(a)
 					a.downUntil = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ticks")) * tick)
 					a.excusedUntil = a.downUntil.Add(stableWindow)
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -350,8 +350,8 @@
 }
 
 // recordServed updates the agent's entry when its server has served an address
-// that the entry lacks, or when the server is another incarnation. A later agent
-// of the instance relies on both.
+// that the entry lacks, or when the server is another incarnation, which may have
+// served none of them.
 func (a *Agent) recordServed(ctx context.Context, now time.Time) {
 	state := entryState{servedChanges: a.deliverer.ServedChanges(), incarnation: a.serverIncarnation()}
 	if state == a.storedState || now.Before(a.nextEntryWrite) || !a.registered.Load() {
