--- a/runner/restore_test.go
+++ b/runner/restore_test.go
@@ -106,7 +106,9 @@
 	})
 	stop()
 	agent, _, stop = c.startWaitingAgent(1)
+	hasDocument := func() bool { return agent.currentRoutes() != nil }
 	c.waitFor("the agent is registered again", agent.registered.Load)
+	c.waitFor("the agent has a document", hasDocument)
 	moved := gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 9}, Port: 443}
 	answer := walkAnswer(agent, moved)
 	is.Equal(answer.Reason, deliverer.ReasonNeverServed)
@@ -122,6 +124,7 @@
 	store.Restore(earlier)
 	agent, _, _ = c.startWaitingAgent(1)
 	c.waitFor("the agent is registered after the restore", agent.registered.Load)
+	c.waitFor("the agent has a document again", hasDocument)
 	is.True(!walkAnswer(agent, moved).Hop.Definite)
 	entry, _ := store.Value(key)
 	is.True(!strings.Contains(string(entry.Value), "verified-era")) // nor may its successor
