Settle the store's era only by instances that have read the list

What callers could see: after a restore of the store in a fleet of hundreds of instances, open flows reset (FLOW), since what was read from the store counts as proof before the last instance has written its entry again.

Cause: an era settles after 4 s and 5 ms an instance, by the count of the process that judges. A process that has not read the list counts itself alone, and others take its word for the settled era. Class: proof by all known participants.

Change: before its registration a process knows an era as settled only from a peer or an entry.

TestProcessWithoutListSettlesNoEra failed before.

--- a/runner/era.go
+++ b/runner/era.go
@@ -50,6 +50,11 @@
 	instances := m.countInstances()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.registered.Load() {
+		// Before it has read the list, the process doesn't know how many instances
+		// there are.
+		return eraState{era: m.verifier.Era(), settled: m.verifier.SettledEra() >= m.verifier.Era()}
+	}
 	return eraState{era: m.verifier.Era(), settled: m.verifier.Settled(instances, m.Timer.Now())}
 }
 
