Begin a new instance's introduction when it is registered

What callers could see: as in, if the store is slow at the start of a new instance.

Cause: the introduction began when the agent's entry was written; its first report goes out only once it has read the list. With a list that fails for 1.2 s the introduction was over before anybody had heard the agent.

Found by a review, by reading; no test of its own (TestNewInstanceIsIntroducedBeforeItTakesFlows has the rule, the runner's tests of new agents pass).

Change: the introduction begins anew at the registration.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -26,11 +26,16 @@
 	if m.awaitServer != nil {
 		m.awaitServer(ctx)
 	}
+	introduce := m.hidden.Load()
 	backoff := registerBackoff
 	for ctx.Err() == nil {
 		err := m.callStore(ctx, "register", m.registerOnce)
 		if err == nil {
 			m.registered.Store(true)
+			if introduce && m.onReveal != nil {
+				// Its peers learn of it only now that it has read the list.
+				m.onReveal(m.Timer.Now())
+			}
 			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).
 				Bool("complete", m.roster.IsComplete()).Uint64("store-era", m.storeEra()).Msg("")
 			m.triggerReport()
