Tests: flows are opened once both new agents take them

Two new agents are introduced one after the other since; on the busy machine the test opened its eight flows while the second one was not ready. It now waits until both are; what it demands is the same.

--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -21,9 +21,12 @@
 func TestFlowSurvivesBalancerAndAgentRestart(t *testing.T) {
 	c := newCluster(t)
 	first, second := startServer(t, 1), startServer(t, 2)
-	_, stopAgent := c.startAgent(1, 1)
-	c.startAgent(2, 1)
+	firstAgent, stopAgent := c.startAgent(1, 1)
+	secondAgent, _ := c.startAgent(2, 1)
 	_, stopBalancer := c.startBalancer(1)
+	c.waitFor("both agents take flows", func() bool {
+		return firstAgent.ownPeer().State == gooseberrymast.StateReady && secondAgent.ownPeer().State == gooseberrymast.StateReady
+	})
 	for port := range uint16(8) {
 		c.openFlow(1, 2000+port)
 		c.expectEcho(1, 2000+port, "before")
