--- /dev/null
+++ b/review/stand/cases.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// cases holds the cases of the review by their names.
+var cases = map[string]func(*scene) error{
+	"idle-flow":   idleFlow,
+	"late-delete": lateDelete,
+	"other-ping":  otherPing,
+	"moved-route": movedRoute,
+}
+
+// idleTimeouts holds the manifest's idleTimeoutMs where it differs from 12 s.
+var idleTimeouts = map[string]time.Duration{
+	"idle-flow":   50 * time.Second,
+	"late-delete": 29 * time.Second,
+	"moved-route": 29 * time.Second,
+}
+
+// stableWindow is stableWindowMs with a margin: all machines are in touch after it.
+const stableWindow = 4500 * time.Millisecond
+
+// idleFlow: flows are idle for 45 s, less than idleTimeoutMs. Meanwhile the front
+// machines are stopped and started in turn.
+func idleFlow(s *scene) error {
+	flows, err := s.openLong(s.watch, 24)
+	if err != nil {
+		return err
+	}
+	time.Sleep(32500 * time.Millisecond)
+	if s.trouble {
+		if err := s.fleet.roll("front", 500*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	time.Sleep(max(stableWindow, 45*time.Second-time.Since(flows[0].lastUsed)))
+	s.useAgain(flows)
+	return nil
+}
+
+// lateDelete: a host leaves and its machine is taken away. The store executes the
+// removal of the machine's entry late, without an answer. Another machine gets the
+// address. Later all sides and then all fronts are stopped and started in turn.
+func lateDelete(s *scene) error {
+	f := &s.fleet
+	old := f.list("side")[1]
+	key := "peers/" + old.ip.String()
+	f.hosts[old].drain(4 * time.Second)
+	if s.trouble {
+		f.store.mu.Lock()
+		f.store.lateDelete, f.store.lateBy = key, 5*time.Second
+		f.store.mu.Unlock()
+	}
+	f.terminate(old)
+	f.remove(old)
+	delete(f.hosts, old)
+	time.Sleep(2200 * time.Millisecond) // reuseAfterS
+	m := f.newMachine("side", old.zone, "receipts", old.ip.As4()[3])
+	m.name += "-new"
+	if err := f.add(m); err != nil {
+		return err
+	}
+	h, err := startHost(s.rec, m, "receipts")
+	if err != nil {
+		return err
+	}
+	f.hosts[m] = h
+	time.Sleep(7 * time.Second)
+	s.rec.line("the store has the entry %s: %v", key, f.store.has(key))
+	flows, err := s.openLong(s.slip, 30)
+	if err != nil {
+		return err
+	}
+	if err := f.roll("side", 500*time.Millisecond); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if err := f.roll("front", time.Second); err != nil {
+		return err
+	}
+	time.Sleep(stableWindow)
+	if idle := time.Since(flows[0].lastUsed); idle > s.idleTimeout-time.Second {
+		return fmt.Errorf("the flows were idle for %v", idle)
+	}
+	s.useAgain(flows)
+	return nil
+}
+
+// otherPing: another writer sends a ping that names a service that the manifest doesn't
+// have.
+func otherPing(s *scene) error {
+	flows, err := s.openLong(s.watch, 24)
+	if err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	m := s.fleet.list("side")[0]
+	if s.trouble {
+		body := fmt.Sprintf(`{"service":"no-such-service","address":%q,"zone":%q,"version":"v1","concurrencyLimit":5,"state":"ready","warmupLeftMs":0,"sequence":1,"born":%d}`,
+			m.app.String(), m.zone, time.Now().UnixMilli())
+		status := callControl("PUT", m.control, "i-other", body)
+		s.rec.line("ping of another writer at %s, service no-such-service: %d", m.name, status)
+	}
+	time.Sleep(stableWindow)
+	s.useAgain(flows)
+	return nil
+}
+
+// movedRoute: a route leads to the service ledger for some seconds, and back. Meanwhile the
+// store refuses the calls of one machine of ledger, for 9 s, and all sides are stopped and
+// started in turn. Later the fronts are.
+func movedRoute(s *scene) error {
+	f := &s.fleet
+	s.manifest(8, "ledger")
+	time.Sleep(4 * time.Second)
+	m := f.list("side")[0]
+	began := time.Now()
+	if s.trouble {
+		f.store.refuse(m, true)
+	}
+	flows, err := s.openLong(s.moved, 24)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	s.manifest(9, "receipts")
+	time.Sleep(3500 * time.Millisecond)
+	rolled := make(chan error, 1)
+	go func() { rolled <- f.roll("side", 500*time.Millisecond) }()
+	time.Sleep(9*time.Second - time.Since(began))
+	if s.trouble {
+		f.store.refuse(m, false)
+	}
+	if err := <-rolled; err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	if err := f.roll("front", 500*time.Millisecond); err != nil {
+		return err
+	}
+	time.Sleep(stableWindow)
+	if idle := time.Since(flows[0].lastUsed); idle > s.idleTimeout-time.Second {
+		return fmt.Errorf("the flows were idle for %v", idle)
+	}
+	s.useAgain(flows)
+	return nil
+}
