--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -89,8 +89,8 @@
 	return nil
 }
 
-// otherPing: another writer sends a ping that names a service that the manifest doesn't
-// have.
+// otherPing: another writer sends a ping without concurrencyLimit to a side of ledger. It
+// names the service receipts.
 func otherPing(s *scene) error {
 	flows, err := s.openLong(s.watch, 24)
 	if err != nil {
@@ -99,10 +99,10 @@
 	time.Sleep(4 * time.Second)
 	m := s.fleet.list("side")[0]
 	if s.trouble {
-		body := fmt.Sprintf(`{"service":"no-such-service","address":%q,"zone":%q,"version":"v1","concurrencyLimit":5,"state":"ready","warmupLeftMs":0,"sequence":1,"born":%d}`,
+		body := fmt.Sprintf(`{"service":"receipts","address":%q,"zone":%q,"version":"v1","state":"ready","warmupLeftMs":0,"sequence":1,"born":%d}`,
 			m.app.String(), m.zone, time.Now().UnixMilli())
 		status := callControl("PUT", m.control, "i-other", body)
-		s.rec.line("ping of another writer at %s, service no-such-service: %d", m.name, status)
+		s.rec.line("ping of another writer at %s, service receipts, no concurrencyLimit: %d", m.name, status)
 	}
 	time.Sleep(stableWindow)
 	s.useAgain(flows)
