--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -13,11 +13,10 @@
 	"moved-route": movedRoute,
 }
 
-// idleTimeouts holds the manifest's idleTimeoutMs where it differs from 12 s.
+// idleTimeouts holds the manifest's idleTimeoutMs where it differs from 15 s.
 var idleTimeouts = map[string]time.Duration{
 	"idle-flow":   50 * time.Second,
-	"late-delete": 29 * time.Second,
-	"moved-route": 29 * time.Second,
+	"moved-route": 20 * time.Second,
 }
 
 // stableWindow is stableWindowMs with a margin: all machines are in touch after it.
@@ -32,7 +31,7 @@
 	}
 	time.Sleep(32500 * time.Millisecond)
 	if s.trouble {
-		if err := s.fleet.roll("front", 500*time.Millisecond); err != nil {
+		if err := s.fleet.roll(s.fleet.list("front")); err != nil {
 			return err
 		}
 	}
@@ -43,7 +42,8 @@
 
 // lateDelete: a host leaves and its machine is taken away. The store executes the
 // removal of the machine's entry late, without an answer. Another machine gets the
-// address. Later all sides and then all fronts are stopped and started in turn.
+// address. Later a part of the sides, with that one, and then all fronts are stopped and
+// started in turn.
 func lateDelete(s *scene) error {
 	f := &s.fleet
 	old := f.list("side")[1]
@@ -74,15 +74,15 @@
 	if err != nil {
 		return err
 	}
-	if err := f.roll("side", 500*time.Millisecond); err != nil {
+	sides := f.list("side")
+	if err := f.roll(sides[len(sides)-3:]); err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
-	if err := f.roll("front", time.Second); err != nil {
+	if err := f.roll(f.list("front")); err != nil {
 		return err
 	}
 	time.Sleep(stableWindow)
-	if idle := time.Since(flows[0].lastUsed); idle > s.idleTimeout-time.Second {
+	if idle := time.Since(flows[0].lastUsed); idle > s.idleTimeout-time.Second/2 {
 		return fmt.Errorf("the flows were idle for %v", idle)
 	}
 	s.useAgain(flows)
@@ -110,8 +110,8 @@
 }
 
 // movedRoute: a route leads to the service ledger for some seconds, and back. Meanwhile the
-// store refuses the calls of one machine of ledger, for 9 s, and all sides are stopped and
-// started in turn. Later the fronts are.
+// store refuses the calls of one machine of ledger, for 3 s, and a part of the sides, with
+// that one, are stopped and started in turn. Later the fronts are.
 func movedRoute(s *scene) error {
 	f := &s.fleet
 	s.manifest(8, "ledger")
@@ -125,24 +125,23 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	s.manifest(9, "receipts")
-	time.Sleep(3500 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
 	rolled := make(chan error, 1)
-	go func() { rolled <- f.roll("side", 500*time.Millisecond) }()
-	time.Sleep(9*time.Second - time.Since(began))
+	go func() { rolled <- f.roll(f.list("side")[:3]) }()
+	time.Sleep(3*time.Second - time.Since(began))
 	if s.trouble {
 		f.store.refuse(m, false)
 	}
 	if err := <-rolled; err != nil {
 		return err
 	}
-	time.Sleep(time.Second)
-	if err := f.roll("front", 500*time.Millisecond); err != nil {
+	if err := f.roll(f.list("front")); err != nil {
 		return err
 	}
 	time.Sleep(stableWindow)
-	if idle := time.Since(flows[0].lastUsed); idle > s.idleTimeout-time.Second {
+	if idle := time.Since(flows[0].lastUsed); idle > s.idleTimeout-time.Second/2 {
 		return fmt.Errorf("the flows were idle for %v", idle)
 	}
 	s.useAgain(flows)
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -175,20 +175,23 @@
 	}
 }
 
-// roll stops and starts the machines of a class in turn.
-func (f *fleet) roll(class string, gap time.Duration) error {
-	for _, m := range f.list(class) {
+// rollStep is the time between two steps of a roll, the shortest of the site file.
+const rollStep = 1200 * time.Millisecond
+
+// roll stops and starts machines in turn. A front is in rotation again before the next
+// one is stopped.
+func (f *fleet) roll(machines []*machine) error {
+	for _, m := range machines {
+		began := time.Now()
 		f.terminate(m)
 		time.Sleep(restartDelay)
 		if err := f.start(m); err != nil {
 			return err
 		}
-		if class == "front" {
-			if !waitFor(10*time.Second, m.isInUse) {
-				return fmt.Errorf("%s is not ready after its restart", m.name)
-			}
+		if m.class == "front" && !waitFor(10*time.Second, m.isInUse) {
+			return fmt.Errorf("%s is not ready after its restart", m.name)
 		}
-		time.Sleep(gap)
+		time.Sleep(rollStep - time.Since(began))
 	}
 	return nil
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -117,7 +117,7 @@
 	f := &s.fleet
 	f.store = &store{rec: s.rec, objects: map[string]object{}, refused: map[netip.AddrPort]bool{}, revision: 100}
 	s.watch, s.slip, s.moved = f.addr(5, 1, portDatagram), f.addr(5, 2, portDatagram), f.addr(5, 3, portDatagram)
-	s.idleTimeout = 12 * time.Second
+	s.idleTimeout = 15 * time.Second // as in the example of the pages
 	if limit := idleTimeouts[os.Args[1]]; limit > 0 {
 		s.idleTimeout = limit
 	}
