--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -13,16 +13,16 @@
 	"moved-route": movedRoute,
 }
 
-// idleTimeouts holds the manifest's idleTimeoutMs where it differs from 15 s.
+// idleTimeouts holds the manifest's idle timeout where it differs from 15 s.
 var idleTimeouts = map[string]time.Duration{
 	"idle-flow":   50 * time.Second,
 	"moved-route": 20 * time.Second,
 }
 
-// stableWindow is stableWindowMs with a margin: all machines are in touch after it.
+// stableWindow is that of the settings with a margin: all machines are in touch after it.
 const stableWindow = 4500 * time.Millisecond
 
-// idleFlow: flows are idle for 45 s, less than idleTimeoutMs. Meanwhile the front
+// idleFlow: flows are idle for 45 s, less than the idle timeout. Meanwhile the front
 // machines are stopped and started in turn.
 func idleFlow(s *scene) error {
 	flows, err := s.openLong(s.watch, 24)
@@ -89,7 +89,7 @@
 	return nil
 }
 
-// otherPing: another writer sends a ping without concurrencyLimit to a side of ledger. It
+// otherPing: another writer sends a ping without the limit of concurrent requests to a side of ledger. It
 // names the service receipts.
 func otherPing(s *scene) error {
 	flows, err := s.openLong(s.watch, 24)
@@ -99,10 +99,12 @@
 	time.Sleep(4 * time.Second)
 	m := s.fleet.list("side")[0]
 	if s.trouble {
-		body := fmt.Sprintf(`{"service":"receipts","address":%q,"zone":%q,"version":"v1","state":"ready","warmupLeftMs":0,"sequence":1,"born":%d}`,
-			m.app.String(), m.zone, time.Now().UnixMilli())
+		body := string(format("ping.json", pingValues{
+			Service: "receipts", Address: m.app, Zone: m.zone, State: "ready", Sequence: 1, Born: time.Now().UnixMilli(),
+			WithoutLimit: true,
+		}))
 		status := callControl("PUT", m.control, "i-other", body)
-		s.rec.line("ping of another writer at %s, service receipts, no concurrencyLimit: %d", m.name, status)
+		s.rec.line("ping of another writer at %s, service receipts, without the limit of concurrent requests: %d", m.name, status)
 	}
 	time.Sleep(stableWindow)
 	s.useAgain(flows)
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -8,14 +8,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	heartbeat = 1200 * time.Millisecond
+	pingInterval = 1200 * time.Millisecond
 	// grace is the time between SIGTERM and SIGKILL.
 	grace = 6 * time.Second
 	// restartDelay is the time between the end of a process and its next start.
@@ -90,24 +89,12 @@
 	f.mu.Unlock()
 	m.settingsFile = filepath.Join(f.folder, label+".conf")
 	m.logFile = filepath.Join(f.folder, label+".log")
-	lines := []string{
-		"node=" + m.name, "role=" + f.role(m), "instanceClass=" + m.class, "serves=" + m.class, "ip=" + m.ip.String(),
-		"zone=" + m.zone, "region=dixie", "zones.dixie-a=dixie", "zones.dixie-b=dixie",
-		"listen.datagramAddr=" + m.datagram.String(), "listen.readinessAddr=" + m.readiness.String(),
-		fmt.Sprintf("portRange=%d,%d", f.port+portPeers, f.port+portPeersLast), "bootstrap=false", "lossCounts=false",
-		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0",
-		"limits.diskMb=0", "discovery=local", "entry=advertise", fmt.Sprintf("heartbeatMs=%d", heartbeat.Milliseconds()),
-		"contracts=base,drain,config,cost,recover,flows,platform", "faultTolerance.machines=1", "bounds.reuseAfterS=2",
-		"bounds.stableWindowMs=4000", "bounds.drainMs=3000", "bounds.graceS=6", "bounds.configApplyMs=3000",
-		"bounds.flowReorderMs=2000", "bounds.flowMaxS=60", "hash=mod", "deploymentMode=agent",
-		"platform.address=" + m.storeAddr.String(), "platform.deploymentMode=objects", "platform.writesPerS=400",
-		"platform.readsPerS=2000", "platform.historyS=20", "platform.valueBytes=1048576", "platform.ttlMinMs=1000",
-	}
-	if m.class == "side" {
-		lines = append(lines, "listen.outbound="+m.outbound.String(), "listen.control="+m.control.String(),
-			"app="+m.app.String(), "service="+m.service)
-	}
-	if err := os.WriteFile(m.settingsFile, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+	settings := format("settings.conf", settingsValues{
+		Name: m.name, Role: f.role(m), Class: m.class, Zone: m.zone, Service: m.service, IP: m.ip, Datagram: m.datagram,
+		Readiness: m.readiness, Control: m.control, Outbound: m.outbound, App: m.app, Store: m.storeAddr,
+		FirstPort: f.port + portPeers, LastPort: f.port + portPeersLast, PingMs: pingInterval.Milliseconds(),
+	})
+	if err := os.WriteFile(m.settingsFile, settings, 0o600); err != nil {
 		return err
 	}
 	return f.start(m)
@@ -131,7 +118,7 @@
 	command := exec.Command("target/gooseberrymastd", f.role(m), "--settings", "deploy/gooseberrymastd.toml")
 	command.Dir, command.Stdout, command.Stderr = f.root, log, log
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"),
-		"GOOSEBERRYMAST_NODE_FILE=" + m.settingsFile}
+		settingsVariable() + "=" + m.settingsFile}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return err
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -78,14 +78,14 @@
 	return h.draining
 }
 
-// ping announces the host every heartbeatMs.
+// ping announces the host at each interval.
 func (h *host) ping() {
 	for {
 		h.announce()
 		select {
 		case <-h.done:
 			return
-		case <-time.After(heartbeat):
+		case <-time.After(pingInterval):
 		}
 	}
 }
@@ -97,8 +97,9 @@
 	if h.draining {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrencyLimit":5,"state":%q,"warmupLeftMs":0,"sequence":%d,"born":%d}`,
-		h.service, h.machine.app.String(), h.machine.zone, state, h.sequence, h.born)
+	body := string(format("ping.json", pingValues{
+		Service: h.service, Address: h.machine.app, Zone: h.machine.zone, State: state, Sequence: h.sequence, Born: h.born,
+	}))
 	h.mu.Unlock()
 	return h.call(http.MethodPut, body) == http.StatusOK
 }
@@ -109,7 +110,7 @@
 
 // callControl calls the control address of a machine and returns the status, or 0.
 func callControl(method string, control netip.AddrPort, id, body string) int {
-	request, err := http.NewRequest(method, "http://"+control.String()+"/instances/"+id, strings.NewReader(body))
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s/instances/%s", control, id), strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -191,7 +192,7 @@
 			h.send(key, packet{flags: flagSyn | flagAck, seq: flow.first, ack: flow.received})
 		}
 	case flow == nil, !flow.open && p.ack != flow.first+1:
-		datagram[offFlags] |= flagBounced
+		datagram[offFlags] |= flagReturned
 		h.write(datagram)
 	default:
 		flow.open = true
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -94,18 +94,13 @@
 // manifest writes config/main as the operator does.
 func (s *scene) manifest(version int, movedTo string) {
 	s.rec.line("operator: manifest %d, route %s leads to %s", version, s.moved, movedTo)
-	type entry map[string]any
-	route := func(address netip.AddrPort, service, kind string) entry {
-		s.rec.allow(address, service)
-		return entry{"host": address.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", address.Port()), "service": service,
-			"type": kind, "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "attempts": 1}
+	values := manifestValues{Version: version, IdleMs: s.idleTimeout.Milliseconds(), Routes: []routeValues{
+		{s.watch, "ledger", "idempotent"}, {s.slip, "receipts", "download"}, {s.moved, movedTo, "idempotent"},
+	}}
+	for _, route := range values.Routes {
+		s.rec.allow(route.Address, route.Service)
 	}
-	s.fleet.store.set("config/main", entry{
-		"version":  version,
-		"routes":   []entry{route(s.watch, "ledger", "idempotent"), route(s.slip, "receipts", "download"), route(s.moved, movedTo, "idempotent")},
-		"services": []entry{{"name": "ledger", "healthCheck": "/healthz"}, {"name": "receipts", "healthCheck": "/healthz"}},
-		"limits":   entry{"idleTimeoutMs": s.idleTimeout.Milliseconds()},
-	})
+	s.fleet.store.set("config/main", format("manifest.json", values))
 }
 
 // begin starts the platform, the machines and the hosts, and waits until all fronts
--- a/review/stand/packet.go
+++ b/review/stand/packet.go
@@ -21,11 +21,11 @@
 	offSrc    = 27
 	headBytes = 31
 
-	flagSyn     = 1
-	flagBounced = 4
-	flagAck     = 8
-	flagRst     = 32
-	flagFin     = 64
+	flagSyn      = 1
+	flagReturned = 4
+	flagAck      = 8
+	flagRst      = 32
+	flagFin      = 64
 )
 
 // packet is a decoded packet.
@@ -40,11 +40,11 @@
 
 func (p packet) has(flag byte) bool { return p.flags&flag != 0 }
 
-// checksum is the keyed sum over all fields except echo and BOUNCED.
+// checksum is the keyed sum over all fields except echo and the mark of a returned packet.
 func checksum(datagram []byte) uint32 {
 	hash := fnv.New32a()
 	hash.Write([]byte("key of this run"))
-	hash.Write([]byte{datagram[offFlags] &^ flagBounced})
+	hash.Write([]byte{datagram[offFlags] &^ flagReturned})
 	hash.Write(datagram[offSeq:offEcho])
 	hash.Write(datagram[offLen:offSum])
 	hash.Write(datagram[offDport:])
--- a/review/stand/requester.go
+++ b/review/stand/requester.go
@@ -12,7 +12,7 @@
 )
 
 // requester is a stand-in of one requester. Its flows have ports of their own; all
-// packets for it arrive at its address and the port that datagramAddr has.
+// packets for it arrive at its address and the port at which all machines take packets.
 type requester struct {
 	rec   *recorder
 	fleet *fleet
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -71,16 +71,12 @@
 }
 
 // set writes an object as the operator does.
-func (s *store) set(key string, spec any) {
-	text, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
+func (s *store) set(key string, spec []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, name, _ := strings.Cut(key, "/")
 	written := s.objects[key]
-	written.Meta.Name, written.Spec = name, text
+	written.Meta.Name, written.Spec = name, spec
 	s.put(key, written)
 }
 
