--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -9,7 +9,7 @@
 var cases = map[string]func(*scene) error{
 	"idle-flow":   idleFlow,
 	"late-delete": lateDelete,
-	"other-ping":  otherPing,
+	"late-ping":   latePing,
 	"moved-route": movedRoute,
 }
 
@@ -89,28 +89,6 @@
 	return nil
 }
 
-// otherPing: another writer sends a ping without the limit of concurrent requests to a side of ledger. It
-// names the service receipts.
-func otherPing(s *scene) error {
-	flows, err := s.openLong(s.watch, 24)
-	if err != nil {
-		return err
-	}
-	time.Sleep(4 * time.Second)
-	m := s.fleet.list("side")[0]
-	if s.trouble {
-		body := string(format("ping.json", pingValues{
-			Service: "receipts", Address: m.app, Zone: m.zone, State: "ready", Sequence: 1, Born: time.Now().UnixMilli(),
-			WithoutLimit: true,
-		}))
-		status := callControl("PUT", m.control, "i-other", body)
-		s.rec.line("ping of another writer at %s, service receipts, without the limit of concurrent requests: %d", m.name, status)
-	}
-	time.Sleep(stableWindow)
-	s.useAgain(flows)
-	return nil
-}
-
 // movedRoute: a route leads to the service ledger for some seconds, and back. Meanwhile the
 // store refuses the calls of one machine of ledger, for 3 s, and a part of the sides, with
 // that one, are stopped and started in turn. Later the fronts are.
@@ -149,3 +127,52 @@
 	s.useAgain(flows)
 	return nil
 }
+
+// latePing: a host of ledger crashes behind a partition that holds its last ping up. Its
+// machine is taken away, and another one gets the address, with a host of receipts, which
+// registers. Later the new side is stopped and started as planned. The old ping arrives
+// just after that start.
+func latePing(s *scene) error {
+	f := &s.fleet
+	old := f.list("side")[1]
+	oldHost := f.hosts[old]
+	sent := time.Now()
+	late := oldHost.heldUpPing()
+	s.rec.line("host %s on %s sends a ping, which a partition holds up", oldHost.id, old.name)
+	oldHost.end()
+	f.terminate(old)
+	f.remove(old)
+	delete(f.hosts, old)
+	time.Sleep(2200 * time.Millisecond) // reuseAfterS
+	m := f.newMachine("side", old.zone, "receipts", old.ip.As4()[3])
+	m.name += "-new"
+	if err := f.add(m); err != nil {
+		return err
+	}
+	h, err := startHost(s.rec, m, "receipts")
+	if err != nil {
+		return err
+	}
+	f.hosts[m] = h
+	time.Sleep(stableWindow)
+	last := h.acknowledged()
+	if !waitFor(3*time.Second, func() bool { return h.acknowledged() > last }) {
+		return fmt.Errorf("the new host is not acknowledged")
+	}
+	rolled := make(chan error, 1)
+	go func() { rolled <- f.roll([]*machine{m}) }()
+	if !waitFor(3*time.Second, func() bool { return !m.isRunning() }) || !waitFor(3*time.Second, m.isRunning) {
+		return fmt.Errorf("%s is not started again", m.name)
+	}
+	if s.trouble {
+		time.Sleep(50 * time.Millisecond)
+		status := 0
+		waitFor(time.Second, func() bool { status = callControl("PUT", m.control, oldHost.id, late); return status != 0 })
+		s.rec.line("the ping of host %s arrives after %.1f s at %s: %d", oldHost.id, time.Since(sent).Seconds(), m.name, status)
+	}
+	if err := <-rolled; err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	return nil
+}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -225,6 +225,18 @@
 	}
 }
 
+// isRunning reports whether the machine's process runs.
+func (m *machine) isRunning() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 func (m *machine) isInUse() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/stand/formats.go
+++ b/review/stand/formats.go
@@ -57,6 +57,4 @@
 	Address              netip.AddrPort
 	Sequence             uint64
 	Born                 int64
-	// WithoutLimit leaves out the limit of concurrent requests.
-	WithoutLimit bool
 }
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -42,6 +42,8 @@
 	mu       sync.Mutex
 	flows    map[flowKey]*hostFlow
 	sequence uint64
+	// acked is the sequence of the last ping that was acknowledged.
+	acked    uint64
 	draining bool
 	ended    bool
 }
@@ -91,17 +93,41 @@
 }
 
 func (h *host) announce() bool {
+	sequence, body := h.nextPing()
+	if h.call(http.MethodPut, body) != http.StatusOK {
+		return false
+	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.acked = sequence
+	return true
+}
+
+// nextPing returns the next ping and its sequence.
+func (h *host) nextPing() (sequence uint64, body string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.sequence++
 	state := "ready"
 	if h.draining {
 		state = "draining"
 	}
-	body := string(format("ping.json", pingValues{
+	return h.sequence, string(format("ping.json", pingValues{
 		Service: h.service, Address: h.machine.app, Zone: h.machine.zone, State: state, Sequence: h.sequence, Born: h.born,
 	}))
-	h.mu.Unlock()
-	return h.call(http.MethodPut, body) == http.StatusOK
+}
+
+// heldUpPing returns a ping that the host sends and that doesn't arrive yet.
+func (h *host) heldUpPing() string {
+	_, body := h.nextPing()
+	return body
+}
+
+// acknowledged returns the sequence of the last ping that was acknowledged.
+func (h *host) acknowledged() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.acked
 }
 
 func (h *host) call(method, body string) int {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -190,7 +190,7 @@
 // shortRequests opens flows for one request each, all the while.
 func (s *scene) shortRequests() {
 	for i := 0; ; i++ {
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(25 * time.Millisecond)
 		r, to := s.requesters[i%2], s.watch
 		if i%4 > 1 {
 			to = s.slip
