--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -7,16 +7,16 @@
 
 // cases holds the cases of the review by their names.
 var cases = map[string]func(*scene) error{
-	"idle-flow":   idleFlow,
-	"late-delete": lateDelete,
-	"late-ping":   latePing,
-	"moved-route": movedRoute,
+	"idle-flow":    idleFlow,
+	"late-delete":  lateDelete,
+	"late-ping":    latePing,
+	"shared-route": sharedRoute,
 }
 
 // idleTimeouts holds the manifest's idle timeout where it differs from 15 s.
 var idleTimeouts = map[string]time.Duration{
-	"idle-flow":   50 * time.Second,
-	"moved-route": 20 * time.Second,
+	"idle-flow":    50 * time.Second,
+	"shared-route": 20 * time.Second,
 }
 
 // stableWindow is that of the settings with a margin: all machines are in touch after it.
@@ -89,19 +89,19 @@
 	return nil
 }
 
-// movedRoute: a route leads to the service ledger for some seconds, and back. Meanwhile the
+// sharedRoute: a route to receipts leads to ledger, too, for some seconds. Meanwhile the
 // store refuses the calls of one machine of ledger, for 3 s, and a part of the sides, with
 // that one, are stopped and started in turn. Later the fronts are.
-func movedRoute(s *scene) error {
+func sharedRoute(s *scene) error {
 	f := &s.fleet
-	s.manifest(8, "ledger")
+	s.manifest(8, "receipts", "ledger")
 	time.Sleep(4 * time.Second)
 	m := f.list("side")[0]
 	began := time.Now()
 	if s.trouble {
 		f.store.refuse(m, true)
 	}
-	flows, err := s.openLong(s.moved, 24)
+	flows, err := s.openLong(s.shared, 48)
 	if err != nil {
 		return err
 	}
--- a/review/stand/formats.go
+++ b/review/stand/formats.go
@@ -38,10 +38,11 @@
 	PingMs                                             int64
 }
 
-// routeValues are those of one route of a manifest.
+// routeValues are those of one route of a manifest. Several services have the same weight.
 type routeValues struct {
-	Address       netip.AddrPort
-	Service, Type string
+	Address  netip.AddrPort
+	Type     string
+	Services []string
 }
 
 // manifestValues are those of a manifest.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -85,20 +85,22 @@
 
 	requesters []*requester
 	// watch and slip are the addresses of the routes to the services ledger and receipts.
-	// moved is that of a route that leads to one or the other.
-	watch, slip, moved netip.AddrPort
-	idleTimeout        time.Duration
-	sent, answered     atomic.Int64
+	// shared is that of a route that leads to receipts, and to ledger at times.
+	watch, slip, shared netip.AddrPort
+	idleTimeout         time.Duration
+	sent, answered      atomic.Int64
 }
 
 // manifest writes config/main as the operator does.
-func (s *scene) manifest(version int, movedTo string) {
-	s.rec.line("operator: manifest %d, route %s leads to %s", version, s.moved, movedTo)
+func (s *scene) manifest(version int, shared ...string) {
+	s.rec.line("operator: manifest %d, route %s leads to %v", version, s.shared, shared)
 	values := manifestValues{Version: version, IdleMs: s.idleTimeout.Milliseconds(), Routes: []routeValues{
-		{s.watch, "ledger", "idempotent"}, {s.slip, "receipts", "download"}, {s.moved, movedTo, "idempotent"},
+		{s.watch, "idempotent", []string{"ledger"}}, {s.slip, "download", []string{"receipts"}}, {s.shared, "idempotent", shared},
 	}}
 	for _, route := range values.Routes {
-		s.rec.allow(route.Address, route.Service)
+		for _, service := range route.Services {
+			s.rec.allow(route.Address, service)
+		}
 	}
 	s.fleet.store.set("config/main", format("manifest.json", values))
 }
@@ -111,7 +113,7 @@
 	}
 	f := &s.fleet
 	f.store = &store{rec: s.rec, objects: map[string]object{}, refused: map[netip.AddrPort]bool{}, revision: 100}
-	s.watch, s.slip, s.moved = f.addr(5, 1, portDatagram), f.addr(5, 2, portDatagram), f.addr(5, 3, portDatagram)
+	s.watch, s.slip, s.shared = f.addr(5, 1, portDatagram), f.addr(5, 2, portDatagram), f.addr(5, 3, portDatagram)
 	s.idleTimeout = 15 * time.Second // as in the example of the pages
 	if limit := idleTimeouts[os.Args[1]]; limit > 0 {
 		s.idleTimeout = limit
