--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -245,6 +245,10 @@
 		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Response-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(content), content)
 		flow.answer = h.send(key, packet{flags: flagAck, seq: flow.next, ack: flow.received, data: []byte(text)})
 		flow.next += uint32(len(text))
+		if h.draining {
+			// The requester ends its half, too, once it has the FIN.
+			h.send(key, packet{flags: flagFin | flagAck, seq: flow.next, ack: flow.received})
+		}
 	case len(p.data) > 0 && flow.answer != nil:
 		h.write(flow.answer)
 	}
