--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -34,6 +34,10 @@
 
 // Deliverer holds the state of one agent's decisions. The zero value is ready.
 type Deliverer struct {
+	// Gates restrict which new flows are taken, in the order in which they are asked.
+	// They are set before use and called under the deliverer's lock.
+	Gates []gooseberrymast.FlowGate
+
 	mu        sync.Mutex
 	leaving   bool
 	flows     map[gooseberrymast.FlowKey]*flow
@@ -117,6 +121,13 @@
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
+		offer := flowOffer(header, hop, routes)
+		if decision := d.askGates(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
+		}
+		for _, gate := range d.Gates {
+			gate.Taken(offer, now)
+		}
 		f = d.addFlow(key, now)
 		if hop.NotifyOrigin {
 			f.notify = hop.Origin
@@ -298,6 +309,23 @@
 	return "", true
 }
 
+func flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
+	key := header.FromCaller()
+	route, ok := routes.Lookup(key.Service)
+	return gooseberrymast.FlowOffer{Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0}
+}
+
+// askGates returns the decision of the first gate that doesn't admit an offer, or the
+// zero GateDecision.
+func (d *Deliverer) askGates(offer gooseberrymast.FlowOffer, now time.Time) gooseberrymast.GateDecision {
+	for _, gate := range d.Gates {
+		if decision := gate.Decide(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
+			return decision
+		}
+	}
+	return gooseberrymast.GateDecision{}
+}
+
 func routeAllows(routes *gooseberrymast.Routes, key gooseberrymast.FlowKey, service string) bool {
 	route, ok := routes.Lookup(key.Service)
 	return ok && route.Allows(service)
--- /dev/null
+++ b/gate.go
@@ -0,0 +1,58 @@
+package gooseberrymast
+
+import "time"
+
+// FlowOffer is an opening packet that an agent may take.
+type FlowOffer struct {
+	// Key is the new flow's.
+	Key FlowKey
+	// Route is the flow's route in the agent's document. HasRoute is false if the
+	// document has none; then Route is the zero Route.
+	Route    Route
+	HasRoute bool
+	// Copy counts the earlier copies of the opening packet that the caller has sent.
+	Copy int
+	// Last is set if no other candidate is left for the flow.
+	Last bool
+}
+
+// GateVerdict is what a gate decides on a new flow.
+type GateVerdict uint8
+
+// The verdicts on a new flow.
+const (
+	// GateAdmit lets the flow go to the server.
+	GateAdmit GateVerdict = iota
+	// GatePassOn offers the flow to the next candidate. Without one the offer ends.
+	GatePassOn
+	// GateHold keeps the opening packet at the agent until the gate releases it.
+	GateHold
+)
+
+// GateDecision is a gate's verdict with its cause.
+type GateDecision struct {
+	Verdict GateVerdict
+	// Reason is the cause in kebab case, for logs and metrics; empty for GateAdmit.
+	Reason string
+	// Definite is set if the agent will not deliver this opening packet later. Only
+	// a flow that every candidate refused definitely may be reset.
+	Definite bool
+}
+
+// FlowGate restricts which new flows an agent takes. An agent asks its gates for each
+// opening packet of a flow that it doesn't hold, under a lock: a gate must neither
+// block nor call the agent.
+type FlowGate interface {
+	// Decide decides on an offer.
+	Decide(offer FlowOffer, now time.Time) GateDecision
+	// Taken records that the flow of an offer goes to the server.
+	Taken(offer FlowOffer, now time.Time)
+}
+
+// WorkEstimator estimates the work of one backend server.
+type WorkEstimator interface {
+	// Wait returns the expected time until a request that arrives now gets a slot.
+	Wait(now time.Time) time.Duration
+	// Cost returns the expected time in a slot of a request to an address.
+	Cost(address Endpoint) time.Duration
+}
