--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -43,7 +43,6 @@
 	flows     map[gooseberrymast.FlowKey]*flow
 	pending   [maxPending]pendingPacket
 	lastTag   uint32
-	passedOn  passedOn
 	openFlows int
 	busyFlows int
 	// answers counts the flows that the server has accepted. Those up to ownAnswers
@@ -120,11 +119,11 @@
 	}
 	if header.Opens {
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
-			return d.passOn(key, hop, reason, definite, now)
+			return d.passOn(hop, reason, definite)
 		}
 		offer := flowOffer(header, hop, routes)
 		if decision := d.askGates(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
-			return d.passOn(key, hop, Reason(decision.Reason), decision.Definite, now)
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
 		}
 		for _, gate := range d.Gates {
 			gate.Taken(offer, now)
@@ -137,12 +136,6 @@
 		step.Event = FlowTaken
 		return step
 	}
-	if hop.Mode == gooseberrymast.HopDeliver {
-		if next, ok := d.passedOn.follow(key, now); ok {
-			hop.NotifyOrigin = true
-			return Step{Action: Forward, To: next, Hop: hop, Reason: ReasonPassedOn}
-		}
-	}
 	if server.Status == tracker.Gone {
 		return d.answerNotHeld(header, hop, ReasonServerGone, true)
 	}
@@ -179,7 +172,7 @@
 	}
 	d.pending[header.Tag%maxPending] = pendingPacket{}
 	if header.Opens {
-		return d.passOn(key, found.hop, ReasonServerRefused, true, now)
+		return d.passOn(found.hop, ReasonServerRefused, true)
 	}
 	return d.answerNotHeld(header, found.hop, ReasonNotHeld, true)
 }
@@ -341,13 +334,12 @@
 // passOn forwards a new flow to the next candidate, or ends its opening: the balancer
 // that placed it decides whether the flow may be reset, since a copy of the opening
 // packet may have opened it elsewhere.
-func (d *Deliverer) passOn(key gooseberrymast.FlowKey, hop gooseberrymast.Hop, reason Reason, definite bool, now time.Time) Step {
+func (d *Deliverer) passOn(hop gooseberrymast.Hop, reason Reason, definite bool) Step {
 	hop.Definite = hop.Definite && definite
 	hop.NotifyOrigin = true
 	if len(hop.Candidates) > 0 {
 		next := hop.Candidates[0]
 		hop.Candidates = hop.Candidates[1:]
-		d.passedOn.record(key, next, now)
 		return Step{Action: Forward, To: next, Hop: hop, Reason: reason}
 	}
 	if hop.Definite && !hop.Initiator.IsZero() {
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -51,9 +51,6 @@
 	// ReasonNotHeld: the server returned a packet of a flow that it doesn't
 	// hold.
 	ReasonNotHeld Reason = "not-held"
-	// ReasonPassedOn: the agent has passed the flow's opening packet on, and its
-	// caller's next packets follow.
-	ReasonPassedOn Reason = "passed-on"
 	// ReasonNoTry: there is no record of a returned packet.
 	ReasonNoTry Reason = "no-try"
 )
