Evacuations: read, passed on and obeyed by balancers and agents

Change: coordination/evacuator holds the newest list, ordered by the store's era and revision, and decides when a process reads it. The pace of reads moves from confirmer to coordination/pacer, which both use; the document is read as before. Reports (field 15) and summaries (field 13) carry the list, the age of the sender's own read and the zones that a restored store has lost; these stay evacuated for 10 s. A balancer chooses no agent of an evacuated zone, also not for a retransmitted opening packet, and isn't ready before it knows the list, or after 3 s. An agent of such a zone passes new flows on definitely and still delivers opening packets of flows that it has taken. Where a zone's service has no other place, callers are reset, except that an opening packet whose recorded owner lies in an evacuated zone is dropped: it may be a duplicate. Without "places" among the contracts of the settings nothing is read or sent.

The interval is bounds.evacuateMs less 2.5 s, and 2.5 s at 5,000 ms: 0.4 lists a second and zone.

--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -61,9 +61,11 @@
 				Timer:       timer.System{},
 				DocumentKey: platform.DocumentKey,
 				ReadRoutes:  platform.ReadRoutes,
-				PeersListen: peersListenEndpoint(forwarding),
-				MetricsPort: forwarding.MetricsPort,
-				Log:         journal,
+
+				ReadEvacuations: store.Evacuations,
+				PeersListen:     peersListenEndpoint(forwarding),
+				MetricsPort:     forwarding.MetricsPort,
+				Log:             journal,
 			})
 		},
 	}
--- a/coordination/confirmer/confirmer.go
+++ b/coordination/confirmer/confirmer.go
@@ -2,11 +2,8 @@
 //
 // Load pattern: a cluster whose instances must all confirm that their version is
 // the latest, and a store that allows few reads a second. In each availability
-// zone one instance reads and its peers use its updates. There is no election: an
-// instance reads once the age of its last confirmation passes a limit that grows
-// with its rank in the zone, so that the next one takes over automatically when
-// the reader is cut off, paused or gone. A watch without events confirms nothing,
-// so only reads count.
+// zone one instance reads at the pace of coordination/pacer, and its peers use its
+// updates. A watch without events confirms nothing, so only reads count.
 //
 // Load pattern: links that delay updates. A peer that receives an update takes the
 // read for more recent than it was, by the delay. If updates were passed on, two
@@ -24,20 +21,13 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/pacer"
 )
 
 const (
 	// Interval is the age at which the first instance of a zone reads: a third
 	// of the shortest time in which a change must be in force, 3 s.
 	Interval = 900 * time.Millisecond
-	// RankDelay is the additional age for each rank: a read's round trip with a
-	// margin for the delay of the update.
-	RankDelay = 250 * time.Millisecond
-	// MaxRank bounds the additional age, so that every instance reads for
-	// itself within the time in which a change must be in force.
-	MaxRank = 5
-	// RetryAfter is the pause after the first failed read.
-	RetryAfter = 250 * time.Millisecond
 	// MaxJoinAge is the age up to which a joining instance accepts a confirmation
 	// by a peer: twice Interval, which a zone that reaches the store never
 	// exceeds, and below the shortest time in which a change must be in force.
@@ -47,8 +37,6 @@
 	// document serves callers better than none. It is the shortest time in which
 	// a change must be in force.
 	MaxJoinWait = 3 * time.Second
-	// MaxRetryAfter bounds the pause, which doubles with each failure.
-	MaxRetryAfter = time.Second
 )
 
 // Confirmer tracks the age of one process's document. Its fields are set
@@ -69,27 +57,21 @@
 	// own last such read.
 	read      time.Time
 	storeRead time.Time
-	reading   bool
-	retryAt   time.Time
-	failures  int
+	pacer     pacer.Pacer
 }
 
 // Due reports whether the store must be read now.
 func (c *Confirmer) Due(now time.Time) bool {
-	if c.reading || now.Before(c.retryAt) {
-		return false
-	}
-	limit := Interval + time.Duration(min(c.Rank, MaxRank))*RankDelay
 	last := c.read
 	if c.confirmed.After(last) {
 		last = c.confirmed
 	}
-	return last.IsZero() || now.Sub(last) >= limit
+	return c.pacer.Due(last, Interval, c.Rank, now)
 }
 
 // BeginRead records that a read has begun.
 func (c *Confirmer) BeginRead() {
-	c.reading = true
+	c.pacer.BeginRead()
 }
 
 // HandleRead records that a read which began at a time found a version. It reports
@@ -97,8 +79,7 @@
 // with other content or another revision. The store decides between contents with one
 // number, so that all instances end up with the same.
 func (c *Confirmer) HandleRead(version gooseberrymast.DocumentVersion, began time.Time) (replaces bool) {
-	c.reading = false
-	c.failures = 0
+	c.pacer.EndRead()
 	c.storeRead = began
 	c.recordRead(began)
 	if c.version.Newer(version) {
@@ -117,21 +98,18 @@
 
 // HandleFailedRead records that a read failed.
 func (c *Confirmer) HandleFailedRead(now time.Time) {
-	c.reading = false
-	pause := min(RetryAfter<<min(c.failures, 4), MaxRetryAfter)
-	c.failures++
-	c.retryAt = now.Add(pause)
+	c.pacer.FailRead(now)
 }
 
 // HandleAbsent records that the store has no document: operators have not written it
 // yet, or not again after a restore. The first version comes from a peer or the next
 // read.
 func (c *Confirmer) HandleAbsent(now time.Time) {
-	c.reading = false
 	if c.version.IsZero() {
-		c.retryAt = now.Add(MaxRetryAfter)
+		c.pacer.Postpone(now)
 		return
 	}
+	c.pacer.AbortRead()
 	c.storeRead = now
 	c.recordRead(now)
 }
--- a/coordination/confirmer/confirmer_test.go
+++ b/coordination/confirmer/confirmer_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/pacer"
 )
 
 // maxChangeDelay is the shortest time in which a change must be in force.
@@ -28,9 +29,9 @@
 		{0, Interval - time.Millisecond, false},
 		{0, Interval, true},
 		{1, Interval, false},
-		{1, Interval + RankDelay, true},
-		{MaxRank, Interval + MaxRank*RankDelay, true},
-		{100, Interval + MaxRank*RankDelay, true},
+		{1, Interval + pacer.RankDelay, true},
+		{pacer.MaxRank, Interval + pacer.MaxRank*pacer.RankDelay, true},
+		{100, Interval + pacer.MaxRank*pacer.RankDelay, true},
 	}
 	for _, test := range tests {
 		is := is.New(t)
@@ -103,7 +104,7 @@
 	for now := epoch; now.Before(changedAt.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		for i := range zone {
 			c := &zone[i]
-			if c.reading && !now.Before(timeouts[i]) {
+			if c.pacer.Reading() && !now.Before(timeouts[i]) {
 				c.HandleFailedRead(now)
 			}
 			if !c.Due(now) {
@@ -208,6 +209,6 @@
 	var c Confirmer
 	c.BeginRead()
 	c.HandleAbsent(epoch)
-	is.True(!c.Due(epoch.Add(MaxRetryAfter - 1)))
-	is.True(c.Due(epoch.Add(MaxRetryAfter)))
+	is.True(!c.Due(epoch.Add(pacer.MaxRetryAfter - 1)))
+	is.True(c.Due(epoch.Add(pacer.MaxRetryAfter)))
 }
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -76,6 +76,10 @@
 	// Complete is set when the agent has seen every packet of the server's
 	// incarnation, so that it holds all of its flows.
 	Complete bool
+	// Evacuated is set while the agent's zone is evacuated, and EvacuationUnknown while
+	// an agent that has just started doesn't know whether it is.
+	Evacuated         bool
+	EvacuationUnknown bool
 }
 
 // Leave makes the agent refuse new flows.
@@ -285,6 +289,10 @@
 func (d *Deliverer) refusal(hop gooseberrymast.Hop, key gooseberrymast.FlowKey, server Server,
 	routes *gooseberrymast.Routes) (reason Reason, definite bool) {
 	switch {
+	case server.Evacuated:
+		return ReasonZoneEvacuated, true
+	case server.EvacuationUnknown:
+		return ReasonEvacuationUnknown, false
 	case server.Status == tracker.Unknown:
 		return ReasonServerUnknown, false
 	case server.Status == tracker.Introduced:
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -46,6 +46,11 @@
 	ReasonServerFull Reason = "server-full"
 	// ReasonAgentLeaving: the agent is being stopped.
 	ReasonAgentLeaving Reason = "agent-leaving"
+	// ReasonZoneEvacuated: the agent's zone takes no new flows.
+	ReasonZoneEvacuated Reason = "zone-evacuated"
+	// ReasonEvacuationUnknown: the agent has just started and doesn't know yet whether
+	// its zone is evacuated.
+	ReasonEvacuationUnknown Reason = "evacuation-unknown"
 	// ReasonServerRefused: the server returned an opening packet.
 	ReasonServerRefused Reason = "server-refused"
 	// ReasonNotHeld: the server returned a packet of a flow that it doesn't
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -113,6 +113,8 @@
 	// allowed holds, for each address, every service that its route has allowed
 	// since the process started.
 	allowed map[gooseberrymast.Endpoint][]string
+	// evacuated are the zones that take no new flows.
+	evacuated []string
 }
 
 // walk is the search for a flow's holder, along several chains of candidates, or the
@@ -159,6 +161,20 @@
 	return true
 }
 
+// SetEvacuated sets the zones that take no new flows. The caller must not change them
+// afterwards.
+func (s *Steerer) SetEvacuated(zones []string) {
+	s.routesMu.Lock()
+	defer s.routesMu.Unlock()
+	s.evacuated = zones
+}
+
+func (s *Steerer) evacuatedZones() []string {
+	s.routesMu.RLock()
+	defer s.routesMu.RUnlock()
+	return s.evacuated
+}
+
 func (s *Steerer) everAllowed(address gooseberrymast.Endpoint) []string {
 	s.routesMu.RLock()
 	defer s.routesMu.RUnlock()
@@ -266,12 +282,14 @@
 	service, candidates := s.candidates(route, now)
 	chosen := s.chooser.Choose(candidates, placeCandidates, !route.Idempotent, s.Random)
 	s.mu.Unlock()
-	if owner, found := s.Owners.Find(key, now); found && s.mayReuseOwner(owner, header.Copy, now) {
+	owner, owned := s.Owners.Find(key, now)
+	if owned && s.mayReuseOwner(owner, header.Copy, now) {
 		chosen = moveFirst(chosen, owner)
 	}
 	if len(chosen) == 0 {
-		// An agent may be missing from an incomplete list of peers.
-		if !complete {
+		// An agent may be missing from an incomplete list of peers. A recorded owner in an
+		// evacuated zone may hold the flow, so that the packet may be a duplicate.
+		if !complete || owned && s.inEvacuatedZone(owner) {
 			return Step{Action: Drop, Reason: ReasonNoAgent}
 		}
 		return refuseOpening(header, ReasonNoAgent)
@@ -314,7 +332,13 @@
 // of the first one. An agent answers within milliseconds, so a retransmission
 // suggests that it failed. If both agents answer after all, the flow opens at
 // the one whose answer the caller acknowledges, and a walk finds it.
+//
+// An agent of an evacuated zone gets no opening packet, since it may not have taken the
+// flow before. If it has, a walk finds it.
 func (s *Steerer) mayReuseOwner(owner gooseberrymast.Endpoint, copyNumber int, now time.Time) bool {
+	if s.inEvacuatedZone(owner) {
+		return false
+	}
 	if copyNumber == 0 {
 		return !s.gone(owner, now)
 	}
@@ -322,17 +346,28 @@
 	return copyNumber < rerouteFromCopy && known && entry.ReportAge(now) <= lateReportAge
 }
 
+func (s *Steerer) inEvacuatedZone(agent gooseberrymast.Endpoint) bool {
+	evacuated := s.evacuatedZones()
+	if len(evacuated) == 0 {
+		return false
+	}
+	entry, known := s.Roster.Get(agent)
+	return known && slices.Contains(evacuated, entry.Zone)
+}
+
 // candidates returns the agents that may take a new flow of a route, all of one
 // service: the one drawn by weight, or the next one that has any. Agents
-// without a recent report are used only when none has one.
+// without a recent report are used only when none has one, those of evacuated zones
+// never.
 func (s *Steerer) candidates(route gooseberrymast.Route, now time.Time) (string, []chooser.Candidate) {
 	s.chooser.Zone = s.Zone
 	first := s.drawService(route)
+	evacuated := s.evacuatedZones()
 	for i := range route.Backends {
 		service := route.Backends[(first+i)%len(route.Backends)].Service
 		reporting, silent := s.reporting[:0], s.silent[:0]
 		s.Roster.Each(func(entry roster.Entry) {
-			if entry.Role != gooseberrymast.RoleAgent || entry.Service != service {
+			if entry.Role != gooseberrymast.RoleAgent || entry.Service != service || slices.Contains(evacuated, entry.Zone) {
 				return
 			}
 			candidate := chooser.Candidate{Endpoint: entry.Endpoint, Zone: entry.Zone, Load: entry.Load, Reported: entry.ReportedAt}
--- a/instance_settings.go
+++ b/instance_settings.go
@@ -34,4 +34,22 @@
 	AnnounceInterval time.Duration
 	// StopWithin is the time between the stop signal and the kill.
 	StopWithin time.Duration
+	// Places is zero unless the platform restricts where new flows may go.
+	Places PlacesSettings
+}
+
+// PlacesSettings bound where new flows may go.
+type PlacesSettings struct {
+	// EvacuateWithin is the time after its write from which an evacuation of a zone must
+	// be obeyed. It is zero if no zones are evacuated and no servers' warm-up is limited.
+	EvacuateWithin time.Duration
+	// WarmUpOverage is the factor, and WarmUpSlack the number of requests, by which a
+	// server that warms up may be sent more than its service's rate in any second.
+	WarmUpOverage float64
+	WarmUpSlack   float64
+}
+
+// Active reports whether there are any restrictions.
+func (p PlacesSettings) Active() bool {
+	return p.EvacuateWithin > 0
 }
--- a/log_event.go
+++ b/log_event.go
@@ -36,6 +36,10 @@
 	EventDocumentOlder      LogEvent = "document-older"
 	EventDocumentConflict   LogEvent = "document-conflict"
 	EventDocumentUnreadable LogEvent = "document-unreadable"
+
+	EventEvacuationInForce    LogEvent = "evacuation-in-force"
+	EventEvacuationEnded      LogEvent = "evacuation-ended"
+	EventEvacuationUnreadable LogEvent = "evacuation-unreadable"
 )
 
 // The events of a backend server, as its agent sees it.
@@ -80,7 +84,8 @@
 	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
-	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
+	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventEvacuationInForce, EventEvacuationEnded, EventEvacuationUnreadable,
+	EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
--- a/peer.go
+++ b/peer.go
@@ -84,6 +84,8 @@
 	// Relayed is set when peers of other availability zones learn about the sender
 	// from the summaries of its own zone. Otherwise it reports to them itself.
 	Relayed bool
+	// Evacuations is what the sender knows of evacuated zones.
+	Evacuations EvacuationStatus
 }
 
 // PeerSummary is what a relay knows about one peer of its availability zone.
@@ -109,5 +111,7 @@
 	// Document is the relay's own status; zero in a forwarded summary, since its age
 	// would be too low by the time that forwarding took.
 	Document DocumentStatus
-	Peers    []PeerSummary
+	// Evacuations is the relay's own status, too.
+	Evacuations EvacuationStatus
+	Peers       []PeerSummary
 }
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -67,6 +67,7 @@
 		BalancersDigest:   report.Digests.Balancers,
 		AgentsDigest:      report.Digests.Agents,
 		Relayed:           report.Relayed,
+		Evacuations:       encodeEvacuations(report.Evacuations),
 	}}}
 }
 
@@ -79,7 +80,8 @@
 		Digests: gooseberrymast.RosterDigests{
 			Balancers: message.GetBalancersDigest(), Agents: message.GetAgentsDigest(),
 		},
-		Relayed: message.GetRelayed(),
+		Relayed:     message.GetRelayed(),
+		Evacuations: decodeEvacuations(message.GetEvacuations()),
 	}
 }
 
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -48,6 +48,16 @@
 	return read
 }
 
+func testEvacuations() gooseberrymast.EvacuationStatus {
+	return gooseberrymast.EvacuationStatus{
+		Evacuations: gooseberrymast.Evacuations{
+			Version: gooseberrymast.EvacuationsVersion{Era: 3, Revision: 1 << 41}, Zones: []string{"cairo-a", "cairo-b"},
+		},
+		Known: true, Age: 2 * time.Second, Read: true,
+		Held: []gooseberrymast.HeldZone{{Zone: "cairo-c", Left: 9 * time.Second}},
+	}
+}
+
 func TestReportRoundTrip(t *testing.T) {
 	is := is.New(t)
 	report := gooseberrymast.Report{
@@ -57,7 +67,8 @@
 			Version: gooseberrymast.DocumentVersion{Number: 19, Revision: 1 << 33, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
 			StoreEra: 2, SettledEra: 1, ReadAge: 125 * time.Millisecond, Read: true,
 		},
-		Digests: gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
+		Digests:     gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
+		Evacuations: testEvacuations(),
 	}
 	is.Equal(ReadReport(roundTrip(t, Report(report)).GetReport()), report)
 }
--- a/protocol/interpreter/summary.go
+++ b/protocol/interpreter/summary.go
@@ -7,15 +7,22 @@
 	"gooseberrymast/protocol/messages/peer"
 )
 
-// maxSummaryPeers is the maximum number of peers in one datagram. A peer with its
-// load takes about 50 bytes, so that all take less than 1,200 bytes.
-const maxSummaryPeers = 22
+const (
+	// maxSummaryPeers is the maximum number of peers in one datagram. A peer with its
+	// load takes about 50 bytes, so that all take less than 1,200 bytes.
+	maxSummaryPeers = 22
+	// summaryPeerBytes is the size of one of them.
+	summaryPeerBytes = 50
+)
 
-// Summaries returns the messages of a summary, up to maxSummaryPeers peers in each.
+// Summaries returns the messages of a summary, up to maxSummaryPeers peers in each and
+// fewer beside a long list of evacuations.
 func Summaries(summary gooseberrymast.Summary) []*peer.Message {
 	var messages []*peer.Message
+	evacuations := encodeEvacuations(summary.Evacuations)
+	maxPeers := max(1, maxSummaryPeers-encodedBytes(evacuations)/summaryPeerBytes)
 	for rest := summary.Peers; len(rest) > 0; {
-		part := rest[:min(maxSummaryPeers, len(rest))]
+		part := rest[:min(maxPeers, len(rest))]
 		rest = rest[len(part):]
 		message := &peer.Summary{
 			Zone:              summary.Zone,
@@ -29,6 +36,7 @@
 			DocumentRead:      summary.Document.Read,
 			StoreEra:          summary.Document.StoreEra,
 			SettledEra:        summary.Document.SettledEra,
+			Evacuations:       evacuations,
 		}
 		for _, p := range part {
 			member := encodeMember(p.Peer)
@@ -51,6 +59,8 @@
 		Zone:      message.GetZone(),
 		Forwarded: message.GetForwarded(),
 		Document:  readDocumentStatus(message),
+
+		Evacuations: decodeEvacuations(message.GetEvacuations()),
 	}
 	for _, p := range message.GetPeers() {
 		decoded := gooseberrymast.PeerSummary{
--- a/protocol/interpreter/summary_test.go
+++ b/protocol/interpreter/summary_test.go
@@ -1,6 +1,7 @@
 package interpreter
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,6 +38,30 @@
 	is.Equal(peers, summary.Peers)
 }
 
+// Each datagram of a summary must have the evacuations, since any may be lost, and a long
+// list must not make a datagram too large. A missing list is not an empty one.
+func TestSummariesCarryEvacuations(t *testing.T) {
+	is := is.New(t)
+	summary := gooseberrymast.Summary{Zone: "cairo-a", Evacuations: testEvacuations()}
+	for number := range maxSummaryPeers {
+		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{Peer: testAgent(number), Heard: true})
+	}
+	for number := range 25 {
+		summary.Evacuations.Zones = append(summary.Evacuations.Zones, fmt.Sprintf("another-availability-zone-%d", number))
+	}
+	peers := 0
+	for _, message := range Summaries(summary) {
+		read := ReadSummary(roundTrip(t, message).GetSummary())
+		is.Equal(read.Evacuations, summary.Evacuations)
+		peers += len(read.Peers)
+	}
+	is.Equal(peers, maxSummaryPeers)
+	summary.Evacuations = gooseberrymast.EvacuationStatus{}
+	is.True(!ReadSummary(roundTrip(t, Summaries(summary)[0]).GetSummary()).Evacuations.Known)
+	summary.Evacuations.Known = true // no zone is evacuated
+	is.True(ReadSummary(roundTrip(t, Summaries(summary)[0]).GetSummary()).Evacuations.Known)
+}
+
 // A member that is missing must not make the process fail.
 func TestSummaryWithoutMembersIsRead(t *testing.T) {
 	is := is.New(t)
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -147,6 +147,7 @@
 	go a.reportPeriodically(workCtx, agentReportInterval)
 	stops := []func(){
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.confirmDocument(workCtx) }),
+		a.Timer.Every(documentPollInterval, func(time.Time) { a.pollEvacuations(workCtx) }),
 		a.Timer.Every(ownersInterval, a.announceOwners),
 		a.Timer.Every(ownersInterval, a.checkServer),
 		a.Timer.Every(verifyInterval, func(time.Time) { _ = a.verifyEntry(workCtx) }),
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -27,7 +27,11 @@
 	if header.Payload > 0 {
 		a.deliverer.SetRequestID(header.FromCaller(), a.Codec.RequestID(packet))
 	}
-	step := a.deliverer.FromPeer(header, hop, a.serverState(now), routes, now)
+	server := a.serverState(now)
+	if header.Opens {
+		server.Evacuated, server.EvacuationUnknown = a.ownZoneEvacuated(now), !a.hasUsableEvacuations(now)
+	}
+	step := a.deliverer.FromPeer(header, hop, server, routes, now)
 	a.recordOutcome(step, packet, now)
 	a.execute(step, header.FromCaller(), packet)
 }
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -77,6 +77,7 @@
 		Self: b.Settings.Peers, Zone: b.Settings.Zone, Roster: &b.roster, Owners: &b.owners, Random: random,
 	}
 	b.onRoutes = func(routes *gooseberrymast.Routes) { b.steerer.SetRoutes(routes) }
+	b.onEvacuated = b.steerer.SetEvacuated
 	b.onFlowOwners = func(owner gooseberrymast.Endpoint, keys []gooseberrymast.FlowKey, now time.Time) {
 		for _, key := range keys {
 			b.owners.Record(key, owner, now)
@@ -101,6 +102,7 @@
 	go b.register(workCtx)
 	stops := []func(){
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
+		b.Timer.Every(documentPollInterval, func(time.Time) { b.pollEvacuations(workCtx) }),
 		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(workCtx, now) }),
 		b.Timer.Every(relayer.TickInterval, b.sendSummary),
 		b.Timer.Every(roster.MarkerInterval, b.sendMarker),
@@ -120,7 +122,8 @@
 }
 
 // Ready reports whether the fabric may send packets to the balancer: it has a
-// usable document, receives reports of agents and isn't leaving.
+// usable document, knows which zones are evacuated, receives reports of agents and
+// isn't leaving.
 func (b *Balancer) Ready() bool {
 	agents := 0
 	now := b.Timer.Now()
@@ -130,7 +133,7 @@
 		}
 	})
 	routes := b.steerer.Routes()
-	ready := !b.leaving.Load() && routes != nil && agents > 0 && b.hasUsableDocument(now)
+	ready := !b.leaving.Load() && routes != nil && agents > 0 && b.hasUsableDocument(now) && b.hasUsableEvacuations(now)
 	if b.ready.Swap(ready) != ready {
 		b.Log.Info(gooseberrymast.EventReadinessChanged).Bool("ready", ready).Bool("leaving", b.leaving.Load()).
 			Uint64("version", routesVersion(routes)).Int("agents-heard", agents).Msg("")
--- /dev/null
+++ b/runner/evacuation_test.go
@@ -0,0 +1,107 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrymast"
+	"gooseberrymast/platform"
+)
+
+// newEvacuatingCluster returns a cluster in which zones can be evacuated within a short
+// time, with an agent and a balancer in each of the zones "a" and "b".
+func newEvacuatingCluster(t *testing.T) (c *cluster, store *restorableStore) {
+	t.Helper()
+	c, store = newRestorableCluster(t)
+	base := c.adapt
+	c.adapt = func(environment *Environment) {
+		base(environment)
+		environment.Settings.Places = gooseberrymast.PlacesSettings{EvacuateWithin: 3 * time.Second, WarmUpOverage: 1.5, WarmUpSlack: 5}
+		environment.ReadEvacuations = environment.Store.(*platform.Store).Evacuations
+	}
+	c.zones[[4]byte{127, 0, 3, 2}], c.zones[[4]byte{127, 0, 2, 2}] = "b", "b"
+	store.setDocument(3, "ledger")
+	return c, store
+}
+
+// opens sends a first opening packet and reports whether the flow was opened.
+func (c *cluster) opens(balancer byte, port uint16) (opened bool) {
+	c.t.Helper()
+	c.sendUntil(balancer, port, gooseberrymast.PacketHeader{Opens: true}, "", func(header gooseberrymast.PacketHeader, _ string) bool {
+		opened = header.Acknowledges && !header.Resets
+		return opened || header.Resets
+	})
+	return opened
+}
+
+// An evacuation that operators write must keep new flows from the zone at balancers of
+// every zone and at its agents, leave open flows alone and end when it is removed.
+func TestZoneIsEvacuatedAndReturns(t *testing.T) {
+	is := is.New(t)
+	c, store := newEvacuatingCluster(t)
+	first, second := startServer(t, 1), startServer(t, 2)
+	firstAgent, _ := c.startAgent(1, 1)
+	secondAgent, _ := c.startAgent(2, 1)
+	c.startBalancer(1)
+	c.startBalancer(2)
+	ready := func(agent *Agent) func() bool {
+		return func() bool { return agent.ownPeer().State == gooseberrymast.StateReady }
+	}
+	c.waitFor("the first agent takes flows", ready(firstAgent))
+	c.waitFor("the second agent takes flows", ready(secondAgent))
+	port := uint16(2000)
+	for c.openFlow(2, port); !second.holds(port); c.openFlow(2, port) {
+		port++
+	}
+	store.Set(platform.EvacuationsPrefix+"b", []byte(`{}`))
+	evacuated := func() bool { return secondAgent.ownZoneEvacuated(time.Now()) }
+	written := time.Now()
+	c.waitFor("the agent of zone b obeys", evacuated)
+	is.True(time.Since(written) < 3*time.Second) // the stated bound
+	opened := second.openedFlows()
+	for offset := range uint16(12) {
+		is.True(c.opens(byte(1+offset%2), 3000+offset)) // balancers of both zones serve
+	}
+	is.Equal(second.openedFlows(), opened)
+	is.True(first.openedFlows() >= 12)
+	c.expectEcho(1, port, "the open flow stays")
+
+	// Without a place for it a new flow is reset.
+	store.Set(platform.EvacuationsPrefix+"a", []byte(`{}`))
+	c.waitFor("the agent of zone a obeys", func() bool { return firstAgent.ownZoneEvacuated(time.Now()) })
+	is.True(!c.opens(2, 4000))
+
+	store.Remove(platform.EvacuationsPrefix + "b")
+	c.waitFor("zone b is back", func() bool { return !evacuated() })
+	c.waitFor("a flow opens in zone b", func() bool { port++; return c.opens(2, port) && second.holds(port) })
+}
+
+// An instance that starts during an evacuation must know of it before it takes part.
+func TestInstanceThatStartsKnowsEvacuation(t *testing.T) {
+	is := is.New(t)
+	c, store := newEvacuatingCluster(t)
+	store.Set(platform.EvacuationsPrefix+"b", []byte(`{}`))
+	startServer(t, 1)
+	second := startServer(t, 2)
+	c.startAgent(1, 1)
+	c.startAgent(2, 1)
+	c.startBalancer(2)
+	for port := range uint16(20) {
+		is.True(c.opens(2, 2000+port))
+	}
+	is.Equal(second.openedFlows(), 0)
+}
+
+// A process must make no call for evacuations where the platform has none.
+func TestEvacuationsAreNotReadWhereInactive(t *testing.T) {
+	is := is.New(t)
+	c, store := newRestorableCluster(t)
+	store.setDocument(3, "ledger")
+	store.Set(platform.EvacuationsPrefix+"a", []byte(`{}`))
+	startServer(t, 1)
+	c.startAgent(1, 1)
+	c.startBalancer(1) // it would fail without a function to read them
+	is.True(c.opens(1, 2000))
+}
--- a/runner/member.go
+++ b/runner/member.go
@@ -15,6 +15,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/confirmer"
+	"gooseberrymast/coordination/evacuator"
 	"gooseberrymast/coordination/relayer"
 	"gooseberrymast/coordination/verifier"
 	"gooseberrymast/protocol/interpreter"
@@ -56,6 +57,9 @@
 	DocumentKey string
 	// ReadRoutes decodes the stored document.
 	ReadRoutes func(gooseberrymast.Object) (*gooseberrymast.Routes, error)
+	// ReadEvacuations reads the operators' list of evacuated zones and reports entries
+	// that can't be read. It is used only if Settings.Places is active.
+	ReadEvacuations func(context.Context) (evacuations gooseberrymast.Evacuations, unreadable, err error)
 	// PeersListen is the endpoint to listen on for peers if it differs from the
 	// one that peers send to; zero if they are the same.
 	PeersListen gooseberrymast.Endpoint
@@ -77,6 +81,8 @@
 	began time.Time
 	// onRoutes is called with routes that replace those in force.
 	onRoutes func(*gooseberrymast.Routes)
+	// onEvacuated is called with the evacuated zones when they change; nil at an agent.
+	onEvacuated func(zones []string)
 	// load returns the load of the backend server; nil at a balancer.
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// onFlowOwners is called with the flows that an agent owns; nil at an agent.
@@ -105,9 +111,15 @@
 	collector interpreter.Collector
 	routes    *gooseberrymast.Routes
 	verifier  verifier.Verifier
+	evacuator evacuator.Evacuator
+	// evacuationsUsable is set once hasUsableEvacuations has been true.
+	evacuationsUsable bool
 	// lastDocument is the document that the last read of the store has found. Only
 	// confirmDocument uses it.
 	lastDocument decodedDocument
+	// lastUnreadable is the last logged text about unreadable evacuations. Only
+	// readEvacuations uses it.
+	lastUnreadable string
 	// documentParts are the datagrams of routes, or nil until a peer requests them.
 	documentParts [][]byte
 	lastFetch     time.Time
@@ -143,6 +155,7 @@
 	}
 	m.roster.Zone = m.Settings.Zone
 	m.verifier.Offset = rand.Float64()
+	m.evacuator.Within = m.Settings.Places.EvacuateWithin
 	m.relayer = relayer.Relayer{Self: m.Settings.Peers, Role: m.Settings.Role, Zone: m.Settings.Zone, Started: now}
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
 	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
@@ -289,6 +302,7 @@
 		}
 	}
 	m.handleDocumentStatus(report.Document, report.Peer.Endpoint, now)
+	m.handleEvacuationStatus(report.Evacuations, now)
 	m.sendDepartures(report.Peer)
 	m.mu.Lock()
 	self := m.self
--- a/runner/report.go
+++ b/runner/report.go
@@ -51,6 +51,8 @@
 		Document: m.documentStatus(now),
 		Digests:  m.roster.Digests(m.self),
 		Relayed:  relayed,
+
+		Evacuations: m.evacuator.Status(now),
 	}
 	m.mu.Unlock()
 	if m.load != nil {
@@ -98,7 +100,7 @@
 		return
 	}
 	b.mu.Lock()
-	summary.Document = b.documentStatus(now)
+	summary.Document, summary.Evacuations = b.documentStatus(now), b.evacuator.Status(now)
 	b.mu.Unlock()
 	b.writeSummary(summary, recipients)
 	b.metrics.countSummaries("sent", len(recipients))
@@ -115,6 +117,7 @@
 	}
 	m.metrics.countSummaries("received", 1)
 	m.handleDocumentStatus(summary.Document, sender, now)
+	m.handleEvacuationStatus(summary.Evacuations, now)
 	for _, viewed := range summary.Peers {
 		m.sendDepartures(viewed.Peer)
 	}
@@ -125,6 +128,7 @@
 		return
 	}
 	summary.Forwarded, summary.Document = true, gooseberrymast.DocumentStatus{}
+	summary.Evacuations = gooseberrymast.EvacuationStatus{}
 	m.writeSummary(summary, recipients)
 	m.metrics.countSummaries("forwarded", len(recipients))
 }
