Settings: when decisions follow expected work

Placement by work, and the admission of flows that is to follow, shall take effect only where a document or the settings call for them. Settings placement, few-slots and tight-objective; ForwardingSettings.PlacementRule makes the rule of the first.

--- a/forwarding_settings.go
+++ b/forwarding_settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -20,8 +21,24 @@
 	PeersListen netip.AddrPort `toml:"peers-listen"`
 	// StoreTimeout bounds each call to the platform's store.
 	StoreTimeout Duration `toml:"store-timeout"`
+	// Placement is how new flows are placed: PlacementByWork, PlacementByCount or
+	// PlacementAuto.
+	Placement string `toml:"placement"`
+	// FewSlots and TightObjective bound the servers that "auto" places by work.
+	FewSlots       int      `toml:"few-slots"`
+	TightObjective Duration `toml:"tight-objective"`
 }
 
+// The values of ForwardingSettings.Placement.
+const (
+	// PlacementByWork places a flow where its request is expected to be answered first.
+	PlacementByWork = "by-work"
+	// PlacementByCount places a flow by the numbers of requests and flows.
+	PlacementByCount = "by-count"
+	// PlacementAuto places by work where WorkRule applies in RuleAuto.
+	PlacementAuto = "auto"
+)
+
 // The defaults and ranges of settings for processes that forward packets.
 const (
 	// DefaultLogRate is enough to log every flow under light load.
@@ -31,10 +48,18 @@
 	// DefaultStoreTimeout is over a hundred times the store's usual response
 	// time of 4 ms and well below the time in which a change must be in force.
 	DefaultStoreTimeout = Duration(700 * time.Millisecond)
-	MaxLogRate          = 10_000
-	maxPort             = 65_535
-	minStoreTimeout     = 50 * time.Millisecond
-	maxStoreTimeout     = 10 * time.Second
+	// DefaultFewSlots is the number of slots up to which one misplaced request blocks
+	// half of a server or more.
+	DefaultFewSlots = 2
+	// DefaultTightObjective is less than twice the time that one expensive request holds a
+	// slot, seven times 20 ms: one of these ahead in the queue uses up more than half.
+	DefaultTightObjective = Duration(250 * time.Millisecond)
+	MaxFewSlots           = 10_000
+	maxTightObjective     = 10 * time.Minute
+	MaxLogRate            = 10_000
+	maxPort               = 65_535
+	minStoreTimeout       = 50 * time.Millisecond
+	maxStoreTimeout       = 10 * time.Second
 )
 
 // SetDefaults sets every zero field that has a default.
@@ -42,6 +67,24 @@
 	setDefault(&f.LogRate, DefaultLogRate)
 	setDefault(&f.LogBurst, DefaultLogBurst)
 	setDefault(&f.StoreTimeout, DefaultStoreTimeout)
+	setDefault(&f.Placement, PlacementAuto)
+	setDefault(&f.FewSlots, DefaultFewSlots)
+	setDefault(&f.TightObjective, DefaultTightObjective)
+}
+
+// PlacementRule returns the rule for the servers whose flows are placed by work.
+func (f *ForwardingSettings) PlacementRule() WorkRule {
+	switch f.Placement {
+	case PlacementByWork:
+		return f.workRule(RuleOn)
+	case PlacementAuto:
+		return f.workRule(RuleAuto)
+	}
+	return f.workRule(RuleOff)
+}
+
+func (f *ForwardingSettings) workRule(mode RuleMode) WorkRule {
+	return WorkRule{Mode: mode, FewSlots: f.FewSlots, TightObjective: f.TightObjective.Std()}
 }
 
 // Validate returns every fault of the settings. SetDefaults must be called first.
@@ -56,5 +99,10 @@
 	if timeout := f.StoreTimeout.Std(); timeout < minStoreTimeout || timeout > maxStoreTimeout {
 		faults.add("store-timeout", f.StoreTimeout, "a duration from %s to %s", minStoreTimeout, maxStoreTimeout)
 	}
+	if !slices.Contains([]string{PlacementByWork, PlacementByCount, PlacementAuto}, f.Placement) {
+		faults.add("placement", f.Placement, "%q, %q or %q", PlacementByWork, PlacementByCount, PlacementAuto)
+	}
+	validateRange(&faults, "few-slots", f.FewSlots, 1, MaxFewSlots)
+	validateRange(&faults, "tight-objective", f.TightObjective, Duration(time.Millisecond), Duration(maxTightObjective))
 	return faults
 }
