Placement by expected work: estimator at the agent, chooser, emulator patterns

Counts of requests and flows say little where requests cost uneven amounts of work or servers run at uneven speed. predictor follows at the agent which requests have a slot and learns their time there; the chooser takes the drawn agent that is expected to answer first where agents report work.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -12,6 +12,11 @@
 // is final. Other requests are retried elsewhere within milliseconds, and at a
 // peak load they need what failing servers still serve. No agent is excluded when
 // most fail: then the servers are probably not the cause.
+//
+// Load pattern: servers of different speed, and requests of very different cost. Where
+// agents report the expected work of their servers, the flow goes to the drawn agent
+// that is expected to answer its request first. Agents without such a report are
+// compared by what their counts mean at the others.
 package chooser
 
 import (
@@ -64,6 +69,8 @@
 type Chooser struct {
 	// Zone is the balancer's availability zone.
 	Zone string
+	// ByWork is set if reports of the expected work are used.
+	ByWork bool
 
 	placed map[gooseberrymast.Endpoint]placement
 }
@@ -71,19 +78,28 @@
 type placement struct {
 	reported time.Time
 	flows    int
+	// work is the expected time in a slot of the flows' first requests.
+	work time.Duration
 }
 
 // Choose returns the endpoints of at most limit candidates for a new flow, the
 // preferred one first. It draws a few of the balancer's own availability zone and
 // of other zones, sorts these by their work, and draws the remaining candidates
-// behind them, sorted likewise. It counts the flow as placed at the first one.
-// nonIdempotent is set for requests that may not run twice. Choose reorders
-// candidates.
-func (c *Chooser) Choose(candidates []Candidate, limit int, nonIdempotent bool, random *rand.Rand) []gooseberrymast.Endpoint {
+// behind them, sorted likewise. It counts the flow as placed at the first one. Choose
+// reorders candidates.
+func (c *Chooser) Choose(candidates []Candidate, limit int, route gooseberrymast.Route, random *rand.Rand) []gooseberrymast.Endpoint {
 	if len(candidates) == 0 {
 		return nil
 	}
-	if nonIdempotent {
+	rank := c.workShare
+	var usual reference
+	if c.ByWork {
+		usual = newReference(candidates, route.Address)
+	}
+	if usual.known {
+		rank = func(candidate Candidate) float64 { return c.answerTime(candidate, usual).Seconds() }
+	}
+	if !route.Idempotent {
 		candidates = withoutFailing(candidates)
 	}
 	own := c.ownZoneFirst(candidates)
@@ -97,11 +113,11 @@
 	draw(candidates[compared:], limit, random)
 	// Where one kind of zone has too few agents, others take their place.
 	compared = min(ownDraws+otherDraws, len(candidates))
-	byWork := func(a, b Candidate) int { return cmp.Compare(c.workShare(a), c.workShare(b)) }
+	byRank := func(a, b Candidate) int { return cmp.Compare(rank(a), rank(b)) }
 	chosen := candidates[:min(max(limit, compared), len(candidates))]
-	slices.SortStableFunc(chosen[:compared], byWork)
-	slices.SortStableFunc(chosen[compared:], byWork)
-	c.countPlaced(chosen[0])
+	slices.SortStableFunc(chosen[:compared], byRank)
+	slices.SortStableFunc(chosen[compared:], byRank)
+	c.countPlaced(chosen[0], usual)
 	endpoints := make([]gooseberrymast.Endpoint, min(limit, len(chosen)))
 	for i := range endpoints {
 		endpoints[i] = chosen[i].Endpoint
@@ -152,9 +168,7 @@
 	load := candidate.Load
 	slots := float64(max(load.Slots, 1))
 	work := float64(load.InProgress) + flowWork*float64(load.Flows)
-	if placed, ok := c.placed[candidate.Endpoint]; ok && placed.reported.Equal(candidate.Reported) {
-		work += placedWork * float64(placed.flows)
-	}
+	work += placedWork * float64(c.placedAt(candidate).flows)
 	if load.WarmUpLeft > 0 {
 		work += warmUpWork
 	}
@@ -165,14 +179,20 @@
 	return share
 }
 
-func (c *Chooser) countPlaced(candidate Candidate) {
+// placedAt returns what was placed at a candidate since its last report.
+func (c *Chooser) placedAt(candidate Candidate) placement {
+	if placed := c.placed[candidate.Endpoint]; placed.reported.Equal(candidate.Reported) {
+		return placed
+	}
+	return placement{reported: candidate.Reported}
+}
+
+func (c *Chooser) countPlaced(candidate Candidate, usual reference) {
 	if c.placed == nil {
 		c.placed = map[gooseberrymast.Endpoint]placement{}
 	}
-	placed := c.placed[candidate.Endpoint]
-	if !placed.reported.Equal(candidate.Reported) {
-		placed = placement{reported: candidate.Reported}
-	}
+	placed := c.placedAt(candidate)
 	placed.flows++
+	placed.work += usual.costAt(candidate.Load.Work)
 	c.placed[candidate.Endpoint] = placed
 }
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -12,6 +12,9 @@
 
 var epoch = time.Unix(1000, 0)
 
+// idempotent is a route whose requests may run twice.
+var idempotent = gooseberrymast.Route{Idempotent: true}
+
 func candidate(number byte, load gooseberrymast.FlowLoad) Candidate {
 	load.Slots = 4
 	return Candidate{
@@ -40,7 +43,7 @@
 			for seed := range uint64(20) {
 				chooser := Chooser{Zone: "a"}
 				free := candidate(1, gooseberrymast.FlowLoad{})
-				chosen := chooser.Choose([]Candidate{test.other, free}, 2, false, rand.New(rand.NewPCG(seed, 1)))
+				chosen := chooser.Choose([]Candidate{test.other, free}, 2, idempotent, rand.New(rand.NewPCG(seed, 1)))
 				is.Equal(chosen[0], free.Endpoint)
 				is.Equal(chosen[1], test.other.Endpoint)
 			}
@@ -73,7 +76,7 @@
 					candidates = append(candidates, candidate(byte(number), gooseberrymast.FlowLoad{Failing: share}))
 				}
 				chooser := Chooser{Zone: "a"}
-				for _, endpoint := range chooser.Choose(candidates, 4, true, rand.New(rand.NewPCG(seed, 1))) {
+				for _, endpoint := range chooser.Choose(candidates, 4, gooseberrymast.Route{}, rand.New(rand.NewPCG(seed, 1))) {
 					chosen[endpoint] = true
 				}
 			}
@@ -85,7 +88,7 @@
 func TestNoCandidates(t *testing.T) {
 	is := is.New(t)
 	var chooser Chooser
-	is.Equal(len(chooser.Choose(nil, 3, false, rand.New(rand.NewPCG(1, 1)))), 0)
+	is.Equal(len(chooser.Choose(nil, 3, idempotent, rand.New(rand.NewPCG(1, 1)))), 0)
 }
 
 // 40 new flows arrive between two reports. The flows placed since the last report
@@ -101,7 +104,7 @@
 		for number := range byte(agents) {
 			candidates = append(candidates, candidate(number, gooseberrymast.FlowLoad{}))
 		}
-		counts[chooser.Choose(candidates, 1, false, random)[0]]++
+		counts[chooser.Choose(candidates, 1, idempotent, random)[0]]++
 	}
 	for _, count := range counts {
 		is.True(count <= flows/agents+2)
@@ -124,7 +127,7 @@
 			}
 			candidates = append(candidates, candidate(number, load))
 		}
-		counts[chooser.Choose(candidates, 1, false, rand.New(rand.NewPCG(seed, 7)))[0]]++
+		counts[chooser.Choose(candidates, 1, idempotent, rand.New(rand.NewPCG(seed, 7)))[0]]++
 	}
 	idle := candidate(0, gooseberrymast.FlowLoad{}).Endpoint
 	is.True(counts[idle] < balancers/3)
--- a/coordination/estimator/estimator.go
+++ b/coordination/estimator/estimator.go
@@ -19,10 +19,9 @@
 	// InitialTime is assumed until a service time has been measured.
 	InitialTime = 10 * time.Millisecond
 
-	meanWeight      = 1.0 / 16
-	deviationWeight = 1.0 / 8
-	longPathShare   = 0.5
-	minSamples      = 3
+	meanWeight    = 1.0 / 16
+	longPathShare = 0.5
+	minSamples    = 3
 )
 
 // Estimate is the expected service time of a request.
@@ -51,9 +50,7 @@
 
 // pathStats holds the service time statistics of one path, or of all paths.
 type pathStats struct {
-	samples   uint64
-	mean      float64
-	deviation float64
+	Average
 	// long is the moving average of the share of long requests.
 	long float64
 	// firstRanLong is set when a request ran long before the path had enough
@@ -66,7 +63,7 @@
 // Observe adds the measured service time of one request.
 func (e *Estimator) Observe(now time.Time, path string, serviceTime time.Duration) {
 	limit := e.LongAfter()
-	long := e.all.samples >= minSamples && serviceTime > limit
+	long := e.all.Samples >= minSamples && serviceTime > limit
 	e.all.add(float64(min(serviceTime, limit)), long)
 	e.observations++
 	s := e.stats(Key(path))
@@ -80,7 +77,7 @@
 // ends.
 func (e *Estimator) ObserveLong(path string) {
 	s := e.stats(Key(path))
-	if s.samples < minSamples {
+	if s.Samples < minSamples {
 		s.firstRanLong = true
 	}
 }
@@ -88,12 +85,12 @@
 // Expect estimates the service time of a request for the path.
 func (e *Estimator) Expect(path string) Estimate {
 	s := e.paths[Key(path)]
-	if s == nil || s.samples < minSamples {
+	if s == nil || s.Samples < minSamples {
 		return Estimate{Mean: e.Typical(), Safe: e.safe(&e.all), Long: s != nil && s.firstRanLong}
 	}
 	return Estimate{
 		Known: true,
-		Mean:  time.Duration(s.mean),
+		Mean:  time.Duration(s.Mean),
 		Safe:  e.safe(s),
 		Long:  s.long > longPathShare,
 		At:    s.at,
@@ -103,15 +100,15 @@
 // Typical returns the mean service time, in which a long request counts as
 // LongAfter at most.
 func (e *Estimator) Typical() time.Duration {
-	if e.all.samples == 0 {
+	if e.all.Samples == 0 {
 		return InitialTime
 	}
-	return time.Duration(e.all.mean)
+	return time.Duration(e.all.Mean)
 }
 
 // LongAfter returns the service time above which a request counts as long.
 func (e *Estimator) LongAfter() time.Duration {
-	if e.all.samples == 0 {
+	if e.all.Samples == 0 {
 		return LongFactor * InitialTime
 	}
 	return max(MinLong, LongFactor*e.Typical())
@@ -119,10 +116,10 @@
 
 // safe returns the mean plus the mean deviation, or InitialTime without measurements.
 func (e *Estimator) safe(s *pathStats) time.Duration {
-	if s.samples == 0 {
+	if s.Samples == 0 {
 		return InitialTime
 	}
-	return time.Duration(s.mean + s.deviation)
+	return time.Duration(s.Mean + s.Deviation)
 }
 
 // stats returns the statistics of a path and creates them if necessary.
@@ -158,16 +155,12 @@
 	if long {
 		share = 1
 	}
-	s.samples++
-	if s.samples == 1 {
-		s.mean, s.deviation, s.long = sample, sample/2, share
+	s.Add(sample, meanWeight)
+	if s.Samples == 1 {
+		s.long = share
 		return
 	}
-	weight := max(meanWeight, 1/float64(s.samples))
-	distance := sample - s.mean
-	s.mean += weight * distance
-	s.deviation += max(deviationWeight, 1/float64(s.samples)) * (max(distance, -distance) - s.deviation)
-	s.long += weight * (share - s.long)
+	s.long += max(meanWeight, 1/float64(s.Samples)) * (share - s.long)
 }
 
 // Key returns the path with segments that identify single objects replaced by "*",
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -95,6 +95,8 @@
 	Owners *locator.Locator
 	// Random breaks ties.
 	Random *rand.Rand
+	// PlacesByWork is set if new flows are placed by the expected work that agents report.
+	PlacesByWork bool
 
 	mu      sync.Mutex
 	chooser chooser.Chooser
@@ -264,7 +266,7 @@
 	complete := s.Roster.IsComplete()
 	s.mu.Lock()
 	service, candidates := s.candidates(route, now)
-	chosen := s.chooser.Choose(candidates, placeCandidates, !route.Idempotent, s.Random)
+	chosen := s.chooser.Choose(candidates, placeCandidates, route, s.Random)
 	s.mu.Unlock()
 	if owner, found := s.Owners.Find(key, now); found && s.mayReuseOwner(owner, header.Copy, now) {
 		chosen = moveFirst(chosen, owner)
@@ -326,7 +328,7 @@
 // service: the one drawn by weight, or the next one that has any. Agents
 // without a recent report are used only when none has one.
 func (s *Steerer) candidates(route gooseberrymast.Route, now time.Time) (string, []chooser.Candidate) {
-	s.chooser.Zone = s.Zone
+	s.chooser.Zone, s.chooser.ByWork = s.Zone, s.PlacesByWork
 	first := s.drawService(route)
 	for i := range route.Backends {
 		service := route.Backends[(first+i)%len(route.Backends)].Service
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -22,7 +22,7 @@
 	servers   []*server
 	placers   []placer
 	reports   []chooser.Candidate
-	idleFlows map[int][]*flow
+	idleFlows map[callerFlows][]*flow
 	result    Result
 	latencies []time.Duration
 }
@@ -31,14 +31,14 @@
 // same result.
 func Run(pattern Pattern, policy Policy, seed uint64) (Result, error) {
 	e := &emulation{
-		pattern: pattern, random: rand.New(rand.NewPCG(seed, 1)), idleFlows: map[int][]*flow{},
+		pattern: pattern, random: rand.New(rand.NewPCG(seed, 1)), idleFlows: map[callerFlows][]*flow{},
 		result: Result{Pattern: pattern.Name, Policy: policy, Seed: seed},
 	}
 	for i := range pattern.Servers {
-		e.servers = append(e.servers, &server{zone: i % pattern.Zones, slots: pattern.Slots, queueLimit: pattern.Queue})
+		e.addServer(i%pattern.Zones, e.speedOf(i), 0)
 	}
 	for i := range pattern.Balancers {
-		placer, err := newPlacer(policy, zoneName(i%pattern.Zones), func() time.Duration { return e.now })
+		placer, err := newPlacer(policy, pattern, zoneName(i%pattern.Zones), func() time.Duration { return e.now })
 		if err != nil {
 			return Result{}, err
 		}
@@ -51,6 +51,7 @@
 		next.do()
 	}
 	e.result.summarise(e.latencies)
+	e.result.SlowArrivals = e.slowArrivals()
 	return e.result, nil
 }
 
@@ -91,6 +92,7 @@
 				Slots: server.slots, InProgress: server.running + len(server.waiting), Flows: server.flows,
 				WarmUpLeft: max(0, server.coldUntil-e.now),
 				Failing:    server.assessor.FailingShare(e.clock()),
+				Work:       server.predictor.Load(e.clock()),
 			},
 		})
 	}
@@ -104,33 +106,38 @@
 	if e.now >= e.pattern.Length {
 		return
 	}
-	class := e.drawClass()
+	index := e.drawClass()
+	class := &e.pattern.Classes[index]
 	rate, zone := e.pattern.rateAndZone(e.now, e.random.Float64())
 	caller := zone + e.pattern.Zones*e.random.IntN(e.pattern.Callers/e.pattern.Zones)
-	e.attempt(&request{class: class, caller: caller, sent: e.now, work: e.drawWork(class.Work)})
+	e.attempt(&request{class: class, route: class.route(index), caller: caller, sent: e.now, work: e.drawWork(class.Work)})
 	e.result.Requests++
 	e.result.Owed += class.Worth
 	gap := e.random.ExpFloat64() / rate
 	e.schedule(e.now+time.Duration(gap*float64(time.Second)), e.arrive)
 }
 
-// drawClass draws a class by the shares of the classes.
-func (e *emulation) drawClass() *Class {
+// drawClass draws the index of a class by the shares of the classes.
+func (e *emulation) drawClass() int {
 	drawn := e.random.Float64()
 	for i := range e.pattern.Classes {
 		if drawn -= e.pattern.Classes[i].Share; drawn < 0 {
-			return &e.pattern.Classes[i]
+			return i
 		}
 	}
-	return &e.pattern.Classes[len(e.pattern.Classes)-1]
+	return len(e.pattern.Classes) - 1
 }
 
 // drawWork draws a request's work from a log-normal distribution with a long
 // tail.
 func (e *emulation) drawWork(mean time.Duration) time.Duration {
 	work := float64(mean) * math.Exp(workSigma*e.random.NormFloat64()-workSigma*workSigma/2)
-	if e.random.Float64() < tailShare {
-		work *= tailFactor
+	share, factor := e.pattern.TailShare, e.pattern.TailFactor
+	if share == 0 {
+		share, factor = defaultTailShare, defaultTailFactor
+	}
+	if e.random.Float64() < share {
+		work *= factor
 	}
 	return time.Duration(min(work, maxWorkFactor*float64(mean)))
 }
@@ -145,9 +152,10 @@
 		candidates := append([]chooser.Candidate(nil), e.reports...)
 		var passes int
 		r.flow = &flow{}
-		r.flow.server, passes = e.placers[balancer].place(candidates, e.servers, r.class.NonIdempotent, e.random)
+		r.flow.server, passes = e.placers[balancer].place(candidates, e.servers, r.route, e.random)
 		e.result.Passed += passes
 		e.servers[r.flow.server].flows++
+		r.flow.work = e.servers[r.flow.server].predictor.Open(r.route.Address, e.clock())
 		// Opening a flow takes a round trip before the request is sent.
 		delay += 2*callerDelay + e.serverDelay(zone, r.flow.server)
 	}
@@ -162,19 +170,38 @@
 // takeIdleFlow removes and returns the caller's most recently used idle flow,
 // or returns nil if a new flow is needed. A retry always opens a new flow.
 func (e *emulation) takeIdleFlow(r *request) *flow {
-	flows := e.idleFlows[r.caller]
+	key := e.flowsOf(r)
+	flows := e.idleFlows[key]
 	if r.class.NewFlow || r.attempts > 1 || len(flows) == 0 {
 		return nil
 	}
 	last := flows[len(flows)-1]
-	e.idleFlows[r.caller] = flows[:len(flows)-1]
+	e.idleFlows[key] = flows[:len(flows)-1]
 	if e.now-last.idleSince > flowIdleTimeout || e.servers[last.server].leaving {
-		e.servers[last.server].flows--
+		e.closeFlow(last)
 		return nil
 	}
 	return last
 }
 
+// callerFlows identifies a caller's flows; route is zero if its classes share them.
+type callerFlows struct {
+	caller int
+	route  gooseberrymast.Endpoint
+}
+
+func (e *emulation) flowsOf(r *request) callerFlows {
+	if e.pattern.OwnFlows {
+		return callerFlows{r.caller, r.route.Address}
+	}
+	return callerFlows{caller: r.caller}
+}
+
+func (e *emulation) closeFlow(f *flow) {
+	e.servers[f.server].flows--
+	e.servers[f.server].predictor.Close(&f.work, e.clock())
+}
+
 // drawBalancer draws one of the balancers of a zone.
 func (e *emulation) drawBalancer(zone int) int {
 	count := (e.pattern.Balancers - zone + e.pattern.Zones - 1) / e.pattern.Zones
@@ -193,6 +220,8 @@
 // runs it, queues it, or refuses it if the queue is full.
 func (e *emulation) receive(r *request) {
 	server := e.servers[r.server]
+	server.arrivals++
+	server.predictor.Begin(&r.flow.work, e.clock())
 	switch {
 	case server.fails(e.now, e.random):
 		e.fail(r)
@@ -202,6 +231,7 @@
 		server.waiting = append(server.waiting, r)
 	default:
 		e.result.Shed++
+		server.predictor.End(&r.flow.work, true, e.clock())
 		e.release(r)
 		e.schedule(e.now+callerDelay+retryDelay, func() { e.retry(r) })
 	}
@@ -211,6 +241,7 @@
 // are idempotent.
 func (e *emulation) fail(r *request) {
 	e.result.Errors++
+	e.servers[r.server].predictor.End(&r.flow.work, true, e.clock())
 	e.servers[r.server].assessor.AddAnswer(http.StatusInternalServerError, false, e.clock())
 	e.release(r)
 	if r.class.NonIdempotent {
@@ -242,6 +273,9 @@
 	server := e.servers[r.server]
 	server.running--
 	server.assessor.AddAnswer(http.StatusOK, false, e.clock())
+	if took, known := server.predictor.End(&r.flow.work, true, e.clock()); known {
+		server.predictor.AddSample(r.route.Address, took, e.clock())
+	}
 	for len(server.waiting) > 0 && server.running < server.slots {
 		next := server.waiting[0]
 		server.waiting = server.waiting[1:]
@@ -265,20 +299,55 @@
 // release returns a flow to its caller's idle flows, or closes it.
 func (e *emulation) release(r *request) {
 	if r.class.NewFlow || e.servers[r.server].leaving {
-		e.servers[r.server].flows--
+		e.closeFlow(r.flow)
 		return
 	}
 	r.flow.idleSince = e.now
-	e.idleFlows[r.caller] = append(e.idleFlows[r.caller], r.flow)
+	e.idleFlows[e.flowsOf(r)] = append(e.idleFlows[e.flowsOf(r)], r.flow)
 }
 
 // replace makes a server leave and adds a cold server in its place.
 func (e *emulation) replace(index int) {
 	old := e.servers[index]
 	old.leaving = true
-	e.servers = append(e.servers, &server{
-		zone: old.zone, slots: old.slots, queueLimit: old.queueLimit, coldUntil: e.now + coldPeriod,
-	})
+	e.addServer(old.zone, old.speed, coldPeriod)
+}
+
+func (e *emulation) addServer(zone int, speed float64, cold time.Duration) {
+	added := &server{zone: zone, slots: e.pattern.Slots, queueLimit: e.pattern.Queue, speed: speed, coldUntil: e.now + cold}
+	added.predictor.HandleServer(added.slots, cold, false, e.clock())
+	e.servers = append(e.servers, added)
+}
+
+// speedOf returns the speed of a server. The slow ones are spread over the zones.
+func (e *emulation) speedOf(index int) float64 {
+	speed := e.pattern.Speed
+	slow := e.pattern.SlowSpeedShare
+	if int(float64(index+1)*slow) > int(float64(index)*slow) {
+		speed = e.pattern.SlowSpeed
+	}
+	if speed == 0 {
+		return 1
+	}
+	return speed
+}
+
+// slowArrivals returns the mean number of arrivals at the servers with SlowSpeed as a
+// multiple of that at the others, or zero if all are alike.
+func (e *emulation) slowArrivals() float64 {
+	var arrivals, servers [2]float64
+	for _, s := range e.servers {
+		kind := 0
+		if s.speed == e.pattern.SlowSpeed {
+			kind = 1
+		}
+		arrivals[kind] += float64(s.arrivals)
+		servers[kind]++
+	}
+	if servers[0] == 0 || servers[1] == 0 || arrivals[0] == 0 {
+		return 0
+	}
+	return arrivals[1] / servers[1] / (arrivals[0] / servers[0])
 }
 
 // clock returns the virtual time as a time.Time, as the product's code expects it.
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"gooseberrymast"
 )
 
 // Pattern describes a deployment, its load and the changes during a run.
@@ -52,6 +54,16 @@
 	FailingShare    float64
 	FailRate        float64
 	FailAt, FailFor time.Duration
+	// SlowSpeedShare is the share of servers that run at SlowSpeed during the whole
+	// run, the others run at Speed. Zero speeds are 1.
+	SlowSpeedShare   float64
+	SlowSpeed, Speed float64
+	// TailShare of the requests take TailFactor times as long, which comes on top of
+	// the mean. Zero values are defaultTailShare and defaultTailFactor.
+	TailShare, TailFactor float64
+	// OwnFlows is set if the requests of a class use flows of their own: each class is
+	// a route with an address of its own.
+	OwnFlows bool
 	// Classes are the kinds of requests.
 	Classes []Class
 	// Length is the time for which requests are sent.
@@ -90,10 +102,9 @@
 const (
 	// workSigma is the standard deviation of the work's logarithm.
 	workSigma = 0.5
-	// tailShare of the requests take tailFactor times as long, which comes on top
-	// of the mean.
-	tailShare  = 0.03
-	tailFactor = 7
+	// defaultTailShare and defaultTailFactor apply to patterns without their own.
+	defaultTailShare  = 0.03
+	defaultTailFactor = 7
 	// maxWorkFactor bounds the work of one request as a multiple of the mean.
 	maxWorkFactor = 10.6
 )
@@ -140,6 +151,55 @@
 	}
 }
 
+// Metering returns the load of a service with few slots and tight objectives at 0.8 of
+// its servers' capacity, three times the usual rate. Most requests come on long flows.
+func Metering() Pattern {
+	return Pattern{
+		Name: "equal-servers", Zones: 3, Balancers: 20, Servers: 43, Slots: 2, Queue: 8, Callers: 3600, OwnFlows: true,
+		Rate: 4700, Period: 15 * time.Second, Length: 20 * time.Second, Speed: meteringSpeed,
+		Classes: []Class{
+			{Name: "meter-stream", Share: 0.73, Work: 13 * time.Millisecond, Objective: 200 * time.Millisecond,
+				Deadline: 1500 * time.Millisecond, Worth: 1, LateWorth: 0.5, Retries: 2},
+			{Name: "valve-cmd", Share: 0.21, Work: 17 * time.Millisecond, Objective: 200 * time.Millisecond,
+				Deadline: 1500 * time.Millisecond, Worth: 2, LateWorth: 1, Retries: 2, NonIdempotent: true},
+			{Name: "statement-dl", Share: 0.06, NewFlow: true, Work: 4200 * time.Microsecond, Objective: 800 * time.Millisecond,
+				Deadline: 6 * time.Second, Worth: 1, LateWorth: 0.5, Retries: 2},
+		},
+	}
+}
+
+// The speeds of uneven servers: a quarter runs at slowSpeed. meteringSpeed is their mean,
+// at which equal servers have the same capacity.
+const (
+	slowSpeedShare = 0.25
+	slowSpeed      = 0.55
+	fastSpeed      = 1.2
+	meteringSpeed  = slowSpeedShare*slowSpeed + (1-slowSpeedShare)*fastSpeed
+)
+
+// unevenPatterns returns the patterns with servers of uneven speed and requests of uneven
+// cost, behind the one that they are compared with.
+func unevenPatterns() []Pattern {
+	uneven := Metering()
+	uneven.Name = "uneven-servers"
+	uneven.SlowSpeedShare, uneven.SlowSpeed, uneven.Speed = slowSpeedShare, slowSpeed, fastSpeed
+	tail := Metering()
+	tail.Name = "heavy-tail"
+	// With this tail the requests take 1.15 times as long in all as with the usual one.
+	tail.TailShare, tail.TailFactor, tail.Rate = 0.04, 10, 4100
+	kinds := Metering()
+	kinds.Name = "two-kinds"
+	// Half of the work is of each class.
+	kinds.Rate = 4300
+	kinds.Classes = []Class{
+		{Name: "reading", Share: 0.9, Work: 8 * time.Millisecond, Objective: 200 * time.Millisecond,
+			Deadline: 1500 * time.Millisecond, Worth: 1, LateWorth: 0.5, Retries: 2},
+		{Name: "bill-run", Share: 0.1, NewFlow: true, Work: 72 * time.Millisecond, Objective: 800 * time.Millisecond,
+			Deadline: 6 * time.Second, Worth: 2, LateWorth: 1, Retries: 2},
+	}
+	return []Pattern{Metering(), uneven, tail, kinds}
+}
+
 // Patterns returns every pattern that the command line accepts.
 func Patterns() []Pattern {
 	burst := Magnolia()
@@ -157,7 +217,7 @@
 	failing := Magnolia()
 	failing.Name = "failing-servers"
 	failing.FailingShare, failing.FailRate, failing.FailAt, failing.FailFor = 0.15, 0.5, 6*time.Second, 10*time.Second
-	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing}
+	return append([]Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing}, unevenPatterns()...)
 }
 
 // PatternByName returns the pattern with the given name.
@@ -172,6 +232,27 @@
 	return Pattern{}, fmt.Errorf("no pattern %q: want one of %v", name, names)
 }
 
+// routes returns the routes of the pattern's service, one for each class.
+func (p Pattern) routes() *gooseberrymast.Routes {
+	routes := &gooseberrymast.Routes{ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
+	for i := range p.Classes {
+		route := p.Classes[i].route(i)
+		routes.ByAddress[route.Address] = route
+	}
+	return routes
+}
+
+// route returns the route of the class with an index.
+func (c Class) route(index int) gooseberrymast.Route {
+	return gooseberrymast.Route{
+		Address:  gooseberrymast.Endpoint{IP: [4]byte{10, 1, 0, byte(index)}, Port: 80},
+		Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}}, Objective: c.Objective, Idempotent: !c.NonIdempotent,
+	}
+}
+
+// service is the name of the only service of a pattern.
+const service = "service"
+
 // zoneRate returns the requests a second from one zone's callers at the given
 // time.
 func (p Pattern) zoneRate(zone int, at time.Duration) float64 {
--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -14,8 +15,15 @@
 type Policy string
 
 const (
-	// PolicyProduct places flows as the balancers and agents do.
+	// PolicyProduct places flows as the balancers and agents do by default: by work where
+	// the rule of the settings calls for it, else by count.
 	PolicyProduct Policy = "product"
+	// PolicyByCount and PolicyByWork are PolicyProduct with one kind of placement.
+	PolicyByCount Policy = "by-count"
+	PolicyByWork  Policy = "by-work"
+	// PolicyLeastRequests takes, of as many agents as the product compares, the one with
+	// the fewest requests in progress.
+	PolicyLeastRequests Policy = "least-requests"
 	// PolicyIgnoreFailing is PolicyProduct without its assessment of failing servers.
 	PolicyIgnoreFailing Policy = "trusting"
 	// PolicyNoPassing is PolicyProduct with agents that never pass flows on.
@@ -28,23 +36,32 @@
 )
 
 // Policies lists every policy.
-var Policies = []Policy{PolicyProduct, PolicyIgnoreFailing, PolicyNoPassing, PolicyRandom, PolicyIdeal}
+var Policies = []Policy{
+	PolicyProduct, PolicyByCount, PolicyByWork, PolicyLeastRequests, PolicyIgnoreFailing, PolicyNoPassing, PolicyRandom, PolicyIdeal,
+}
 
 // placer decides where the new flows of one balancer go.
 type placer interface {
-	// place returns the server that takes a new flow and the number of agents
-	// that passed it on; once is set if the flow's request isn't idempotent.
-	place(candidates []chooser.Candidate, servers []*server, once bool, random *rand.Rand) (server, passes int)
+	// place returns the server that takes a new flow of a route and the number of agents
+	// that passed it on.
+	place(candidates []chooser.Candidate, servers []*server, route gooseberrymast.Route, random *rand.Rand) (server, passes int)
 }
 
-func newPlacer(policy Policy, zone string, now func() time.Duration) (placer, error) {
+func newPlacer(policy Policy, pattern Pattern, zone string, now func() time.Duration) (placer, error) {
+	product := productPlacer{chooser: chooser.Chooser{Zone: zone, ByWork: placesByWork(pattern)}}
 	switch policy {
 	case PolicyProduct:
-		return &productPlacer{chooser: chooser.Chooser{Zone: zone}}, nil
+		return &product, nil
+	case PolicyByCount, PolicyByWork:
+		product.chooser.ByWork = policy == PolicyByWork
+		return &product, nil
+	case PolicyLeastRequests:
+		return &leastRequestsPlacer{}, nil
 	case PolicyIgnoreFailing:
-		return &ignoreFailingPlacer{productPlacer{chooser: chooser.Chooser{Zone: zone}}}, nil
+		return &ignoreFailingPlacer{product}, nil
 	case PolicyNoPassing:
-		return &productPlacer{chooser: chooser.Chooser{Zone: zone}, noPassing: true}, nil
+		product.noPassing = true
+		return &product, nil
 	case PolicyRandom:
 		return randomPlacer{}, nil
 	case PolicyIdeal:
@@ -53,14 +70,21 @@
 	return nil, fmt.Errorf("no policy %q: want one of %v", policy, Policies)
 }
 
+// placesByWork reports whether the default settings place the flows of a pattern by work.
+func placesByWork(pattern Pattern) bool {
+	var settings gooseberrymast.ForwardingSettings
+	settings.SetDefaults()
+	return settings.PlacementRule().Active(pattern.Slots, service, pattern.routes())
+}
+
 type productPlacer struct {
 	chooser chooser.Chooser
 	// noPassing makes the first agent take every flow, even if its server is full.
 	noPassing bool
 }
 
-func (p *productPlacer) place(candidates []chooser.Candidate, servers []*server, once bool, random *rand.Rand) (server, passes int) {
-	offered := p.chooser.Choose(candidates, candidateAgents, once, random)
+func (p *productPlacer) place(candidates []chooser.Candidate, servers []*server, route gooseberrymast.Route, random *rand.Rand) (server, passes int) {
+	offered := p.chooser.Choose(candidates, candidateAgents, route, random)
 	for ; !p.noPassing && passes < len(offered)-1; passes++ {
 		if candidate := servers[indexOf(offered[passes])]; !deliverer.Full(candidate.running+len(candidate.waiting), candidate.slots) {
 			break
@@ -74,16 +98,39 @@
 	productPlacer
 }
 
-func (p *ignoreFailingPlacer) place(candidates []chooser.Candidate, servers []*server, once bool, random *rand.Rand) (server, passes int) {
+func (p *ignoreFailingPlacer) place(candidates []chooser.Candidate, servers []*server, route gooseberrymast.Route, random *rand.Rand) (server, passes int) {
 	for i := range candidates {
 		candidates[i].Load.Failing = 0
 	}
-	return p.productPlacer.place(candidates, servers, once, random)
+	return p.productPlacer.place(candidates, servers, route, random)
+}
+
+// leastRequestsPlacer compares reported requests in progress and adds what it has placed
+// since, like the product.
+type leastRequestsPlacer struct {
+	placed   map[gooseberrymast.Endpoint]int
+	reported time.Time
+}
+
+func (p *leastRequestsPlacer) place(candidates []chooser.Candidate, _ []*server, _ gooseberrymast.Route, random *rand.Rand) (server, passes int) {
+	if p.placed == nil || !candidates[0].Reported.Equal(p.reported) {
+		p.placed, p.reported = map[gooseberrymast.Endpoint]int{}, candidates[0].Reported
+	}
+	const draws = 3
+	best, fewest := candidates[0].Endpoint, math.MaxInt
+	for range draws {
+		drawn := candidates[random.IntN(len(candidates))]
+		if requests := drawn.Load.InProgress + p.placed[drawn.Endpoint]; requests < fewest {
+			best, fewest = drawn.Endpoint, requests
+		}
+	}
+	p.placed[best]++
+	return indexOf(best), 0
 }
 
 type randomPlacer struct{}
 
-func (randomPlacer) place(candidates []chooser.Candidate, _ []*server, _ bool, random *rand.Rand) (server, passes int) {
+func (randomPlacer) place(candidates []chooser.Candidate, _ []*server, _ gooseberrymast.Route, random *rand.Rand) (server, passes int) {
 	return indexOf(candidates[random.IntN(len(candidates))].Endpoint), 0
 }
 
@@ -93,11 +140,11 @@
 	now func() time.Duration
 }
 
-func (p idealPlacer) place(candidates []chooser.Candidate, servers []*server, once bool, random *rand.Rand) (server, passes int) {
+func (p idealPlacer) place(candidates []chooser.Candidate, servers []*server, route gooseberrymast.Route, random *rand.Rand) (server, passes int) {
 	best := indexOf(candidates[random.IntN(len(candidates))].Endpoint)
 	for _, candidate := range candidates {
 		index := indexOf(candidate.Endpoint)
-		if p.cost(servers[index], once) < p.cost(servers[best], once) {
+		if p.cost(servers[index], !route.Idempotent) < p.cost(servers[best], !route.Idempotent) {
 			best = index
 		}
 	}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -25,6 +25,9 @@
 	Passed int `json:"passed"`
 	// Crossed counts the requests that were sent to another availability zone.
 	Crossed int `json:"crossed"`
+	// SlowArrivals is the mean number of arrivals at a server of the pattern's SlowSpeed
+	// as a multiple of that at the others.
+	SlowArrivals float64 `json:"slow-arrivals,omitempty"`
 	// Owed is the worth if every request were answered in time, Earned the worth
 	// of the answers.
 	Owed   float64 `json:"owed"`
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -4,7 +4,9 @@
 	"math/rand/v2"
 	"time"
 
+	"gooseberrymast"
 	"gooseberrymast/coordination/assessor"
+	"gooseberrymast/coordination/predictor"
 )
 
 // server is a backend server with its agent.
@@ -16,7 +18,10 @@
 	waiting    []*request
 	flows      int
 	// leaving is set once the server takes no new flows.
-	leaving    bool
+	leaving bool
+	// speed divides the time that work takes.
+	speed      float64
+	arrivals   int
 	coldUntil  time.Duration
 	slowFrom   time.Duration
 	slowUntil  time.Duration
@@ -25,6 +30,7 @@
 	failUntil  time.Duration
 	failRate   float64
 	assessor   assessor.Assessor
+	predictor  predictor.Predictor
 }
 
 // fails reports whether the server fails a request. While the server is failing,
@@ -35,7 +41,7 @@
 
 // workFactor returns the factor by which work takes longer at the given time.
 func (s *server) workFactor(now time.Duration) float64 {
-	factor := 1.0
+	factor := 1 / s.speed
 	if now < s.coldUntil {
 		factor = coldFactor
 	}
@@ -55,12 +61,14 @@
 // flow is an open flow of a caller.
 type flow struct {
 	server    int
+	work      predictor.Flow
 	idleSince time.Duration
 }
 
 // request is a caller's request over all of its attempts.
 type request struct {
 	class    *Class
+	route    gooseberrymast.Route
 	caller   int
 	sent     time.Duration
 	work     time.Duration
--- a/peer.go
+++ b/peer.go
@@ -1,6 +1,10 @@
 package gooseberrymast
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Peer describes one process that forwards packets. Only that process writes
 // it. It holds the full name of the service because the 16-bit tag of a Record
@@ -44,6 +48,43 @@
 	// Failing is the share of failures among the server's latest responses, 0
 	// to 1.
 	Failing float64
+	// Work is the expected work of the requests; zero if the agent reports counts only.
+	Work WorkLoad
+}
+
+// MaxRouteCosts is the number of routes in a WorkLoad: the customers' services have up to
+// three routes each.
+const MaxRouteCosts = 4
+
+// WorkLoad is the work that an agent expects of its backend server, in time at this
+// server's speed.
+type WorkLoad struct {
+	// Cost is the expected time in a slot of a request, over all routes. It is zero in a
+	// zero WorkLoad only.
+	Cost time.Duration
+	// Outstanding is the expected time in a slot of the requests in progress and queued,
+	// less the time for which they had one, divided by the slots.
+	Outstanding time.Duration
+	// FlowShare is the share of the slots that requests on open flows are expected to
+	// take; over 1 if these exceed the server's capacity.
+	FlowShare float64
+	// RouteCosts are the expected times in a slot of the routes that cause the most work;
+	// unused ones are zero.
+	RouteCosts [MaxRouteCosts]RouteCost
+}
+
+// RouteCost is the expected time in a slot of a route's requests.
+type RouteCost struct {
+	// Tag is the RouteTag of the route's address.
+	Tag  uint32
+	Cost time.Duration
+}
+
+// RouteTag returns a hash that identifies a route's address in a report. Two addresses of
+// one service with the same tag take each other's cost, which is an estimate in any case.
+func RouteTag(address Endpoint) uint32 {
+	ip := address.IP
+	return uint32(xxhash.Sum64([]byte{ip[0], ip[1], ip[2], ip[3], byte(address.Port >> 8), byte(address.Port)}))
 }
 
 // DocumentStatus is the version of the document that a process holds, and the
