Placement by expected work: reports, settings and observation

Agents report what predictor expects where the rule of the setting placement applies: fields 6 to 10 of Load, left out otherwise, so that earlier builds and placement by count are as before. Answers with 421, 429 and 5xx are no samples of cost. A summary holds half as many peers that report work, to keep its datagrams under 1,200 bytes. Log event placement-changed; metrics of cost, outstanding work, the share that open flows take, and flows placed by rule.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -71,6 +71,8 @@
 	Zone string
 	// ByWork is set if reports of the expected work are used.
 	ByWork bool
+	// PlacedByWork and PlacedByCount are the numbers of flows placed by either rule.
+	PlacedByWork, PlacedByCount uint64
 
 	placed map[gooseberrymast.Endpoint]placement
 }
@@ -191,6 +193,11 @@
 	if c.placed == nil {
 		c.placed = map[gooseberrymast.Endpoint]placement{}
 	}
+	if usual.known {
+		c.PlacedByWork++
+	} else {
+		c.PlacedByCount++
+	}
 	placed := c.placedAt(candidate)
 	placed.flows++
 	placed.work += usual.costAt(candidate.Load.Work)
--- a/coordination/chooser/work.go
+++ b/coordination/chooser/work.go
@@ -6,9 +6,11 @@
 	"gooseberrymast"
 )
 
-// flowHorizon is the time for which the requests of open flows count as work: those that
-// arrive between a report and the use of the server by the flow that is being placed.
-var flowHorizon = 200 * time.Millisecond
+// flowHorizon is the time for which the requests that open flows are expected to bring
+// count as work. In the emulator, with horizons from 25 ms to 1 s, servers of uneven speed
+// answered the fewest requests late with 50 ms; longer ones count a slow server's own
+// flows for more than its queue.
+const flowHorizon = 50 * time.Millisecond
 
 // reference holds what candidates report of a route on average, for those that don't
 // report it.
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/predictor"
 	"gooseberrymast/coordination/tracker"
 )
 
@@ -37,6 +38,9 @@
 	// Gates restrict which new flows are taken, in the order in which they are asked.
 	// They are set before use and called under the deliverer's lock.
 	Gates []gooseberrymast.FlowGate
+	// Work is told of the flows and requests, under the deliverer's lock; nil if nothing
+	// needs it. It is set before use.
+	Work *predictor.Predictor
 
 	mu        sync.Mutex
 	leaving   bool
@@ -200,7 +204,7 @@
 		step.Notify = f.notify
 	}
 	if f.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
-		step.Request = d.endRequest(f, now)
+		step.Request = d.endRequest(f, true, now)
 		// The end of a flow may overtake the answer before it; then its sequence
 		// number is beyond what the server has sent.
 		step.Answered = header.Payload > 0 || !header.Resets && int32(header.Sequence-f.serverEnd) > 0
@@ -219,6 +223,7 @@
 	if (header.Resets || header.Finishes) && !f.closed {
 		f.closed, f.closedAt = true, now
 		d.openFlows--
+		d.Work.Close(&f.work, now)
 	}
 	return step
 }
@@ -249,6 +254,7 @@
 			if !f.busy && !f.closed {
 				f.busySince = now
 				d.setBusy(f, true)
+				d.Work.Begin(&f.work, now)
 			}
 		}
 	}
@@ -257,15 +263,16 @@
 		step.Notify = hop.Origin
 	}
 	if f.busy && (header.Resets || header.Finishes) {
-		step.Event, step.Request = RequestAbandoned, d.endRequest(f, now)
+		step.Event, step.Request = RequestAbandoned, d.endRequest(f, false, now)
 	}
 	return step
 }
 
-// endRequest ends the request in progress of a flow and returns it.
-func (d *Deliverer) endRequest(f *flow, now time.Time) Request {
+// endRequest ends the request in progress of a flow and returns it. finished is false if
+// the server may still work on it.
+func (d *Deliverer) endRequest(f *flow, finished bool, now time.Time) Request {
 	d.setBusy(f, false)
-	ended := Request{ID: f.requestID, Duration: now.Sub(f.busySince)}
+	ended := Request{ID: f.requestID, Duration: now.Sub(f.busySince), SlotTime: d.Work.End(&f.work, finished, now)}
 	f.requestID = ""
 	return ended
 }
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/predictor"
 )
 
 type flow struct {
@@ -34,6 +35,7 @@
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
+	work      predictor.Flow
 	// notify is a balancer to notify of the owner once the server has answered.
 	notify gooseberrymast.Endpoint
 	// announced are the lookup balancers that the flow was announced to.
@@ -67,7 +69,7 @@
 		d.flows = map[gooseberrymast.FlowKey]*flow{}
 	}
 	d.addServed(key.Service)
-	f := &flow{openedAt: now, lastUsed: now}
+	f := &flow{openedAt: now, lastUsed: now, work: d.Work.Open(key.Service, now)}
 	d.flows[key] = f
 	d.openFlows++
 	return f
@@ -75,6 +77,7 @@
 
 func (d *Deliverer) dropFlow(key gooseberrymast.FlowKey, f *flow) {
 	d.setBusy(f, false)
+	d.Work.Drop(&f.work)
 	if !f.closed {
 		d.openFlows--
 	}
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -100,4 +100,7 @@
 	ID string
 	// Duration is the time from the request's first packet to its answer's.
 	Duration time.Duration
+	// SlotTime is the part of it for which the request had a slot of the server; zero
+	// while that is unknown.
+	SlotTime time.Duration
 }
--- a/coordination/predictor/predictor.go
+++ b/coordination/predictor/predictor.go
@@ -76,6 +76,8 @@
 	requests    []request
 	running     int
 	lastRequest uint64
+	// latest is the time of the latest event.
+	latest time.Time
 }
 
 // route holds what is known of one route's requests.
@@ -145,6 +147,22 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.close(f, now)
+}
+
+// Drop records that a flow is no longer followed, with the request in progress on it.
+func (p *Predictor) Drop(f *Flow) {
+	if p == nil || f.route == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end(f, false, p.latest)
+	p.close(f, p.latest)
+}
+
+func (p *Predictor) close(f *Flow, now time.Time) {
+	p.latest = now
 	f.route.advance(now)
 	f.route.flows--
 	f.route = nil
@@ -157,6 +175,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.latest = now
 	f.route.advance(now)
 	f.route.begun++
 	if f.used {
@@ -169,28 +188,36 @@
 	p.startWaiting(now, false)
 }
 
-// End records the end of a flow's request, and returns the time that it had a slot if
-// that is known. finished is false if the server may still work on it.
-func (p *Predictor) End(f *Flow, finished bool, now time.Time) (slotTime time.Duration, known bool) {
+// End records the end of a flow's request, and returns the time for which it had a slot,
+// or zero if that is unknown. finished is false if the server may still work on it.
+func (p *Predictor) End(f *Flow, finished bool, now time.Time) (slotTime time.Duration) {
 	if p == nil || f.request == 0 {
-		return 0, false
+		return 0
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.end(f, finished, now)
+}
+
+func (p *Predictor) end(f *Flow, finished bool, now time.Time) (slotTime time.Duration) {
+	p.latest = now
 	index, found := slices.BinarySearchFunc(p.requests, f.request, func(r request, id uint64) int { return cmp.Compare(r.id, id) })
 	f.request = 0
 	if !found {
-		return 0, false
+		return 0
 	}
 	ended := p.requests[index]
 	p.requests = slices.Delete(p.requests, index, index+1)
 	if ended.startedAt.IsZero() {
 		// The server has refused it, or runs more requests than the agent knows.
-		return 0, false
+		return 0
 	}
 	p.running--
 	p.startWaiting(now, !finished)
-	return now.Sub(ended.startedAt), !ended.uncertain
+	if ended.uncertain {
+		return 0
+	}
+	return now.Sub(ended.startedAt)
 }
 
 // AddSample adds the time that a request of an address had a slot. It must not be
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -312,6 +312,14 @@
 	rerouteFromCopy = 2
 )
 
+// Placed returns the numbers of flows that were placed by the expected work of agents and
+// by their counts.
+func (s *Steerer) Placed() (byWork, byCount uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.PlacedByWork, s.chooser.PlacedByCount
+}
+
 // mayReuseOwner reports whether a retransmitted opening packet goes to the agent
 // of the first one. An agent answers within milliseconds, so a retransmission
 // suggests that it failed. If both agents answer after all, the flow opens at
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -273,9 +273,7 @@
 	server := e.servers[r.server]
 	server.running--
 	server.assessor.AddAnswer(http.StatusOK, false, e.clock())
-	if took, known := server.predictor.End(&r.flow.work, true, e.clock()); known {
-		server.predictor.AddSample(r.route.Address, took, e.clock())
-	}
+	server.predictor.AddSample(r.route.Address, server.predictor.End(&r.flow.work, true, e.clock()), e.clock())
 	for len(server.waiting) > 0 && server.running < server.slots {
 		next := server.waiting[0]
 		server.waiting = server.waiting[1:]
--- a/log_event.go
+++ b/log_event.go
@@ -46,6 +46,7 @@
 	EventServerProbed        LogEvent = "server-probed"
 	EventServerDead          LogEvent = "server-dead"
 	EventAnnouncementIgnored LogEvent = "announcement-ignored"
+	EventPlacementChanged    LogEvent = "placement-changed"
 )
 
 // The events of flows and requests.
@@ -81,7 +82,7 @@
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
-	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
+	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventPlacementChanged, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
 	EventServerFailing, EventPacketMalformed, EventMessageMalformed,
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -130,13 +131,40 @@
 }
 
 func encodeLoad(load gooseberrymast.FlowLoad) *peer.Load {
-	return &peer.Load{
+	encoded := &peer.Load{
 		Slots:           uint32(load.Slots),
 		InProgress:      uint32(load.InProgress),
 		Flows:           uint32(load.Flows),
 		ColdMs:          uint32(load.WarmUpLeft.Milliseconds()),
 		FailingPermille: uint32(load.Failing * permille),
 	}
+	if load.Work.Cost > 0 {
+		encodeWork(encoded, load.Work)
+	}
+	return encoded
+}
+
+// encodeWork adds the expected work to a load. A cost of less than a microsecond is sent
+// as one, since zero means that there is none.
+func encodeWork(into *peer.Load, work gooseberrymast.WorkLoad) {
+	into.CostUs = max(1, encodeMicros(work.Cost))
+	into.OutstandingUs = encodeMicros(work.Outstanding)
+	into.FlowPermille = uint32(min(max(work.FlowShare, 0), maxFlowShare) * permille)
+	for _, route := range work.RouteCosts {
+		if route.Cost > 0 {
+			into.RouteTags = append(into.RouteTags, route.Tag)
+			into.RouteCostsUs = append(into.RouteCostsUs, max(1, encodeMicros(route.Cost)))
+		}
+	}
+}
+
+// maxFlowShare bounds the share that is sent; beyond it servers are equally overloaded.
+const maxFlowShare = 1000
+
+// encodeMicros returns a time that is not negative in microseconds, at most some 71
+// minutes.
+func encodeMicros(elapsed time.Duration) uint32 {
+	return uint32(min(max(elapsed.Microseconds(), 0), math.MaxUint32))
 }
 
 func decodeLoad(message *peer.Load) gooseberrymast.FlowLoad {
@@ -146,9 +174,30 @@
 		Flows:      int(message.GetFlows()),
 		WarmUpLeft: time.Duration(message.GetColdMs()) * time.Millisecond,
 		Failing:    min(float64(message.GetFailingPermille())/permille, 1),
+		Work:       decodeWork(message),
 	}
 }
 
+func decodeWork(message *peer.Load) gooseberrymast.WorkLoad {
+	if message.GetCostUs() == 0 {
+		return gooseberrymast.WorkLoad{}
+	}
+	work := gooseberrymast.WorkLoad{
+		Cost:        decodeMicros(message.GetCostUs()),
+		Outstanding: decodeMicros(message.GetOutstandingUs()),
+		FlowShare:   min(float64(message.GetFlowPermille())/permille, maxFlowShare),
+	}
+	tags, costs := message.GetRouteTags(), message.GetRouteCostsUs()
+	for i := range min(len(tags), len(costs), len(work.RouteCosts)) {
+		work.RouteCosts[i] = gooseberrymast.RouteCost{Tag: tags[i], Cost: decodeMicros(costs[i])}
+	}
+	return work
+}
+
+func decodeMicros(micros uint32) time.Duration {
+	return time.Duration(micros) * time.Microsecond
+}
+
 func encodeMember(p gooseberrymast.Peer) *peer.Member {
 	return &peer.Member{
 		Endpoint:    encodeEndpoint(p.Endpoint),
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -62,6 +62,35 @@
 	is.Equal(ReadReport(roundTrip(t, Report(report)).GetReport()), report)
 }
 
+// testWork returns expected work with values of the greatest length.
+func testWork() gooseberrymast.WorkLoad {
+	work := gooseberrymast.WorkLoad{Cost: 3 * time.Minute, Outstanding: 40 * time.Minute, FlowShare: 999.5}
+	for i := range work.RouteCosts {
+		work.RouteCosts[i] = gooseberrymast.RouteCost{Tag: 1<<31 + uint32(i), Cost: time.Hour + time.Duration(i)*time.Microsecond}
+	}
+	return work
+}
+
+// Expected work must arrive as it was sent, and a load without it must be encoded as by
+// earlier builds.
+func TestWorkRoundTrip(t *testing.T) {
+	is := is.New(t)
+	load := gooseberrymast.FlowLoad{Slots: 2, InProgress: 3, Flows: 50, Work: testWork()}
+	read := roundTrip(t, Report(gooseberrymast.Report{Peer: testAgent(1), Load: load})).GetReport()
+	is.Equal(ReadReport(read).Load, load)
+	load.Work = gooseberrymast.WorkLoad{}
+	is.True(proto.Equal(encodeLoad(load), &peer.Load{Slots: 2, InProgress: 3, Flows: 50}))
+	// Lists of unequal or greater length are of a build to come.
+	many := &peer.Load{CostUs: 1, RouteTags: make([]uint32, 9), RouteCostsUs: []uint32{7, 8}}
+	work := decodeLoad(many).Work
+	is.Equal(work.RouteCosts[1].Cost, 8*time.Microsecond)
+	is.Equal(work.RouteCosts[2], gooseberrymast.RouteCost{})
+	many.RouteCostsUs = make([]uint32, 9)
+	is.Equal(len(decodeLoad(many).Work.RouteCosts), gooseberrymast.MaxRouteCosts)
+	// Without a cost there is no work, whatever else is sent.
+	is.Equal(decodeLoad(&peer.Load{OutstandingUs: 5, FlowPermille: 5}).Work, gooseberrymast.WorkLoad{})
+}
+
 // Earlier builds order documents by the store's revision. It must not be read as the
 // operators' number, nor the number sent in its place.
 func TestEarlierBuildsExchangeRevisionsOnly(t *testing.T) {
--- a/protocol/interpreter/summary.go
+++ b/protocol/interpreter/summary.go
@@ -11,11 +11,29 @@
 // load takes about 50 bytes, so that all take less than 1,200 bytes.
 const maxSummaryPeers = 22
 
+// workPeers is the number of peers that one with its expected work counts for: the work
+// takes up to 45 bytes.
+const workPeers = 2
+
+// cutSummary returns the number of peers that fit into one datagram.
+func cutSummary(peers []gooseberrymast.PeerSummary) int {
+	room := maxSummaryPeers
+	for i := range peers {
+		if room--; peers[i].Load.Work.Cost > 0 {
+			room -= workPeers - 1
+		}
+		if room < 0 {
+			return i
+		}
+	}
+	return len(peers)
+}
+
 // Summaries returns the messages of a summary, up to maxSummaryPeers peers in each.
 func Summaries(summary gooseberrymast.Summary) []*peer.Message {
 	var messages []*peer.Message
 	for rest := summary.Peers; len(rest) > 0; {
-		part := rest[:min(maxSummaryPeers, len(rest))]
+		part := rest[:cutSummary(rest)]
 		rest = rest[len(part):]
 		message := &peer.Summary{
 			Zone:              summary.Zone,
--- a/protocol/interpreter/summary_test.go
+++ b/protocol/interpreter/summary_test.go
@@ -37,6 +37,24 @@
 	is.Equal(peers, summary.Peers)
 }
 
+// A summary whose peers report work must neither exceed a datagram nor lose anything.
+func TestSummariesWithWorkRoundTrip(t *testing.T) {
+	is := is.New(t)
+	summary := gooseberrymast.Summary{Zone: "cairo-a"}
+	for number := range 2 * maxSummaryPeers {
+		viewed := gooseberrymast.PeerSummary{Peer: testAgent(number), Load: gooseberrymast.FlowLoad{Slots: 2}, Heard: true}
+		if number%3 > 0 {
+			viewed.Load.Work = testWork()
+		}
+		summary.Peers = append(summary.Peers, viewed)
+	}
+	var peers []gooseberrymast.PeerSummary
+	for _, message := range Summaries(summary) {
+		peers = append(peers, ReadSummary(roundTrip(t, message).GetSummary()).Peers...)
+	}
+	is.Equal(peers, summary.Peers)
+}
+
 // A member that is missing must not make the process fail.
 func TestSummaryWithoutMembersIsRead(t *testing.T) {
 	is := is.New(t)
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -13,6 +13,7 @@
 	"gooseberrymast/coordination/assessor"
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
+	"gooseberrymast/coordination/predictor"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
@@ -65,6 +66,7 @@
 	AnnouncementHandler AnnouncementHandlerFunc
 
 	deliverer deliverer.Deliverer
+	predictor predictor.Predictor
 	outbound  *net.UDPConn
 	stopping  atomic.Bool
 
@@ -74,6 +76,9 @@
 	// earlier agents have served. It is guarded by trackerMu.
 	servedProven bool
 
+	// reportsWork is set while the agent reports the expected work of its server.
+	reportsWork atomic.Bool
+
 	assessorMu sync.Mutex
 	assessor   assessor.Assessor
 	// failing is set while the server's share of failed requests is so high that
@@ -112,6 +117,7 @@
 	}
 	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.deliverer.Work = &a.predictor
 	a.load = a.flowLoad
 	a.served, a.restore = a.currentServed, a.restoreServed
 	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
@@ -226,9 +232,24 @@
 		Flows:      flows,
 		WarmUpLeft: max(0, last.WarmUpLeft-now.Sub(receivedAt)),
 		Failing:    a.failingShare(now),
+		Work:       a.expectedWork(last, now),
 	}
 }
 
+// expectedWork returns the expected work of the server if flows are placed by it, and logs
+// when that changes.
+func (a *Agent) expectedWork(last gooseberrymast.Announcement, now time.Time) gooseberrymast.WorkLoad {
+	var work gooseberrymast.WorkLoad
+	if a.Placement.Active(last.Slots, last.Service, a.currentRoutes()) {
+		work = a.predictor.Load(now)
+	}
+	if known := work.Cost > 0; a.reportsWork.Swap(known) != known {
+		a.Log.Info(gooseberrymast.EventPlacementChanged).Bool("by-work", known).Int("slots", last.Slots).
+			Int64("cost-us", work.Cost.Microseconds()).Msg("")
+	}
+	return work
+}
+
 // failingShare returns the share of requests that the server fails, and logs when
 // it crosses the limit at which balancers leave the server out.
 func (a *Agent) failingShare(now time.Time) float64 {
@@ -245,8 +266,15 @@
 	return share
 }
 
-// recordOutcome updates the server's assessment with the outcome of a request.
-func (a *Agent) recordOutcome(step deliverer.Step, packet []byte, now time.Time) {
+// ranRequest reports whether the server ran the whole request that it answered with a
+// status. Refusals and failures come fast and would make the server look fast.
+func ranRequest(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusMisdirectedRequest && status != http.StatusTooManyRequests
+}
+
+// recordOutcome updates the server's assessment and costs with the outcome of a request
+// to an address.
+func (a *Agent) recordOutcome(step deliverer.Step, address gooseberrymast.Endpoint, packet []byte, now time.Time) {
 	if !step.Answered && step.Event != deliverer.RequestCut && step.Event != deliverer.RequestAbandoned {
 		return
 	}
@@ -262,6 +290,9 @@
 		if status := a.Codec.AnswerStatus(packet); status != 0 {
 			a.assessor.AddAnswer(status, full, now)
 			a.metrics.countStatus(status)
+			if ranRequest(status) {
+				a.predictor.AddSample(address, step.Request.SlotTime, now)
+			}
 		}
 		return
 	}
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -28,7 +28,7 @@
 		a.deliverer.SetRequestID(header.FromCaller(), a.Codec.RequestID(packet))
 	}
 	step := a.deliverer.FromPeer(header, hop, a.serverState(now), routes, now)
-	a.recordOutcome(step, packet, now)
+	a.recordOutcome(step, header.Destination, packet, now)
 	a.execute(step, header.FromCaller(), packet)
 }
 
@@ -57,7 +57,7 @@
 			continue
 		}
 		step := a.deliverer.FromServer(header, now)
-		a.recordOutcome(step, packet[:n], now)
+		a.recordOutcome(step, header.Source, packet[:n], now)
 		a.execute(step, header.FromServer(), packet[:n])
 	}
 }
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -32,6 +32,7 @@
 	if err == nil {
 		// Under the same lock, so that announcements keep their order.
 		lost = a.deliverer.HandleAnnouncement(restarted)
+		a.predictor.HandleServer(announcement.Slots, announcement.WarmUpLeft, restarted, now)
 	}
 	a.trackerMu.Unlock()
 	if err != nil {
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -75,6 +75,7 @@
 	random := rand.New(rand.NewPCG(uint64(b.started.UnixNano()), gooseberrymast.RendezvousScore(0, b.Settings.Peers)))
 	b.steerer = steerer.Steerer{
 		Self: b.Settings.Peers, Zone: b.Settings.Zone, Roster: &b.roster, Owners: &b.owners, Random: random,
+		PlacesByWork: b.Placement.Mode == gooseberrymast.RuleOn || b.Placement.Mode == gooseberrymast.RuleAuto,
 	}
 	b.onRoutes = func(routes *gooseberrymast.Routes) { b.steerer.SetRoutes(routes) }
 	b.onFlowOwners = func(owner gooseberrymast.Endpoint, keys []gooseberrymast.FlowKey, now time.Time) {
@@ -92,6 +93,7 @@
 	}
 	defer stopReadiness()
 	b.countOwners = b.owners.Len
+	b.countPlaced = b.steerer.Placed
 	b.served = b.settledEra
 	defer b.serveMetrics()()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/runner/member.go
+++ b/runner/member.go
@@ -62,6 +62,10 @@
 	// MetricsPort is the port of the metrics endpoint on the instance's address;
 	// zero disables it.
 	MetricsPort int
+	// Placement is the rule for the servers whose flows are placed by expected work. An
+	// agent reports the work where it is active; a balancer uses such reports unless the
+	// rule is off.
+	Placement gooseberrymast.WorkRule
 	// Log receives the process's log lines.
 	Log *journaler.Journaler
 }
@@ -84,6 +88,9 @@
 	// countOwners returns the number of flow owners that a balancer has stored;
 	// nil at an agent.
 	countOwners func() int
+	// countPlaced returns the numbers of flows that a balancer placed by the expected work
+	// of agents and by their counts; nil at an agent.
+	countPlaced func() (byWork, byCount uint64)
 	// served returns what the process's entry says besides its description, and restore
 	// receives what an earlier agent stored there; restore is nil at a balancer.
 	served  func() interpreter.Served
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -124,12 +124,20 @@
 	linesDroppedDesc = prometheus.NewDesc("gooseberrymast_log_lines_dropped_total", "Log lines lost since the output was slow.", nil, nil)
 	storeEraDesc     = prometheus.NewDesc("gooseberrymast_store_era", "Highest era of the store observed; zero if it is unknown.", nil, nil)
 	settledEraDesc   = prometheus.NewDesc("gooseberrymast_store_settled_era", "Highest era of the store known to have settled.", nil, nil)
-	flowOwnersDesc   = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
+	requestCostDesc  = prometheus.NewDesc("gooseberrymast_request_cost_seconds",
+		"Expected time in a slot of a request to the agent's server; missing where flows are placed by count.", nil, nil)
+	outstandingDesc = prometheus.NewDesc("gooseberrymast_outstanding_work_seconds",
+		"Expected time in a slot of the requests in progress and queued, divided by the slots.", nil, nil)
+	flowShareDesc = prometheus.NewDesc("gooseberrymast_open_flow_share",
+		"Share of the slots that requests on open flows are expected to take.", nil, nil)
+	flowsPlacedDesc = prometheus.NewDesc("gooseberrymast_flows_placed_total", "New flows placed, by the rule used.", []string{"by"}, nil)
+	flowOwnersDesc  = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (*gauges) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc, flowOwnersDesc} {
+	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc,
+		requestCostDesc, outstandingDesc, flowShareDesc, flowsPlacedDesc, flowOwnersDesc} {
 		out <- desc
 	}
 }
@@ -171,6 +179,16 @@
 		gauge(openFlowsDesc, float64(load.Flows))
 		gauge(inProgressDesc, float64(load.InProgress))
 		gauge(failingDesc, load.Failing)
+		if work := load.Work; work.Cost > 0 {
+			gauge(requestCostDesc, work.Cost.Seconds())
+			gauge(outstandingDesc, work.Outstanding.Seconds())
+			gauge(flowShareDesc, work.FlowShare)
+		}
+	}
+	if m.countPlaced != nil {
+		byWork, byCount := m.countPlaced()
+		out <- prometheus.MustNewConstMetric(flowsPlacedDesc, prometheus.CounterValue, float64(byWork), "work")
+		out <- prometheus.MustNewConstMetric(flowsPlacedDesc, prometheus.CounterValue, float64(byCount), "count")
 	}
 	if m.countOwners != nil {
 		gauge(flowOwnersDesc, float64(m.countOwners()))
