--- a/coordination/predictor/predictor.go
+++ b/coordination/predictor/predictor.go
@@ -36,7 +36,7 @@
 	costWeight = 1.0 / 256
 	// paceWeight is the weight of a sample in the server's pace: it follows a change of
 	// speed within 64 requests, a second or two, and one request of seven times the
-	// usual cost moves it by a tenth.
+	// usual cost moves it by 3%.
 	paceWeight = 1.0 / 64
 	// relearnSamples is the weight, in samples, of what was known before the server
 	// changed.
@@ -66,7 +66,9 @@
 	// other is of the routes beyond MaxRoutes.
 	other route
 	all   estimator.Average
-	// pace is the time in a slot as a multiple of the route's cost.
+	// pace is the logarithm of how many times longer requests take of late than those
+	// that the costs of their routes are from. With logarithms a change of speed shows
+	// in all requests alike, and the tail moves it little.
 	pace estimator.Average
 	// remaining are the remaining times in a slot of requests that have reached each of
 	// ages, as multiples of the expected time.
@@ -82,7 +84,8 @@
 
 // route holds what is known of one route's requests.
 type route struct {
-	cost estimator.Average
+	// cost is the time in a slot in nanoseconds, and logCost its logarithm.
+	cost, logCost estimator.Average
 	// flows is the number of open flows.
 	flows int
 	// begun counts requests, followUps those on flows that had carried one before, and
@@ -238,9 +241,10 @@
 		expected := p.costOf(r)
 		sample = min(sample, estimator.LongFactor*expected)
 		p.learnRemaining(sample / expected)
-		p.pace.Add(sample/r.cost.Mean, paceWeight)
+		p.pace.Add(math.Log(sample)-r.logCost.Mean, paceWeight)
 	}
 	r.cost.Add(sample, costWeight)
+	r.logCost.Add(math.Log(sample), costWeight)
 	p.all.Add(sample, paceWeight)
 	p.samples++
 }
@@ -261,7 +265,11 @@
 	slices.Sort(free)
 	// A server that has lowered its slots starts the next request once it is below them.
 	free = free[len(free)-p.slots:]
-	waiting := 0
+	inSlots := 0.0
+	for _, remaining := range free {
+		inSlots += remaining
+	}
+	waiting, queued := 0, 0.0
 	for _, r := range p.requests {
 		if !r.startedAt.IsZero() {
 			continue
@@ -269,11 +277,16 @@
 		if waiting++; waiting > maxSimulated {
 			break
 		}
+		queued += p.costOf(r.route)
 		free[0] += p.costOf(r.route)
 		slices.Sort(free)
 	}
-	beyond := max(0, len(p.requests)-p.running-maxSimulated)
-	return time.Duration(free[0] + float64(beyond)*p.typical()/float64(p.slots))
+	slots := float64(p.slots)
+	// The first of several requests ends sooner than any of them is expected to: when a
+	// slot becomes free, each of the others holds what is left of a request in progress.
+	even := (inSlots/slots + queued) / slots
+	beyond := float64(max(0, len(p.requests)-p.running-maxSimulated)) * p.typical() / slots
+	return time.Duration(min(free[0], even) + beyond)
 }
 
 // Cost implements gooseberrymast.WorkEstimator.
@@ -330,8 +343,10 @@
 	forget(&p.all)
 	forget(&p.pace)
 	forget(&p.other.cost)
+	forget(&p.other.logCost)
 	for _, r := range p.routes {
 		forget(&r.cost)
+		forget(&r.logCost)
 	}
 }
 
@@ -340,10 +355,7 @@
 	if r.cost.Samples < minRouteSamples {
 		return p.typical()
 	}
-	if p.pace.Samples == 0 {
-		return r.cost.Mean
-	}
-	return r.cost.Mean * p.pace.Mean
+	return r.cost.Mean * math.Exp(p.pace.Mean)
 }
 
 // typical returns the expected time in a slot of any request in nanoseconds.
