--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -156,7 +156,7 @@
 func Metering() Pattern {
 	return Pattern{
 		Name: "equal-servers", Zones: 3, Balancers: 20, Servers: 43, Slots: 2, Queue: 8, Callers: 3600, OwnFlows: true,
-		Rate: 4700, Period: 15 * time.Second, Length: 20 * time.Second, Speed: meteringSpeed,
+		Rate: 4700, Period: 15 * time.Second, Length: 16 * time.Second, Speed: meteringSpeed,
 		Classes: []Class{
 			{Name: "meter-stream", Share: 0.73, Work: 13 * time.Millisecond, Objective: 200 * time.Millisecond,
 				Deadline: 1500 * time.Millisecond, Worth: 1, LateWorth: 0.5, Retries: 2},
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -10,6 +10,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/chooser"
+	"gooseberrymast/coordination/predictor"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
 )
@@ -137,6 +138,53 @@
 	is.True(agent.flowLoad(agent.Timer.Now()).Failing > 3*chooser.FailingLimit)
 }
 
+// TestAgentReportsWork guards against agents that report work where the settings don't call
+// for it, before they have measured enough, or as measured by refusals.
+func TestAgentReportsWork(t *testing.T) {
+	tests := []struct {
+		name   string
+		mode   gooseberrymast.RuleMode
+		status string
+		want   bool
+	}{
+		{"on", gooseberrymast.RuleOn, "HTTP/1.1 200 OK", true},
+		{"on, refusals", gooseberrymast.RuleOn, "HTTP/1.1 503 Busy", false},
+		{"on, failures", gooseberrymast.RuleOn, "HTTP/1.1 500 Error", false},
+		{"on, wrong server", gooseberrymast.RuleOn, "HTTP/1.1 421 Misdirected", false},
+		{"off", gooseberrymast.RuleOff, "HTTP/1.1 200 OK", false},
+		{"auto, no objective", gooseberrymast.RuleAuto, "HTTP/1.1 200 OK", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t)
+			c.adapt = func(environment *Environment) { environment.Placement = gooseberrymast.WorkRule{Mode: test.mode} }
+			startServer(t, 1)
+			agent, _ := c.startAgent(1, 1)
+			balancer, _ := c.startBalancer(1)
+			c.openFlow(1, 5000)
+			is.Equal(agent.flowLoad(agent.Timer.Now()).Work, gooseberrymast.WorkLoad{})
+			for number := range predictor.MinSamples {
+				c.expectEcho(1, 5000, test.status+strings.Repeat(" ", number))
+			}
+			load := agent.flowLoad(agent.Timer.Now()).Work
+			is.Equal(load.Cost > 0, test.want)
+			is.Equal(load.RouteCosts[0].Tag == gooseberrymast.RouteTag(serviceAddress), test.want)
+			if !test.want {
+				return
+			}
+			c.waitFor("the balancer knows the work", func() bool {
+				entry, _ := balancer.roster.Get(agent.Settings.Peers)
+				return entry.Load.Work.Cost > 0
+			})
+			c.openFlow(1, 5001)
+			byWork, byCount := balancer.steerer.Placed()
+			is.True(byWork >= 1)
+			is.True(byCount >= 1) // the first flow
+		})
+	}
+}
+
 // TestStaleEntriesAreRemovedAndOwnEntryIsRestored guards against stale entries that
 // stay in the store, against the removal of an entry that was written again since it
 // was read, and against an agent that doesn't restore its entry after a removal.
