--- a/coordination/chooser/work_test.go
+++ b/coordination/chooser/work_test.go
@@ -69,7 +69,12 @@
 		{"another zone", cheap, far, false},
 		{"a slow one that doesn't name the route", cheap, working(2, 0.5, func(load *gooseberrymast.FlowLoad) {
 			load.Work.RouteCosts = [gooseberrymast.MaxRouteCosts]gooseberrymast.RouteCost{}
+			load.Work.FlowShare = usual.Load.Work.FlowShare
 		}), false},
+		{"a fast one that doesn't name the route", cheap, working(2, 2, func(load *gooseberrymast.FlowLoad) {
+			load.Work.RouteCosts = [gooseberrymast.MaxRouteCosts]gooseberrymast.RouteCost{}
+			load.Work.FlowShare, load.Work.Outstanding = usual.Load.Work.FlowShare, 4*time.Millisecond
+		}), true},
 		{"counts of a busy server", cheap, counts(6, 160), false},
 		{"counts of an idle server", cheap, counts(0, 0), true},
 	}
