--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -65,6 +65,7 @@
 				ReadEvacuations: store.Evacuations,
 				PeersListen:     peersListenEndpoint(forwarding),
 				MetricsPort:     forwarding.MetricsPort,
+				Placement:       forwarding.PlacementRule(),
 				Log:             journal,
 			})
 		},
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -95,6 +95,8 @@
 	Owners *locator.Locator
 	// Random breaks ties.
 	Random *rand.Rand
+	// PlacesByWork is set if new flows are placed by the expected work that agents report.
+	PlacesByWork bool
 
 	mu      sync.Mutex
 	chooser chooser.Chooser
@@ -280,7 +282,7 @@
 	complete := s.Roster.IsComplete()
 	s.mu.Lock()
 	service, candidates := s.candidates(route, now)
-	chosen := s.chooser.Choose(candidates, placeCandidates, !route.Idempotent, s.Random)
+	chosen := s.chooser.Choose(candidates, placeCandidates, route, s.Random)
 	s.mu.Unlock()
 	owner, owned := s.Owners.Find(key, now)
 	if owned && s.mayReuseOwner(owner, header.Copy, now) {
@@ -328,6 +330,14 @@
 	rerouteFromCopy = 2
 )
 
+// Placed returns the numbers of flows that were placed by the expected work of agents and
+// by their counts.
+func (s *Steerer) Placed() (byWork, byCount uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.PlacedByWork, s.chooser.PlacedByCount
+}
+
 // mayReuseOwner reports whether a retransmitted opening packet goes to the agent
 // of the first one. An agent answers within milliseconds, so a retransmission
 // suggests that it failed. If both agents answer after all, the flow opens at
@@ -360,7 +370,7 @@
 // without a recent report are used only when none has one, those of evacuated zones
 // never.
 func (s *Steerer) candidates(route gooseberrymast.Route, now time.Time) (string, []chooser.Candidate) {
-	s.chooser.Zone = s.Zone
+	s.chooser.Zone, s.chooser.ByWork = s.Zone, s.PlacesByWork
 	first := s.drawService(route)
 	evacuated := s.evacuatedZones()
 	for i := range route.Backends {
--- a/protocol/interpreter/summary.go
+++ b/protocol/interpreter/summary.go
@@ -15,6 +15,24 @@
 	summaryPeerBytes = 50
 )
 
+// workPeers is the number of peers that one with its expected work counts for: the work
+// takes up to 45 bytes.
+const workPeers = 2
+
+// cutSummary returns the number of peers, one at least, that fit into the room for a
+// number of peers without work.
+func cutSummary(peers []gooseberrymast.PeerSummary, room int) int {
+	for i := range peers {
+		if room--; peers[i].Load.Work.Cost > 0 {
+			room -= workPeers - 1
+		}
+		if room < 0 && i > 0 {
+			return i
+		}
+	}
+	return len(peers)
+}
+
 // Summaries returns the messages of a summary, up to maxSummaryPeers peers in each and
 // fewer beside a long list of evacuations.
 func Summaries(summary gooseberrymast.Summary) []*peer.Message {
@@ -22,7 +40,7 @@
 	evacuations := encodeEvacuations(summary.Evacuations)
 	maxPeers := max(1, maxSummaryPeers-encodedBytes(evacuations)/summaryPeerBytes)
 	for rest := summary.Peers; len(rest) > 0; {
-		part := rest[:min(maxPeers, len(rest))]
+		part := rest[:cutSummary(rest, maxPeers)]
 		rest = rest[len(part):]
 		message := &peer.Summary{
 			Zone:              summary.Zone,
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -32,7 +32,7 @@
 		server.Evacuated, server.EvacuationUnknown = a.ownZoneEvacuated(now), !a.hasUsableEvacuations(now)
 	}
 	step := a.deliverer.FromPeer(header, hop, server, routes, now)
-	a.recordOutcome(step, packet, now)
+	a.recordOutcome(step, header.Destination, packet, now)
 	a.execute(step, header.FromCaller(), packet)
 }
 
@@ -61,7 +61,7 @@
 			continue
 		}
 		step := a.deliverer.FromServer(header, now)
-		a.recordOutcome(step, packet[:n], now)
+		a.recordOutcome(step, header.Source, packet[:n], now)
 		a.execute(step, header.FromServer(), packet[:n])
 	}
 }
