Proofs: flows are kept as long as their server may hold them

Cause: an agent that saw its server start claims to hold all of its flows, but dropped those unused for 30 s whatever the document's idle limit, and half-closed ones after 4 s. Change: the longest idle limit in force since a flow's opening, at most bounds.flowMaxS, decides how long it is kept, 6 s longer for documents that arrive late, 30 s at least. At most 16,384 flows are kept; after an eviction the agent denies nothing until the evicted flow has reached its maximum age. TestClosedFlowsExpire expected that a flow is dropped which only the server has closed; it now expects that it is kept until the caller closes it, too. The model of proofs has idle time, evictions and the rule's two limits.

--- a/coordination/deliverer/announce.go
+++ b/coordination/deliverer/announce.go
@@ -45,14 +45,3 @@
 	}
 	return updates
 }
-
-// Expire drops flows that are closed or unused for long.
-func (d *Deliverer) Expire(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for key, f := range d.flows {
-		if f.closed && now.Sub(f.closedAt) > closedFlowTimeout || now.Sub(f.lastUsed) > idleFlowTimeout {
-			d.dropFlow(key, f)
-		}
-	}
-}
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -25,11 +25,9 @@
 	// maxPending is the number of packets that are recorded until the server may
 	// have returned them; it returns a packet within a millisecond.
 	maxPending = 4096
-	// closedFlowTimeout is how long a closed flow is kept: both ends may
-	// retransmit their last packets, at intervals of 1.6 s at most.
+	// closedFlowTimeout is how long a flow that both ends have closed is kept: they
+	// may retransmit their last packets, at intervals of 1.6 s at most.
 	closedFlowTimeout = 4 * time.Second
-	// idleFlowTimeout is how long an unused flow is kept.
-	idleFlowTimeout = 30 * time.Second
 )
 
 // Deliverer holds the state of one agent's decisions. The zero value is ready.
@@ -37,6 +35,12 @@
 	// Gates restrict which new flows are taken, in the order in which they are asked.
 	// They are set before use and called under the deliverer's lock.
 	Gates []gooseberrymast.FlowGate
+	// MaxFlowAge is the age from which a server may discard a flow; zero means
+	// gooseberrymast.DefaultMaxFlowAge. It is set before use.
+	MaxFlowAge time.Duration
+	// MaxFlows bounds the flows that are kept; zero means defaultMaxFlows. It is set
+	// before use.
+	MaxFlows int
 
 	mu        sync.Mutex
 	leaving   bool
@@ -45,6 +49,10 @@
 	lastTag   uint32
 	openFlows int
 	busyFlows int
+	// idleTimeout is that of the document in force; zero while it is unknown.
+	idleTimeout time.Duration
+	// incompleteUntil is until when the server may hold a flow that was evicted.
+	incompleteUntil time.Time
 	// answers counts the flows that the server has accepted. Those up to ownAnswers
 	// were accepted by the incarnation that announced itself last, or before it;
 	// announcedAnswers is the count at its last announcement.
@@ -74,7 +82,7 @@
 	// it is unknown.
 	Slots int
 	// Complete is set when the agent has seen every packet of the server's
-	// incarnation, so that it holds all of its flows.
+	// incarnation, so that it holds all of its flows, except those evicted.
 	Complete bool
 }
 
@@ -139,7 +147,7 @@
 	if server.Status == tracker.Gone {
 		return d.answerNotHeld(header, hop, ReasonServerGone, true)
 	}
-	if hop.Mode == gooseberrymast.HopWalk && server.Complete {
+	if hop.Mode == gooseberrymast.HopWalk && server.Complete && !now.Before(d.incompleteUntil) {
 		return d.answerNotHeld(header, hop, ReasonNotHeld, true)
 	}
 	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
@@ -216,8 +224,9 @@
 		}
 		f.serverBegan = true
 	}
+	f.ended = f.ended || header.Resets
 	if (header.Resets || header.Finishes) && !f.closed {
-		f.closed, f.closedAt = true, now
+		f.closed = true
 		d.openFlows--
 	}
 	return step
@@ -237,6 +246,7 @@
 // deliver decides on a packet of a known flow: it goes to the server.
 func (d *Deliverer) deliver(f *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, now time.Time) Step {
 	f.lastUsed = now
+	f.ended = f.ended || header.Resets || header.Finishes
 	if !header.Opens {
 		f.lastAck = header.Acknowledgement
 		f.opened = f.opened || f.acknowledges(header)
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -9,7 +9,6 @@
 type flow struct {
 	openedAt time.Time
 	lastUsed time.Time
-	closedAt time.Time
 	// lastAck is the caller's last acknowledgement number.
 	lastAck uint32
 	// callerEnd is the sequence number after the last byte from the caller.
@@ -29,8 +28,12 @@
 	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
-	// closed is set once the server has ended the flow.
-	closed bool
+	// closed is set once the server has ended its side of the flow, and ended once
+	// the caller has ended its own or either has reset the flow.
+	closed, ended bool
+	// idleTimeout is the longest that any document in force since the flow was opened
+	// has allowed; zero while none is known.
+	idleTimeout time.Duration
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
@@ -67,7 +70,8 @@
 		d.flows = map[gooseberrymast.FlowKey]*flow{}
 	}
 	d.addServed(key.Service)
-	f := &flow{openedAt: now, lastUsed: now}
+	d.makeRoom(now)
+	f := &flow{openedAt: now, lastUsed: now, idleTimeout: d.idleTimeout}
 	d.flows[key] = f
 	d.openFlows++
 	return f
--- a/coordination/locator/locator.go
+++ b/coordination/locator/locator.go
@@ -40,7 +40,7 @@
 }
 
 // DefaultLifetime is the longest time that a flow may last.
-const DefaultLifetime = 60 * time.Second
+const DefaultLifetime = gooseberrymast.DefaultMaxFlowAge
 
 type shard struct {
 	mu     sync.Mutex
--- a/coordination/steerer/proof_reports_test.go
+++ b/coordination/steerer/proof_reports_test.go
@@ -25,6 +25,7 @@
 		if m.now.Before(a.downUntil) || !a.stored {
 			continue
 		}
+		a.deliverer.Expire(m.now)
 		if a.tracker.Status(m.now) != tracker.Unknown {
 			m.announce(a)
 		}
@@ -40,6 +41,14 @@
 	m.read()
 }
 
+// rest lets time pass without a packet of a caller.
+func (m *model) rest(duration time.Duration) {
+	for range duration / tick {
+		deliverAll(m)
+		m.step()
+	}
+}
+
 // reportAgent sends an agent's report to the balancers of its zone, and to all if
 // none of these runs.
 func (m *model) reportAgent(a *agentModel) {
--- a/instance_settings.go
+++ b/instance_settings.go
@@ -34,4 +34,11 @@
 	AnnounceInterval time.Duration
 	// StopWithin is the time between the stop signal and the kill.
 	StopWithin time.Duration
+	// MaxFlowAge is the age from which a flow may be discarded. Zero means
+	// DefaultMaxFlowAge.
+	MaxFlowAge time.Duration
 }
+
+// DefaultMaxFlowAge is the longest time that a flow may last if the platform names no
+// other.
+const DefaultMaxFlowAge = 60 * time.Second
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -117,7 +117,9 @@
 	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
 	a.serverKnown = make(chan struct{})
 	healthPaths := make(chan string, 1)
+	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
+		a.deliverer.SetIdleTimeout(routes.IdleTimeout)
 		select {
 		case healthPaths <- routes.HealthPaths[a.Settings.Service]:
 		default:
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -17,7 +17,7 @@
 // ForgetAfter is the time without an update after which a peer is removed: the
 // longest duration of a flow, so that a walk still reaches every agent that may
 // hold one.
-const ForgetAfter = 60 * time.Second
+const ForgetAfter = gooseberrymast.DefaultMaxFlowAge
 
 // Roster holds the peers of one process, without the process itself. The zero
 // value is empty.
