Proofs: a flow is taken only once its address is recorded

Cause: an agent recorded an address in its entry in the store after it had taken the first flow of it, and went on when the store refused the write. Change: an agent that knows its entry refuses a new flow whose address the entry doesn't name, not definitely, and records it. A document that allows new addresses is recorded at once instead of with the first flow. An agent that could not read its entry yet takes flows as before, so that restarts during an outage of the store don't end service. The model of proofs has documents, a second service and refused writes.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -66,6 +66,10 @@
 	// of served that it lacked, and the calls of ClearServed.
 	recorded      map[gooseberrymast.Endpoint]struct{}
 	servedChanges int
+	// stored holds the addresses that the entry is certain to name, once entryKnown is
+	// set: the agent has read or written it. wanted holds those of refused flows.
+	stored, wanted map[gooseberrymast.Endpoint]struct{}
+	entryKnown     bool
 }
 
 // pendingPacket holds the tag and the hop of a packet that was sent to the server.
@@ -313,6 +317,9 @@
 	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
+	if !d.isRecorded(key.Service) {
+		return ReasonNotRecorded, false
+	}
 	if len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
 		return ReasonServerFull, false
 	}
--- a/coordination/deliverer/retention.go
+++ b/coordination/deliverer/retention.go
@@ -20,11 +20,18 @@
 	evictionSample = 8
 )
 
-// SetIdleTimeout sets the time after which the document in force allows a server to
-// discard an idle flow; zero if it names none.
-func (d *Deliverer) SetIdleTimeout(timeout time.Duration) {
+// HandleDocument processes routes that were put in force, at an agent of a service. It
+// reports whether the agent's entry is to be written for them.
+func (d *Deliverer) HandleDocument(service string, routes *gooseberrymast.Routes) (write bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.setIdleTimeout(routes.IdleTimeout)
+	return d.lacksAllowed(service, routes)
+}
+
+// setIdleTimeout sets the time after which the document in force allows a server to
+// discard an idle flow; zero if it names none.
+func (d *Deliverer) setIdleTimeout(timeout time.Duration) {
 	if timeout <= 0 {
 		timeout = d.maxFlowAge()
 	}
--- a/coordination/deliverer/retention_test.go
+++ b/coordination/deliverer/retention_test.go
@@ -33,7 +33,7 @@
 // not for longer than the document allows.
 func TestIdleFlowIsNotDeniedWhileItsServerMayHoldIt(t *testing.T) {
 	set := func(timeout time.Duration) func(*Deliverer) {
-		return func(d *Deliverer) { d.SetIdleTimeout(timeout) }
+		return func(d *Deliverer) { d.HandleDocument("ledger", &gooseberrymast.Routes{IdleTimeout: timeout}) }
 	}
 	open := func(d *Deliverer) { openedFlow(d, 1, epoch) }
 	tests := []struct {
--- a/coordination/deliverer/served.go
+++ b/coordination/deliverer/served.go
@@ -12,6 +12,9 @@
 // to stay small.
 const maxRecordedRoutes = 64
 
+// maxWanted bounds the addresses that wait for the next write of the entry.
+const maxWanted = 1024
+
 func (d *Deliverer) addServed(address gooseberrymast.Endpoint) {
 	if d.served == nil {
 		d.served = map[gooseberrymast.Endpoint]struct{}{}
@@ -43,7 +46,7 @@
 func (d *Deliverer) ClearServed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.served, d.recorded = nil, nil
+	d.served, d.recorded, d.wanted = nil, nil, nil
 	d.servedChanges++
 	for key := range d.flows {
 		d.addServed(key.Service)
@@ -69,22 +72,82 @@
 }
 
 // Record returns the addresses to write into the agent's entry: those that the server
-// has served and, unless they are many, all that the routes allow its service. The
-// entry may name too many, since a later agent then only queries its server; in
-// return it is not written again for each of them.
+// has served, those of flows that were refused until they are recorded, and, unless they
+// are many, all that the routes allow its service. The entry may name too many, since a
+// later agent then only queries its server; in return it is not written again for each
+// of them. From now on the entry may lack any other address.
 func (d *Deliverer) Record(service string, routes *gooseberrymast.Routes) []gooseberrymast.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recorded = maps.Clone(d.served)
+	d.recorded = nil
+	for address := range d.served {
+		d.setRecorded(address)
+	}
+	for address := range d.wanted {
+		d.setRecorded(address)
+	}
 	allowed := allowedAddresses(routes, service)
 	if len(allowed) <= maxRecordedRoutes {
 		for _, address := range allowed {
 			d.setRecorded(address)
 		}
 	}
+	maps.DeleteFunc(d.stored, func(address gooseberrymast.Endpoint, _ struct{}) bool {
+		_, recorded := d.recorded[address]
+		return !recorded
+	})
 	return sortedEndpoints(d.recorded)
 }
 
+// HandleStored processes the addresses that the agent's entry names, as it was read from
+// the store or written to it. From then on a new flow is taken only if the entry names
+// its address: a later agent and balancers that start must not conclude from it that the
+// server holds no flow of the address. Before, the agent doesn't know what an earlier one
+// recorded, and takes flows without.
+func (d *Deliverer) HandleStored(addresses []gooseberrymast.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entryKnown, d.stored = true, map[gooseberrymast.Endpoint]struct{}{}
+	for _, address := range addresses {
+		if _, recorded := d.recorded[address]; recorded {
+			d.stored[address] = struct{}{}
+			delete(d.wanted, address)
+		}
+	}
+}
+
+// isRecorded reports whether the entry names an address. If it doesn't, its next write
+// will.
+func (d *Deliverer) isRecorded(address gooseberrymast.Endpoint) bool {
+	if _, stored := d.stored[address]; stored || !d.entryKnown {
+		return true
+	}
+	d.want(address)
+	return false
+}
+
+func (d *Deliverer) want(address gooseberrymast.Endpoint) {
+	if _, wanted := d.wanted[address]; wanted || len(d.wanted) >= maxWanted {
+		return
+	}
+	if d.wanted == nil {
+		d.wanted = map[gooseberrymast.Endpoint]struct{}{}
+	}
+	d.wanted[address] = struct{}{}
+	d.servedChanges++
+}
+
+// lacksAllowed reports whether the routes allow the service an address that the entry
+// lacks and that its next write would name. It is written at once, so that the first
+// flows of a new route need not wait.
+func (d *Deliverer) lacksAllowed(service string, routes *gooseberrymast.Routes) bool {
+	allowed := allowedAddresses(routes, service)
+	return len(allowed) <= maxRecordedRoutes && slices.ContainsFunc(allowed, func(address gooseberrymast.Endpoint) bool {
+		_, recorded := d.recorded[address]
+		return !recorded
+	})
+}
+
 func allowedAddresses(routes *gooseberrymast.Routes, service string) []gooseberrymast.Endpoint {
 	if routes == nil {
 		return nil
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -88,3 +88,55 @@
 	is.Equal(d.Served(), []gooseberrymast.Endpoint{address})
 	is.Equal(d.Record("ledger", nil), []gooseberrymast.Endpoint{address})
 }
+
+// Guards against resets of flows of an address that the agent couldn't record before it
+// restarted: neither the next agent nor balancers that start know that its server may
+// hold them.
+func TestFlowIsTakenOnlyOnceItsAddressIsRecorded(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	d.HandleStored(d.Record("ledger", routes))
+	takes := func(at gooseberrymast.Endpoint) Step {
+		header, hop := opening(), placeHop()
+		header.Destination, hop.Version.Number = at, 6
+		return d.FromPeer(header, hop, ledger, routes, epoch)
+	}
+	is.Equal(takes(address).Action, ToServer)
+	later := routesTo("ledger", 1)
+	at := allowedAddresses(later, "ledger")[0]
+	is.True(d.HandleDocument("ledger", later)) // the entry is due before the first flow
+	before := d.ServedChanges()
+	refused := takes(at)
+	is.Equal(refused.Reason, ReasonNotRecorded)
+	is.Equal(refused.Action, Drop) // the next copy decides
+	is.Equal(takes(at).Reason, ReasonNotRecorded)
+	is.Equal(d.ServedChanges(), before+1)
+	recorded := d.Record("ledger", routes)
+	is.Equal(takes(at).Reason, ReasonNotRecorded) // the store may refuse the write
+	d.HandleStored(recorded)
+	is.Equal(takes(at).Action, ToServer)
+	is.True(!d.HandleDocument("ledger", later))
+	is.Equal(takes(address).Action, ToServer)
+}
+
+// Guards against flows of an address that a write in progress removes from the entry.
+func TestRemovedAddressIsNotTakenWhileTheWriteIsInProgress(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	before := d.Record("ledger", routes)
+	d.HandleStored(before)
+	d.Record("ledger", nil)
+	hop := placeHop()
+	is.Equal(d.FromPeer(opening(), hop, ledger, routes, epoch).Reason, ReasonNotRecorded)
+	d.HandleStored(before) // of an earlier write
+	is.Equal(d.FromPeer(opening(), hop, ledger, routes, epoch).Reason, ReasonNotRecorded)
+}
+
+// A restarted agent that can't read its entry must not leave its server without flows.
+func TestFlowsAreTakenWhileTheEntryIsUnknown(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	d.Record("ledger", nil)
+	is.Equal(d.FromPeer(opening(), placeHop(), ledger, routes, epoch).Action, ToServer)
+	is.Equal(d.ServedChanges(), 1)
+}
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -31,6 +31,9 @@
 	ReasonWrongService Reason = "wrong-service"
 	// ReasonNeverServed: the server has not taken any flow of the address.
 	ReasonNeverServed Reason = "never-served"
+	// ReasonNotRecorded: the agent's entry in the store doesn't name the flow's address
+	// yet.
+	ReasonNotRecorded Reason = "not-recorded"
 	// ReasonServerUnknown: the server has not announced itself yet.
 	ReasonServerUnknown Reason = "server-unknown"
 	// ReasonServerIntroduced: not all balancers know the server's instance yet.
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -65,6 +65,10 @@
 	// says.
 	stored bool
 	served []gooseberrymast.Endpoint
+	// refusedUntil is until when the store refuses the agent's calls, and registered is
+	// set once the agent has read its entry.
+	refusedUntil time.Time
+	registered   bool
 }
 
 // balancerModel is a balancer.
@@ -108,6 +112,9 @@
 	callers map[gooseberrymast.FlowKey]uint32
 	copies  map[gooseberrymast.FlowKey]int
 	numbers uint32
+	// document is the number of the document, and services are those that it allows.
+	document uint64
+	services []string
 	// loss is the share of reports and summaries that get lost.
 	loss float64
 	// broken holds the flows that were reset although their server holds them.
@@ -142,7 +149,7 @@
 func newModel(seed uint64, agents, balancers int) *model {
 	m := &model{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), callers: map[gooseberrymast.FlowKey]uint32{},
-		copies: map[gooseberrymast.FlowKey]int{},
+		copies: map[gooseberrymast.FlowKey]int{}, document: 1, services: []string{"ledger"},
 	}
 	for i := range agents {
 		m.addAgent(i)
@@ -162,11 +169,19 @@
 	return string(rune('a' + i%2))
 }
 
+// serviceOf returns the service of an agent: those after the first ones have another.
+func serviceOf(i int) string {
+	if i == 3 || i > 6 {
+		return "receipts"
+	}
+	return "ledger"
+}
+
 // addAgent adds an agent whose server has not announced itself.
 func (m *model) addAgent(i int) {
 	a := &agentModel{self: gooseberrymast.Peer{
 		Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 2, byte(i + 1)}, Port: 7000},
-		Role:     gooseberrymast.RoleAgent, State: gooseberrymast.StateStarting, Service: "ledger", Zone: zoneOf(i),
+		Role:     gooseberrymast.RoleAgent, State: gooseberrymast.StateStarting, Service: serviceOf(i), Zone: zoneOf(i),
 	}}
 	m.agents = append(m.agents, a)
 	m.startServer(a)
@@ -174,11 +189,13 @@
 }
 
 func (m *model) routes() *gooseberrymast.Routes {
+	route := gooseberrymast.Route{Address: service}
+	for _, allowed := range m.services {
+		route.Backends = append(route.Backends, gooseberrymast.WeightedService{Service: allowed, Weight: 1})
+	}
 	return &gooseberrymast.Routes{
-		Version: gooseberrymast.DocumentVersion{Number: 1}, IdleTimeout: idleTimeout,
-		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
-			service: {Address: service, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
-		},
+		Version: gooseberrymast.DocumentVersion{Number: m.document}, IdleTimeout: idleTimeout,
+		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{service: route},
 	}
 }
 
@@ -200,12 +217,38 @@
 	if a.self.Endpoint.IP[3]%3 == 0 {
 		a.deliverer.MaxFlows = fewFlows
 	}
-	a.deliverer.SetIdleTimeout(idleTimeout)
+	a.deliverer.HandleDocument(a.self.Service, m.routes())
 	a.tracker = &tracker.Tracker{Address: a.self.Endpoint, Interval: time.Second}
+	a.registered = false
+	m.register(a)
+}
+
+// register lets an agent read its entry.
+func (m *model) register(a *agentModel) {
+	if a.registered || m.now.Before(a.refusedUntil) {
+		return
+	}
+	a.registered = true
 	if !a.stored {
 		a.tracker.SetNoPredecessor()
 	}
 	a.deliverer.Restore(a.served, true)
+	a.deliverer.HandleStored(a.served)
+}
+
+// changeDocument puts a document in force that allows other services.
+func (m *model) changeDocument(services ...string) {
+	m.document++
+	m.services = services
+	m.log(gooseberrymast.FlowKey{}, "document %d allows %v", m.document, services)
+	for _, b := range m.balancers {
+		b.steerer.SetRoutes(m.routes())
+	}
+	for _, a := range m.agents {
+		if a.deliverer.HandleDocument(a.self.Service, m.routes()) {
+			m.record(a)
+		}
+	}
 }
 
 // startBalancer starts a balancer's process, which reads the store's list.
@@ -241,7 +284,7 @@
 func (m *model) announce(a *agentModel) {
 	a.sequence++
 	restarted, err := a.tracker.HandleAnnouncement(gooseberrymast.Announcement{
-		ID: "i", StartUnixMs: a.server.start, Sequence: a.sequence, Service: "ledger", Slots: 2, Address: a.self.Endpoint,
+		ID: "i", StartUnixMs: a.server.start, Sequence: a.sequence, Service: a.self.Service, Slots: 2, Address: a.self.Endpoint,
 		Leaving: a.server.leaving,
 	}, m.now)
 	if err != nil {
@@ -274,8 +317,12 @@
 
 // record writes an agent's entry, as its process does when the server is known.
 func (m *model) record(a *agentModel) {
-	a.stored = true
-	a.served = a.deliverer.Record("ledger", m.routes())
+	served := a.deliverer.Record(a.self.Service, m.routes())
+	if !a.registered || m.now.Before(a.refusedUntil) {
+		return
+	}
+	a.stored, a.served = true, served
+	a.deliverer.HandleStored(served)
 }
 
 func (m *model) send(p packet) {
@@ -340,11 +387,11 @@
 func (m *model) executeAgent(a *agentModel, step deliverer.Step, header gooseberrymast.PacketHeader) {
 	m.log(header.FromCaller(), "agent %s: %v to %s %s, candidates %v, definite %v %s", a.self.Endpoint, step.Action, step.To,
 		step.Hop.Mode, step.Hop.Candidates, step.Hop.Definite, step.Reason)
+	if a.deliverer.ServedChanges() > 0 {
+		m.record(a)
+	}
 	switch step.Action {
 	case deliverer.ToServer:
-		if a.deliverer.ServedChanges() > 0 {
-			m.record(a)
-		}
 		header.Tag = step.Tag
 		m.toServer(a, header)
 	case deliverer.Forward:
--- a/coordination/steerer/proof_reports_test.go
+++ b/coordination/steerer/proof_reports_test.go
@@ -26,6 +26,7 @@
 			continue
 		}
 		a.deliverer.Expire(m.now)
+		m.register(a)
 		if a.tracker.Status(m.now) != tracker.Unknown {
 			m.announce(a)
 		}
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -167,6 +167,12 @@
 			},
 			"time":   func(*rapid.T) { m.step() },
 			"time-2": func(*rapid.T) { m.step() },
+			"change-document": func(t *rapid.T) {
+				m.changeDocument(rapid.SampledFrom([][]string{{"ledger"}, {"ledger", "receipts"}, {"receipts", "ledger"}}).Draw(t, "services")...)
+			},
+			"refuse-store": func(t *rapid.T) {
+				m.refuseStore(anyAgent(t), time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks"))*tick)
+			},
 			// Once only, since it takes as long as a hundred other steps.
 			"rest": func(t *rapid.T) {
 				if duration := rapid.IntRange(25, 49).Draw(t, "seconds"); !rested {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -84,6 +84,9 @@
 	// the earliest time of the next write.
 	storedState    entryState
 	nextEntryWrite time.Time
+	// documentWriteAt is when the entry is to be written for a document that allows new
+	// addresses, in Unix nanoseconds; zero if it isn't.
+	documentWriteAt atomic.Int64
 
 	// serverKnown is closed once the server has announced itself or passed the health
 	// check at the agent's start.
@@ -113,13 +116,16 @@
 	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.flowLoad
-	a.served, a.restore = a.currentServed, a.restoreServed
+	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
 	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
 	a.serverKnown = make(chan struct{})
 	healthPaths := make(chan string, 1)
 	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
-		a.deliverer.SetIdleTimeout(routes.IdleTimeout)
+		if a.deliverer.HandleDocument(a.ownPeer().Service, routes) {
+			// The service's other agents write theirs, too.
+			a.documentWriteAt.Store(a.Timer.Now().Add(time.Duration(a.verifier.Offset * float64(entryWriteInterval))).UnixNano())
+		}
 		select {
 		case healthPaths <- routes.HealthPaths[a.Settings.Service]:
 		default:
@@ -316,9 +322,9 @@
 func (a *Agent) currentServed() interpreter.Served {
 	incarnation := a.serverIncarnation()
 	var routes *gooseberrymast.Routes
-	// While the incarnation is unknown, the entry names only what the server has
-	// served: a later agent queries its server for each address that it names.
-	if incarnation != "" {
+	// While the server is unknown, the entry names only what it has served: a later
+	// agent queries its server for each address that it names.
+	if a.serverState(a.Timer.Now()).Status != tracker.Unknown {
 		routes = a.currentRoutes()
 	}
 	return interpreter.Served{
@@ -326,6 +332,21 @@
 	}
 }
 
+// handleEntry lets the server take flows of the addresses that the agent's entry names.
+// An entry that was lost is written again at once; until then the server takes flows of
+// those that it named.
+func (a *Agent) handleEntry(entry gooseberrymast.Object) {
+	if entry.Version == 0 {
+		return
+	}
+	_, served, err := interpreter.DecodeRecord(entry.Value)
+	if err != nil {
+		// An unreadable entry names nothing.
+		served = interpreter.Served{}
+	}
+	a.deliverer.HandleStored(served.Addresses)
+}
+
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(earlier predecessor) {
 	a.trackerMu.Lock()
@@ -351,12 +372,14 @@
 	return a.verifier.Era()
 }
 
-// recordServed updates the agent's entry when its server has served an address
-// that the entry lacks, or when the server is another incarnation, which may have
-// served none of them.
+// recordServed updates the agent's entry when its server has served or is to serve an
+// address that the entry lacks, or when the server is another incarnation, which may
+// have served none of them.
 func (a *Agent) recordServed(ctx context.Context, now time.Time) {
 	state := entryState{servedChanges: a.deliverer.ServedChanges(), incarnation: a.serverIncarnation()}
-	if state == a.storedState || now.Before(a.nextEntryWrite) || !a.registered.Load() {
+	documentWriteAt := a.documentWriteAt.Load()
+	due := state != a.storedState || documentWriteAt != 0 && now.UnixNano() >= documentWriteAt
+	if !due || now.Before(a.nextEntryWrite) || !a.registered.Load() {
 		return
 	}
 	a.nextEntryWrite = now.Add(entryWriteInterval)
@@ -365,4 +388,5 @@
 		return
 	}
 	a.storedState = state
+	a.documentWriteAt.CompareAndSwap(documentWriteAt, 0)
 }
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -84,10 +84,18 @@
 		m.mu.Unlock()
 		return fmt.Errorf("register %s: the entry was removed meanwhile: %w", entry.Key, gooseberrymast.ErrStoreConflict)
 	}
+	m.setEntry(entry)
+	return m.updateEntry(ctx)
+}
+
+// setEntry records the process's entry as it was read from the store or written to it.
+func (m *member) setEntry(entry gooseberrymast.Object) {
 	m.mu.Lock()
 	m.entry = entry
 	m.mu.Unlock()
-	return m.updateEntry(ctx)
+	if m.onEntry != nil {
+		m.onEntry(entry)
+	}
 }
 
 // reveal lets peers know a process that was hidden.
@@ -182,17 +190,13 @@
 		if readErr != nil {
 			return errors.Join(err, readErr)
 		}
-		m.mu.Lock()
-		m.entry = canonicalEntry(latest)
-		m.mu.Unlock()
+		m.setEntry(canonicalEntry(latest))
 		return err
 	}
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	m.entry = entry
-	m.mu.Unlock()
+	m.setEntry(entry)
 	return nil
 }
 
@@ -228,9 +232,7 @@
 		default:
 			found = canonicalEntry(found)
 		}
-		m.mu.Lock()
-		m.entry = found
-		m.mu.Unlock()
+		m.setEntry(found)
 		return m.updateEntry(ctx)
 	})
 	if err != nil {
--- a/runner/member.go
+++ b/runner/member.go
@@ -118,6 +118,8 @@
 	storeFailed  bool
 	// entry is the process's entry in the store as last written or read.
 	entry gooseberrymast.Object
+	// onEntry is called after a change of entry; nil at a balancer.
+	onEntry func(gooseberrymast.Object)
 
 	// awaitServer waits until an agent's server is known, unless an earlier agent has
 	// left an entry in the store; nil at a balancer.
