Proofs: deletes name a version, and no entry is proof with a first announcement

Cause: a stopping agent deleted its entry whatever the version. Change: the entry is deleted by version. An agent writes an entry again that it has not written itself or whose last write got no response, also if it says the same, so that late calls match nothing. It verifies its entry once, 8 s after its start, since earlier builds delete any version. The absence of an entry is proof only after an announcement with sequence 1. Balancers that start while an entry is missing know the agent only from its first report: left open, beside earlier builds only. The case "no earlier agent" of the tracker's test announced sequence 7, which contradicts it; it has sequence 1 now, and the contradiction its own case.

--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -30,6 +30,8 @@
 	idleTimeout = 50 * time.Second
 	// fewFlows is the number of flows that some agents keep at most.
 	fewFlows = 4
+	// lateCallTime is how long an entry that was removed is missing.
+	lateCallTime = 8 * time.Second
 	// stableWindow is the time without impairment after which a machine is in touch.
 	stableWindow = 4 * time.Second
 )
@@ -69,6 +71,8 @@
 	// set once the agent has read its entry.
 	refusedUntil time.Time
 	registered   bool
+	// lostAt is when the entry was removed; zero if it wasn't.
+	lostAt time.Time
 }
 
 // balancerModel is a balancer.
@@ -229,13 +233,23 @@
 		return
 	}
 	a.registered = true
-	if !a.stored {
+	if !a.stored || !a.lostAt.IsZero() {
 		a.tracker.SetNoPredecessor()
+		a.deliverer.HandleStored(nil)
+		return
 	}
 	a.deliverer.Restore(a.served, true)
 	a.deliverer.HandleStored(a.served)
 }
 
+// loseEntry lets a late call of an earlier agent at the address, of an earlier build,
+// remove an agent's entry. The agent writes it again after a while. Balancers that start
+// meanwhile are taken to know the agent from its reports.
+func (m *model) loseEntry(a *agentModel) {
+	m.log(gooseberrymast.FlowKey{}, "the entry of %s is removed", a.self.Endpoint)
+	a.lostAt = m.now
+}
+
 // changeDocument puts a document in force that allows other services.
 func (m *model) changeDocument(services ...string) {
 	m.document++
@@ -294,6 +308,9 @@
 		m.log(gooseberrymast.FlowKey{}, "server of %s announces itself, restarted %v", a.self.Endpoint, restarted)
 	}
 	a.server.announced = true
+	if a.tracker.NoPredecessor() {
+		a.deliverer.Restore(nil, true)
+	}
 	for _, header := range a.deliverer.HandleAnnouncement(restarted) {
 		m.log(header.FromCaller(), "agent %s resets a lost flow", a.self.Endpoint)
 		m.checkReset(header)
@@ -318,10 +335,11 @@
 // record writes an agent's entry, as its process does when the server is known.
 func (m *model) record(a *agentModel) {
 	served := a.deliverer.Record(a.self.Service, m.routes())
-	if !a.registered || m.now.Before(a.refusedUntil) {
+	written := a.lostAt.IsZero() || m.now.Sub(a.lostAt) > lateCallTime
+	if !a.registered || m.now.Before(a.refusedUntil) || !written {
 		return
 	}
-	a.stored, a.served = true, served
+	a.stored, a.served, a.lostAt = true, served, time.Time{}
 	a.deliverer.HandleStored(served)
 }
 
--- a/coordination/steerer/proof_record_test.go
+++ b/coordination/steerer/proof_record_test.go
@@ -55,3 +55,33 @@
 		t.Fatalf("reset although its server holds it: %v\n%s", m.broken, m.traceOf(m.broken[0]))
 	}
 }
+
+// A late call removes an agent's entry, and the agent restarts before it has written it
+// again. Then balancers restart, one after the other: the agent must not take the absence
+// of an entry as proof that its server holds no flow.
+func TestFlowOfAgentWhoseEntryWasLostSurvivesRestarts(t *testing.T) {
+	m := newModel(1, 4, 2)
+	for _, a := range m.agents {
+		m.announce(a)
+	}
+	m.rest(2 * time.Second)
+	const flows = 20
+	for port := uint16(1); port <= flows; port++ {
+		openFlow(m, m.balancers[0], port)
+	}
+	lost := m.agents[0]
+	m.loseEntry(lost)
+	m.restartAsPlanned(lost, tick)
+	m.rest(time.Second)
+	m.announce(lost)
+	for _, b := range m.balancers {
+		m.startBalancer(b)
+		m.rest(2 * time.Second)
+	}
+	for port := uint16(1); port <= flows; port++ {
+		sendRequest(m, m.balancers[0], port)
+	}
+	if len(m.broken) > 0 {
+		t.Fatalf("reset although its server holds it: %v\n%s", m.broken, m.traceOf(m.broken[0]))
+	}
+}
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -170,6 +170,11 @@
 			"change-document": func(t *rapid.T) {
 				m.changeDocument(rapid.SampledFrom([][]string{{"ledger"}, {"ledger", "receipts"}, {"receipts", "ledger"}}).Draw(t, "services")...)
 			},
+			"lose-entry": func(t *rapid.T) {
+				if a := anyAgent(t); a.stored {
+					m.loseEntry(a)
+				}
+			},
 			"refuse-store": func(t *rapid.T) {
 				m.refuseStore(anyAgent(t), time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks"))*tick)
 			},
--- a/coordination/tracker/tracker.go
+++ b/coordination/tracker/tracker.go
@@ -18,6 +18,9 @@
 // after which a server gets no new flows.
 const silentIntervals = 2.5
 
+// firstSequence is the highest sequence of an incarnation's first announcement.
+const firstSequence = 1
+
 // introductionTime is the time from a new instance's first report until all balancers
 // know it: a report of the agent, 0.2 s, and two summaries of its zone, 0.4 s each, of
 // which one is lost, plus delay.
@@ -80,11 +83,14 @@
 	gone        bool
 	// failed is set once the server was found failed.
 	failed bool
-	// complete is set once no earlier agent can have sent the server a flow that
-	// it holds. A later incarnation doesn't clear it.
+	// complete is set once the agent has seen the server end, so that no earlier agent
+	// can have sent it a flow that it holds. A later incarnation doesn't clear it.
 	complete bool
-	probed   bool
-	service  string
+	// noPredecessor is set if the store has no entry of an earlier agent, and
+	// hadPredecessor if the server had announced itself before all the same.
+	noPredecessor, hadPredecessor bool
+	probed                        bool
+	service                       string
 	// introducedAt is when all balancers know a new instance; zero for one that is known.
 	introducedAt time.Time
 }
@@ -107,6 +113,7 @@
 	if restarted || !t.announced && t.failed {
 		t.complete = true
 	}
+	t.hadPredecessor = t.hadPredecessor || !t.announced && announcement.Sequence > firstSequence
 	t.last, t.lastContact, t.announced, t.gone = announcement, now, true, false
 	t.service = announcement.Service
 	return restarted, nil
@@ -164,17 +171,24 @@
 	return t.service
 }
 
-// SetNoPredecessor records that no earlier agent of the instance has sent the server
-// a flow.
+// SetNoPredecessor records that the store has no entry of an earlier agent of the
+// instance, so that none has sent the server a flow.
 func (t *Tracker) SetNoPredecessor() {
-	t.complete = true
+	t.noPredecessor = true
+}
+
+// NoPredecessor reports whether no earlier agent has sent the server a flow. The absence
+// of an entry proves it only once the server has announced itself for the first time: one
+// that has done so before may have had an agent whose entry was lost.
+func (t *Tracker) NoPredecessor() bool {
+	return t.noPredecessor && t.announced && !t.hadPredecessor
 }
 
 // Complete reports whether the agent has seen every packet of the flows that the
 // server holds: it saw the server fail or another incarnation replace it, or the
 // instance had no earlier agent.
 func (t *Tracker) Complete() bool {
-	return t.complete
+	return t.complete || t.NoPredecessor()
 }
 
 // Incarnation returns the id of the server's incarnation, or "" while it is unknown.
--- a/coordination/tracker/tracker_test.go
+++ b/coordination/tracker/tracker_test.go
@@ -109,7 +109,11 @@
 		{"a new incarnation", []func(*Tracker) error{announce(1, 7), announce(2, 3)}, true},
 		{"failed before any announcement", []func(*Tracker) error{fail, announce(2, 3)}, true},
 		{"announced after it was found failed", []func(*Tracker) error{announce(1, 7), fail, announce(1, 8)}, false},
-		{"no earlier agent", []func(*Tracker) error{first, announce(1, 7)}, true},
+		{"no entry of an earlier agent", []func(*Tracker) error{first, announce(1, 1)}, true},
+		{"no entry, no announcement yet", []func(*Tracker) error{first, probe}, false},
+		{"no entry, later announcements", []func(*Tracker) error{first, announce(1, 1), announce(1, 2)}, true},
+		{"no entry, though the server has announced itself to an earlier agent", []func(*Tracker) error{first, announce(1, 7)}, false},
+		{"the same, looked up later", []func(*Tracker) error{announce(1, 7), first}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -113,14 +113,8 @@
 	if err := a.start(a.Timer.Now()); err != nil {
 		return err
 	}
-	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
-	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
-	a.load = a.flowLoad
-	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
-	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
-	a.serverKnown = make(chan struct{})
+	a.prepare()
 	healthPaths := make(chan string, 1)
-	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
 		if a.deliverer.HandleDocument(a.ownPeer().Service, routes) {
 			// The service's other agents write theirs, too.
@@ -176,6 +170,17 @@
 	return errors.Join(a.outbound.Close(), a.conn.Close())
 }
 
+// prepare sets what the agent's decisions depend on.
+func (a *Agent) prepare() {
+	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
+	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
+	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.load = a.flowLoad
+	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
+	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
+	a.serverKnown = make(chan struct{})
+}
+
 // drain refuses new flows and waits for the end of work in progress. If the server
 // has ended, it removes the agent's entry from the store.
 func (a *Agent) drain() {
@@ -207,10 +212,7 @@
 		a.resetLost("server-ended", a.deliverer.DropFlows())
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
 		defer cancel()
-		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
-			return a.Store.Delete(ctx, entryKey(a.Settings.Peers), 0)
-		})
-		if err != nil {
+		if err := a.callStore(ctx, "remove the entry", a.removeEntry); err != nil {
 			a.Log.Warn(gooseberrymast.EventEntryNotRemoved).Err(err).Msg("")
 		}
 		return
@@ -350,12 +352,25 @@
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(earlier predecessor) {
 	a.trackerMu.Lock()
+	a.servedProven = a.servedProven || earlier.proven && earlier.found
 	if earlier.proven && !earlier.found {
 		a.tracker.SetNoPredecessor()
 	}
-	a.servedProven = a.servedProven || earlier.proven
 	a.trackerMu.Unlock()
-	a.deliverer.Restore(earlier.served.Addresses, earlier.proven)
+	a.deliverer.Restore(earlier.served.Addresses, earlier.proven && earlier.found)
+	a.concludeAbsence()
+}
+
+// concludeAbsence makes use of the absence of an entry of an earlier agent, which the
+// server's first announcement must confirm.
+func (a *Agent) concludeAbsence() {
+	a.trackerMu.Lock()
+	concluded := !a.servedProven && a.tracker.NoPredecessor()
+	a.servedProven = a.servedProven || concluded
+	a.trackerMu.Unlock()
+	if concluded {
+		a.deliverer.Restore(nil, true)
+	}
 }
 
 // verifiedEra returns the store's era if the agent knows every address whose flows its
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -39,6 +39,13 @@
 			m.Log.Info(gooseberrymast.EventRegistered).Int("peers", len(m.roster.Entries(nil))).
 				Bool("complete", m.roster.IsComplete()).Uint64("store-era", m.storeEra()).Msg("")
 			m.triggerReport()
+			if m.onEntry != nil {
+				m.Timer.After(lateCallTime, func(time.Time) {
+					if ctx.Err() == nil {
+						_ = m.verifyEntry(ctx)
+					}
+				})
+			}
 			return
 		}
 		m.Log.Warn(gooseberrymast.EventRegisterFailed).Err(err).Msg("")
@@ -62,6 +69,7 @@
 	if !known {
 		entry = gooseberrymast.Object{Key: entryKey(m.Settings.Peers), Value: value}
 		entry.Version, err = m.Store.Put(ctx, entry, 0)
+		m.setOwnVersion(entry.Version, err)
 	}
 	created := !known && err == nil
 	// On a conflict the entry of an earlier process or attempt is there; updateEntry
@@ -88,6 +96,18 @@
 	return m.updateEntry(ctx)
 }
 
+// setOwnVersion records the outcome of a write of the entry.
+func (m *member) setOwnVersion(version uint64, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil:
+		m.ownVersion = version
+	case errors.Is(err, gooseberrymast.ErrStoreUnknown):
+		m.ownVersion = 0
+	}
+}
+
 // setEntry records the process's entry as it was read from the store or written to it.
 func (m *member) setEntry(entry gooseberrymast.Object) {
 	m.mu.Lock()
@@ -169,13 +189,16 @@
 		return err
 	}
 	m.mu.Lock()
-	entry := m.entry
+	entry, own := m.entry, m.ownVersion
 	m.mu.Unlock()
-	if bytes.Equal(value, entry.Value) {
+	// An agent writes an entry that it hasn't written itself again, though it says the
+	// same: a late call of an earlier process, or of this one, must not match its version.
+	if bytes.Equal(value, entry.Value) && (m.onEntry == nil || entry.Version == own) {
 		return nil
 	}
 	entry.Value = value
 	entry.Version, err = m.Store.Put(ctx, entry, entry.Version)
+	m.setOwnVersion(entry.Version, err)
 	switch {
 	case errors.Is(err, gooseberrymast.ErrStoreNotFound):
 		return m.handleLostEntry(err)
@@ -210,6 +233,38 @@
 	return err
 }
 
+// removeEntry removes the process's entry. A call without a response may be executed
+// seconds later, when the address is another process's, so that it names the version.
+func (m *member) removeEntry(ctx context.Context) error {
+	// It isn't written again from now on.
+	m.registered.Store(false)
+	m.mu.Lock()
+	version := m.ownVersion
+	m.mu.Unlock()
+	key := entryKey(m.Settings.Peers)
+	err := gooseberrymast.ErrStoreConflict
+	if version != 0 {
+		err = m.Store.Delete(ctx, key, version)
+	}
+	if errors.Is(err, gooseberrymast.ErrStoreConflict) {
+		// An earlier process, or a write without a response, has written it.
+		found, readErr := m.Store.Get(ctx, key)
+		if errors.Is(readErr, gooseberrymast.ErrStoreNotFound) {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+		err = m.Store.Delete(ctx, key, found.Version)
+	}
+	return err
+}
+
+// lateCallTime is the time in which a call of an earlier process of the instance takes
+// effect, if ever: up to 6 s after it got no response. Earlier builds remove entries
+// whatever their version.
+const lateCallTime = 8 * time.Second
+
 // verifyInterval is the time between two checks that the process's entry is
 // still in the store. At the required fleet size this causes 310 reads per
 // second; the store handles 2,000.
--- a/runner/member.go
+++ b/runner/member.go
@@ -118,6 +118,9 @@
 	storeFailed  bool
 	// entry is the process's entry in the store as last written or read.
 	entry gooseberrymast.Object
+	// ownVersion is the version of the entry that the process wrote last; zero if it
+	// hasn't written any, or if a later write got no response.
+	ownVersion uint64
 	// onEntry is called after a change of entry; nil at a balancer.
 	onEntry func(gooseberrymast.Object)
 
