--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -26,6 +26,12 @@
 	numberStep = 1 << 20
 	// maxCopies is the number of opening packets that a caller sends for a flow.
 	maxCopies = 3
+	// idleTimeout is how long the document lets a flow be idle.
+	idleTimeout = 50 * time.Second
+	// fewFlows is the number of flows that some agents keep at most.
+	fewFlows = 4
+	// lateCallTime is how long an entry that was removed is missing.
+	lateCallTime = 8 * time.Second
 	// stableWindow is the time without impairment after which a machine is in touch.
 	stableWindow = 4 * time.Second
 )
@@ -39,6 +45,8 @@
 	// acknowledges; opened is set once such a packet has come.
 	flows  map[gooseberrymast.FlowKey]uint32
 	opened map[gooseberrymast.FlowKey]bool
+	// acceptedAt and usedAt are the times of each flow's opening and last packet.
+	acceptedAt, usedAt map[gooseberrymast.FlowKey]time.Time
 	// announced is set once the agent has received an announcement, and leaving when
 	// the server says that it leaves.
 	announced, leaving bool
@@ -59,6 +67,12 @@
 	// says.
 	stored bool
 	served []gooseberrymast.Endpoint
+	// refusedUntil is until when the store refuses the agent's calls, and registered is
+	// set once the agent has read its entry.
+	refusedUntil time.Time
+	registered   bool
+	// lostAt is when the entry was removed; zero if it wasn't.
+	lostAt time.Time
 }
 
 // balancerModel is a balancer.
@@ -102,6 +116,9 @@
 	callers map[gooseberrymast.FlowKey]uint32
 	copies  map[gooseberrymast.FlowKey]int
 	numbers uint32
+	// document is the number of the document, and services are those that it allows.
+	document uint64
+	services []string
 	// loss is the share of reports and summaries that get lost.
 	loss float64
 	// broken holds the flows that were reset although their server holds them.
@@ -136,7 +153,7 @@
 func newModel(seed uint64, agents, balancers int) *model {
 	m := &model{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), callers: map[gooseberrymast.FlowKey]uint32{},
-		copies: map[gooseberrymast.FlowKey]int{},
+		copies: map[gooseberrymast.FlowKey]int{}, document: 1, services: []string{"ledger"},
 	}
 	for i := range agents {
 		m.addAgent(i)
@@ -156,11 +173,19 @@
 	return string(rune('a' + i%2))
 }
 
+// serviceOf returns the service of an agent: those after the first ones have another.
+func serviceOf(i int) string {
+	if i == 3 || i > 6 {
+		return "receipts"
+	}
+	return "ledger"
+}
+
 // addAgent adds an agent whose server has not announced itself.
 func (m *model) addAgent(i int) {
 	a := &agentModel{self: gooseberrymast.Peer{
 		Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 2, byte(i + 1)}, Port: 7000},
-		Role:     gooseberrymast.RoleAgent, State: gooseberrymast.StateStarting, Service: "ledger", Zone: zoneOf(i),
+		Role:     gooseberrymast.RoleAgent, State: gooseberrymast.StateStarting, Service: serviceOf(i), Zone: zoneOf(i),
 	}}
 	m.agents = append(m.agents, a)
 	m.startServer(a)
@@ -168,15 +193,21 @@
 }
 
 func (m *model) routes() *gooseberrymast.Routes {
-	return &gooseberrymast.Routes{Version: gooseberrymast.DocumentVersion{Number: 1}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{
-		service: {Address: service, Backends: []gooseberrymast.WeightedService{{Service: "ledger", Weight: 1}}},
-	}}
+	route := gooseberrymast.Route{Address: service}
+	for _, allowed := range m.services {
+		route.Backends = append(route.Backends, gooseberrymast.WeightedService{Service: allowed, Weight: 1})
+	}
+	return &gooseberrymast.Routes{
+		Version: gooseberrymast.DocumentVersion{Number: m.document}, IdleTimeout: idleTimeout,
+		ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{service: route},
+	}
 }
 
 func (m *model) startServer(a *agentModel) {
 	m.log(gooseberrymast.FlowKey{}, "server of %s starts", a.self.Endpoint)
 	a.server = &server{
 		start: m.now.UnixMilli(), flows: map[gooseberrymast.FlowKey]uint32{}, opened: map[gooseberrymast.FlowKey]bool{},
+		acceptedAt: map[gooseberrymast.FlowKey]time.Time{}, usedAt: map[gooseberrymast.FlowKey]time.Time{},
 	}
 	a.sequence = 0
 }
@@ -187,11 +218,51 @@
 	a.self.Incarnation++
 	a.self.Sequence, a.self.State = 0, gooseberrymast.StateStarting
 	a.deliverer = &deliverer.Deliverer{}
+	if a.self.Endpoint.IP[3]%3 == 0 {
+		a.deliverer.MaxFlows = fewFlows
+	}
+	a.deliverer.HandleDocument(a.self.Service, m.routes())
 	a.tracker = &tracker.Tracker{Address: a.self.Endpoint, Interval: time.Second}
-	if !a.stored {
+	a.registered = false
+	m.register(a)
+}
+
+// register lets an agent read its entry.
+func (m *model) register(a *agentModel) {
+	if a.registered || m.now.Before(a.refusedUntil) {
+		return
+	}
+	a.registered = true
+	if !a.stored || !a.lostAt.IsZero() {
 		a.tracker.SetNoPredecessor()
+		a.deliverer.HandleStored(nil)
+		return
 	}
 	a.deliverer.Restore(a.served, true)
+	a.deliverer.HandleStored(a.served)
+}
+
+// loseEntry lets a late call of an earlier agent at the address, of an earlier build,
+// remove an agent's entry. The agent writes it again after a while. Balancers that start
+// meanwhile are taken to know the agent from its reports.
+func (m *model) loseEntry(a *agentModel) {
+	m.log(gooseberrymast.FlowKey{}, "the entry of %s is removed", a.self.Endpoint)
+	a.lostAt = m.now
+}
+
+// changeDocument puts a document in force that allows other services.
+func (m *model) changeDocument(services ...string) {
+	m.document++
+	m.services = services
+	m.log(gooseberrymast.FlowKey{}, "document %d allows %v", m.document, services)
+	for _, b := range m.balancers {
+		b.steerer.SetRoutes(m.routes())
+	}
+	for _, a := range m.agents {
+		if a.deliverer.HandleDocument(a.self.Service, m.routes()) {
+			m.record(a)
+		}
+	}
 }
 
 // startBalancer starts a balancer's process, which reads the store's list.
@@ -227,7 +298,7 @@
 func (m *model) announce(a *agentModel) {
 	a.sequence++
 	restarted, err := a.tracker.HandleAnnouncement(gooseberrymast.Announcement{
-		ID: "i", StartUnixMs: a.server.start, Sequence: a.sequence, Service: "ledger", Slots: 2, Address: a.self.Endpoint,
+		ID: "i", StartUnixMs: a.server.start, Sequence: a.sequence, Service: a.self.Service, Slots: 2, Address: a.self.Endpoint,
 		Leaving: a.server.leaving,
 	}, m.now)
 	if err != nil {
@@ -237,6 +308,9 @@
 		m.log(gooseberrymast.FlowKey{}, "server of %s announces itself, restarted %v", a.self.Endpoint, restarted)
 	}
 	a.server.announced = true
+	if a.tracker.NoPredecessor() {
+		a.deliverer.Restore(nil, true)
+	}
 	for _, header := range a.deliverer.HandleAnnouncement(restarted) {
 		m.log(header.FromCaller(), "agent %s resets a lost flow", a.self.Endpoint)
 		m.checkReset(header)
@@ -260,8 +334,13 @@
 
 // record writes an agent's entry, as its process does when the server is known.
 func (m *model) record(a *agentModel) {
-	a.stored = true
-	a.served = a.deliverer.Record("ledger", m.routes())
+	served := a.deliverer.Record(a.self.Service, m.routes())
+	written := a.lostAt.IsZero() || m.now.Sub(a.lostAt) > lateCallTime
+	if !a.registered || m.now.Before(a.refusedUntil) || !written {
+		return
+	}
+	a.stored, a.served, a.lostAt = true, served, time.Time{}
+	a.deliverer.HandleStored(served)
 }
 
 func (m *model) send(p packet) {
@@ -326,11 +405,11 @@
 func (m *model) executeAgent(a *agentModel, step deliverer.Step, header gooseberrymast.PacketHeader) {
 	m.log(header.FromCaller(), "agent %s: %v to %s %s, candidates %v, definite %v %s", a.self.Endpoint, step.Action, step.To,
 		step.Hop.Mode, step.Hop.Candidates, step.Hop.Definite, step.Reason)
+	if a.deliverer.ServedChanges() > 0 {
+		m.record(a)
+	}
 	switch step.Action {
 	case deliverer.ToServer:
-		if a.deliverer.ServedChanges() > 0 {
-			m.record(a)
-		}
 		header.Tag = step.Tag
 		m.toServer(a, header)
 	case deliverer.Forward:
@@ -345,11 +424,12 @@
 func (m *model) toServer(a *agentModel, header gooseberrymast.PacketHeader) {
 	key := header.FromCaller()
 	number, accepted := a.server.flows[key]
+	a.server.usedAt[key] = m.now
 	switch {
 	case header.Opens:
 		if !accepted {
 			m.numbers += numberStep
-			a.server.flows[key] = m.numbers
+			a.server.flows[key], a.server.acceptedAt[key] = m.numbers, m.now
 		}
 		answer := gooseberrymast.PacketHeader{
 			Source: key.Service, Destination: key.Caller, Sequence: a.server.flows[key] - 1, Accepts: true, Acknowledges: true,
@@ -375,6 +455,9 @@
 	m.resets++
 	key := header.FromCaller()
 	for _, a := range m.agents {
+		if m.now.Sub(a.server.acceptedAt[key]) > gooseberrymast.DefaultMaxFlowAge || m.now.Sub(a.server.usedAt[key]) > idleTimeout {
+			continue
+		}
 		if !m.now.Before(a.excusedUntil) && a.server.opened[key] && a.server.flows[key] == m.callers[key] {
 			m.broken = append(m.broken, key)
 		}
--- a/instance_settings.go
+++ b/instance_settings.go
@@ -34,6 +34,9 @@
 	AnnounceInterval time.Duration
 	// StopWithin is the time between the stop signal and the kill.
 	StopWithin time.Duration
+	// MaxFlowAge is the age from which a flow may be discarded. Zero means
+	// DefaultMaxFlowAge.
+	MaxFlowAge time.Duration
 	// Places is zero unless the platform restricts where new flows may go.
 	Places PlacesSettings
 }
@@ -53,3 +56,7 @@
 func (p PlacesSettings) Active() bool {
 	return p.EvacuateWithin > 0
 }
+
+// DefaultMaxFlowAge is the longest time that a flow may last if the platform names no
+// other.
+const DefaultMaxFlowAge = 60 * time.Second
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -89,6 +89,9 @@
 	// the earliest time of the next write.
 	storedState    entryState
 	nextEntryWrite time.Time
+	// documentWriteAt is when the entry is to be written for a document that allows new
+	// addresses, in Unix nanoseconds; zero if it isn't.
+	documentWriteAt atomic.Int64
 
 	// serverKnown is closed once the server has announced itself or passed the health
 	// check at the agent's start.
@@ -115,15 +118,13 @@
 	if err := a.start(a.Timer.Now()); err != nil {
 		return err
 	}
-	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
-	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
-	a.deliverer.Work = &a.predictor
-	a.load = a.flowLoad
-	a.served, a.restore = a.currentServed, a.restoreServed
-	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
-	a.serverKnown = make(chan struct{})
+	a.prepare()
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
+		if a.deliverer.HandleDocument(a.ownPeer().Service, routes) {
+			// The service's other agents write theirs, too.
+			a.documentWriteAt.Store(a.Timer.Now().Add(time.Duration(a.verifier.Offset * float64(entryWriteInterval))).UnixNano())
+		}
 		select {
 		case healthPaths <- routes.HealthPaths[a.Settings.Service]:
 		default:
@@ -175,6 +176,18 @@
 	return errors.Join(a.outbound.Close(), a.conn.Close())
 }
 
+// prepare sets what the agent's decisions depend on.
+func (a *Agent) prepare() {
+	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
+	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
+	a.deliverer.Work = &a.predictor
+	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.load = a.flowLoad
+	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
+	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
+	a.serverKnown = make(chan struct{})
+}
+
 // drain refuses new flows and waits for the end of work in progress. If the server
 // has ended, it removes the agent's entry from the store.
 func (a *Agent) drain() {
@@ -206,10 +219,7 @@
 		a.resetLost("server-ended", a.deliverer.DropFlows())
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
 		defer cancel()
-		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
-			return a.Store.Delete(ctx, entryKey(a.Settings.Peers), 0)
-		})
-		if err != nil {
+		if err := a.callStore(ctx, "remove the entry", a.removeEntry); err != nil {
 			a.Log.Warn(gooseberrymast.EventEntryNotRemoved).Err(err).Msg("")
 		}
 		return
@@ -346,9 +356,9 @@
 func (a *Agent) currentServed() interpreter.Served {
 	incarnation := a.serverIncarnation()
 	var routes *gooseberrymast.Routes
-	// While the incarnation is unknown, the entry names only what the server has
-	// served: a later agent queries its server for each address that it names.
-	if incarnation != "" {
+	// While the server is unknown, the entry names only what it has served: a later
+	// agent queries its server for each address that it names.
+	if a.serverState(a.Timer.Now()).Status != tracker.Unknown {
 		routes = a.currentRoutes()
 	}
 	return interpreter.Served{
@@ -356,15 +366,43 @@
 	}
 }
 
+// handleEntry lets the server take flows of the addresses that the agent's entry names.
+// An entry that was lost is written again at once; until then the server takes flows of
+// those that it named.
+func (a *Agent) handleEntry(entry gooseberrymast.Object) {
+	if entry.Version == 0 {
+		return
+	}
+	_, served, err := interpreter.DecodeRecord(entry.Value)
+	if err != nil {
+		// An unreadable entry names nothing.
+		served = interpreter.Served{}
+	}
+	a.deliverer.HandleStored(served.Addresses)
+}
+
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(earlier predecessor) {
 	a.trackerMu.Lock()
+	a.servedProven = a.servedProven || earlier.proven && earlier.found
 	if earlier.proven && !earlier.found {
 		a.tracker.SetNoPredecessor()
 	}
-	a.servedProven = a.servedProven || earlier.proven
 	a.trackerMu.Unlock()
-	a.deliverer.Restore(earlier.served.Addresses, earlier.proven)
+	a.deliverer.Restore(earlier.served.Addresses, earlier.proven && earlier.found)
+	a.concludeAbsence()
+}
+
+// concludeAbsence makes use of the absence of an entry of an earlier agent, which the
+// server's first announcement must confirm.
+func (a *Agent) concludeAbsence() {
+	a.trackerMu.Lock()
+	concluded := !a.servedProven && a.tracker.NoPredecessor()
+	a.servedProven = a.servedProven || concluded
+	a.trackerMu.Unlock()
+	if concluded {
+		a.deliverer.Restore(nil, true)
+	}
 }
 
 // verifiedEra returns the store's era if the agent knows every address whose flows its
@@ -381,12 +419,14 @@
 	return a.verifier.Era()
 }
 
-// recordServed updates the agent's entry when its server has served an address
-// that the entry lacks, or when the server is another incarnation, which may have
-// served none of them.
+// recordServed updates the agent's entry when its server has served or is to serve an
+// address that the entry lacks, or when the server is another incarnation, which may
+// have served none of them.
 func (a *Agent) recordServed(ctx context.Context, now time.Time) {
 	state := entryState{servedChanges: a.deliverer.ServedChanges(), incarnation: a.serverIncarnation()}
-	if state == a.storedState || now.Before(a.nextEntryWrite) || !a.registered.Load() {
+	documentWriteAt := a.documentWriteAt.Load()
+	due := state != a.storedState || documentWriteAt != 0 && now.UnixNano() >= documentWriteAt
+	if !due || now.Before(a.nextEntryWrite) || !a.registered.Load() {
 		return
 	}
 	a.nextEntryWrite = now.Add(entryWriteInterval)
@@ -395,4 +435,5 @@
 		return
 	}
 	a.storedState = state
+	a.documentWriteAt.CompareAndSwap(documentWriteAt, 0)
 }
