Placement by work: half of the reported outstanding work counts

A report is 100 ms old on average and a request takes 20, so much of what it lists is answered by the time that a flow placed by it arrives.

--- a/coordination/chooser/work.go
+++ b/coordination/chooser/work.go
@@ -12,6 +12,12 @@
 // flows for more than its queue.
 const flowHorizon = 50 * time.Millisecond
 
+// outstandingShare is the share of the reported outstanding work that is expected to be
+// left: reports are 100 ms old on average in the own zone, and some 400 ms from others.
+// In the emulator, 16 seeds of uneven-servers had 8% fewer late answers than with 1, and
+// heavy-tail and two-kinds none more.
+const outstandingShare = 0.5
+
 // reference holds what candidates report of a route on average, for those that don't
 // report it.
 type reference struct {
@@ -91,7 +97,7 @@
 		share = usual.flowWork * float64(load.Flows) / float64(slots)
 	}
 	cost := usual.costAt(load.Work)
-	outstanding += c.placedAt(candidate).work / slots
+	outstanding = time.Duration(outstandingShare*float64(outstanding)) + c.placedAt(candidate).work/slots
 	answer := outstanding + time.Duration(share*float64(flowHorizon)) + cost
 	if load.WarmUpLeft > 0 {
 		answer += time.Duration(warmUpWork*float64(cost)) / slots
