Warm-up limit: agents limit what a cold server gets, balancers place by it

Cause: nothing kept the new flows from a server that has just started, or whose zone was returned to service, at the number that it can handle while it is cold; balancers only added the work of one slot to it.

Change: coordination/throttler is a gate of the agent that admits at most warmupPerS x overage + slack requests in any second, with 50 ms added for packets that wait between agent and server. Requests on open flows count: room is kept for those expected, by their measured rate, plus three standard deviations. A retransmission counts once. A server is cold as its announcements say; without one since the agent started or since its zone was returned, and after a server returned a packet of a flow that was open at it (it has started again), it is presumed cold for warmupS. Documents carry the figures (fields 8 and 9), also between peers; a read completes a document that a process of the previous build passed on without them. The load carries the room until the next report (13 and 14); a balancer places its share of it, and no limited agent as the last candidate if it can. What a gate or a full server refuses definitely is refused for 200 ms also to duplicates of the opening packet, so that the reset stays true; a full server's refusal is definite only where the part is active. An agent without this part decides as before.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -58,6 +58,9 @@
 	Load gooseberrymast.FlowLoad
 	// Reported is the time of that report.
 	Reported time.Time
+	// Room is this balancer's share of the flows that an agent with a limited server
+	// takes until its next report. It counts only if Load.Limited is set.
+	Room float64
 }
 
 // Chooser counts the flows that it placed. The zero value is ready.
@@ -71,6 +74,8 @@
 type placement struct {
 	reported time.Time
 	flows    int
+	// drawn, from 0 to 1, decides on a share of less than one flow.
+	drawn float64
 }
 
 // Choose returns the endpoints of at most limit candidates for a new flow, the
@@ -86,6 +91,7 @@
 	if nonIdempotent {
 		candidates = withoutFailing(candidates)
 	}
+	candidates = c.withRoom(candidates, random)
 	own := c.ownZoneFirst(candidates)
 	draw(candidates[:own], ownDraws, random)
 	draw(candidates[own:], otherDraws, random)
@@ -101,6 +107,7 @@
 	chosen := candidates[:min(max(limit, compared), len(candidates))]
 	slices.SortStableFunc(chosen[:compared], byWork)
 	slices.SortStableFunc(chosen[compared:], byWork)
+	unlimitedLast(chosen[:min(limit, len(chosen))])
 	c.countPlaced(chosen[0])
 	endpoints := make([]gooseberrymast.Endpoint, min(limit, len(chosen)))
 	for i := range endpoints {
@@ -125,6 +132,45 @@
 	return candidates[:kept]
 }
 
+// withRoom excludes the candidates whose servers are cold and have had this balancer's
+// share of their limit, unless these are all. A share of less than one flow is drawn once
+// for each report.
+func (c *Chooser) withRoom(candidates []Candidate, random *rand.Rand) []Candidate {
+	kept := 0
+	for i, candidate := range candidates {
+		if !candidate.Load.Limited || c.hasRoom(candidate, random) {
+			candidates[kept], candidates[i] = candidates[i], candidates[kept]
+			kept++
+		}
+	}
+	if kept == 0 {
+		return candidates
+	}
+	return candidates[:kept]
+}
+
+func (c *Chooser) hasRoom(candidate Candidate, random *rand.Rand) bool {
+	placed := c.placed[candidate.Endpoint]
+	if !placed.reported.Equal(candidate.Reported) {
+		placed = placement{reported: candidate.Reported, drawn: random.Float64()}
+		c.setPlaced(candidate.Endpoint, placed)
+	}
+	return float64(placed.flows)+placed.drawn < candidate.Room
+}
+
+// unlimitedLast makes the last candidate one whose server is not limited, if the first
+// isn't the only one: the last candidate takes a flow also if its server is full, which
+// a cold one may not.
+func unlimitedLast(chosen []Candidate) {
+	last := len(chosen) - 1
+	for i := last; i > 0; i-- {
+		if !chosen[i].Load.Limited {
+			chosen[i], chosen[last] = chosen[last], chosen[i]
+			return
+		}
+	}
+}
+
 // ownZoneFirst moves the candidates of the balancer's own availability zone to the
 // front and returns their number.
 func (c *Chooser) ownZoneFirst(candidates []Candidate) int {
@@ -152,9 +198,7 @@
 	load := candidate.Load
 	slots := float64(max(load.Slots, 1))
 	work := float64(load.InProgress) + flowWork*float64(load.Flows)
-	if placed, ok := c.placed[candidate.Endpoint]; ok && placed.reported.Equal(candidate.Reported) {
-		work += placedWork * float64(placed.flows)
-	}
+	work += placedWork * float64(c.placedSince(candidate))
 	if load.WarmUpLeft > 0 {
 		work += warmUpWork
 	}
@@ -165,14 +209,26 @@
 	return share
 }
 
-func (c *Chooser) countPlaced(candidate Candidate) {
-	if c.placed == nil {
-		c.placed = map[gooseberrymast.Endpoint]placement{}
+// placedSince returns the number of flows placed at an agent since its last report.
+func (c *Chooser) placedSince(candidate Candidate) int {
+	if placed, ok := c.placed[candidate.Endpoint]; ok && placed.reported.Equal(candidate.Reported) {
+		return placed.flows
 	}
+	return 0
+}
+
+func (c *Chooser) countPlaced(candidate Candidate) {
 	placed := c.placed[candidate.Endpoint]
 	if !placed.reported.Equal(candidate.Reported) {
 		placed = placement{reported: candidate.Reported}
 	}
 	placed.flows++
-	c.placed[candidate.Endpoint] = placed
+	c.setPlaced(candidate.Endpoint, placed)
+}
+
+func (c *Chooser) setPlaced(agent gooseberrymast.Endpoint, placed placement) {
+	if c.placed == nil {
+		c.placed = map[gooseberrymast.Endpoint]placement{}
+	}
+	c.placed[agent] = placed
 }
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -129,3 +129,53 @@
 	idle := candidate(0, gooseberrymast.FlowLoad{}).Endpoint
 	is.True(counts[idle] < balancers/3)
 }
+
+// Balancers must not send a cold server more than it takes, but its share; and where all
+// servers are cold their agents decide.
+func TestLimitedServerGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	limited := func(number byte, room float64) Candidate {
+		return Candidate{
+			Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 0, number}, Port: 7000}, Zone: "a", Room: room,
+			Load: gooseberrymast.FlowLoad{Slots: 2, Limited: true},
+		}
+	}
+	warm := limited(9, 0)
+	warm.Load = gooseberrymast.FlowLoad{Slots: 2, InProgress: 3}
+	counts := map[byte]int{}
+	const rounds = 400
+	for round := range rounds {
+		c := Chooser{Zone: "a"}
+		for range 10 {
+			candidates := []Candidate{limited(1, 2.5), limited(2, 0), warm}
+			for i := range candidates {
+				candidates[i].Reported = time.Unix(int64(round), 0)
+			}
+			counts[c.Choose(candidates, 4, false, random)[0].IP[3]]++
+		}
+	}
+	is.True(counts[1] > 9*rounds/4 && counts[1] < 11*rounds/4) // 2.5 between two reports
+	is.Equal(counts[2], 0)
+	c := Chooser{Zone: "a"}
+	is.Equal(len(c.Choose([]Candidate{limited(1, 0), limited(2, 0)}, 4, false, random)), 2)
+}
+
+// The last candidate takes a flow even if its server is full. A cold one would not.
+func TestLastCandidateIsNotLimited(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		var candidates []Candidate
+		for number := range byte(4) {
+			candidates = append(candidates, Candidate{
+				Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 0, number}, Port: 7000}, Zone: "a", Room: 9,
+				Load: gooseberrymast.FlowLoad{Slots: 2, InProgress: 4 - int(number), Limited: number < 2},
+			})
+		}
+		c := Chooser{Zone: "a"}
+		chosen := c.Choose(candidates, 4, false, random)
+		is.Equal(len(chosen), 4)
+		is.True(chosen[3].IP[3] >= 2)
+	}
+}
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -37,6 +37,9 @@
 	// Gates restrict which new flows are taken, in the order in which they are asked.
 	// They are set before use and called under the deliverer's lock.
 	Gates []gooseberrymast.FlowGate
+	// RefuseFullDefinitely lets the caller of a flow be reset if all candidates are full
+	// or refuse it otherwise, instead of being left to retransmit. It is set before use.
+	RefuseFullDefinitely bool
 
 	mu        sync.Mutex
 	leaving   bool
@@ -58,6 +61,8 @@
 	// of served that it lacked, and the calls of ClearServed.
 	recorded      map[gooseberrymast.Endpoint]struct{}
 	servedChanges int
+	// refused holds new flows that could be taken a moment later.
+	refused refusals
 }
 
 // pendingPacket holds the tag and the hop of a packet that was sent to the server.
@@ -125,14 +130,21 @@
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
-		offer := flowOffer(header, hop, routes)
+		if header.Copy == 0 && d.refused.has(key, now) {
+			return d.passOn(hop, ReasonRefusedBefore, true)
+		}
+		if d.full(hop, server) {
+			return d.passOn(hop, ReasonServerFull, d.RefuseFullDefinitely && d.refused.add(key, now))
+		}
+		offer := d.flowOffer(header, hop, routes)
 		if decision := d.askGates(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
-			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite && d.refused.add(key, now))
 		}
 		for _, gate := range d.Gates {
 			gate.Taken(offer, now)
 		}
 		f = d.addFlow(key, now)
+		f.first = true
 		if hop.NotifyOrigin {
 			f.notify = hop.Origin
 		}
@@ -167,9 +179,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := header.FromCaller()
+	forgotten := false
 	if f := d.flows[key]; f != nil && (!header.Opens || !f.answered) {
+		forgotten = f.opened && f.answered && !f.closed && !f.callerEnded
 		d.dropFlow(key, f)
 	}
+	step := d.passOnReturned(header)
+	step.Forgotten = forgotten
+	return step
+}
+
+// passOnReturned decides where a packet goes that the server has returned.
+func (d *Deliverer) passOnReturned(header gooseberrymast.PacketHeader) Step {
 	found := d.pending[header.Tag%maxPending]
 	if found.tag != header.Tag || found.tag == 0 {
 		return Step{Action: Drop, Reason: ReasonNoTry}
@@ -253,6 +274,7 @@
 			if !f.busy && !f.closed {
 				f.busySince = now
 				d.setBusy(f, true)
+				d.observeRequest(f, now)
 			}
 		}
 	}
@@ -260,6 +282,7 @@
 	if hop.NotifyOrigin && f.answered {
 		step.Notify = hop.Origin
 	}
+	f.callerEnded = f.callerEnded || header.Resets || header.Finishes
 	if f.busy && (header.Resets || header.Finishes) {
 		step.Event, step.Request = RequestAbandoned, d.endRequest(f, now)
 	}
@@ -311,16 +334,15 @@
 	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
-	if len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
-		return ReasonServerFull, false
-	}
 	return "", true
 }
 
-func flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
+func (d *Deliverer) flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
 	key := header.FromCaller()
 	route, ok := routes.Lookup(key.Service)
-	return gooseberrymast.FlowOffer{Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0}
+	return gooseberrymast.FlowOffer{
+		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, OpenFlows: d.openFlows,
+	}
 }
 
 // askGates returns the decision of the first gate that doesn't admit an offer, or the
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -29,8 +29,12 @@
 	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
-	// closed is set once the server has ended the flow.
-	closed bool
+	// closed is set once the server has ended the flow, and callerEnded once its caller
+	// has.
+	closed      bool
+	callerEnded bool
+	// first is set until the first request of a flow that was taken.
+	first bool
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -44,6 +44,9 @@
 	// ReasonServerFull: the server is at its limit of requests in progress, and
 	// another candidate is left.
 	ReasonServerFull Reason = "server-full"
+	// ReasonRefusedBefore: a duplicate of an opening packet that the agent has just
+	// refused definitely.
+	ReasonRefusedBefore Reason = "refused-before"
 	// ReasonAgentLeaving: the agent is being stopped.
 	ReasonAgentLeaving Reason = "agent-leaving"
 	// ReasonZoneEvacuated: the agent's zone takes no new flows.
@@ -77,6 +80,9 @@
 	// Answered is set on the first packet of an answer, with the request.
 	Answered bool
 	Request  Request
+	// Forgotten is set if the server returned a packet of a flow that was open at it: it
+	// has started again.
+	Forgotten bool
 }
 
 // Event is a change of a flow.
--- a/coordination/steerer/evacuated_test.go
+++ b/coordination/steerer/evacuated_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/state/roster"
 )
 
@@ -108,3 +110,34 @@
 	f.report(agent(2), "ledger", gooseberrymast.StateLeaving, later)
 	is.Equal(f.steerer.FromCaller(nil, openingFrom(1, 0), later)[0].Action, Reset)
 }
+
+// A server that its agent limits must get its share from each balancer, be it of the own
+// zone or another, and not all of it from each.
+func TestRoomIsSharedByBalancers(t *testing.T) {
+	is := is.New(t)
+	candidates := []chooser.Candidate{
+		{Zone: "a", Load: gooseberrymast.FlowLoad{Limited: true, Room: 6}},
+		{Zone: "b", Load: gooseberrymast.FlowLoad{Limited: true, Room: 6}},
+	}
+	shareRoom(candidates, "a", 12, 3)
+	is.Equal(candidates[0].Room, 2.0)
+	is.Equal(candidates[1].Room, 0.5)
+}
+
+// A balancer must send a cold server as many flows as its agent takes between two reports,
+// and the others elsewhere.
+func TestColdServerGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	f.sequence++
+	f.roster.HandleReport(gooseberrymast.Report{Peer: gooseberrymast.Peer{
+		Endpoint: agent(1), Role: gooseberrymast.RoleAgent, Incarnation: 1, Sequence: f.sequence,
+		State: gooseberrymast.StateReady, Service: "ledger", Zone: "a",
+	}, Load: gooseberrymast.FlowLoad{Slots: 4, WarmUpLeft: time.Second, Limited: true, Room: 5}}, epoch)
+	placed := map[gooseberrymast.Endpoint]int{}
+	for port := range 60 {
+		placed[f.steerer.FromCaller(nil, openingFrom(port+1, 0), epoch)[0].To]++
+	}
+	is.Equal(placed[agent(1)], 5)
+	is.Equal(placed[agent(2)], 55)
+}
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -161,20 +161,6 @@
 	return true
 }
 
-// SetEvacuated sets the zones that take no new flows. The caller must not change them
-// afterwards.
-func (s *Steerer) SetEvacuated(zones []string) {
-	s.routesMu.Lock()
-	defer s.routesMu.Unlock()
-	s.evacuated = zones
-}
-
-func (s *Steerer) evacuatedZones() []string {
-	s.routesMu.RLock()
-	defer s.routesMu.RUnlock()
-	return s.evacuated
-}
-
 func (s *Steerer) everAllowed(address gooseberrymast.Endpoint) []string {
 	s.routesMu.RLock()
 	defer s.routesMu.RUnlock()
@@ -346,15 +332,6 @@
 	return copyNumber < rerouteFromCopy && known && entry.ReportAge(now) <= lateReportAge
 }
 
-func (s *Steerer) inEvacuatedZone(agent gooseberrymast.Endpoint) bool {
-	evacuated := s.evacuatedZones()
-	if len(evacuated) == 0 {
-		return false
-	}
-	entry, known := s.Roster.Get(agent)
-	return known && slices.Contains(evacuated, entry.Zone)
-}
-
 // candidates returns the agents that may take a new flow of a route, all of one
 // service: the one drawn by weight, or the next one that has any. Agents
 // without a recent report are used only when none has one, those of evacuated zones
@@ -366,7 +343,14 @@
 	for i := range route.Backends {
 		service := route.Backends[(first+i)%len(route.Backends)].Service
 		reporting, silent := s.reporting[:0], s.silent[:0]
+		balancers, ownBalancers := 1, 1
 		s.Roster.Each(func(entry roster.Entry) {
+			if entry.Role == gooseberrymast.RoleBalancer && entry.State == gooseberrymast.StateReady && entry.Reporting(now) {
+				balancers++
+				if entry.Zone == s.Zone {
+					ownBalancers++
+				}
+			}
 			if entry.Role != gooseberrymast.RoleAgent || entry.Service != service || slices.Contains(evacuated, entry.Zone) {
 				return
 			}
@@ -379,6 +363,7 @@
 			}
 		})
 		s.reporting, s.silent = reporting, silent
+		shareRoom(reporting, s.Zone, balancers, ownBalancers)
 		if len(reporting) > 0 {
 			return service, reporting
 		}
@@ -389,6 +374,19 @@
 	return "", nil
 }
 
+// shareRoom sets the balancer's shares of what limited servers may get. Most flows come
+// from the balancers of an agent's own zone, which share it; a balancer of another
+// zone has as much as if all had.
+func shareRoom(candidates []chooser.Candidate, zone string, balancers, ownBalancers int) {
+	for i := range candidates {
+		shared := balancers
+		if candidates[i].Zone == zone {
+			shared = ownBalancers
+		}
+		candidates[i].Room = float64(candidates[i].Load.Room) / float64(shared)
+	}
+}
+
 func (s *Steerer) drawService(route gooseberrymast.Route) int {
 	var total uint32
 	for _, backend := range route.Backends {
--- a/gate.go
+++ b/gate.go
@@ -14,6 +14,8 @@
 	Copy int
 	// Last is set if no other candidate is left for the flow.
 	Last bool
+	// OpenFlows is the number of flows that are open at the server.
+	OpenFlows int
 }
 
 // GateVerdict is what a gate decides on a new flow.
@@ -49,6 +51,14 @@
 	Taken(offer FlowOffer, now time.Time)
 }
 
+// RequestObserver is a FlowGate that also counts requests on open flows, which no gate
+// can refuse.
+type RequestObserver interface {
+	// HandleRequest records that a request begins on an open flow; the first one of a
+	// flow that was taken is not reported. openFlows is the number of open flows.
+	HandleRequest(openFlows int, now time.Time)
+}
+
 // WorkEstimator estimates the work of one backend server.
 type WorkEstimator interface {
 	// Wait returns the expected time until a request that arrives now gets a slot.
--- a/logs_page_test.go
+++ b/logs_page_test.go
@@ -31,8 +31,8 @@
 			t.Errorf("LogEvents lacks %s", event[1])
 		}
 	}
-	reason := regexp.MustCompile(`(?:Reason = |resetLost\()"([a-z-]+)"`)
-	for _, pattern := range []string{"coordination/steerer/*.go", "coordination/deliverer/*.go", "runner/*.go"} {
+	reason := regexp.MustCompile(`(?:Reason\w* = |resetLost\()"([a-z-]+)"`)
+	for _, pattern := range []string{"coordination/steerer/*.go", "coordination/deliverer/*.go", "coordination/throttler/*.go", "runner/*.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
--- a/peer.go
+++ b/peer.go
@@ -41,6 +41,10 @@
 	Flows int
 	// WarmUpLeft is the remaining time for which the server is slow after its start.
 	WarmUpLeft time.Duration
+	// Limited is set while the agent limits the new flows of a cold server, and Room is
+	// the number that it will take until its next report.
+	Limited bool
+	Room    int
 	// Failing is the share of failures among the server's latest responses, 0
 	// to 1.
 	Failing float64
--- a/protocol/interpreter/document.go
+++ b/protocol/interpreter/document.go
@@ -127,6 +127,11 @@
 		indexes[service] = uint32(len(message.Services))
 		message.Services = append(message.Services, service)
 		message.HealthPaths = append(message.HealthPaths, routes.HealthPaths[service])
+		if len(routes.WarmUps) > 0 {
+			warmUp := routes.WarmUps[service]
+			message.WarmUpMs = append(message.WarmUpMs, uint32(warmUp.Duration.Milliseconds()))
+			message.WarmUpPerSecond = append(message.WarmUpPerSecond, warmUp.PerSecond)
+		}
 		return indexes[service]
 	}
 	for _, address := range slices.SortedFunc(maps.Keys(routes.ByAddress), gooseberrymast.Endpoint.Compare) {
@@ -162,6 +167,12 @@
 			routes.HealthPaths[services[i]] = path
 		}
 	}
+	rates := message.GetWarmUpPerSecond()
+	for i, duration := range message.GetWarmUpMs() {
+		if i < len(services) && i < len(rates) && rates[i] > 0 {
+			routes.SetWarmUp(services[i], gooseberrymast.WarmUp{Duration: time.Duration(duration) * time.Millisecond, PerSecond: rates[i]})
+		}
+	}
 	for _, encoded := range message.GetRoutes() {
 		route := gooseberrymast.Route{
 			Address:    decodeEndpoint(encoded.GetAddress()),
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -138,6 +138,8 @@
 		Flows:           uint32(load.Flows),
 		ColdMs:          uint32(load.WarmUpLeft.Milliseconds()),
 		FailingPermille: uint32(load.Failing * permille),
+		Limited:         load.Limited,
+		Room:            uint32(load.Room),
 	}
 }
 
@@ -148,6 +150,8 @@
 		Flows:      int(message.GetFlows()),
 		WarmUpLeft: time.Duration(message.GetColdMs()) * time.Millisecond,
 		Failing:    min(float64(message.GetFailingPermille())/permille, 1),
+		Limited:    message.GetLimited(),
+		Room:       int(message.GetRoom()),
 	}
 }
 
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -62,7 +62,9 @@
 	is := is.New(t)
 	report := gooseberrymast.Report{
 		Peer: testAgent(1),
-		Load: gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
+		Load: gooseberrymast.FlowLoad{
+			Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25, Limited: true, Room: 7,
+		},
 		Document: gooseberrymast.DocumentStatus{
 			Version: gooseberrymast.DocumentVersion{Number: 19, Revision: 1 << 33, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
 			StoreEra: 2, SettledEra: 1, ReadAge: 125 * time.Millisecond, Read: true,
@@ -127,6 +129,7 @@
 	routes := &gooseberrymast.Routes{
 		Version: gooseberrymast.DocumentVersion{Number: 12, Revision: 40, Digest: 1 << 62}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
 		HealthPaths: map[string]string{"ledger": "/healthz", "receipts": "/ok"},
+		WarmUps:     map[string]gooseberrymast.WarmUp{"receipts": {Duration: 1500 * time.Millisecond, PerSecond: 20.5}},
 	}
 	for i := range count {
 		route := gooseberrymast.Route{
@@ -164,6 +167,19 @@
 	}
 }
 
+// Where no service is limited the message must stay what earlier builds send, so that
+// parts of both can be put together.
+func TestDocumentWithoutWarmUpsIsUnchanged(t *testing.T) {
+	is := is.New(t)
+	routes := testRoutes(3)
+	routes.WarmUps = nil
+	message := encodeDocument(routes)
+	is.Equal(len(message.GetWarmUpMs())+len(message.GetWarmUpPerSecond()), 0)
+	read, err := decodeDocument(message)
+	is.NoErr(err)
+	is.Equal(read, routes)
+}
+
 func TestPartsOfOlderVersionAreIgnored(t *testing.T) {
 	is := is.New(t)
 	older, newer := testRoutes(100), testRoutes(101)
--- a/route.go
+++ b/route.go
@@ -51,6 +51,36 @@
 	// HealthPaths holds the path of the backend servers' health check, by
 	// service.
 	HealthPaths map[string]string
+	// WarmUps holds the services whose servers are limited while they are cold. It is
+	// nil if the document limits none, or came from a process of an earlier build.
+	WarmUps map[string]WarmUp
+}
+
+// SetWarmUp adds a service whose cold servers are limited. It is called only while the
+// routes are made.
+func (r *Routes) SetWarmUp(service string, warmUp WarmUp) {
+	if r.WarmUps == nil {
+		r.WarmUps = map[string]WarmUp{}
+	}
+	r.WarmUps[service] = warmUp
+}
+
+// WarmUp returns the warm-up of a service's servers. It is zero if they are not limited,
+// or if r is nil.
+func (r *Routes) WarmUp(service string) WarmUp {
+	if r == nil {
+		return WarmUp{}
+	}
+	return r.WarmUps[service]
+}
+
+// WarmUp describes the servers of a service that have just started.
+type WarmUp struct {
+	// Duration is how long a server is cold after its start.
+	Duration time.Duration
+	// PerSecond is the number of requests a second that a cold server can handle; zero
+	// means that it is not limited.
+	PerSecond float64
 }
 
 // Lookup returns the route of an address. A nil Routes holds none.
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -13,6 +13,7 @@
 	"gooseberrymast/coordination/assessor"
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
+	"gooseberrymast/coordination/throttler"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
@@ -65,6 +66,8 @@
 	AnnouncementHandler AnnouncementHandlerFunc
 
 	deliverer deliverer.Deliverer
+	// throttler is a gate of the deliverer if Settings.Places is active.
+	throttler throttler.Throttler
 	outbound  *net.UDPConn
 	stopping  atomic.Bool
 
@@ -111,6 +114,7 @@
 		return err
 	}
 	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
+	a.limitWarmUp()
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.flowLoad
 	a.served, a.restore = a.currentServed, a.restoreServed
@@ -118,6 +122,7 @@
 	a.serverKnown = make(chan struct{})
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
+		a.setWarmUp(routes, a.ownPeer().Service)
 		select {
 		case healthPaths <- routes.HealthPaths[a.Settings.Service]:
 		default:
@@ -221,13 +226,38 @@
 	last, receivedAt := a.tracker.Last()
 	a.trackerMu.Unlock()
 	flows, busy := a.deliverer.Load()
-	return gooseberrymast.FlowLoad{
+	load := gooseberrymast.FlowLoad{
 		Slots:      last.Slots,
 		InProgress: busy,
 		Flows:      flows,
 		WarmUpLeft: max(0, last.WarmUpLeft-now.Sub(receivedAt)),
 		Failing:    a.failingShare(now),
 	}
+	if room, limited := a.throttler.Room(flows, now); limited {
+		load.Limited, load.Room, load.WarmUpLeft = true, room, a.throttler.ColdLeft(now)
+	}
+	return load
+}
+
+// setWarmUp sets how the servers of the agent's service warm up.
+func (a *Agent) setWarmUp(routes *gooseberrymast.Routes, service string) {
+	if a.Settings.Places.Active() {
+		a.throttler.SetWarmUp(routes.WarmUp(service))
+	}
+}
+
+// limitWarmUp limits what the server gets while it is cold, if the platform does.
+func (a *Agent) limitWarmUp() {
+	places := a.Settings.Places
+	if !places.Active() {
+		return
+	}
+	a.throttler.Overage, a.throttler.Slack = places.WarmUpOverage, places.WarmUpSlack
+	a.deliverer.Gates = append(a.deliverer.Gates, &a.throttler)
+	a.deliverer.RefuseFullDefinitely = true
+	a.onReturned = a.throttler.HandleUnknown
+	// The server may have started with its agent.
+	a.throttler.HandleUnknown(a.began)
 }
 
 // failingShare returns the share of requests that the server fails, and logs when
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -57,7 +57,11 @@
 		now := a.Timer.Now()
 		if header.Returned {
 			a.Codec.ClearReturned(packet[:n])
-			a.execute(a.deliverer.HandleReturned(header, now), header.FromCaller(), packet[:n])
+			step := a.deliverer.HandleReturned(header, now)
+			if step.Forgotten {
+				a.throttler.HandleStart(now)
+			}
+			a.execute(step, header.FromCaller(), packet[:n])
 			continue
 		}
 		step := a.deliverer.FromServer(header, now)
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -32,6 +32,7 @@
 	if err == nil {
 		// Under the same lock, so that announcements keep their order.
 		lost = a.deliverer.HandleAnnouncement(restarted)
+		a.throttler.HandleAnnouncement(announcement.WarmUpLeft, restarted, now)
 	}
 	a.trackerMu.Unlock()
 	if err != nil {
@@ -145,6 +146,7 @@
 		return
 	}
 	if a.setState(state, service) {
+		a.setWarmUp(a.currentRoutes(), service)
 		a.triggerReport()
 	}
 }
--- a/runner/document.go
+++ b/runner/document.go
@@ -108,6 +108,8 @@
 		inForce = m.routes.Version
 	}
 	replaces := m.confirmer.HandleRead(routes.Version, began)
+	// A process of an earlier build passes on a document without the warm-ups.
+	replaces = replaces || m.routes != nil && routes.Version.Same(inForce) && len(m.routes.WarmUps) == 0 && len(routes.WarmUps) > 0
 	if replaces {
 		m.setRoutes(routes)
 	}
--- a/runner/document_test.go
+++ b/runner/document_test.go
@@ -38,6 +38,8 @@
 type restorableStore struct {
 	platform.StandinStore
 	reads atomic.Int64
+	// warmUps are those of the documents that are written.
+	warmUps map[string]gooseberrymast.WarmUp
 }
 
 func (s *restorableStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -51,7 +53,7 @@
 func (s *restorableStore) setDocument(number uint64, service string) {
 	document, err := platform.FormatDocument(number, []gooseberrymast.Route{{
 		Address: serviceAddress, Backends: []gooseberrymast.WeightedService{{Service: service, Weight: 1}},
-	}}, []string{service})
+	}}, []string{service}, s.warmUps)
 	if err != nil {
 		panic(err)
 	}
--- a/runner/evacuation.go
+++ b/runner/evacuation.go
@@ -98,6 +98,9 @@
 		return
 	}
 	for _, change := range changes {
+		if !change.Evacuated && change.Zone == m.Settings.Zone && m.onReturned != nil {
+			m.onReturned(now)
+		}
 		m.logEvacuation(change)
 	}
 	m.triggerReport()
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -105,3 +105,54 @@
 	c.startBalancer(1) // it would fail without a function to read them
 	is.True(c.opens(1, 2000))
 }
+
+// A server that has just started must not get more than its limit, whatever balancers
+// send, and callers for whom there is no other server must learn it at once.
+func TestColdServerIsLimited(t *testing.T) {
+	is := is.New(t)
+	c, store := newEvacuatingCluster(t)
+	store.warmUps = map[string]gooseberrymast.WarmUp{"ledger": {Duration: 30 * time.Second, PerSecond: 4}}
+	store.setDocument(5, "ledger")
+	const limit = 4*1.5 + 5
+	server := startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	c.startBalancer(1)
+	if err := agent.handleAnnouncement(gooseberrymast.Announcement{
+		ID: "i-1", StartUnixMs: 2, Sequence: 1, Service: "ledger", Slots: 4, WarmUpLeft: 30 * time.Second,
+		Address: gooseberrymast.Endpoint{IP: agent.Settings.Server.IP, Port: serverPort},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	c.waitFor("the agent limits its server", func() bool { return agent.flowLoad(time.Now()).Limited })
+	began := time.Now()
+	refused := 0
+	for port := range uint16(60) {
+		if !c.opens(1, 2000+port) {
+			refused++
+		}
+	}
+	seconds := int(time.Since(began).Seconds()) + 1
+	is.True(refused > 0)
+	is.True(server.openedFlows() > 0)
+	is.True(float64(server.openedFlows()) <= float64(seconds)*limit)
+}
+
+// A document that a process of an earlier build passes on lacks the limits. The next read
+// of the same version must bring them.
+func TestReadCompletesDocumentOfEarlierBuild(t *testing.T) {
+	is := is.New(t)
+	c, store := newEvacuatingCluster(t)
+	store.warmUps = map[string]gooseberrymast.WarmUp{"ledger": {Duration: time.Second, PerSecond: 4}}
+	store.setDocument(5, "ledger")
+	startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	limited := func() bool { return agent.currentRoutes().WarmUp("ledger").PerSecond == 4 }
+	c.waitFor("the agent has read the document", limited)
+	stripped := *agent.currentRoutes()
+	stripped.WarmUps = nil
+	agent.mu.Lock()
+	agent.setRoutes(&stripped)
+	agent.mu.Unlock()
+	is.True(!limited())
+	c.waitFor("the agent has read the document again", limited)
+}
--- a/runner/member.go
+++ b/runner/member.go
@@ -83,6 +83,9 @@
 	onRoutes func(*gooseberrymast.Routes)
 	// onEvacuated is called with the evacuated zones when they change; nil at an agent.
 	onEvacuated func(zones []string)
+	// onReturned is called when the process's own zone is no longer evacuated; nil at a
+	// balancer.
+	onReturned func(now time.Time)
 	// load returns the load of the backend server; nil at a balancer.
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// onFlowOwners is called with the flows that an agent owns; nil at an agent.
