--- a/coordination/throttler/throttler.go
+++ b/coordination/throttler/throttler.go
@@ -62,7 +62,9 @@
 	announced time.Time
 	presumed  time.Time
 	firm      bool
-	recent    window
+	// began is when the agent started, zero if it is not known.
+	began  time.Time
+	recent window
 	// counted holds when the opening packets of the last period were counted.
 	counted map[gooseberrymast.FlowKey]time.Time
 	// flowSeconds and requests measure the rate of requests on open flows, as of
@@ -101,8 +103,16 @@
 	t.presumed, t.firm = now, true
 }
 
+// Begin records that the agent starts: its server may be cold, until an announcement says
+// more, and an earlier agent may have sent it requests.
+func (t *Throttler) Begin(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.began, t.presumed = now, now
+}
+
 // HandleUnknown records that the server may be cold, until its next announcement says
-// more: its zone was returned to service, or the agent has just started.
+// more: its zone was returned to service.
 func (t *Throttler) HandleUnknown(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -190,10 +200,20 @@
 	return t.warmUp.PerSecond*t.Overage + t.Slack
 }
 
+// hasUnknownRequests reports whether an earlier agent may have sent the server requests in
+// the last period: the server says that it is cold since before this agent started.
+func (t *Throttler) hasUnknownRequests(now time.Time) bool {
+	coldSince := t.announced.Add(-t.warmUp.Duration)
+	return now.Sub(t.began) < period+margin && now.Before(t.announced) && coldSince.Before(t.began)
+}
+
 // left returns how many opening packets the limit leaves room for. Requests on open
 // flows take what they have taken or, if that is more, what they are expected to take
 // within the next period.
 func (t *Throttler) left(openFlows int, now time.Time) float64 {
+	if t.hasUnknownRequests(now) {
+		return 0
+	}
 	openings, requests := t.recent.count(now)
 	t.measure(openFlows, now)
 	rate := (t.requests + expectedRate*expectedWeight) / (t.flowSeconds + expectedWeight)
--- a/coordination/throttler/throttler_test.go
+++ b/coordination/throttler/throttler_test.go
@@ -217,7 +217,7 @@
 	is.Equal(throttler.ColdLeft(at(0.5)), time.Second) // as the server says
 	is.Equal(throttler.ColdLeft(at(1.5)), time.Duration(0))
 
-	throttler.HandleUnknown(at(10)) // nothing was announced yet
+	throttler.HandleUnknown(at(10)) // the zone has returned
 	is.Equal(throttler.ColdLeft(at(10)), 2*time.Second)
 	throttler.HandleAnnouncement(0, false, at(10.5))
 	is.Equal(throttler.ColdLeft(at(10.5)), time.Duration(0))
@@ -230,6 +230,30 @@
 	is.Equal(throttler.ColdLeft(at(21)), 300*time.Millisecond)
 }
 
+// An agent that restarts beside a cold server must not give it the limit a second time
+// within a second. A server that started after its agent had no other.
+func TestRestartedAgentCountsWhatItDoesNotKnow(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		left time.Duration
+		want bool
+	}{
+		{"the server is cold for longer than the agent runs", time.Second, false},
+		{"the server started after the agent", 1900 * time.Millisecond, true},
+		{"the server is warm", 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			throttler := newThrottler()
+			throttler.Begin(at(0))
+			is.True(take(throttler, 1, at(0.1))) // nothing is known; all agents may have restarted
+			throttler.HandleAnnouncement(test.left, false, at(0.2))
+			is.Equal(take(throttler, 2, at(0.3)), test.want)
+			is.True(take(throttler, 3, at(1.1)))
+		})
+	}
+}
+
 // The rooms that are reported must add up to what is taken, or balancers send too much or
 // too little.
 func TestRoomIsSpreadOverReports(t *testing.T) {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -256,8 +256,7 @@
 	a.deliverer.Gates = append(a.deliverer.Gates, &a.throttler)
 	a.deliverer.RefuseFullDefinitely = true
 	a.onReturned = a.throttler.HandleUnknown
-	// The server may have started with its agent.
-	a.throttler.HandleUnknown(a.began)
+	a.throttler.Begin(a.began)
 }
 
 // failingShare returns the share of requests that the server fails, and logs when
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -26,6 +26,21 @@
 	return c, store
 }
 
+// gaugeOf returns the value of a metric without labels, or -1 without one.
+func gaugeOf(t *testing.T, m *member, name string) float64 {
+	t.Helper()
+	families, err := m.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	return -1
+}
+
 // opens sends a first opening packet and reports whether the flow was opened.
 func (c *cluster) opens(balancer byte, port uint16) (opened bool) {
 	c.t.Helper()
@@ -60,6 +75,8 @@
 	written := time.Now()
 	c.waitFor("the agent of zone b obeys", evacuated)
 	is.True(time.Since(written) < 3*time.Second) // the stated bound
+	is.Equal(gaugeOf(t, &secondAgent.member, "gooseberrymast_own_zone_evacuated"), 1.0)
+	is.Equal(gaugeOf(t, &firstAgent.member, "gooseberrymast_own_zone_evacuated"), 0.0)
 	opened := second.openedFlows()
 	for offset := range uint16(12) {
 		is.True(c.opens(byte(1+offset%2), 3000+offset)) // balancers of both zones serve
@@ -124,6 +141,7 @@
 		t.Fatal(err)
 	}
 	c.waitFor("the agent limits its server", func() bool { return agent.flowLoad(time.Now()).Limited })
+	is.True(gaugeOf(t, &agent.member, "gooseberrymast_warm_up_left_seconds") > 0)
 	began := time.Now()
 	refused := 0
 	for port := range uint16(60) {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -124,12 +125,19 @@
 	linesDroppedDesc = prometheus.NewDesc("gooseberrymast_log_lines_dropped_total", "Log lines lost since the output was slow.", nil, nil)
 	storeEraDesc     = prometheus.NewDesc("gooseberrymast_store_era", "Highest era of the store observed; zero if it is unknown.", nil, nil)
 	settledEraDesc   = prometheus.NewDesc("gooseberrymast_store_settled_era", "Highest era of the store known to have settled.", nil, nil)
-	flowOwnersDesc   = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
+	evacuatedDesc    = prometheus.NewDesc("gooseberrymast_evacuated_zones", "Zones that take no new flows.", nil, nil)
+	ownEvacuatedDesc = prometheus.NewDesc("gooseberrymast_own_zone_evacuated", "1 while the process's zone takes no new flows, else 0.", nil, nil)
+	evacuationAge    = prometheus.NewDesc("gooseberrymast_evacuations_age_seconds",
+		"Time since the list of evacuated zones was last known to be read.", nil, nil)
+	warmUpLeftDesc = prometheus.NewDesc("gooseberrymast_warm_up_left_seconds", "Time for which the server stays limited after its start.", nil, nil)
+	warmUpRoomDesc = prometheus.NewDesc("gooseberrymast_warm_up_room", "New flows that a limited server may get until the next report.", nil, nil)
+	flowOwnersDesc = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (*gauges) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc, flowOwnersDesc} {
+	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc, flowOwnersDesc,
+		evacuatedDesc, ownEvacuatedDesc, evacuationAge, warmUpLeftDesc, warmUpRoomDesc} {
 		out <- desc
 	}
 }
@@ -152,6 +160,9 @@
 	if known {
 		gauge(documentAgeDesc, age.Seconds())
 	}
+	if m.Settings.Places.Active() {
+		g.collectPlaces(gauge, now)
+	}
 	type group struct {
 		role   gooseberrymast.Role
 		recent bool
@@ -171,8 +182,30 @@
 		gauge(openFlowsDesc, float64(load.Flows))
 		gauge(inProgressDesc, float64(load.InProgress))
 		gauge(failingDesc, load.Failing)
+		if load.Limited {
+			gauge(warmUpLeftDesc, load.WarmUpLeft.Seconds())
+			gauge(warmUpRoomDesc, float64(load.Room))
+		}
 	}
 	if m.countOwners != nil {
 		gauge(flowOwnersDesc, float64(m.countOwners()))
 	}
 }
+
+// collectPlaces reads what the process knows of evacuated zones.
+func (g *gauges) collectPlaces(gauge func(*prometheus.Desc, float64, ...string), now time.Time) {
+	m := g.member
+	m.mu.Lock()
+	zones := m.evacuator.Zones(now)
+	age, known := m.evacuator.Age(now)
+	m.mu.Unlock()
+	own := 0.0
+	if slices.Contains(zones, m.Settings.Zone) {
+		own = 1
+	}
+	gauge(evacuatedDesc, float64(len(zones)))
+	gauge(ownEvacuatedDesc, own)
+	if known {
+		gauge(evacuationAge, age.Seconds())
+	}
+}
