--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -63,6 +63,9 @@
 	Load gooseberrymast.FlowLoad
 	// Reported is the time of that report.
 	Reported time.Time
+	// Room is this balancer's share of the flows that an agent with a limited server
+	// takes until its next report. It counts only if Load.Limited is set.
+	Room float64
 }
 
 // Chooser counts the flows that it placed. The zero value is ready.
@@ -82,6 +85,8 @@
 	flows    int
 	// work is the expected time in a slot of the flows' first requests.
 	work time.Duration
+	// drawn, from 0 to 1, decides on a share of less than one flow.
+	drawn float64
 }
 
 // Choose returns the endpoints of at most limit candidates for a new flow, the
@@ -104,6 +109,7 @@
 	if !route.Idempotent {
 		candidates = withoutFailing(candidates)
 	}
+	candidates = c.withRoom(candidates, random)
 	own := c.ownZoneFirst(candidates)
 	draw(candidates[:own], ownDraws, random)
 	draw(candidates[own:], otherDraws, random)
@@ -119,6 +125,7 @@
 	chosen := candidates[:min(max(limit, compared), len(candidates))]
 	slices.SortStableFunc(chosen[:compared], byRank)
 	slices.SortStableFunc(chosen[compared:], byRank)
+	unlimitedLast(chosen[:min(limit, len(chosen))])
 	c.countPlaced(chosen[0], usual)
 	endpoints := make([]gooseberrymast.Endpoint, min(limit, len(chosen)))
 	for i := range endpoints {
@@ -143,6 +150,45 @@
 	return candidates[:kept]
 }
 
+// withRoom excludes the candidates whose servers are cold and have had this balancer's
+// share of their limit, unless these are all. A share of less than one flow is drawn once
+// for each report.
+func (c *Chooser) withRoom(candidates []Candidate, random *rand.Rand) []Candidate {
+	kept := 0
+	for i, candidate := range candidates {
+		if !candidate.Load.Limited || c.hasRoom(candidate, random) {
+			candidates[kept], candidates[i] = candidates[i], candidates[kept]
+			kept++
+		}
+	}
+	if kept == 0 {
+		return candidates
+	}
+	return candidates[:kept]
+}
+
+func (c *Chooser) hasRoom(candidate Candidate, random *rand.Rand) bool {
+	placed := c.placed[candidate.Endpoint]
+	if !placed.reported.Equal(candidate.Reported) {
+		placed = placement{reported: candidate.Reported, drawn: random.Float64()}
+		c.setPlaced(candidate.Endpoint, placed)
+	}
+	return float64(placed.flows)+placed.drawn < candidate.Room
+}
+
+// unlimitedLast makes the last candidate one whose server is not limited, if the first
+// isn't the only one: the last candidate takes a flow also if its server is full, which
+// a cold one may not.
+func unlimitedLast(chosen []Candidate) {
+	last := len(chosen) - 1
+	for i := last; i > 0; i-- {
+		if !chosen[i].Load.Limited {
+			chosen[i], chosen[last] = chosen[last], chosen[i]
+			return
+		}
+	}
+}
+
 // ownZoneFirst moves the candidates of the balancer's own availability zone to the
 // front and returns their number.
 func (c *Chooser) ownZoneFirst(candidates []Candidate) int {
@@ -190,9 +236,6 @@
 }
 
 func (c *Chooser) countPlaced(candidate Candidate, usual reference) {
-	if c.placed == nil {
-		c.placed = map[gooseberrymast.Endpoint]placement{}
-	}
 	if usual.known {
 		c.PlacedByWork++
 	} else {
@@ -201,5 +244,12 @@
 	placed := c.placedAt(candidate)
 	placed.flows++
 	placed.work += usual.costAt(candidate.Load.Work)
-	c.placed[candidate.Endpoint] = placed
+	c.setPlaced(candidate.Endpoint, placed)
+}
+
+func (c *Chooser) setPlaced(agent gooseberrymast.Endpoint, placed placement) {
+	if c.placed == nil {
+		c.placed = map[gooseberrymast.Endpoint]placement{}
+	}
+	c.placed[agent] = placed
 }
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -45,6 +45,9 @@
 	// MaxFlows bounds the flows that are kept; zero means defaultMaxFlows. It is set
 	// before use.
 	MaxFlows int
+	// RefuseFullDefinitely lets the caller of a flow be reset if all candidates are full
+	// or refuse it otherwise, instead of being left to retransmit. It is set before use.
+	RefuseFullDefinitely bool
 
 	mu        sync.Mutex
 	leaving   bool
@@ -74,6 +77,8 @@
 	// set: the agent has read or written it. wanted holds those of refused flows.
 	stored, wanted map[gooseberrymast.Endpoint]struct{}
 	entryKnown     bool
+	// refused holds new flows that could be taken a moment later.
+	refused refusals
 }
 
 // pendingPacket holds the tag and the hop of a packet that was sent to the server.
@@ -141,14 +146,21 @@
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
-		offer := flowOffer(header, hop, routes)
+		if header.Copy == 0 && d.refused.has(key, now) {
+			return d.passOn(hop, ReasonRefusedBefore, true)
+		}
+		if d.full(hop, server) {
+			return d.passOn(hop, ReasonServerFull, d.RefuseFullDefinitely && d.refused.add(key, now))
+		}
+		offer := d.flowOffer(header, hop, routes)
 		if decision := d.askGates(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
-			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite && d.refused.add(key, now))
 		}
 		for _, gate := range d.Gates {
 			gate.Taken(offer, now)
 		}
 		f = d.addFlow(key, now)
+		f.first = true
 		if hop.NotifyOrigin {
 			f.notify = hop.Origin
 		}
@@ -183,9 +195,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := header.FromCaller()
+	forgotten := false
 	if f := d.flows[key]; f != nil && (!header.Opens || !f.answered) {
+		forgotten = f.opened && f.answered && !f.closed && !f.ended
 		d.dropFlow(key, f)
 	}
+	step := d.passOnReturned(header)
+	step.Forgotten = forgotten
+	return step
+}
+
+// passOnReturned decides where a packet goes that the server has returned.
+func (d *Deliverer) passOnReturned(header gooseberrymast.PacketHeader) Step {
 	found := d.pending[header.Tag%maxPending]
 	if found.tag != header.Tag || found.tag == 0 {
 		return Step{Action: Drop, Reason: ReasonNoTry}
@@ -273,6 +294,7 @@
 				f.busySince = now
 				d.setBusy(f, true)
 				d.Work.Begin(&f.work, now)
+				d.observeRequest(f, now)
 			}
 		}
 	}
@@ -335,16 +357,15 @@
 	if !d.isRecorded(key.Service) {
 		return ReasonNotRecorded, false
 	}
-	if len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
-		return ReasonServerFull, false
-	}
 	return "", true
 }
 
-func flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
+func (d *Deliverer) flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
 	key := header.FromCaller()
 	route, ok := routes.Lookup(key.Service)
-	return gooseberrymast.FlowOffer{Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0}
+	return gooseberrymast.FlowOffer{
+		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, OpenFlows: d.openFlows,
+	}
 }
 
 // askGates returns the decision of the first gate that doesn't admit an offer, or the
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -35,6 +35,8 @@
 	// idleTimeout is the longest that any document in force since the flow was opened
 	// has allowed; zero while none is known.
 	idleTimeout time.Duration
+	// first is set until the first request of a flow that was taken.
+	first bool
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -139,6 +139,8 @@
 		Flows:           uint32(load.Flows),
 		ColdMs:          uint32(load.WarmUpLeft.Milliseconds()),
 		FailingPermille: uint32(load.Failing * permille),
+		Limited:         load.Limited,
+		Room:            uint32(load.Room),
 	}
 	if load.Work.Cost > 0 {
 		encodeWork(encoded, load.Work)
@@ -177,6 +179,8 @@
 		WarmUpLeft: time.Duration(message.GetColdMs()) * time.Millisecond,
 		Failing:    min(float64(message.GetFailingPermille())/permille, 1),
 		Work:       decodeWork(message),
+		Limited:    message.GetLimited(),
+		Room:       int(message.GetRoom()),
 	}
 }
 
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -14,6 +14,7 @@
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
 	"gooseberrymast/coordination/predictor"
+	"gooseberrymast/coordination/throttler"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
@@ -67,6 +68,8 @@
 
 	deliverer deliverer.Deliverer
 	predictor predictor.Predictor
+	// throttler is a gate of the deliverer if Settings.Places is active.
+	throttler throttler.Throttler
 	outbound  *net.UDPConn
 	stopping  atomic.Bool
 
@@ -125,6 +128,7 @@
 			// The service's other agents write theirs, too.
 			a.documentWriteAt.Store(a.Timer.Now().Add(time.Duration(a.verifier.Offset * float64(entryWriteInterval))).UnixNano())
 		}
+		a.setWarmUp(routes, a.ownPeer().Service)
 		select {
 		case healthPaths <- routes.HealthPaths[a.Settings.Service]:
 		default:
@@ -181,6 +185,7 @@
 	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
 	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
 	a.deliverer.Work = &a.predictor
+	a.limitWarmUp()
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.flowLoad
 	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
@@ -237,7 +242,7 @@
 	last, receivedAt := a.tracker.Last()
 	a.trackerMu.Unlock()
 	flows, busy := a.deliverer.Load()
-	return gooseberrymast.FlowLoad{
+	load := gooseberrymast.FlowLoad{
 		Slots:      last.Slots,
 		InProgress: busy,
 		Flows:      flows,
@@ -245,6 +250,30 @@
 		Failing:    a.failingShare(now),
 		Work:       a.expectedWork(last, now),
 	}
+	if room, limited := a.throttler.Room(flows, now); limited {
+		load.Limited, load.Room, load.WarmUpLeft = true, room, a.throttler.ColdLeft(now)
+	}
+	return load
+}
+
+// setWarmUp sets how the servers of the agent's service warm up.
+func (a *Agent) setWarmUp(routes *gooseberrymast.Routes, service string) {
+	if a.Settings.Places.Active() {
+		a.throttler.SetWarmUp(routes.WarmUp(service))
+	}
+}
+
+// limitWarmUp limits what the server gets while it is cold, if the platform does.
+func (a *Agent) limitWarmUp() {
+	places := a.Settings.Places
+	if !places.Active() {
+		return
+	}
+	a.throttler.Overage, a.throttler.Slack = places.WarmUpOverage, places.WarmUpSlack
+	a.deliverer.Gates = append(a.deliverer.Gates, &a.throttler)
+	a.deliverer.RefuseFullDefinitely = true
+	a.onReturned = a.throttler.HandleUnknown
+	a.throttler.Begin(a.began)
 }
 
 // expectedWork returns the expected work of the server if flows are placed by it, and logs
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -33,6 +33,7 @@
 		// Under the same lock, so that announcements keep their order.
 		lost = a.deliverer.HandleAnnouncement(restarted)
 		a.predictor.HandleServer(announcement.Slots, announcement.WarmUpLeft, restarted, now)
+		a.throttler.HandleAnnouncement(announcement.WarmUpLeft, restarted, now)
 	}
 	a.trackerMu.Unlock()
 	if err != nil {
@@ -147,6 +148,7 @@
 		return
 	}
 	if a.setState(state, service) {
+		a.setWarmUp(a.currentRoutes(), service)
 		a.triggerReport()
 	}
 }
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -26,6 +26,21 @@
 	return c, store
 }
 
+// gaugeOf returns the value of a metric without labels, or -1 without one.
+func gaugeOf(t *testing.T, m *member, name string) float64 {
+	t.Helper()
+	families, err := m.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	return -1
+}
+
 // opens sends a first opening packet and reports whether the flow was opened.
 func (c *cluster) opens(balancer byte, port uint16) (opened bool) {
 	c.t.Helper()
@@ -60,6 +75,8 @@
 	written := time.Now()
 	c.waitFor("the agent of zone b obeys", evacuated)
 	is.True(time.Since(written) < 3*time.Second) // the stated bound
+	is.Equal(gaugeOf(t, &secondAgent.member, "gooseberrymast_own_zone_evacuated"), 1.0)
+	is.Equal(gaugeOf(t, &firstAgent.member, "gooseberrymast_own_zone_evacuated"), 0.0)
 	opened := second.openedFlows()
 	for offset := range uint16(12) {
 		is.True(c.opens(byte(1+offset%2), 3000+offset)) // balancers of both zones serve
@@ -105,3 +122,55 @@
 	c.startBalancer(1) // it would fail without a function to read them
 	is.True(c.opens(1, 2000))
 }
+
+// A server that has just started must not get more than its limit, whatever balancers
+// send, and callers for whom there is no other server must learn it at once.
+func TestColdServerIsLimited(t *testing.T) {
+	is := is.New(t)
+	c, store := newEvacuatingCluster(t)
+	store.warmUps = map[string]gooseberrymast.WarmUp{"ledger": {Duration: 30 * time.Second, PerSecond: 4}}
+	store.setDocument(5, "ledger")
+	const limit = 4*1.5 + 5
+	server := startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	c.startBalancer(1)
+	if err := agent.handleAnnouncement(gooseberrymast.Announcement{
+		ID: "i-1", StartUnixMs: 2, Sequence: 1, Service: "ledger", Slots: 4, WarmUpLeft: 30 * time.Second,
+		Address: gooseberrymast.Endpoint{IP: agent.Settings.Server.IP, Port: serverPort},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	c.waitFor("the agent limits its server", func() bool { return agent.flowLoad(time.Now()).Limited })
+	is.True(gaugeOf(t, &agent.member, "gooseberrymast_warm_up_left_seconds") > 0)
+	began := time.Now()
+	refused := 0
+	for port := range uint16(60) {
+		if !c.opens(1, 2000+port) {
+			refused++
+		}
+	}
+	seconds := int(time.Since(began).Seconds()) + 1
+	is.True(refused > 0)
+	is.True(server.openedFlows() > 0)
+	is.True(float64(server.openedFlows()) <= float64(seconds)*limit)
+}
+
+// A document that a process of an earlier build passes on lacks the limits. The next read
+// of the same version must bring them.
+func TestReadCompletesDocumentOfEarlierBuild(t *testing.T) {
+	is := is.New(t)
+	c, store := newEvacuatingCluster(t)
+	store.warmUps = map[string]gooseberrymast.WarmUp{"ledger": {Duration: time.Second, PerSecond: 4}}
+	store.setDocument(5, "ledger")
+	startServer(t, 1)
+	agent, _ := c.startAgent(1, 1)
+	limited := func() bool { return agent.currentRoutes().WarmUp("ledger").PerSecond == 4 }
+	c.waitFor("the agent has read the document", limited)
+	stripped := *agent.currentRoutes()
+	stripped.WarmUps = nil
+	agent.mu.Lock()
+	agent.setRoutes(&stripped)
+	agent.mu.Unlock()
+	is.True(!limited())
+	c.waitFor("the agent has read the document again", limited)
+}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -130,14 +131,21 @@
 		"Expected time in a slot of the requests in progress and queued, divided by the slots.", nil, nil)
 	flowShareDesc = prometheus.NewDesc("gooseberrymast_open_flow_share",
 		"Share of the slots that requests on open flows are expected to take.", nil, nil)
-	flowsPlacedDesc = prometheus.NewDesc("gooseberrymast_flows_placed_total", "New flows placed, by the rule used.", []string{"by"}, nil)
-	flowOwnersDesc  = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
+	flowsPlacedDesc  = prometheus.NewDesc("gooseberrymast_flows_placed_total", "New flows placed, by the rule used.", []string{"by"}, nil)
+	flowOwnersDesc   = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
+	evacuatedDesc    = prometheus.NewDesc("gooseberrymast_evacuated_zones", "Zones that take no new flows.", nil, nil)
+	ownEvacuatedDesc = prometheus.NewDesc("gooseberrymast_own_zone_evacuated", "1 while the process's zone takes no new flows, else 0.", nil, nil)
+	evacuationAge    = prometheus.NewDesc("gooseberrymast_evacuations_age_seconds",
+		"Time since the list of evacuated zones was last known to be read.", nil, nil)
+	warmUpLeftDesc = prometheus.NewDesc("gooseberrymast_warm_up_left_seconds", "Time for which the server stays limited after its start.", nil, nil)
+	warmUpRoomDesc = prometheus.NewDesc("gooseberrymast_warm_up_room", "New flows that a limited server may get until the next report.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (*gauges) Describe(out chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc,
-		requestCostDesc, outstandingDesc, flowShareDesc, flowsPlacedDesc, flowOwnersDesc} {
+		requestCostDesc, outstandingDesc, flowShareDesc, flowsPlacedDesc, flowOwnersDesc,
+		evacuatedDesc, ownEvacuatedDesc, evacuationAge, warmUpLeftDesc, warmUpRoomDesc} {
 		out <- desc
 	}
 }
@@ -160,6 +168,9 @@
 	if known {
 		gauge(documentAgeDesc, age.Seconds())
 	}
+	if m.Settings.Places.Active() {
+		g.collectPlaces(gauge, now)
+	}
 	type group struct {
 		role   gooseberrymast.Role
 		recent bool
@@ -184,6 +195,10 @@
 			gauge(outstandingDesc, work.Outstanding.Seconds())
 			gauge(flowShareDesc, work.FlowShare)
 		}
+		if load.Limited {
+			gauge(warmUpLeftDesc, load.WarmUpLeft.Seconds())
+			gauge(warmUpRoomDesc, float64(load.Room))
+		}
 	}
 	if m.countPlaced != nil {
 		byWork, byCount := m.countPlaced()
@@ -194,3 +209,21 @@
 		gauge(flowOwnersDesc, float64(m.countOwners()))
 	}
 }
+
+// collectPlaces reads what the process knows of evacuated zones.
+func (g *gauges) collectPlaces(gauge func(*prometheus.Desc, float64, ...string), now time.Time) {
+	m := g.member
+	m.mu.Lock()
+	zones := m.evacuator.Zones(now)
+	age, known := m.evacuator.Age(now)
+	m.mu.Unlock()
+	own := 0.0
+	if slices.Contains(zones, m.Settings.Zone) {
+		own = 1
+	}
+	gauge(evacuatedDesc, float64(len(zones)))
+	gauge(ownEvacuatedDesc, own)
+	if known {
+		gauge(evacuationAge, age.Seconds())
+	}
+}
