Proofs: late announcements identify no server

Cause: a restarted agent took the first announcement that it received. In the same way it took a late departure for its server's end, and a late announcement followed by its server's for a restart that it had seen, and denied or reset live flows. Change: the settings' service, the incarnation that the entry names and the instance that the health check's header names decide; one that goes on for 2.5 intervals without any other is believed all the same. A contradiction makes the agent check the health again. A departure, or another incarnation, counts as the end of one only after that has announced itself for 1.75 intervals or was found failed.

--- a/announcement.go
+++ b/announcement.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// HealthReport is a backend server's answer to a health check.
+type HealthReport struct {
+	// Healthy is set if the server is healthy and not leaving.
+	Healthy bool
+	// Instance is the name that the server chose; empty if the answer lacks it.
+	Instance string
+}
+
 // Announcement describes a backend server; the server sends it to its agent.
 type Announcement struct {
 	// ID is the name that the server chose.
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -175,6 +175,21 @@
 					m.loseEntry(a)
 				}
 			},
+			// Two of them, since a departure or a restart is told from two.
+			"announce-late": func(t *rapid.T) {
+				a := anyAgent(t)
+				if m.now.Before(a.downUntil) {
+					return
+				}
+				for range 2 {
+					if sent := len(a.announcements); sent > 0 {
+						m.handleAnnouncement(a, a.announcements[rapid.IntRange(0, sent-1).Draw(t, "announcement")])
+					}
+				}
+				if rapid.Bool().Draw(t, "departs") && len(a.announcements) > 0 && a.announcements[0].StartUnixMs != a.server.start {
+					_ = a.tracker.HandleDeparture("i", a.announcements[0].StartUnixMs)
+				}
+			},
 			"refuse-store": func(t *rapid.T) {
 				m.refuseStore(anyAgent(t), time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks"))*tick)
 			},
--- a/coordination/tracker/tracker.go
+++ b/coordination/tracker/tracker.go
@@ -3,12 +3,17 @@
 //
 // Load pattern: servers that crash, start again at the same address, and whose
 // announcements arrive late after a partition. An announcement of an earlier
-// incarnation, or one that arrives after a later one, is ignored.
+// incarnation, or one that arrives after a later one, is ignored. An agent that has
+// restarted may receive late ones first: it ignores those of another service, of an
+// incarnation before the one that its predecessor recorded, and of another server than
+// the health check names, and concludes nothing from a server that is followed by
+// another before it has shown that it lives.
 package tracker
 
 import (
 	"errors"
 	"strconv"
+	"strings"
 	"time"
 
 	"gooseberrymast"
@@ -30,7 +35,9 @@
 var (
 	ErrForeignAddress = errors.New("the announcement names the address of another server")
 	ErrIncomplete     = errors.New("the announcement lacks a field or has one of a wrong type")
+	ErrForeignService = errors.New("the announcement names another service")
 	ErrSuperseded     = errors.New("a later announcement is known")
+	ErrOtherInstance  = errors.New("another server is known at the address")
 )
 
 // Status is the state of the server as far as the agent has information.
@@ -74,6 +81,9 @@
 type Tracker struct {
 	// Address is where the agent's server receives packets.
 	Address gooseberrymast.Endpoint
+	// Service is the service that the instance's settings name; empty if any is
+	// accepted.
+	Service string
 	// Interval is the time between announcements.
 	Interval time.Duration
 
@@ -91,12 +101,25 @@
 	noPredecessor, hadPredecessor bool
 	probed                        bool
 	service                       string
+	// since is when the incarnation's first announcement was accepted.
+	since time.Time
+	// stored is the incarnation that an earlier agent recorded; its ID is empty if none
+	// is known.
+	stored gooseberrymast.Announcement
+	// instance is the ID that the last health check named; empty if none did.
+	instance string
+	// challenger is the last announcement that was ignored in favour of another
+	// incarnation, and challengerSince is when the first one of its incarnation was.
+	challenger      gooseberrymast.Announcement
+	challengerSince time.Time
 	// introducedAt is when all balancers know a new instance; zero for one that is known.
 	introducedAt time.Time
 }
 
 // HandleAnnouncement processes an announcement. The error is the reason for which
-// it is ignored; restarted is set when it is the first of a new incarnation.
+// it is ignored; restarted is set when it is the first of a new incarnation and the one
+// before was alive while this agent ran. Otherwise the announcements of the one before
+// may have been late, and the new one may have taken flows of an earlier agent.
 func (t *Tracker) HandleAnnouncement(announcement gooseberrymast.Announcement, now time.Time) (restarted bool, err error) {
 	if announcement.Service == "" || announcement.ID == "" {
 		return false, ErrIncomplete
@@ -104,10 +127,21 @@
 	if announcement.Address != t.Address {
 		return false, ErrForeignAddress
 	}
-	if t.announced && !newer(announcement, t.last) {
-		return false, ErrSuperseded
+	if t.Service != "" && announcement.Service != t.Service {
+		return false, ErrForeignService
+	}
+	if reason := t.reasonToIgnore(announcement); reason != nil {
+		if !t.persists(announcement, now) {
+			return false, reason
+		}
+		// The health check may name servers otherwise than announcements do.
+		t.instance = ""
+	}
+	another := !t.announced || !sameIncarnation(announcement, t.last)
+	restarted = t.announced && another && (t.gone || t.witnessed())
+	if another {
+		t.since = now
 	}
-	restarted = t.announced && !sameIncarnation(announcement, t.last)
 	// Neither its sequence number nor what an earlier agent recorded shows when an
 	// incarnation took its first flow: it does so before its first announcement.
 	if restarted || !t.announced && t.failed {
@@ -119,32 +153,103 @@
 	return restarted, nil
 }
 
-// HandleDeparture processes the server's message that it ends.
+// reasonToIgnore returns the reason for which an announcement seems not to be the
+// server's, or nil.
+func (t *Tracker) reasonToIgnore(announcement gooseberrymast.Announcement) error {
+	known := t.last
+	if !t.announced {
+		known = t.stored
+	}
+	switch {
+	case t.instance != "" && announcement.ID != t.instance:
+		return ErrOtherInstance
+	case known.ID == "" || t.instance != "" && known.ID != t.instance:
+		// Nothing is known, or the health check has shown that it has ended.
+		return nil
+	case newer(announcement, known) || !t.announced && sameIncarnation(announcement, known):
+		return nil
+	case announcement.ID != known.ID:
+		return ErrOtherInstance
+	}
+	return ErrSuperseded
+}
+
+// persists reports whether an incarnation that seems to have ended goes on announcing
+// itself while no other does: a server whose clock went back, for example.
+func (t *Tracker) persists(announcement gooseberrymast.Announcement, now time.Time) bool {
+	switch {
+	case t.announced && sameIncarnation(announcement, t.last) && announcement.Sequence <= t.last.Sequence:
+		return false
+	case !sameIncarnation(announcement, t.challenger):
+		t.challenger, t.challengerSince = announcement, now
+	case announcement.Sequence > t.challenger.Sequence:
+		t.challenger = announcement
+	default:
+		return false
+	}
+	return t.silent(now) && now.Sub(t.challengerSince) > t.silenceLimit()
+}
+
+// witnessIntervals is the number of intervals after which an incarnation that has gone on
+// announcing itself was not one that had ended: a server that is alive announces itself
+// once an interval, and would have taken its place.
+const witnessIntervals = 1.75
+
+// witnessed reports whether the incarnation that announced itself last was alive while
+// this agent ran.
+func (t *Tracker) witnessed() bool {
+	return t.announced && t.lastContact.Sub(t.since) >= time.Duration(witnessIntervals*float64(t.Interval))
+}
+
+// RestoreIncarnation records the server's incarnation that an earlier agent recorded, as
+// Incarnation returned it there.
+func (t *Tracker) RestoreIncarnation(incarnation string) {
+	separator := strings.LastIndexByte(incarnation, '/')
+	if separator < 0 {
+		return
+	}
+	start, err := strconv.ParseInt(incarnation[separator+1:], 10, 64)
+	if err == nil {
+		t.stored = gooseberrymast.Announcement{ID: incarnation[:separator], StartUnixMs: start}
+	}
+}
+
+// HandleDeparture processes the server's message that it ends. It is ignored if the agent
+// can't be sure that it is the server's and not late: a server that has ended is then
+// found failed.
 func (t *Tracker) HandleDeparture(id string, startUnixMs int64) error {
 	if t.announced && (id != t.last.ID || startUnixMs != 0 && startUnixMs < t.last.StartUnixMs) {
 		return ErrSuperseded
 	}
-	t.gone = true
+	t.gone = t.gone || t.witnessed()
 	return nil
 }
 
+// Ended reports whether the server has announced its end, or was found failed.
+func (t *Tracker) Ended() bool {
+	return t.gone
+}
+
 // MarkFailed records that the server was found failed, with all of its flows.
 func (t *Tracker) MarkFailed() {
 	t.gone, t.failed = true, true
 }
 
-// HandleProbe records the result of a health check that the agent made before it
-// received any announcement.
-func (t *Tracker) HandleProbe(service string, healthy bool, now time.Time) {
+// HandleProbe records the result of a health check. Its state counts only while the
+// server has not announced itself.
+func (t *Tracker) HandleProbe(report gooseberrymast.HealthReport, now time.Time) {
+	if report.Healthy || report.Instance != "" {
+		t.instance = report.Instance
+	}
 	if t.announced {
 		return
 	}
-	t.service, t.probed, t.lastContact = service, healthy, now
+	t.service, t.probed, t.lastContact = t.Service, report.Healthy, now
 }
 
 // Status returns the server's status.
 func (t *Tracker) Status(now time.Time) Status {
-	silent := now.Sub(t.lastContact) > time.Duration(silentIntervals*float64(t.Interval))
+	silent := t.silent(now)
 	switch {
 	case t.gone:
 		return Gone
@@ -166,8 +271,16 @@
 	t.introducedAt = now.Add(introductionTime)
 }
 
-// Service returns the name of the server's service, or "" while it is unknown.
-func (t *Tracker) Service() string {
+func (t *Tracker) silent(now time.Time) bool {
+	return now.Sub(t.lastContact) > t.silenceLimit()
+}
+
+func (t *Tracker) silenceLimit() time.Duration {
+	return time.Duration(silentIntervals * float64(t.Interval))
+}
+
+// ServiceName returns the name of the server's service, or "" while it is unknown.
+func (t *Tracker) ServiceName() string {
 	return t.service
 }
 
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -48,8 +48,8 @@
 	stopPollInterval = 50 * time.Millisecond
 )
 
-// HealthCheck queries a backend server and reports whether it is healthy and not leaving.
-type HealthCheck func(ctx context.Context, server gooseberrymast.Endpoint, path string) (bool, error)
+// HealthCheck queries a backend server.
+type HealthCheck func(ctx context.Context, server gooseberrymast.Endpoint, path string) (gooseberrymast.HealthReport, error)
 
 // AnnouncementHandlerFunc returns the HTTP handler that receives a server's
 // announcements and passes them to the given functions.
@@ -59,7 +59,8 @@
 // Agent delivers packets to the backend server of its instance.
 type Agent struct {
 	member
-	// Health checks the server once when the agent starts; nil skips the check.
+	// Health checks the server when the agent starts, and when an announcement names
+	// another server than the one that is known; nil skips the check.
 	Health HealthCheck
 	// AnnouncementHandler creates the handler of the server's announcements.
 	AnnouncementHandler AnnouncementHandlerFunc
@@ -93,6 +94,12 @@
 	serverKnown     chan struct{}
 	serverKnownOnce sync.Once
 
+	// suspectEnded is set by a departure that may have been late, until the server
+	// announces itself.
+	suspectEnded atomic.Bool
+	// lastProbe is when the server's health was last checked; it is guarded by trackerMu.
+	lastProbe time.Time
+
 	// lastCheck is when the server was last checked for failure.
 	lastCheck time.Time
 
@@ -172,7 +179,7 @@
 
 // prepare sets what the agent's decisions depend on.
 func (a *Agent) prepare() {
-	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
+	a.tracker = tracker.Tracker{Address: a.Settings.Server, Service: a.Settings.Service, Interval: a.Settings.AnnounceInterval}
 	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
 	a.load = a.flowLoad
@@ -188,7 +195,7 @@
 	a.stopping.Store(true)
 	a.deliverer.Leave()
 	status := a.serverState(began).Status
-	if status == tracker.Unknown || status == tracker.Silent {
+	if status == tracker.Unknown || status == tracker.Silent || a.suspectEnded.Load() {
 		// Peers wait for the return of an agent that leaves, unless its server is gone.
 		a.connectToServer(began, status)
 		status = a.serverState(began).Status
@@ -352,6 +359,7 @@
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(earlier predecessor) {
 	a.trackerMu.Lock()
+	a.tracker.RestoreIncarnation(earlier.served.Server)
 	a.servedProven = a.servedProven || earlier.proven && earlier.found
 	if earlier.proven && !earlier.found {
 		a.tracker.SetNoPredecessor()
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -10,6 +10,7 @@
 	"gooseberrymast"
 	"gooseberrymast/coordination/deliverer"
 	"gooseberrymast/coordination/tracker"
+	"gooseberrymast/protocol/interpreter"
 )
 
 // serverState returns the state of the backend server for the deliverer.
@@ -18,11 +19,25 @@
 	defer a.trackerMu.Unlock()
 	last, _ := a.tracker.Last()
 	return deliverer.Server{
-		Status: a.tracker.Status(now), Service: a.tracker.Service(), Slots: last.Slots, Complete: a.tracker.Complete(),
+		Status: a.tracker.Status(now), Service: a.tracker.ServiceName(), Slots: last.Slots, Complete: a.tracker.Complete(),
 	}
 }
 
+// handleAnnouncement processes an announcement. If it names another server than the one
+// that is known, a health check decides which of them runs.
 func (a *Agent) handleAnnouncement(announcement gooseberrymast.Announcement) error {
+	err := a.tryAnnouncement(announcement)
+	if errors.Is(err, tracker.ErrOtherInstance) && a.probeAgain() {
+		err = a.tryAnnouncement(announcement)
+	}
+	if err != nil {
+		a.Log.Warn(gooseberrymast.EventAnnouncementIgnored).Str("server", announcement.ID).
+			Int64("born", announcement.StartUnixMs).Uint64("sequence", announcement.Sequence).Err(err).Msg("")
+	}
+	return err
+}
+
+func (a *Agent) tryAnnouncement(announcement gooseberrymast.Announcement) error {
 	now := a.Timer.Now()
 	a.trackerMu.Lock()
 	before := a.tracker.Status(now)
@@ -35,10 +50,9 @@
 	}
 	a.trackerMu.Unlock()
 	if err != nil {
-		a.Log.Warn(gooseberrymast.EventAnnouncementIgnored).Str("server", announcement.ID).
-			Int64("born", announcement.StartUnixMs).Uint64("sequence", announcement.Sequence).Err(err).Msg("")
 		return err
 	}
+	a.suspectEnded.Store(false)
 	a.concludeAbsence()
 	if restarted {
 		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.StartUnixMs).Msg("")
@@ -60,6 +74,9 @@
 	now := a.Timer.Now()
 	a.trackerMu.Lock()
 	err := a.tracker.HandleDeparture(id, startUnixMs)
+	if err == nil && !a.tracker.Ended() {
+		a.suspectEnded.Store(true)
+	}
 	a.trackerMu.Unlock()
 	a.Log.Info(gooseberrymast.EventServerDeparted).Str("server", id).Err(err).Msg("")
 	if err == nil {
@@ -78,12 +95,12 @@
 }
 
 // checkServer checks whether the server has failed if it leaves packets
-// unanswered, has stopped its announcements, or has not announced itself since the
-// agent started. The agent has to detect this because a failed server has no flows,
+// unanswered, has stopped its announcements, has not announced itself since the agent
+// started, or sent a departure that may have been late. The agent has to detect this because a failed server has no flows,
 // and the agent must report so when it is queried for one.
 func (a *Agent) checkServer(now time.Time) {
 	status := a.serverState(now).Status
-	suspicious := status == tracker.Silent || status == tracker.Unknown ||
+	suspicious := a.suspectEnded.Load() || status == tracker.Silent || status == tracker.Unknown ||
 		status == tracker.Ready && a.deliverer.HasUnansweredOpening(now)
 	if !suspicious || now.Sub(a.lastCheck) < serverCheckInterval {
 		return
@@ -159,12 +176,18 @@
 	for ctx.Err() == nil {
 		err := a.callStore(ctx, "look for the entry", func(ctx context.Context) error {
 			found, err := a.Store.Get(ctx, entryKey(a.Settings.Peers))
-			if err == nil {
-				a.mu.Lock()
-				a.entry = canonicalEntry(found)
-				a.mu.Unlock()
+			if err != nil {
+				return err
 			}
-			return err
+			a.mu.Lock()
+			a.entry = canonicalEntry(found)
+			a.mu.Unlock()
+			if earlier, served, err := interpreter.DecodeRecord(found.Value); err == nil && earlier.Service == a.Settings.Service {
+				a.trackerMu.Lock()
+				a.tracker.RestoreIncarnation(served.Server)
+				a.trackerMu.Unlock()
+			}
+			return nil
 		})
 		switch {
 		case err == nil:
@@ -202,16 +225,41 @@
 		if path == "" || a.serverState(a.Timer.Now()).Status != tracker.Unknown {
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, healthProbeTimeout)
-		defer cancel()
-		healthy, err := a.Health(ctx, a.Settings.Server, path)
-		now := a.Timer.Now()
-		a.Log.Info(gooseberrymast.EventServerProbed).Bool("healthy", healthy).Err(err).Msg("")
-		a.trackerMu.Lock()
-		a.tracker.HandleProbe(a.Settings.Service, healthy, now)
-		a.trackerMu.Unlock()
-		a.refreshState(now)
+		a.probe(ctx, path)
+	}
+}
+
+// probe checks the server's health.
+func (a *Agent) probe(ctx context.Context, path string) {
+	ctx, cancel := context.WithTimeout(ctx, healthProbeTimeout)
+	defer cancel()
+	report, err := a.Health(ctx, a.Settings.Server, path)
+	now := a.Timer.Now()
+	a.Log.Info(gooseberrymast.EventServerProbed).Bool("healthy", report.Healthy).Str("server", report.Instance).Err(err).Msg("")
+	a.trackerMu.Lock()
+	a.tracker.HandleProbe(report, now)
+	a.trackerMu.Unlock()
+	a.refreshState(now)
+}
+
+// probeAgain checks the server's health, unless this was done a moment ago, and reports
+// whether it did.
+func (a *Agent) probeAgain() bool {
+	routes := a.currentRoutes()
+	if a.Health == nil || routes == nil || routes.HealthPaths[a.Settings.Service] == "" {
+		return false
+	}
+	a.trackerMu.Lock()
+	now := a.Timer.Now()
+	due := now.Sub(a.lastProbe) >= serverCheckInterval
+	if due {
+		a.lastProbe = now
+	}
+	a.trackerMu.Unlock()
+	if due {
+		a.probe(context.Background(), routes.HealthPaths[a.Settings.Service])
 	}
+	return due
 }
 
 // beginIntroduction keeps flows from the server of a new instance until all balancers
--- a/runner/entry_test.go
+++ b/runner/entry_test.go
@@ -183,3 +183,31 @@
 		})
 	}
 }
+
+// Guards against flows that are placed at a server of another service: the restarted
+// agent of a new instance received an announcement of the server that was at its address
+// before. A health check must settle which of two servers of one service runs.
+func TestLateAnnouncementOfEarlierServerIsIgnored(t *testing.T) {
+	is := is.New(t)
+	agent := newQuietAgent(newLateStore(), newClock(), "receipts")
+	checks := 0
+	running := "i-1"
+	agent.Health = func(context.Context, gooseberrymast.Endpoint, string) (gooseberrymast.HealthReport, error) {
+		checks++
+		return gooseberrymast.HealthReport{Healthy: true, Instance: running}, nil
+	}
+	agent.setRoutes(&gooseberrymast.Routes{HealthPaths: map[string]string{"receipts": "/healthz"}})
+	late := gooseberrymast.Announcement{ID: "i-0", StartUnixMs: 9, Sequence: 7, Service: "ledger", Address: agent.Settings.Server}
+	is.True(agent.handleAnnouncement(late) != nil)
+	is.Equal(agent.ownPeer().Service, "receipts")
+	announceTo(t, agent, 1, 3)
+	late.Service = "receipts"
+	is.True(agent.handleAnnouncement(late) == nil) // nothing contradicts it yet
+	err := agent.handleAnnouncement(gooseberrymast.Announcement{
+		ID: "i-1", StartUnixMs: 1, Sequence: 4, Service: "receipts", Address: agent.Settings.Server,
+	})
+	is.NoErr(err) // the health check has shown that the server lives
+	is.Equal(checks, 1)
+	is.True(agent.handleAnnouncement(late) != nil)
+	is.True(!agent.serverState(agent.Timer.Now()).Complete)
+}
--- a/soaker/server.go
+++ b/soaker/server.go
@@ -89,9 +89,7 @@
 		return nil, errors.Join(fmt.Errorf("server %s: %w", s.name, err), s.conn.Close())
 	}
 	s.health = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if s.isLeaving() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		platform.WriteHealth(w, gooseberrymast.HealthReport{Healthy: !s.isLeaving(), Instance: s.id()})
 	})}
 	go func() { _ = s.health.Serve(listener) }()
 	go receive(s.conn, func(header gooseberrymast.PacketHeader, packet []byte, _ gooseberrymast.Endpoint) {
@@ -158,12 +156,17 @@
 	return platform.SendAnnouncement(ctx, &s.client, s.settings.Announcements, s.announcement())
 }
 
+// id returns the name that the server announces.
+func (s *server) id() string {
+	return strings.ReplaceAll(s.name, "/", "-")
+}
+
 func (s *server) announcement() gooseberrymast.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
 	return gooseberrymast.Announcement{
-		ID: strings.ReplaceAll(s.name, "/", "-"), StartUnixMs: s.startedAt.UnixMilli(), Sequence: s.sequence, Service: s.service,
+		ID: s.id(), StartUnixMs: s.startedAt.UnixMilli(), Sequence: s.sequence, Service: s.service,
 		Address: s.settings.Server, Slots: serverSlots, Leaving: s.leaving,
 	}
 }
