Proofs: an agent that nobody has heard may be restarting for 4 s

Cause: a balancer that starts took an agent that it never heard for gone after 0.7 s. Change: GoneAfterStart is GoneAfterLeaving, 4 s. Callers of flows that were lost wait up to 4 s after a balancer's start for their reset if an agent that the store lists, of a service that may hold them, never comes back; before 0.7 s. The model restarts agents together with all balancers. Result: TestFlowOfAgentThatNobodyHasHeardSurvivesItsRestart fails with 0.7 s. TestFlowOfAgentThatNeverReturnsIsResetWithinSeconds guards the bound. go test -race of steerer, relayer and roster passes.

--- a/coordination/steerer/newcomer_test.go
+++ b/coordination/steerer/newcomer_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/steerer"
 )
 
 // A balancer that restarts reads a new agent from the store and places a flow there,
@@ -58,6 +59,63 @@
 	}
 }
 
+// An agent restarts as planned while no balancer runs, and takes longer than the others:
+// nobody has heard it since, and nobody can say that it is being restarted.
+func TestFlowOfAgentThatNobodyHasHeardSurvivesItsRestart(t *testing.T) {
+	for _, down := range []time.Duration{1200 * time.Millisecond, 3 * time.Second} {
+		m := newModel(1, 5, 4)
+		for _, a := range m.agents {
+			m.announce(a)
+		}
+		m.rest(2 * time.Second)
+		const flows = 20
+		for port := uint16(1); port <= flows; port++ {
+			openFlow(m, m.balancers[0], port)
+		}
+		m.restartUnheard(m.agents[0], down)
+		for range down / tick {
+			m.step()
+			for port := uint16(1); port <= flows; port++ {
+				sendRequest(m, m.balancers[int(port)%len(m.balancers)], port)
+			}
+		}
+		if len(m.broken) > 0 {
+			t.Fatalf("down for %v: reset although its server holds it: %v\n%s", down, m.broken, m.traceOf(m.broken[0]))
+		}
+	}
+}
+
+// Callers of flows that were lost with an instance while everything was restarted must
+// not wait for their deadline for good.
+func TestFlowOfAgentThatNeverReturnsIsResetWithinSeconds(t *testing.T) {
+	m := newModel(1, 5, 4)
+	for _, a := range m.agents {
+		m.announce(a)
+	}
+	m.rest(2 * time.Second)
+	const flows = 20
+	for port := uint16(1); port <= flows; port++ {
+		openFlow(m, m.balancers[0], port)
+	}
+	lost := m.agents[0]
+	held := lost.server.flows
+	m.losePower(lost, time.Hour)
+	for _, b := range m.balancers {
+		m.startBalancer(b)
+	}
+	m.rest(steerer.GoneAfterStart + time.Second)
+	for key := range held {
+		before := m.resets
+		sendRequest(m, m.balancers[0], key.Caller.Port)
+		if m.resets == before {
+			t.Errorf("flow %v is not reset", key)
+		}
+	}
+	if len(held) == 0 {
+		t.Error("the agent had no flow")
+	}
+}
+
 func flowOf(port uint16) gooseberrymast.FlowKey {
 	return gooseberrymast.FlowKey{Caller: gooseberrymast.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Service: service}
 }
--- a/coordination/steerer/proof_reports_test.go
+++ b/coordination/steerer/proof_reports_test.go
@@ -159,6 +159,15 @@
 	a.downUntil = m.now.Add(down)
 }
 
+// restartUnheard restarts an agent as planned for a while together with all balancers, so
+// that none of these has heard that it stops.
+func (m *model) restartUnheard(a *agentModel, down time.Duration) {
+	m.restartAsPlanned(a, down)
+	for _, b := range m.balancers {
+		m.startBalancer(b)
+	}
+}
+
 // pause lets a balancer read nothing for a while, and then at most a number of
 // messages in a tick until it has caught up.
 func (m *model) pause(b *balancerModel, duration time.Duration, readLimit int) {
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -36,6 +36,11 @@
 					m.restartAsPlanned(a, time.Duration(rapid.IntRange(0, 15).Draw(t, "ticks"))*tick)
 				}
 			},
+			"restart-unheard": func(t *rapid.T) {
+				if a := m.agents[anyOf(t, len(m.agents))]; !m.now.Before(a.downUntil) {
+					m.restartUnheard(a, time.Duration(rapid.IntRange(0, 15).Draw(t, "ticks"))*tick)
+				}
+			},
 			"send-all": func(t *rapid.T) {
 				b := m.balancers[anyOf(t, len(m.balancers))]
 				for _, key := range slices.SortedFunc(maps.Keys(m.callers), compareCallers) {
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -176,10 +176,10 @@
 	// another, that it stops: it may take longer to start again, and its flows must
 	// survive that.
 	GoneAfterLeaving = 4 * time.Second
-	// GoneAfterStart is the same for an agent that has never sent a report. After
-	// a restart of the whole cluster all agents report within 0.3 s of each other,
-	// and one that doesn't was on an instance that no longer exists.
-	GoneAfterStart = 700 * time.Millisecond
+	// GoneAfterStart is the same for an agent that has never sent a report. It may be
+	// restarting as planned, which nobody has heard if all balancers were restarted at
+	// the same time; with 0.7 s, flows of agents that took 1.1 s were reset.
+	GoneAfterStart = GoneAfterLeaving
 )
 
 // gone reports whether an agent is considered gone. A balancer with recent
