Proofs: missing summaries are no silence; agents are asked directly

Cause: agents report to the balancers of their own zone. Change: a relayed agent is silent only as far as summaries say, or once it has left 10 questions of this balancer unanswered for 3.5 s.

--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -11,7 +11,8 @@
 // hears, and a wrong guess costs only a few datagrams.
 //
 // A relay may be lost, paused or cut off. So nobody concludes from missing
-// summaries that a peer has failed, a relay that hears few agents of its zone passes
+// summaries that a peer has failed: the relays of the other zones ask its agents
+// directly, and only those that leave this unanswered are silent. A relay that hears few agents of its zone passes
 // on only those, and an agent that hears no balancer of its own zone reports to all.
 package relayer
 
@@ -66,7 +67,10 @@
 	leaving     bool
 	lastTick    time.Time
 	lastSummary time.Time
-	relaying    bool
+	// lastQuestions is when Questions last considered whom to ask.
+	lastQuestions time.Time
+	asking        bool
+	relaying      bool
 	// rotation counts summaries, for balancers that take turns.
 	rotation int
 	// informed holds the last incarnation of each balancer for which Restarted was called.
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -319,7 +319,7 @@
 		return !s.gone(owner, now)
 	}
 	entry, known := s.Roster.Get(owner)
-	return copyNumber < rerouteFromCopy && known && entry.ReportAge(now) <= lateReportAge
+	return copyNumber < rerouteFromCopy && known && entry.Reporting(now) && entry.ReportAge(now) <= lateReportAge
 }
 
 // candidates returns the agents that may take a new flow of a route, all of one
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -176,6 +176,9 @@
 	// another, that it stops: it may take longer to start again, and its flows must
 	// survive that.
 	GoneAfterLeaving = 4 * time.Second
+	// GoneAfterAsked is the same for an agent of another availability zone of which no
+	// summaries arrive, and which has left this balancer's own questions unanswered.
+	GoneAfterAsked = 3500 * time.Millisecond
 	// GoneAfterStart is the same for an agent that has never sent a report. It may be
 	// restarting as planned, which nobody has heard if all balancers were restarted at
 	// the same time; with 0.7 s, flows of agents that took 1.1 s were reset.
@@ -206,7 +209,7 @@
 	case entry.Relayed:
 		limit = GoneAfterRelayed
 	}
-	return entry.Silence(listening) > limit
+	return entry.Silence(listening) > limit || entry.AskedSilence(listening) > GoneAfterAsked
 }
 
 // HasMostReports reports whether at least half of the agents have reported recently.
--- a/log_event.go
+++ b/log_event.go
@@ -27,6 +27,7 @@
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
 	EventZoneIsolated       LogEvent = "zone-isolated"
+	EventZoneUnheard        LogEvent = "zone-unheard"
 	EventRelayChanged       LogEvent = "relay-changed"
 	EventListeningResumed   LogEvent = "listening-resumed"
 	EventStateChanged       LogEvent = "state-changed"
@@ -79,7 +80,7 @@
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
-	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
+	EventIncarnationRaised, EventZoneIsolated, EventZoneUnheard, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -53,6 +53,8 @@
 	// documentUsable is set once hasUsableDocument has been true. It is guarded by
 	// member.mu.
 	documentUsable bool
+	// asking is what was last logged of the relayer's questions; relayerMu guards it.
+	asking bool
 	// recordedEra is the settled era that the balancer's entry in the store names, and
 	// settledRetryAt is when a failed call for a settled era may be repeated. Only
 	// handleSettledEra uses them.
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -45,7 +45,7 @@
 			Name: "gooseberrymast_store_calls_total", Help: "Calls to the platform's store, by call and outcome.",
 		}, []string{"call", "outcome"}),
 		summaries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gooseberrymast_zone_summaries_total", Help: "Summaries of availability zones, by whether they were sent, received or forwarded.",
+			Name: "gooseberrymast_zone_summaries_total", Help: "Summaries of availability zones, by whether they were sent, received or forwarded, and agents asked in their place.",
 		}, []string{"step"}),
 		serviceTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "gooseberrymast_service_seconds", Help: "Time from a request's first packet to its answer's, at the agent.",
--- a/runner/report.go
+++ b/runner/report.go
@@ -45,6 +45,12 @@
 	if changed {
 		m.Log.Warn(gooseberrymast.EventZoneIsolated).Bool("isolated", isolated).Int("recipients", len(recipients)).Msg("")
 	}
+	m.sendReport(recipients, relayed, now)
+}
+
+// sendReport sends the process's report. relayed is set if the recipients in other zones
+// learn of the process from summaries.
+func (m *member) sendReport(recipients []gooseberrymast.Endpoint, relayed bool, now time.Time) {
 	m.mu.Lock()
 	report := gooseberrymast.Report{
 		Peer:     m.self,
@@ -86,11 +92,24 @@
 		return
 	}
 	b.zoneChanged.Store(false)
-	summary, recipients := b.relayer.Summary(b.relayEntries(), b.ownPeer(), b.roster.Listening(), now)
+	entries, self, listening := b.relayEntries(), b.ownPeer(), b.roster.Listening()
+	summary, recipients := b.relayer.Summary(entries, self, listening, now)
+	asked := b.relayer.Questions(entries, self, listening, now)
+	substitutes, balancers := b.relayer.Substitutes(entries, self, listening, now)
 	relaying := b.relayer.Relaying()
 	changed := relaying != b.relaying
 	b.relaying = relaying
+	asking := b.relayer.Asking()
+	askingChanged := asking != b.asking
+	b.asking = asking
 	b.relayerMu.Unlock()
+	if askingChanged {
+		b.Log.Warn(gooseberrymast.EventZoneUnheard).Bool("unheard", asking).Int("agents", len(asked)).Msg("")
+	}
+	b.ask(asked, now)
+	for _, substitute := range substitutes {
+		b.writeSummary(substitute, balancers)
+	}
 	if changed {
 		b.Log.Info(gooseberrymast.EventRelayChanged).Bool("relay", relaying).Int("recipients", len(recipients)).Msg("")
 	}
@@ -104,6 +123,17 @@
 	b.metrics.countSummaries("sent", len(recipients))
 }
 
+// ask asks agents of other zones for reports, by reporting to them as to a process of
+// which they learn from nobody else.
+func (b *Balancer) ask(agents []gooseberrymast.Endpoint, now time.Time) {
+	if len(agents) == 0 {
+		return
+	}
+	b.roster.MarkAsked(agents, now)
+	b.sendReport(agents, false, now)
+	b.metrics.countSummaries("asked", len(agents))
+}
+
 // handleSummary processes a summary of another zone. The one of its zone that
 // received it from there passes it on.
 func (m *member) handleSummary(summary gooseberrymast.Summary, sender gooseberrymast.Endpoint, now time.Time) {
--- a/state/roster/entry.go
+++ b/state/roster/entry.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrymast"
@@ -15,10 +16,13 @@
 	// the peer receives no new flows: the time in which other balancers of its zone
 	// become relays after the loss of all, plus one lost summary.
 	StaleViewAfter = 2 * time.Second
-	// MaxViewAge bounds how long the loss of a zone's summaries delays the verdict
-	// that its peers are silent. Meanwhile an agent that has lost the balancers of
-	// its zone begins to report to those of the others.
-	MaxViewAge = 3 * time.Second
+	// MaxQuestions is the number of questions to a peer after which its silence counts,
+	// and no more are sent: at the interval of the balancers' reports, 0.4 s, they take
+	// 3.6 s. A live peer answers each with four reports or more, so that a link which
+	// loses half of all messages hides one of 600 live peers.
+	MaxQuestions = 10
+	// maxQuestionGap is the time between two questions from which they count anew.
+	maxQuestionGap = time.Second
 )
 
 // Entry is one peer with its last report.
@@ -40,6 +44,12 @@
 	UsesRelays bool
 	// ViewedAt is when the last summary or report of a relayed peer arrived.
 	ViewedAt time.Time
+	// SummarizedAt is when the last summary that contained the peer arrived.
+	SummarizedAt time.Time
+	// AskedSince and AskedAt are when this process first and last asked the peer for a
+	// report since the last report or summary, and Questions is how often.
+	AskedSince, AskedAt time.Time
+	Questions           int
 	// Load and Document are from the peer's last report.
 	Load     gooseberrymast.FlowLoad
 	Document gooseberrymast.DocumentStatus
@@ -66,25 +76,31 @@
 // Silence returns the time for which the peer is known to have been silent, at a
 // process that has listened over the given span.
 func (e Entry) Silence(listening Listening) time.Duration {
-	since := listening.Since
-	for _, at := range []time.Time{e.ReportedAt, e.UpdatedAt} {
-		if at.After(since) {
-			since = at
-		}
+	return max(0, e.knownUntil(listening.Until).Sub(latest(listening.Since, e.ReportedAt, e.UpdatedAt)))
+}
+
+// AskedSilence returns the time for which the peer has left this process's questions
+// unanswered; zero before it was asked MaxQuestions times.
+func (e Entry) AskedSilence(listening Listening) time.Duration {
+	if e.Questions < MaxQuestions {
+		return 0
 	}
-	return max(0, e.knownUntil(listening.Until).Sub(since))
+	return max(0, listening.Until.Sub(latest(listening.Since, e.AskedSince, e.ReportedAt, e.UpdatedAt)))
 }
 
-// knownUntil returns the latest time at which a report of the peer would be known.
-// It is earlier than now for a relayed peer, whose summaries may be lost although
-// it reports.
+// knownUntil returns the latest time at which a report of the peer would be known. A
+// relayed peer may report although no summaries arrive.
 func (e Entry) knownUntil(now time.Time) time.Time {
-	if !e.Relayed {
-		return now
-	}
-	oldest := now.Add(-MaxViewAge)
-	if e.ViewedAt.After(oldest) {
+	if e.Relayed {
 		return e.ViewedAt
 	}
-	return oldest
+	return now
+}
+
+func (e *Entry) clearQuestions() {
+	e.AskedSince, e.AskedAt, e.Questions = time.Time{}, time.Time{}, 0
+}
+
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
 }
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -50,6 +50,7 @@
 	}
 	entry.Peer = report.Peer
 	entry.ReportedAt, entry.UpdatedAt, entry.ViewedAt = now, now, now
+	entry.clearQuestions()
 	entry.UsesRelays = report.Relayed
 	entry.Relayed = report.Relayed && r.inOtherZone(report.Peer)
 	entry.Load, entry.Document = report.Load, report.Document
@@ -111,7 +112,8 @@
 		if entry.Incarnation != viewed.Peer.Incarnation {
 			entry.Load, entry.ReportedAt = gooseberrymast.FlowLoad{}, time.Time{}
 		}
-		entry.Peer, entry.Relayed, entry.ViewedAt = viewed.Peer, true, now
+		entry.Peer, entry.Relayed, entry.ViewedAt, entry.SummarizedAt = viewed.Peer, true, now, now
+		entry.clearQuestions()
 		lastSign := now.Add(-viewed.Silence)
 		if lastSign.After(entry.UpdatedAt) {
 			entry.UpdatedAt = lastSign
@@ -124,6 +126,24 @@
 	return changed
 }
 
+// MarkAsked records that this process asks peers for a report.
+func (r *Roster) MarkAsked(peers []gooseberrymast.Endpoint, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, peer := range peers {
+		entry, found := r.entries[peer]
+		if !found {
+			continue
+		}
+		if now.Sub(entry.AskedAt) > maxQuestionGap || entry.AskedSince.Before(r.listening.Since) {
+			entry.AskedSince, entry.Questions = now, 0
+		}
+		entry.AskedAt = now
+		entry.Questions++
+		r.put(entry)
+	}
+}
+
 // SetStored sets the fields of a peer that come only from its entry in the store.
 func (r *Roster) SetStored(peer gooseberrymast.Endpoint, served []gooseberrymast.Endpoint, version uint64) {
 	r.mu.Lock()
