--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -32,6 +32,8 @@
 	fewFlows = 4
 	// lateCallTime is how long an entry that was removed is missing.
 	lateCallTime = 8 * time.Second
+	// maxLateAnnouncements is the number of a server's announcements that may arrive late.
+	maxLateAnnouncements = 30
 	// stableWindow is the time without impairment after which a machine is in touch.
 	stableWindow = 4 * time.Second
 )
@@ -63,6 +65,10 @@
 	// machine of a killed process is not in touch until stableWindow after its return.
 	excusedUntil time.Time
 	sequence     uint64
+	// announcements are the latest ones that servers at the address have sent.
+	announcements []gooseberrymast.Announcement
+	// recorded is the server's incarnation that the entry names.
+	recorded string
 	// stored is set while the store has an entry of the agent; served is what it
 	// says.
 	stored bool
@@ -71,6 +77,8 @@
 	// set once the agent has read its entry.
 	refusedUntil time.Time
 	registered   bool
+	// askedAt is when each balancer of another zone last asked the agent for reports.
+	askedAt map[*balancerModel]time.Time
 	// lostAt is when the entry was removed; zero if it wasn't.
 	lostAt time.Time
 }
@@ -119,6 +127,9 @@
 	// document is the number of the document, and services are those that it allows.
 	document uint64
 	services []string
+	// cutZone is the zone whose balancers are cut off from the other ones until cutUntil.
+	cutZone  string
+	cutUntil time.Time
 	// loss is the share of reports and summaries that get lost.
 	loss float64
 	// broken holds the flows that were reset although their server holds them.
@@ -217,12 +228,12 @@
 	m.log(gooseberrymast.FlowKey{}, "agent %s starts, stored %v %v", a.self.Endpoint, a.stored, a.served)
 	a.self.Incarnation++
 	a.self.Sequence, a.self.State = 0, gooseberrymast.StateStarting
-	a.deliverer = &deliverer.Deliverer{}
+	a.deliverer, a.askedAt = &deliverer.Deliverer{}, map[*balancerModel]time.Time{}
 	if a.self.Endpoint.IP[3]%3 == 0 {
 		a.deliverer.MaxFlows = fewFlows
 	}
 	a.deliverer.HandleDocument(a.self.Service, m.routes())
-	a.tracker = &tracker.Tracker{Address: a.self.Endpoint, Interval: time.Second}
+	a.tracker = &tracker.Tracker{Address: a.self.Endpoint, Service: a.self.Service, Interval: time.Second}
 	a.registered = false
 	m.register(a)
 }
@@ -238,6 +249,7 @@
 		a.deliverer.HandleStored(nil)
 		return
 	}
+	a.tracker.RestoreIncarnation(a.recorded)
 	a.deliverer.Restore(a.served, true)
 	a.deliverer.HandleStored(a.served)
 }
@@ -297,17 +309,28 @@
 // announce lets an agent's server announce itself.
 func (m *model) announce(a *agentModel) {
 	a.sequence++
-	restarted, err := a.tracker.HandleAnnouncement(gooseberrymast.Announcement{
+	announcement := gooseberrymast.Announcement{
 		ID: "i", StartUnixMs: a.server.start, Sequence: a.sequence, Service: a.self.Service, Slots: 2, Address: a.self.Endpoint,
 		Leaving: a.server.leaving,
-	}, m.now)
+	}
+	if len(a.announcements) == maxLateAnnouncements {
+		a.announcements = a.announcements[1:]
+	}
+	a.announcements = append(a.announcements, announcement)
+	m.handleAnnouncement(a, announcement)
+}
+
+// handleAnnouncement lets an agent receive an announcement, which may be late.
+func (m *model) handleAnnouncement(a *agentModel, announcement gooseberrymast.Announcement) {
+	restarted, err := a.tracker.HandleAnnouncement(announcement, m.now)
 	if err != nil {
 		return
 	}
-	if !a.server.announced {
-		m.log(gooseberrymast.FlowKey{}, "server of %s announces itself, restarted %v", a.self.Endpoint, restarted)
+	late := announcement.StartUnixMs != a.server.start
+	if !a.server.announced || late {
+		m.log(gooseberrymast.FlowKey{}, "server of %s announces itself, late %v, restarted %v", a.self.Endpoint, late, restarted)
 	}
-	a.server.announced = true
+	a.server.announced = a.server.announced || !late
 	if a.tracker.NoPredecessor() {
 		a.deliverer.Restore(nil, true)
 	}
@@ -325,7 +348,7 @@
 	if a.tracker.Status(m.now) == tracker.Introduced {
 		a.self.State = gooseberrymast.StateStarting
 	}
-	if a.server.leaving {
+	if announcement.Leaving {
 		a.self.State = gooseberrymast.StateLeaving
 	}
 	a.self.Sequence++
@@ -339,11 +362,14 @@
 	if !a.registered || m.now.Before(a.refusedUntil) || !written {
 		return
 	}
-	a.stored, a.served, a.lostAt = true, served, time.Time{}
+	a.stored, a.served, a.lostAt, a.recorded = true, served, time.Time{}, a.tracker.Incarnation()
 	a.deliverer.HandleStored(served)
 }
 
 func (m *model) send(p packet) {
+	if m.isCut(p.from, p.to) {
+		return
+	}
 	p.sentAt = m.now
 	m.packets = append(m.packets, p)
 }
@@ -383,7 +409,7 @@
 
 func (m *model) serverOf(a *agentModel) deliverer.Server {
 	return deliverer.Server{
-		Status: a.tracker.Status(m.now), Service: a.tracker.Service(), Slots: 2, Complete: a.tracker.Complete(),
+		Status: a.tracker.Status(m.now), Service: a.tracker.ServiceName(), Slots: 2, Complete: a.tracker.Complete(),
 	}
 }
 
