Flow records: agents tell their relay long flows, resets after a loss of everything

Cause: after the loss of all instances only callers know the open flows. An idle flow is found dead when its caller uses it, and a non-idempotent request is lost.

Change: an agent tells the first balancer of its zone the flows of non-idempotent routes that are 2 s old (coordination/informer, messages 8 and 9); the balancer merges and writes them to flow-records/ZONE at most every 2 s, conditionally (coordination/archiver). An agent that starts, and whose server is another incarnation than its entry named, reads the object once and resets the flows of earlier incarnations, paced (coordination/resetter). Setting flow-records, metrics and log events.

--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -63,6 +63,7 @@
 				ReadRoutes:  platform.ReadRoutes,
 				PeersListen: peersListenEndpoint(forwarding),
 				MetricsPort: forwarding.MetricsPort,
+				FlowRecords: forwarding.FlowRecords,
 				Log:         journal,
 			})
 		},
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -252,6 +252,7 @@
 			}
 		}
 	}
+	f.callerEnded = f.callerEnded || header.Resets || header.Finishes
 	step := Step{Action: ToServer, Tag: d.recordPending(hop)}
 	if hop.NotifyOrigin && f.answered {
 		step.Notify = hop.Origin
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -29,8 +29,11 @@
 	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
-	// closed is set once the server has ended the flow.
-	closed bool
+	// requests counts the requests that have begun.
+	requests int
+	// closed is set once the server has ended the flow, and callerEnded once the
+	// caller has.
+	closed, callerEnded bool
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
@@ -87,6 +90,7 @@
 	}
 	f.busy = busy
 	if busy {
+		f.requests++
 		d.busyFlows++
 	} else {
 		d.busyFlows--
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -183,8 +183,7 @@
 func (r *Relayer) rank(entries []roster.Entry, self gooseberrymast.Peer, now time.Time) (rank, relays int) {
 	heard := 1
 	for _, entry := range entries {
-		if entry.Role != gooseberrymast.RoleBalancer || entry.Zone != r.Zone || !entry.Reporting(now) ||
-			!entry.UsesRelays || entry.State == gooseberrymast.StateGone {
+		if !r.mayRelay(entry, now) {
 			continue
 		}
 		heard++
@@ -195,6 +194,28 @@
 	return rank, min(heard, relaysPerZone)
 }
 
+// mayRelay reports whether a peer may be a relay of the own zone.
+func (r *Relayer) mayRelay(entry roster.Entry, now time.Time) bool {
+	return entry.Role == gooseberrymast.RoleBalancer && entry.Zone == r.Zone && entry.Reporting(now) &&
+		entry.UsesRelays && entry.State != gooseberrymast.StateGone
+}
+
+// Relays returns the relays of the own zone among those that an agent hears, by rank.
+func (r *Relayer) Relays(entries []roster.Entry, now time.Time) []gooseberrymast.Endpoint {
+	var ranked []gooseberrymast.Peer
+	for _, entry := range entries {
+		if r.mayRelay(entry, now) {
+			ranked = append(ranked, entry.Peer)
+		}
+	}
+	slices.SortFunc(ranked, compareRank)
+	var relays []gooseberrymast.Endpoint
+	for _, peer := range ranked[:min(len(ranked), relaysPerZone)] {
+		relays = append(relays, peer.Endpoint)
+	}
+	return relays
+}
+
 // compareRank orders balancers for the choice of relays: those that leave come last.
 func compareRank(a, b gooseberrymast.Peer) int {
 	aLeaving, bLeaving := a.State == gooseberrymast.StateLeaving, b.State == gooseberrymast.StateLeaving
--- a/forwarding_settings.go
+++ b/forwarding_settings.go
@@ -20,6 +20,8 @@
 	PeersListen netip.AddrPort `toml:"peers-listen"`
 	// StoreTimeout bounds each call to the platform's store.
 	StoreTimeout Duration `toml:"store-timeout"`
+	// FlowRecords says whether open flows are recorded in the store.
+	FlowRecords FlowRecordsMode `toml:"flow-records"`
 }
 
 // The defaults and ranges of settings for processes that forward packets.
@@ -42,6 +44,7 @@
 	setDefault(&f.LogRate, DefaultLogRate)
 	setDefault(&f.LogBurst, DefaultLogBurst)
 	setDefault(&f.StoreTimeout, DefaultStoreTimeout)
+	setDefault(&f.FlowRecords, FlowRecordsAuto)
 }
 
 // Validate returns every fault of the settings. SetDefaults must be called first.
@@ -56,5 +59,10 @@
 	if timeout := f.StoreTimeout.Std(); timeout < minStoreTimeout || timeout > maxStoreTimeout {
 		faults.add("store-timeout", f.StoreTimeout, "a duration from %s to %s", minStoreTimeout, maxStoreTimeout)
 	}
+	switch f.FlowRecords {
+	case FlowRecordsOn, FlowRecordsOff, FlowRecordsAuto:
+	default:
+		faults.add("flow-records", f.FlowRecords, "on, off or auto")
+	}
 	return faults
 }
--- a/instance_settings.go
+++ b/instance_settings.go
@@ -34,4 +34,18 @@
 	AnnounceInterval time.Duration
 	// StopWithin is the time between the stop signal and the kill.
 	StopWithin time.Duration
+	// MaxFlowAge is the age from which a flow may be discarded; zero means
+	// DefaultMaxFlowAge.
+	MaxFlowAge time.Duration
+}
+
+// DefaultMaxFlowAge is the platform's default age from which a flow may be discarded.
+const DefaultMaxFlowAge = 60 * time.Second
+
+// FlowMaxAge returns MaxFlowAge, or its default if it is not set.
+func (s InstanceSettings) FlowMaxAge() time.Duration {
+	if s.MaxFlowAge == 0 {
+		return DefaultMaxFlowAge
+	}
+	return s.MaxFlowAge
 }
--- a/log_event.go
+++ b/log_event.go
@@ -50,28 +50,33 @@
 
 // The events of flows and requests.
 const (
-	EventFlowPlaced       LogEvent = "flow-placed"
-	EventFlowLookedUp     LogEvent = "flow-looked-up"
-	EventFlowWalked       LogEvent = "flow-walked"
-	EventFlowReset        LogEvent = "flow-reset"
-	EventPacketDropped    LogEvent = "packet-dropped"
-	EventFlowTaken        LogEvent = "flow-taken"
-	EventFlowPassedOn     LogEvent = "flow-passed-on"
-	EventFlowTried        LogEvent = "flow-tried"
-	EventFlowNotHeld      LogEvent = "flow-not-held"
-	EventFlowLearned      LogEvent = "flow-learned"
-	EventRequestSlow      LogEvent = "request-slow"
-	EventRequestCut       LogEvent = "request-cut"
-	EventRequestAbandoned LogEvent = "request-abandoned"
-	EventServerFailing    LogEvent = "server-failing"
-	EventPacketMalformed  LogEvent = "packet-malformed"
-	EventMessageMalformed LogEvent = "message-malformed"
-	EventReceiveFailed    LogEvent = "receive-failed"
-	EventSendFailed       LogEvent = "send-failed"
-	EventServeFailed      LogEvent = "serve-failed"
-	EventEncodeFailed     LogEvent = "encode-failed"
-	EventLinesDropped     LogEvent = "log-lines-dropped"
-	EventMetricsNotServed LogEvent = "metrics-not-served"
+	EventFlowPlaced            LogEvent = "flow-placed"
+	EventFlowLookedUp          LogEvent = "flow-looked-up"
+	EventFlowWalked            LogEvent = "flow-walked"
+	EventFlowReset             LogEvent = "flow-reset"
+	EventFlowRecordsActive     LogEvent = "flow-records-active"
+	EventFlowRecordsWritten    LogEvent = "flow-records-written"
+	EventFlowRecordsNotWritten LogEvent = "flow-records-not-written"
+	EventFlowRecordsRead       LogEvent = "flow-records-read"
+	EventFlowRecordsNotRead    LogEvent = "flow-records-not-read"
+	EventPacketDropped         LogEvent = "packet-dropped"
+	EventFlowTaken             LogEvent = "flow-taken"
+	EventFlowPassedOn          LogEvent = "flow-passed-on"
+	EventFlowTried             LogEvent = "flow-tried"
+	EventFlowNotHeld           LogEvent = "flow-not-held"
+	EventFlowLearned           LogEvent = "flow-learned"
+	EventRequestSlow           LogEvent = "request-slow"
+	EventRequestCut            LogEvent = "request-cut"
+	EventRequestAbandoned      LogEvent = "request-abandoned"
+	EventServerFailing         LogEvent = "server-failing"
+	EventPacketMalformed       LogEvent = "packet-malformed"
+	EventMessageMalformed      LogEvent = "message-malformed"
+	EventReceiveFailed         LogEvent = "receive-failed"
+	EventSendFailed            LogEvent = "send-failed"
+	EventServeFailed           LogEvent = "serve-failed"
+	EventEncodeFailed          LogEvent = "encode-failed"
+	EventLinesDropped          LogEvent = "log-lines-dropped"
+	EventMetricsNotServed      LogEvent = "metrics-not-served"
 )
 
 // LogEvents lists every event.
@@ -82,7 +87,8 @@
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
-	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
+	EventFlowWalked, EventFlowReset, EventFlowRecordsActive, EventFlowRecordsWritten, EventFlowRecordsNotWritten,
+	EventFlowRecordsRead, EventFlowRecordsNotRead, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
 	EventServerFailing, EventPacketMalformed, EventMessageMalformed,
 	EventReceiveFailed, EventSendFailed, EventServeFailed, EventEncodeFailed, EventLinesDropped, EventMetricsNotServed,
--- a/protocol/interpreter/record.go
+++ b/protocol/interpreter/record.go
@@ -22,6 +22,8 @@
 	// VerifiedEra and SettledEra are as in Served.
 	VerifiedEra uint64 `json:"verified-era,omitempty"`
 	SettledEra  uint64 `json:"settled-era,omitempty"`
+	// FlowRecords is as in Served.
+	FlowRecords bool `json:"flow-records,omitempty"`
 }
 
 // Served holds what a process's entry in the store says about an agent's server, and
@@ -39,6 +41,8 @@
 	// SettledEra is the highest era that the writer knew to have settled: every running
 	// instance had had the time to verify its entry.
 	SettledEra uint64
+	// FlowRecords is set if the writer, a balancer, has written its zone's flow records.
+	FlowRecords bool
 }
 
 // EncodeRecord encodes a peer's value in the store.
@@ -52,6 +56,7 @@
 
 		VerifiedEra: served.VerifiedEra,
 		SettledEra:  served.SettledEra,
+		FlowRecords: served.FlowRecords,
 	}
 	for _, address := range served.Addresses {
 		stored.Served = append(stored.Served, address.String())
@@ -71,7 +76,7 @@
 	if err := json.Unmarshal(value, &decoded); err != nil {
 		return gooseberrymast.Peer{}, Served{}, fmt.Errorf("interpreter.DecodeRecord: %w", err)
 	}
-	served := Served{Server: decoded.Server, VerifiedEra: decoded.VerifiedEra, SettledEra: decoded.SettledEra}
+	served := Served{Server: decoded.Server, VerifiedEra: decoded.VerifiedEra, SettledEra: decoded.SettledEra, FlowRecords: decoded.FlowRecords}
 	for _, text := range decoded.Served {
 		address, err := gooseberrymast.ParseEndpoint(text)
 		if err != nil {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -13,6 +13,7 @@
 	"gooseberrymast/coordination/assessor"
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
+	"gooseberrymast/coordination/resetter"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
@@ -93,6 +94,8 @@
 	// lastCheck is when the server was last checked for failure.
 	lastCheck time.Time
 
+	records flowRecords
+
 	incarnationsMu sync.Mutex
 	// incarnations is the last known incarnation of each balancer; a
 	// restarted balancer needs all flow owners again.
@@ -116,6 +119,7 @@
 	a.served, a.restore = a.currentServed, a.restoreServed
 	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
 	a.serverKnown = make(chan struct{})
+	a.setUpFlowRecords()
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
 		select {
@@ -146,6 +150,7 @@
 	go a.probeServer(workCtx, healthPaths)
 	go a.reportPeriodically(workCtx, agentReportInterval)
 	stops := []func(){
+		a.startFlowRecords(workCtx),
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.confirmDocument(workCtx) }),
 		a.Timer.Every(ownersInterval, a.announceOwners),
 		a.Timer.Every(ownersInterval, a.checkServer),
@@ -333,6 +338,11 @@
 	a.servedProven = a.servedProven || earlier.proven
 	a.trackerMu.Unlock()
 	a.deliverer.Restore(earlier.served.Addresses, earlier.proven)
+	a.records.mu.Lock()
+	defer a.records.mu.Unlock()
+	a.records.resetter.HandlePredecessor(resetter.Predecessor{
+		Found: earlier.found, Server: earlier.server, Recorded: earlier.flowRecords,
+	}, a.Timer.Now())
 }
 
 // verifiedEra returns the store's era if the agent knows every address whose flows its
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -39,6 +39,7 @@
 			Int64("born", announcement.StartUnixMs).Uint64("sequence", announcement.Sequence).Err(err).Msg("")
 		return err
 	}
+	a.handleServerIncarnation(announcement, now)
 	if restarted {
 		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.StartUnixMs).Msg("")
 		a.resetLost("server-restarted", lost)
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -58,6 +58,11 @@
 	// handleSettledEra uses them.
 	recordedEra    uint64
 	settledRetryAt time.Time
+
+	archive flowArchive
+	// entryNamesFlowRecords is set once the balancer's entry says that there are flow
+	// records. Only storeFlowRecords uses it.
+	entryNamesFlowRecords bool
 }
 
 // NewBalancer returns a balancer; Run starts it.
@@ -93,6 +98,7 @@
 	defer stopReadiness()
 	b.countOwners = b.owners.Len
 	b.served = b.settledEra
+	b.setUpFlowArchive()
 	defer b.serveMetrics()()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -100,6 +106,7 @@
 	go b.receiveFromFabric()
 	go b.register(workCtx)
 	stops := []func(){
+		b.startFlowArchive(workCtx),
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
 		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(workCtx, now) }),
 		b.Timer.Every(relayer.TickInterval, b.sendSummary),
--- a/runner/document_test.go
+++ b/runner/document_test.go
@@ -34,16 +34,24 @@
 	}, nil
 }
 
-// restorableStore serves a stand-in store and counts the reads of the document.
+// restorableStore serves a stand-in store and counts the reads of the document, and the
+// reads and writes of flow records.
 type restorableStore struct {
 	platform.StandinStore
-	reads atomic.Int64
+	reads, recordReads, recordWrites atomic.Int64
 }
 
 func (s *restorableStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && strings.HasSuffix(r.URL.Path, platform.DocumentKey) {
 		s.reads.Add(1)
 	}
+	if strings.Contains(r.URL.Path, "/"+strings.TrimSuffix(flowRecordsPrefix, "/")) {
+		if r.Method == http.MethodGet {
+			s.recordReads.Add(1)
+		} else {
+			s.recordWrites.Add(1)
+		}
+	}
 	s.StandinStore.ServeHTTP(w, r)
 }
 
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -123,12 +123,14 @@
 	now := m.Timer.Now()
 	var served, ownServed interpreter.Served
 	var settled uint64
+	flowRecords := false
 	for _, object := range objects {
 		peer, peerServed, err := interpreter.DecodeRecord(object.Value)
 		if err != nil {
 			m.Log.Warn(gooseberrymast.EventStoreUnreadable).Str("key", object.Key).Err(err).Msg("")
 		}
 		settled = max(settled, peerServed.SettledEra)
+		flowRecords = flowRecords || peerServed.FlowRecords && peer.Zone == self.Zone
 		switch {
 		case object.Key == entryKey(self.Endpoint):
 			own, ownServed = object, peerServed
@@ -144,12 +146,18 @@
 	if complete {
 		m.roster.MarkComplete()
 	}
+	if ownServed.FlowRecords {
+		m.hasFlowRecords.Store(true)
+	}
 	switch {
 	case m.restore == nil:
 	case created:
 		m.restore(predecessor{proven: complete})
 	case own.Key != "":
-		m.restore(predecessor{found: true, served: served, proven: era == 0 || ownServed.VerifiedEra == era})
+		m.restore(predecessor{
+			found: true, served: served, proven: era == 0 || ownServed.VerifiedEra == era,
+			server: ownServed.Server, flowRecords: flowRecords,
+		})
 	}
 	return own, nil
 }
--- a/runner/era.go
+++ b/runner/era.go
@@ -77,6 +77,10 @@
 	// proven is set if the store has lost neither a later version of the entry nor, if
 	// none was found, the entry.
 	proven bool
+	// server is the incarnation of the server that the entry names, whatever its service.
+	server string
+	// flowRecords is set if a balancer of the zone has written flow records.
+	flowRecords bool
 }
 
 // documentStatus returns the update for the peers about the store. The caller must
@@ -140,5 +144,5 @@
 func (b *Balancer) settledEra() interpreter.Served {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return interpreter.Served{SettledEra: b.verifier.SettledEra()}
+	return interpreter.Served{SettledEra: b.verifier.SettledEra(), FlowRecords: b.recordsFlows() && b.hasFlowRecords.Load()}
 }
--- a/runner/member.go
+++ b/runner/member.go
@@ -62,6 +62,8 @@
 	// MetricsPort is the port of the metrics endpoint on the instance's address;
 	// zero disables it.
 	MetricsPort int
+	// FlowRecords says whether open flows are recorded in the store.
+	FlowRecords gooseberrymast.FlowRecordsMode
 	// Log receives the process's log lines.
 	Log *journaler.Journaler
 }
@@ -81,9 +83,15 @@
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// onFlowOwners is called with the flows that an agent owns; nil at an agent.
 	onFlowOwners ownersFunc
+	// onFlowUpdate and onFlowUpdateAnswer are called with messages about flow records;
+	// nil where they are not processed.
+	onFlowUpdate       func(*peer.FlowRecords, time.Time)
+	onFlowUpdateAnswer func(*peer.FlowRecordsAnswer, time.Time)
 	// countOwners returns the number of flow owners that a balancer has stored;
 	// nil at an agent.
 	countOwners func() int
+	// countFlowRecords returns the size of the flow records; nil where they are off.
+	countFlowRecords func() recordedFlows
 	// served returns what the process's entry says besides its description, and restore
 	// receives what an earlier agent stored there; restore is nil at a balancer.
 	served  func() interpreter.Served
@@ -126,6 +134,9 @@
 	// they learn of it; nil at a balancer.
 	hidden   atomic.Bool
 	onReveal func(now time.Time)
+	// hasFlowRecords is set once a balancer has written flow records, or an earlier one
+	// at its address has.
+	hasFlowRecords atomic.Bool
 	// registered is set once the entry is in the store and the peers are loaded.
 	registered atomic.Bool
 	// wake makes reportPeriodically report at once.
@@ -273,6 +284,14 @@
 		m.handleSummary(interpreter.ReadSummary(body.Summary), sender, now)
 	case *peer.Message_Marker:
 		m.handleMarker(body.Marker, now)
+	case *peer.Message_FlowRecords:
+		if m.onFlowUpdate != nil {
+			m.onFlowUpdate(body.FlowRecords, now)
+		}
+	case *peer.Message_FlowRecordsAnswer:
+		if m.onFlowUpdateAnswer != nil {
+			m.onFlowUpdateAnswer(body.FlowRecordsAnswer, now)
+		}
 	}
 }
 
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -20,6 +20,7 @@
 	refusals    *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	summaries   *prometheus.CounterVec
+	flowUpdates *prometheus.CounterVec
 	serviceTime prometheus.Histogram
 	answers     [answerClasses]prometheus.Counter
 }
@@ -47,6 +48,9 @@
 		summaries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrymast_zone_summaries_total", Help: "Summaries of availability zones, by whether they were sent, received or forwarded.",
 		}, []string{"step"}),
+		flowUpdates: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrymast_flow_record_updates_total", Help: "Updates of flow records, by whether they were sent, received or requested again.",
+		}, []string{"step"}),
 		serviceTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "gooseberrymast_service_seconds", Help: "Time from a request's first packet to its answer's, at the agent.",
 			Buckets: serviceBuckets,
@@ -70,7 +74,7 @@
 			created.packets[action][mode] = packets.WithLabelValues(name, gooseberrymast.HopMode(mode).String())
 		}
 	}
-	created.registry.MustRegister(packets, answers, created.refusals, created.storeCalls, created.summaries, created.serviceTime, &gauges{member: m})
+	created.registry.MustRegister(packets, answers, created.refusals, created.storeCalls, created.summaries, created.flowUpdates, created.serviceTime, &gauges{member: m})
 	return created
 }
 
@@ -102,6 +106,11 @@
 	m.summaries.WithLabelValues(step).Add(float64(count))
 }
 
+// countFlowUpdate counts an update of flow records.
+func (m *metrics) countFlowUpdate(step string) {
+	m.flowUpdates.WithLabelValues(step).Inc()
+}
+
 // handler returns the HTTP handler that serves the metrics as text.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -124,12 +133,17 @@
 	linesDroppedDesc = prometheus.NewDesc("gooseberrymast_log_lines_dropped_total", "Log lines lost since the output was slow.", nil, nil)
 	storeEraDesc     = prometheus.NewDesc("gooseberrymast_store_era", "Highest era of the store observed; zero if it is unknown.", nil, nil)
 	settledEraDesc   = prometheus.NewDesc("gooseberrymast_store_settled_era", "Highest era of the store known to have settled.", nil, nil)
-	flowOwnersDesc   = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
+	flowRecordsDesc  = prometheus.NewDesc("gooseberrymast_flow_records",
+		"Flows recorded: at an agent those that its relay holds, at a relay those that it wrote last.", nil, nil)
+	flowRecordsLeftOutDesc = prometheus.NewDesc("gooseberrymast_flow_records_left_out", "Flows that are not recorded since there are too many.", nil, nil)
+	flowRecordsBytesDesc   = prometheus.NewDesc("gooseberrymast_flow_records_bytes", "Size of the flow records that the relay wrote last.", nil, nil)
+	flowOwnersDesc         = prometheus.NewDesc("gooseberrymast_flow_owners", "Flows whose owner the balancer remembers.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (*gauges) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc, flowOwnersDesc} {
+	for _, desc := range []*prometheus.Desc{documentVersionDesc, documentAgeDesc, peersDesc, openFlowsDesc, inProgressDesc, failingDesc, linesDroppedDesc, storeEraDesc, settledEraDesc, flowOwnersDesc,
+		flowRecordsDesc, flowRecordsLeftOutDesc, flowRecordsBytesDesc} {
 		out <- desc
 	}
 }
@@ -172,6 +186,12 @@
 		gauge(inProgressDesc, float64(load.InProgress))
 		gauge(failingDesc, load.Failing)
 	}
+	if m.countFlowRecords != nil {
+		recorded := m.countFlowRecords()
+		gauge(flowRecordsDesc, float64(recorded.flows))
+		gauge(flowRecordsLeftOutDesc, float64(recorded.leftOut))
+		gauge(flowRecordsBytesDesc, float64(recorded.bytes))
+	}
 	if m.countOwners != nil {
 		gauge(flowOwnersDesc, float64(m.countOwners()))
 	}
