Soak: loss of everything with idle callers

Cause: no fault of the soak ended all servers and processes at once, and callers never left a flow idle for long, so that neither resets by flow records nor wrong ones showed.

Change: fault lose-all; one idle flow for each caller on routes whose requests may not run twice; promise idle-flow-cut: no agent resets an idle flow of a living server, whatever was disturbed; idle-resets in the report.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -60,7 +60,7 @@
 
 // tally counts requests and the outcomes of tries.
 type tally struct {
-	requests, served, refused, cut, timeouts atomic.Int64
+	requests, served, refused, cut, timeouts, idleResets atomic.Int64
 }
 
 // receivedPacket is a packet of a flow with the machine that sent it.
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -23,6 +23,8 @@
 	PromiseRunOnce Promise = "run-twice"
 	// PromiseFlowKept: an open flow is reset only by its own server.
 	PromiseFlowKept Promise = "flow-cut"
+	// PromiseIdleKept: no agent resets an idle flow of a living server, whatever was lost.
+	PromiseIdleKept Promise = "idle-flow-cut"
 	// PromiseOwner: the packets of an open flow don't keep reaching a server that
 	// doesn't hold it.
 	PromiseOwner Promise = "flow-strayed"
--- a/soaker/checker_test.go
+++ b/soaker/checker_test.go
@@ -66,6 +66,14 @@
 			c.BeginDisturbance("balancer-1", false, after(0.5))(after(0.8))
 			c.CheckReset(key, "balancer-1", after(5))
 		}, PromiseFlowKept},
+		{"an agent resets an idle flow of its living server after it was killed", func(c *Checker) {
+			c.BeginDisturbance("agent-1", false, after(0.5))(after(0.8))
+			c.CheckIdleReset(key, "agent-1", after(1))
+		}, PromiseIdleKept},
+		{"an agent resets an idle flow of its server that crashed", func(c *Checker) {
+			c.RecordServerEnd("agent-1/1")
+			c.CheckIdleReset(key, "agent-1", after(1))
+		}, ""},
 		{"a flow is reset after its server crashed", func(c *Checker) {
 			c.RecordServerEnd("agent-1/1")
 			c.CheckReset(key, "balancer-1", after(1))
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -34,6 +34,7 @@
 		{"pause", 3, (*soak).pauseInstances},
 		{"kill", 3, (*soak).killInstances},
 		{"kill-all", 1, (*soak).killAllInstances},
+		{"lose-all", 1, (*soak).loseEverything},
 		{"restart-balancers", 2, (*soak).restartBalancers},
 		{"restart-agents", 2, (*soak).restartAgents},
 		{"cut", 2, injectLinkFault(linkFault{cutIn: true, cutOut: true})},
--- a/soaker/report.go
+++ b/soaker/report.go
@@ -15,6 +15,8 @@
 	Refused  int64 `json:"refused"`
 	Cut      int64 `json:"cut"`
 	TimedOut int64 `json:"timed-out"`
+	// IdleResets counts the flows that were reset while their callers did not use them.
+	IdleResets int64 `json:"idle-resets"`
 	// Starts counts process starts.
 	Starts int64 `json:"starts"`
 	// LateTicks counts the times at which the soak was scheduled too late to
@@ -31,6 +33,7 @@
 func (r *Report) finish(s *soak) {
 	r.Requests, r.Served = s.tally.requests.Load(), s.tally.served.Load()
 	r.Refused, r.Cut, r.TimedOut = s.tally.refused.Load(), s.tally.cut.Load(), s.tally.timeouts.Load()
+	r.IdleResets = s.tally.idleResets.Load()
 	r.LateTicks = s.lateTicks.Load()
 	r.Violations = s.checker.Violations()
 	r.BrokenPromises = map[Promise]int{}
--- a/soaker/sabotage.go
+++ b/soaker/sabotage.go
@@ -26,7 +26,9 @@
 			foreign := gooseberrymast.FlowKey{Caller: gooseberrymast.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 1}, Service: routeAddress(2 * routeCount)}
 			server.handlePacket(gooseberrymast.PacketHeader{Source: foreign.Caller, Destination: foreign.Service, Opens: true}, nil, time.Now())
 			for _, key := range server.openFlows() {
-				reset := platform.Codec{}.AppendReset(nil, gooseberrymast.PacketHeader{Source: key.Caller, Destination: key.Service})
+				reset := platform.Codec{}.AppendReset(nil, gooseberrymast.PacketHeader{
+					Source: key.Caller, Destination: key.Service, Acknowledgement: server.nextSequence(key),
+				})
 				to := gooseberrymast.Endpoint{IP: key.Caller.IP, Port: packetsPort}
 				_, _ = server.conn.WriteToUDPAddrPort(reset, to.AddrPort())
 			}
@@ -46,6 +48,16 @@
 	}
 }
 
+// nextSequence returns the sequence number at which the caller of a flow accepts a reset.
+func (s *server) nextSequence(key gooseberrymast.FlowKey) uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if flow := s.flows[key]; flow != nil {
+		return flow.nextSequence
+	}
+	return 0
+}
+
 // openFlows returns the flows that are open at the server.
 func (s *server) openFlows() []gooseberrymast.FlowKey {
 	s.mu.Lock()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -43,6 +43,8 @@
 	// Sabotage makes the stand-ins break promises on purpose, to show that the
 	// checker detects it.
 	Sabotage bool
+	// schedule replaces the faults of the seed unless it is nil.
+	schedule []Fault
 	// OnFault is called at the start of each fault unless it is nil.
 	OnFault func(fault Fault)
 }
@@ -58,6 +60,8 @@
 	// number of flows that each uses at the same time.
 	callersPerZone = 3
 	flowsPerCaller = 4
+	// idleStreams is the first of the random streams of idle flows.
+	idleStreams = 1000
 	// readyTimeout is the maximum wait for the first ready balancer.
 	readyTimeout = 20 * time.Second
 	// pollInterval is the time between two polls of the processes' resource use
@@ -198,12 +202,17 @@
 			random := rand.New(rand.NewPCG(s.options.Seed, uint64(100+number*flowsPerCaller+flow)))
 			go c.run(ctx, random, flow)
 		}
+		go c.runIdle(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(idleStreams+number))))
 	}
 	began := time.Now()
 	report := Report{Seed: s.options.Seed, Instances: len(s.instances), Seconds: s.options.Length.Seconds(), Faults: map[string]int{}}
 	failed := make(chan error, 1)
 	var faults sync.WaitGroup
-	for _, fault := range Schedule(s.options.Seed, s.options.Length) {
+	schedule := s.options.schedule
+	if schedule == nil {
+		schedule = Schedule(s.options.Seed, s.options.Length)
+	}
+	for _, fault := range schedule {
 		sleep(ctx, time.Until(began.Add(fault.At)))
 		if ctx.Err() != nil {
 			break
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -34,6 +34,24 @@
 	is.True(len(report.Faults) > 0)
 }
 
+// Guards against callers that learn of the loss of all servers and processes only by the
+// loss of a request, and against resets of flows whose servers outlived all processes.
+func TestIdleFlowsAreResetAfterLossOfEverything(t *testing.T) {
+	is := is.New(t)
+	report, err := Run(context.Background(), Options{
+		Program: buildProgram(t), Folder: t.TempDir(), Network: 23, Seed: 3, Length: 40 * time.Second, Instances: 10,
+		schedule: []Fault{
+			{At: 12 * time.Second, Duration: 2 * time.Second, Kind: "kill-all", Seed: 1},
+			{At: 24 * time.Second, Duration: 2 * time.Second, Kind: "lose-all", Seed: 1},
+		},
+	})
+	is.NoErr(err)
+	for _, violation := range report.Violations {
+		t.Errorf("%s: %s", violation.Promise, violation.What)
+	}
+	is.True(report.IdleResets > 0)
+}
+
 // Guards against a checker that overlooks violations: the stand-ins break promises
 // on purpose, and each must be reported.
 func TestSabotageIsDetected(t *testing.T) {
@@ -43,7 +61,7 @@
 		Sabotage: true,
 	})
 	is.NoErr(err)
-	for _, promise := range []Promise{PromiseAnswer, PromiseRunOnce, PromiseFlowKept, PromiseDelivery, PromiseExit} {
+	for _, promise := range []Promise{PromiseAnswer, PromiseRunOnce, PromiseFlowKept, PromiseIdleKept, PromiseDelivery, PromiseExit} {
 		if report.BrokenPromises[promise] == 0 {
 			t.Errorf("broken promise %s was not reported", promise)
 		}
