--- a/cmd/gooseberrymastd/process_test.go
+++ b/cmd/gooseberrymastd/process_test.go
@@ -75,14 +75,14 @@
 	dir := t.TempDir()
 	path, own := filepath.Join(dir, "local.conf"), filepath.Join(dir, "own.toml")
 	writeSettings(t, path, "nowhere")
-	is.NoErr(os.WriteFile(own, []byte("log-rate = 0\nunknown = 1\nlog-burst = -1\n"), 0o600))
+	is.NoErr(os.WriteFile(own, []byte("log-rate = 0\nunknown = 1\nlog-burst = -1\nflow-records = \"sometimes\"\n"), 0o600))
 	t.Setenv(platform.SettingsVariable, path)
 	command := newBalancer()
 	command.SetArgs([]string{"--check", "--settings", own})
 	command.SilenceErrors, command.SilenceUsage = true, true
 	err := command.Execute()
 	is.True(err != nil)
-	for _, want := range []string{"platform.address", "unknown", "log-burst"} {
+	for _, want := range []string{"platform.address", "unknown", "log-burst", "flow-records"} {
 		is.True(strings.Contains(err.Error(), want))
 	}
 }
