--- a/protocol/interpreter/flow_records_test.go
+++ b/protocol/interpreter/flow_records_test.go
@@ -92,3 +92,20 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against panics by objects that other programs have written.
+func FuzzDecodeFlowRecords(f *testing.F) {
+	value, err := EncodeFlowRecords([]gooseberrymast.AgentFlows{agentFlows(1, 2)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range []string{string(value), `{"records":""}`, `{"records":"CgIIAQ=="}`, `[]`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		records, err := DecodeFlowRecords(value)
+		if err == nil {
+			_, _ = EncodeFlowRecords(records)
+		}
+	})
+}
