--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -66,6 +66,7 @@
 				PeersListen:     peersListenEndpoint(forwarding),
 				MetricsPort:     forwarding.MetricsPort,
 				Placement:       forwarding.PlacementRule(),
+				FlowRecords:     forwarding.FlowRecords,
 				Log:             journal,
 			})
 		},
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -37,6 +37,8 @@
 	idleTimeout time.Duration
 	// first is set until the first request of a flow that was taken.
 	first bool
+	// requests counts the requests that have begun.
+	requests int
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
@@ -96,6 +98,7 @@
 	}
 	f.busy = busy
 	if busy {
+		f.requests++
 		d.busyFlows++
 	} else {
 		d.busyFlows--
--- a/forwarding_settings.go
+++ b/forwarding_settings.go
@@ -27,6 +27,8 @@
 	// FewSlots and TightObjective bound the servers that "auto" places by work.
 	FewSlots       int      `toml:"few-slots"`
 	TightObjective Duration `toml:"tight-objective"`
+	// FlowRecords says whether open flows are recorded in the store.
+	FlowRecords FlowRecordsMode `toml:"flow-records"`
 }
 
 // The values of ForwardingSettings.Placement.
@@ -70,6 +72,7 @@
 	setDefault(&f.Placement, PlacementAuto)
 	setDefault(&f.FewSlots, DefaultFewSlots)
 	setDefault(&f.TightObjective, DefaultTightObjective)
+	setDefault(&f.FlowRecords, FlowRecordsAuto)
 }
 
 // PlacementRule returns the rule for the servers whose flows are placed by work.
@@ -104,5 +107,10 @@
 	}
 	validateRange(&faults, "few-slots", f.FewSlots, 1, MaxFewSlots)
 	validateRange(&faults, "tight-objective", f.TightObjective, Duration(time.Millisecond), Duration(maxTightObjective))
+	switch f.FlowRecords {
+	case FlowRecordsOn, FlowRecordsOff, FlowRecordsAuto:
+	default:
+		faults.add("flow-records", f.FlowRecords, "on, off or auto")
+	}
 	return faults
 }
--- a/instance_settings.go
+++ b/instance_settings.go
@@ -41,6 +41,14 @@
 	Places PlacesSettings
 }
 
+// FlowMaxAge returns MaxFlowAge, or its default if it is not set.
+func (s InstanceSettings) FlowMaxAge() time.Duration {
+	if s.MaxFlowAge == 0 {
+		return DefaultMaxFlowAge
+	}
+	return s.MaxFlowAge
+}
+
 // PlacesSettings bound where new flows may go.
 type PlacesSettings struct {
 	// EvacuateWithin is the time after its write from which an evacuation of a zone must
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -14,6 +14,7 @@
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
 	"gooseberrymast/coordination/predictor"
+	"gooseberrymast/coordination/resetter"
 	"gooseberrymast/coordination/throttler"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
@@ -111,6 +112,8 @@
 	// lastCheck is when the server was last checked for failure.
 	lastCheck time.Time
 
+	records flowRecords
+
 	incarnationsMu sync.Mutex
 	// incarnations is the last known incarnation of each balancer; a
 	// restarted balancer needs all flow owners again.
@@ -129,6 +132,7 @@
 		return err
 	}
 	a.prepare()
+	a.setUpFlowRecords()
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
 		if a.deliverer.HandleDocument(a.ownPeer().Service, routes) {
@@ -164,6 +168,7 @@
 	go a.probeServer(workCtx, healthPaths)
 	go a.reportPeriodically(workCtx, agentReportInterval)
 	stops := []func(){
+		a.startFlowRecords(workCtx),
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.confirmDocument(workCtx) }),
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.pollEvacuations(workCtx) }),
 		a.Timer.Every(ownersInterval, a.announceOwners),
@@ -428,6 +433,11 @@
 	a.trackerMu.Unlock()
 	a.deliverer.Restore(earlier.served.Addresses, earlier.proven && earlier.found)
 	a.concludeAbsence()
+	a.records.mu.Lock()
+	defer a.records.mu.Unlock()
+	a.records.resetter.HandlePredecessor(resetter.Predecessor{
+		Found: earlier.found, Server: earlier.server, Recorded: earlier.flowRecords,
+	}, a.Timer.Now())
 }
 
 // concludeAbsence makes use of the absence of an entry of an earlier agent, which the
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -56,6 +56,7 @@
 	}
 	a.suspectEnded.Store(false)
 	a.concludeAbsence()
+	a.handleServerIncarnation(announcement, now)
 	if restarted {
 		a.Log.Info(gooseberrymast.EventServerRestarted).Str("server", announcement.ID).Int64("born", announcement.StartUnixMs).Msg("")
 		a.resetLost("server-restarted", lost)
--- a/runner/member.go
+++ b/runner/member.go
@@ -70,6 +70,8 @@
 	// agent reports the work where it is active; a balancer uses such reports unless the
 	// rule is off.
 	Placement gooseberrymast.WorkRule
+	// FlowRecords says whether open flows are recorded in the store.
+	FlowRecords gooseberrymast.FlowRecordsMode
 	// Log receives the process's log lines.
 	Log *journaler.Journaler
 }
@@ -94,12 +96,18 @@
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// onFlowOwners is called with the flows that an agent owns; nil at an agent.
 	onFlowOwners ownersFunc
+	// onFlowUpdate and onFlowUpdateAnswer are called with messages about flow records;
+	// nil where they are not processed.
+	onFlowUpdate       func(*peer.FlowRecords, time.Time)
+	onFlowUpdateAnswer func(*peer.FlowRecordsAnswer, time.Time)
 	// countOwners returns the number of flow owners that a balancer has stored;
 	// nil at an agent.
 	countOwners func() int
 	// countPlaced returns the numbers of flows that a balancer placed by the expected work
 	// of agents and by their counts; nil at an agent.
 	countPlaced func() (byWork, byCount uint64)
+	// countFlowRecords returns the size of the flow records; nil where they are off.
+	countFlowRecords func() recordedFlows
 	// served returns what the process's entry says besides its description, and restore
 	// receives what an earlier agent stored there; restore is nil at a balancer.
 	served  func() interpreter.Served
@@ -153,6 +161,9 @@
 	// they learn of it; nil at a balancer.
 	hidden   atomic.Bool
 	onReveal func(now time.Time)
+	// hasFlowRecords is set once a balancer has written flow records, or an earlier one
+	// at its address has.
+	hasFlowRecords atomic.Bool
 	// registered is set once the entry is in the store and the peers are loaded.
 	registered atomic.Bool
 	// wake makes reportPeriodically report at once.
@@ -301,6 +312,14 @@
 		m.handleSummary(interpreter.ReadSummary(body.Summary), sender, now)
 	case *peer.Message_Marker:
 		m.handleMarker(body.Marker, now)
+	case *peer.Message_FlowRecords:
+		if m.onFlowUpdate != nil {
+			m.onFlowUpdate(body.FlowRecords, now)
+		}
+	case *peer.Message_FlowRecordsAnswer:
+		if m.onFlowUpdateAnswer != nil {
+			m.onFlowUpdateAnswer(body.FlowRecordsAnswer, now)
+		}
 	}
 }
 
