--- a/coordination/predictor/predictor.go
+++ b/coordination/predictor/predictor.go
@@ -82,6 +82,8 @@
 	latest time.Time
 }
 
+var _ gooseberrymast.WorkEstimator = (*Predictor)(nil)
+
 // route holds what is known of one route's requests.
 type route struct {
 	// cost is the time in a slot in nanoseconds, and logCost its logarithm.
