--- a/cmd/gooseberrymast/experiment.go
+++ b/cmd/gooseberrymast/experiment.go
@@ -31,7 +31,7 @@
 		}
 		out := newPrinter(command)
 		if !*asJSON {
-			out.printf("%-14s %-9s %4s %9s %7s %7s %7s %7s %8s %9s %9s\n",
+			out.printf("%-14s %-14s %4s %9s %7s %7s %7s %7s %8s %9s %9s\n",
 				"pattern", "policy", "seed", "requests", "worth", "late", "failed", "shed", "crossed", "p50 ms", "p99 ms")
 		}
 		for _, result := range results {
@@ -39,7 +39,7 @@
 				out.printJSON(result)
 				continue
 			}
-			out.printf("%-14s %-9s %4d %9d %7.3f %7d %7d %7d %8d %9.1f %9.1f\n", result.Pattern, result.Policy, result.Seed,
+			out.printf("%-14s %-14s %4d %9d %7.3f %7d %7d %7d %8d %9.1f %9.1f\n", result.Pattern, result.Policy, result.Seed,
 				result.Requests, result.Worth, result.Late, result.Failed, result.Shed, result.Crossed, result.Median, result.P99)
 		}
 		return out.err
