Soak: late removals and announcements, refused writes, cut balancers, idle flows

Change: faults store-removes-late, store-refuses-writes, cut-balancers (all of a zone, from other zones and the store) and announcements-late (after a planned restart of the agent); one in four flows is left idle for up to 40 s now and then, and the checker excuses a flow only from 45 s of idle time on, 12 s before.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -31,6 +31,8 @@
 	// minPause and maxPause bound the random pause between two requests.
 	minPause = 60 * time.Millisecond
 	maxPause = 500 * time.Millisecond
+	// maxIdle bounds the time for which a flow is left idle.
+	maxIdle = 40 * time.Second
 	// meanFlowRequests is the mean number of requests on a reused flow.
 	meanFlowRequests = 40
 )
@@ -114,7 +116,8 @@
 }
 
 // run sends requests until the context ends. Every third flow number opens a new
-// flow per request; the others send many requests on one flow.
+// flow per request; the others send many requests on one flow. One of them leaves its
+// flow idle for long after some requests.
 func (c *caller) run(ctx context.Context, random *rand.Rand, number int) {
 	keepsFlow := number%3 != 0
 	for session := 0; ctx.Err() == nil; session++ {
@@ -128,14 +131,14 @@
 		if keepsFlow {
 			requests = 1 + random.IntN(2*meanFlowRequests)
 		}
-		c.runSession(ctx, random, route, fmt.Sprintf("%s-%d-%d", gooseberrymast.Endpoint{IP: c.address}.AddrPort().Addr(), number, session), requests)
+		c.runSession(ctx, random, number, route, fmt.Sprintf("%s-%d-%d", gooseberrymast.Endpoint{IP: c.address}.AddrPort().Addr(), number, session), requests)
 		randomPause(ctx, random)
 	}
 }
 
 // runSession sends requests to a route on one flow and replaces the flow after
 // each failed try.
-func (c *caller) runSession(ctx context.Context, random *rand.Rand, route gooseberrymast.Route, name string, requests int) {
+func (c *caller) runSession(ctx context.Context, random *rand.Rand, flowNumber int, route gooseberrymast.Route, name string, requests int) {
 	var flow *callerFlow
 	defer func() { c.endFlow(flow) }()
 	for number := range requests {
@@ -167,6 +170,10 @@
 				break
 			}
 		}
+		const idleFlowNumber, idleShare = 2, 4
+		if flowNumber == idleFlowNumber && random.IntN(idleShare) == 0 {
+			sleep(ctx, time.Duration(random.Int64N(int64(maxIdle))))
+		}
 		randomPause(ctx, random)
 	}
 }
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -58,7 +58,7 @@
 	// maxFlowAge is the age from which a flow may be discarded.
 	maxFlowAge = 60 * time.Second
 	// maxFlowIdle is the time without a packet from which a flow may be discarded.
-	maxFlowIdle = 12 * time.Second
+	maxFlowIdle = 45 * time.Second
 	// minServedShare is the share of requests that must be served after recovery.
 	minServedShare = 0.25
 )
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/platform"
 )
 
 // Fault is one scheduled fault of a soak.
@@ -39,6 +42,8 @@
 		{"cut", 2, injectLinkFault(linkFault{cutIn: true, cutOut: true})},
 		{"cut-in", 2, injectLinkFault(linkFault{cutIn: true})},
 		{"cut-out", 2, injectLinkFault(linkFault{cutOut: true})},
+		{"cut-balancers", 2, (*soak).cutBalancers},
+		{"announcements-late", 2, (*soak).announceLate},
 		{"delay", 2, injectLinkFault(linkFault{delay: 150 * time.Millisecond})},
 		{"loss", 2, injectLinkFault(linkFault{loss: 0.1})},
 		{"store-silent", 2, injectStoreFault(storeFault{silent: true}, true)},
@@ -46,6 +51,8 @@
 		{"store-slow", 1, injectStoreFault(storeFault{delay: 250 * time.Millisecond}, true)},
 		{"store-loses", 2, injectStoreFault(storeFault{lossShare: 0.5}, true)},
 		{"store-late", 2, injectStoreFault(storeFault{lossShare: 0.5, lossDelay: 2 * time.Second}, true)},
+		{"store-removes-late", 2, injectStoreFault(storeFault{removalLossShare: 1, lossDelay: 5 * time.Second}, true)},
+		{"store-refuses-writes", 2, injectStoreFault(storeFault{refusesWrites: true}, false)},
 		{"store-refuses-some", 2, injectStoreFault(storeFault{unavailable: true}, false)},
 		{"store-limits-some", 1, injectStoreFault(storeFault{rateLimited: true}, false)},
 		{"store-connections-silent", 1, (*soak).silenceStoreConnections},
@@ -228,6 +235,52 @@
 	}
 }
 
+// cutBalancers cuts all balancers of a random zone off from the other zones and the
+// store. The zone's agents reach all.
+func (s *soak) cutBalancers(ctx context.Context, fault Fault, random *rand.Rand) error {
+	zone := zones[random.IntN(len(zones))]
+	var affected []*instance
+	for _, i := range s.instances {
+		if i.settings.Role == gooseberrymast.RoleBalancer && i.settings.Zone == zone {
+			affected = append(affected, i)
+		}
+	}
+	return forEachParallel(affected, func(i *instance) error {
+		return s.withDisturbance(i, false, func() error {
+			s.network.setFault(i.listens, linkFault{cutZones: true})
+			s.store.setFault(i.settings.Name, storeFault{silent: true})
+			sleep(ctx, fault.Duration)
+			s.store.setFault(i.settings.Name, storeFault{})
+			s.network.setFault(i.listens, linkFault{})
+			return nil
+		})
+	})
+}
+
+// announceLate restarts a random agent as planned. The last announcements and the
+// departures of the earlier incarnations of its server reach it then.
+func (s *soak) announceLate(ctx context.Context, _ Fault, random *rand.Rand) error {
+	return forEachParallel([]*instance{s.randomAgent(random)}, func(i *instance) error {
+		if err := s.restart(ctx, i, stopGrace, 0); err != nil {
+			return err
+		}
+		i.mu.Lock()
+		ended := slices.Clone(i.ended)
+		i.mu.Unlock()
+		client := http.Client{Timeout: announceTimeout}
+		const attempts, pause = 10, 30 * time.Millisecond
+		for range attempts {
+			for _, late := range ended {
+				// The agent may not listen yet, or refuse them.
+				_ = platform.SendAnnouncement(ctx, &client, i.settings.Announcements, late)
+				_ = platform.SendDeparture(ctx, &client, i.settings.Announcements, late)
+			}
+			sleep(ctx, pause)
+		}
+		return nil
+	})
+}
+
 // injectStoreFault returns a function that applies a fault to the store calls
 // of all instances or of random ones.
 func injectStoreFault(injected storeFault, all bool) func(*soak, context.Context, Fault, *rand.Rand) error {
--- a/soaker/instance.go
+++ b/soaker/instance.go
@@ -44,6 +44,8 @@
 	server *server
 	// serverIncarnations counts the incarnations of the server.
 	serverIncarnations int
+	// ended are the last announcements of the server's earlier incarnations.
+	ended []gooseberrymast.Announcement
 	// faultMu is held while a fault acts on the program or server, so that
 	// overlapping faults act on an instance one after another.
 	faultMu sync.Mutex
@@ -78,7 +80,7 @@
 	if err := i.writeSettings(); err != nil {
 		return nil, err
 	}
-	if err := s.network.attach(name, i.listens, i.settings.Peers); err != nil {
+	if err := s.network.attach(name, zone, i.listens, i.settings.Peers); err != nil {
 		return nil, err
 	}
 	for _, port := range []uint16{storePort, otherStorePort} {
@@ -125,6 +127,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.serverIncarnations++
+	if i.server != nil {
+		i.ended = append(i.ended, i.server.announcement(), i.server.announcement())
+	}
 	started, err := startServer(i.settings, i.serverIncarnations, s.checker, s.drawWorkTime, s.options.Sabotage)
 	if err != nil {
 		return err
--- a/soaker/network.go
+++ b/soaker/network.go
@@ -23,7 +23,7 @@
 
 // link connects one instance to its peers.
 type link struct {
-	name string
+	name, zone string
 	// listens is the address on which the instance receives datagrams.
 	listens gooseberrymast.Endpoint
 	conn    *net.UDPConn
@@ -34,6 +34,8 @@
 type linkFault struct {
 	// cutIn drops datagrams to the instance, cutOut those from it.
 	cutIn, cutOut bool
+	// cutZones drops those from and to other zones.
+	cutZones bool
 	// loss is the share of datagrams that are dropped, from 0 to 1.
 	loss float64
 	// delay is the minimum delay of each datagram. The actual delay is up to
@@ -45,12 +47,12 @@
 const maxDatagram = 4096
 
 // attach starts to forward datagrams sent to an instance's advertised address.
-func (n *network) attach(name string, listens, advertised gooseberrymast.Endpoint) error {
+func (n *network) attach(name, zone string, listens, advertised gooseberrymast.Endpoint) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(advertised.AddrPort()))
 	if err != nil {
 		return fmt.Errorf("network: attach %s: %w", name, err)
 	}
-	attached := &link{name: name, listens: listens, conn: conn}
+	attached := &link{name: name, zone: zone, listens: listens, conn: conn}
 	n.mu.Lock()
 	n.links[listens.AddrPort().Addr()] = attached
 	n.mu.Unlock()
@@ -98,6 +100,9 @@
 func (n *network) drawFault(sender, to *link) (lost bool, delay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if sender.zone != to.zone && (sender.fault.cutZones || to.fault.cutZones) {
+		return true, 0
+	}
 	if sender.fault.cutOut || to.fault.cutIn || n.random.Float64() < max(sender.fault.loss, to.fault.loss) {
 		return true, 0
 	}
--- a/soaker/store.go
+++ b/soaker/store.go
@@ -19,10 +19,13 @@
 	// With silent a call gets no answer, with unavailable status 503, with
 	// rateLimited status 429, and with reset its connection is closed.
 	silent, unavailable, rateLimited, reset bool
+	// With refusesWrites writes get status 503.
+	refusesWrites bool
 	// delay is added before each answer.
 	delay time.Duration
-	// lossShare is the share of writes that are applied but never answered.
-	lossShare float64
+	// lossShare is the share of writes that are applied but never answered, and
+	// removalLossShare the share of removals.
+	lossShare, removalLossShare float64
 	// lossDelay is the time after which such a write is applied.
 	lossDelay time.Duration
 }
@@ -76,7 +79,11 @@
 func (s *faultyStore) answer(instance string, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	fault := s.faults[instance]
-	lost := !platform.IsReadRequest(r) && s.random.Float64() < fault.lossShare
+	lossShare := fault.lossShare
+	if r.Method == http.MethodDelete {
+		lossShare = max(lossShare, fault.removalLossShare)
+	}
+	lost := !platform.IsReadRequest(r) && s.random.Float64() < lossShare
 	s.mu.Unlock()
 	switch {
 	case fault.silent:
@@ -84,7 +91,7 @@
 		return
 	case fault.reset:
 		panic(http.ErrAbortHandler)
-	case fault.unavailable:
+	case fault.unavailable, fault.refusesWrites && !platform.IsReadRequest(r):
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case fault.rateLimited:
