--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -31,8 +31,8 @@
 	// minPause and maxPause bound the random pause between two requests.
 	minPause = 60 * time.Millisecond
 	maxPause = 500 * time.Millisecond
-	// maxIdle bounds the time for which a flow is left idle.
-	maxIdle = 40 * time.Second
+	// maxLongIdle bounds the time for which a flow is left idle.
+	maxLongIdle = 40 * time.Second
 	// meanFlowRequests is the mean number of requests on a reused flow.
 	meanFlowRequests = 40
 )
@@ -172,7 +172,7 @@
 		}
 		const idleFlowNumber, idleShare = 2, 4
 		if flowNumber == idleFlowNumber && random.IntN(idleShare) == 0 {
-			sleep(ctx, time.Duration(random.Int64N(int64(maxIdle))))
+			sleep(ctx, time.Duration(random.Int64N(int64(maxLongIdle))))
 		}
 		randomPause(ctx, random)
 	}
