Admission: a gate for new flows, and held opening packets

In a surge the last candidate takes every flow and its server sheds the request, which comes back as a new flow. The regulator refuses or holds opening packets by the requests in progress, the first requests that are expected and the load of open flows; deliverer keeps held packets, and runner releases them at each end of a request and by a timer. Setting admission, metric gooseberrymast_flow_hold_seconds, events flow-held and flow-refused.

--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -54,16 +54,17 @@
 			stop := watchSettings(path, settings, journal, store)
 			defer stop()
 			return p.run(command.Context(), runner.Environment{
-				Settings:    settings,
-				Codec:       platform.Codec{},
-				Store:       store,
-				StoreEra:    store.Era,
-				Timer:       timer.System{},
-				DocumentKey: platform.DocumentKey,
-				ReadRoutes:  platform.ReadRoutes,
-				PeersListen: peersListenEndpoint(forwarding),
-				MetricsPort: forwarding.MetricsPort,
-				Log:         journal,
+				Settings:      settings,
+				Codec:         platform.Codec{},
+				Store:         store,
+				StoreEra:      store.Era,
+				Timer:         timer.System{},
+				DocumentKey:   platform.DocumentKey,
+				ReadRoutes:    platform.ReadRoutes,
+				PeersListen:   peersListenEndpoint(forwarding),
+				MetricsPort:   forwarding.MetricsPort,
+				AdmissionRule: forwarding.AdmissionRule(),
+				Log:           journal,
 			})
 		},
 	}
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -14,6 +14,7 @@
 package deliverer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +38,15 @@
 	// Gates restrict which new flows are taken, in the order in which they are asked.
 	// They are set before use and called under the deliverer's lock.
 	Gates []gooseberrymast.FlowGate
+	// Admission is asked after Gates while Server.Admission is set, and then decides when
+	// a server is full. Nil: no flow is held, and the last candidate takes every flow.
+	Admission gooseberrymast.AdmissionGate
+	// ZoneOf returns the availability zone of a balancer, or "". Nil knows none.
+	ZoneOf func(balancer gooseberrymast.Endpoint) string
 
 	mu        sync.Mutex
+	held      []heldPacket
+	heldBytes int
 	leaving   bool
 	flows     map[gooseberrymast.FlowKey]*flow
 	pending   [maxPending]pendingPacket
@@ -73,6 +81,8 @@
 	// Slots is the number of requests that the server runs at once; zero while
 	// it is unknown.
 	Slots int
+	// Admission is set while the deliverer's admission gate is in force at the server.
+	Admission bool
 	// Complete is set when the agent has seen every packet of the server's
 	// incarnation, so that it holds all of its flows.
 	Complete bool
@@ -121,20 +131,22 @@
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
-		offer := flowOffer(header, hop, routes)
-		if decision := d.askGates(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
-			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
-		}
-		for _, gate := range d.Gates {
-			gate.Taken(offer, now)
+		offer := d.flowOffer(header, hop, server, routes)
+		if d.isHeld(key) {
+			if header.Copy == 0 {
+				return Step{Action: Drop, Reason: ReasonHeld}
+			}
+			// The caller has waited for longer than a packet is held.
+			d.unhold(key)
 		}
-		f = d.addFlow(key, now)
-		if hop.NotifyOrigin {
-			f.notify = hop.Origin
+		decision := d.askGates(offer, server, now)
+		switch decision.Verdict {
+		case gooseberrymast.GatePassOn:
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
+		case gooseberrymast.GateHold:
+			return Step{Action: Hold, Hop: hop, Reason: Reason(decision.Reason)}
 		}
-		step := d.deliver(f, header, hop, now)
-		step.Event = FlowTaken
-		return step
+		return d.take(offer, header, hop, server, now)
 	}
 	if server.Status == tracker.Gone {
 		return d.answerNotHeld(header, hop, ReasonServerGone, true)
@@ -148,6 +160,21 @@
 	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
 }
 
+// take sends a new flow to the server.
+func (d *Deliverer) take(offer gooseberrymast.FlowOffer, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
+	server Server, now time.Time) Step {
+	for _, gate := range d.gates(server) {
+		gate.Taken(offer, now)
+	}
+	f := d.addFlow(offer.Key, now)
+	if hop.NotifyOrigin {
+		f.notify = hop.Origin
+	}
+	step := d.deliver(f, header, hop, now)
+	step.Event = FlowTaken
+	return step
+}
+
 // SetRequestID sets the id of the request that a caller's packet begins. It is called
 // before FromPeer decides on the packet.
 func (d *Deliverer) SetRequestID(key gooseberrymast.FlowKey, request string) {
@@ -200,7 +227,7 @@
 		step.Notify = f.notify
 	}
 	if f.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
-		step.Request = d.endRequest(f, now)
+		step.Request = d.endRequest(key, f, now)
 		// The end of a flow may overtake the answer before it; then its sequence
 		// number is beyond what the server has sent.
 		step.Answered = header.Payload > 0 || !header.Resets && int32(header.Sequence-f.serverEnd) > 0
@@ -219,6 +246,9 @@
 	if (header.Resets || header.Finishes) && !f.closed {
 		f.closed, f.closedAt = true, now
 		d.openFlows--
+		if d.Admission != nil {
+			d.Admission.FlowClosed(key)
+		}
 	}
 	return step
 }
@@ -249,6 +279,9 @@
 			if !f.busy && !f.closed {
 				f.busySince = now
 				d.setBusy(f, true)
+				if d.Admission != nil {
+					d.Admission.RequestBegan(header.FromCaller(), now)
+				}
 			}
 		}
 	}
@@ -257,14 +290,17 @@
 		step.Notify = hop.Origin
 	}
 	if f.busy && (header.Resets || header.Finishes) {
-		step.Event, step.Request = RequestAbandoned, d.endRequest(f, now)
+		step.Event, step.Request = RequestAbandoned, d.endRequest(header.FromCaller(), f, now)
 	}
 	return step
 }
 
 // endRequest ends the request in progress of a flow and returns it.
-func (d *Deliverer) endRequest(f *flow, now time.Time) Request {
+func (d *Deliverer) endRequest(key gooseberrymast.FlowKey, f *flow, now time.Time) Request {
 	d.setBusy(f, false)
+	if d.Admission != nil {
+		d.Admission.RequestEnded(key, now)
+	}
 	ended := Request{ID: f.requestID, Duration: now.Sub(f.busySince)}
 	f.requestID = ""
 	return ended
@@ -303,22 +339,42 @@
 	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
-	if len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
+	if !d.admits(server) && len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
 		return ReasonServerFull, false
 	}
 	return "", true
 }
 
-func flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
+func (d *Deliverer) flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, server Server,
+	routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
 	key := header.FromCaller()
 	route, ok := routes.Lookup(key.Service)
-	return gooseberrymast.FlowOffer{Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0}
+	offer := gooseberrymast.FlowOffer{
+		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, Slots: server.Slots,
+	}
+	if d.ZoneOf != nil {
+		offer.Zone = d.ZoneOf(hop.Origin)
+	}
+	return offer
+}
+
+// admits reports whether the admission gate is in force at the server.
+func (d *Deliverer) admits(server Server) bool {
+	return server.Admission && d.Admission != nil
+}
+
+// gates returns the gates in force at the server, in the order in which they are asked.
+func (d *Deliverer) gates(server Server) []gooseberrymast.FlowGate {
+	if !d.admits(server) {
+		return d.Gates
+	}
+	return append(slices.Clip(d.Gates), d.Admission)
 }
 
 // askGates returns the decision of the first gate that doesn't admit an offer, or the
 // zero GateDecision.
-func (d *Deliverer) askGates(offer gooseberrymast.FlowOffer, now time.Time) gooseberrymast.GateDecision {
-	for _, gate := range d.Gates {
+func (d *Deliverer) askGates(offer gooseberrymast.FlowOffer, server Server, now time.Time) gooseberrymast.GateDecision {
+	for _, gate := range d.gates(server) {
 		if decision := gate.Decide(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
 			return decision
 		}
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -70,6 +70,9 @@
 	f := &flow{openedAt: now, lastUsed: now}
 	d.flows[key] = f
 	d.openFlows++
+	if d.Admission != nil {
+		d.Admission.FlowOpened(key, now)
+	}
 	return f
 }
 
@@ -77,6 +80,9 @@
 	d.setBusy(f, false)
 	if !f.closed {
 		d.openFlows--
+		if d.Admission != nil {
+			d.Admission.FlowClosed(key)
+		}
 	}
 	delete(d.flows, key)
 }
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -19,6 +19,9 @@
 	ToCaller
 	// Forward sends the packet to a peer.
 	Forward
+	// Hold keeps a new flow's packet at the agent: the caller of FromPeer passes it to
+	// Deliverer.Hold.
+	Hold
 )
 
 // Reason says why a packet doesn't reach the server.
@@ -44,6 +47,13 @@
 	// ReasonServerFull: the server is at its limit of requests in progress, and
 	// another candidate is left.
 	ReasonServerFull Reason = "server-full"
+	// ReasonHeld: a copy of the packet is held.
+	ReasonHeld Reason = "already-held"
+	// ReasonGaveWay: the packet was held and gave way to others.
+	ReasonGaveWay Reason = "admission-gave-way"
+	// ReasonHeldTooLong: the agent was paused and held the packet until the caller may
+	// have sent a copy.
+	ReasonHeldTooLong Reason = "held-too-long"
 	// ReasonAgentLeaving: the agent is being stopped.
 	ReasonAgentLeaving Reason = "agent-leaving"
 	// ReasonServerRefused: the server returned an opening packet.
--- a/forwarding_settings.go
+++ b/forwarding_settings.go
@@ -24,7 +24,10 @@
 	// Placement is how new flows are placed: PlacementByWork, PlacementByCount or
 	// PlacementAuto.
 	Placement string `toml:"placement"`
-	// FewSlots and TightObjective bound the servers that "auto" places by work.
+	// Admission states where agents hold and refuse new flows while their servers are
+	// full: RuleOn, RuleOff or RuleAuto.
+	Admission RuleMode `toml:"admission"`
+	// FewSlots and TightObjective bound the servers that "auto" applies to.
 	FewSlots       int      `toml:"few-slots"`
 	TightObjective Duration `toml:"tight-objective"`
 }
@@ -68,6 +71,7 @@
 	setDefault(&f.LogBurst, DefaultLogBurst)
 	setDefault(&f.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&f.Placement, PlacementAuto)
+	setDefault(&f.Admission, RuleAuto)
 	setDefault(&f.FewSlots, DefaultFewSlots)
 	setDefault(&f.TightObjective, DefaultTightObjective)
 }
@@ -83,6 +87,11 @@
 	return f.workRule(RuleOff)
 }
 
+// AdmissionRule returns the rule for the servers whose agents hold and refuse new flows.
+func (f *ForwardingSettings) AdmissionRule() WorkRule {
+	return f.workRule(f.Admission)
+}
+
 func (f *ForwardingSettings) workRule(mode RuleMode) WorkRule {
 	return WorkRule{Mode: mode, FewSlots: f.FewSlots, TightObjective: f.TightObjective.Std()}
 }
@@ -102,6 +111,9 @@
 	if !slices.Contains([]string{PlacementByWork, PlacementByCount, PlacementAuto}, f.Placement) {
 		faults.add("placement", f.Placement, "%q, %q or %q", PlacementByWork, PlacementByCount, PlacementAuto)
 	}
+	if !slices.Contains([]RuleMode{RuleOn, RuleOff, RuleAuto}, f.Admission) {
+		faults.add("admission", f.Admission, "%q, %q or %q", RuleOn, RuleOff, RuleAuto)
+	}
 	validateRange(&faults, "few-slots", f.FewSlots, 1, MaxFewSlots)
 	validateRange(&faults, "tight-objective", f.TightObjective, Duration(time.Millisecond), Duration(maxTightObjective))
 	return faults
--- a/gate.go
+++ b/gate.go
@@ -14,6 +14,12 @@
 	Copy int
 	// Last is set if no other candidate is left for the flow.
 	Last bool
+	// Zone is the availability zone of the balancer that the caller's packet reached;
+	// empty while it is unknown.
+	Zone string
+	// Slots is the number of requests that the server runs at once; zero while it is
+	// unknown.
+	Slots int
 }
 
 // GateVerdict is what a gate decides on a new flow.
@@ -49,6 +55,49 @@
 	Taken(offer FlowOffer, now time.Time)
 }
 
+// AdmissionGate is the FlowGate that may hold opening packets. It learns of the flows and
+// requests of the server. Its calls are made in the order of the events, under the same
+// lock as those of FlowGate.
+type AdmissionGate interface {
+	FlowGate
+	// Hold records that the opening packet of an offer is kept. It returns the flow whose
+	// packet is refused in return because too many are held, which may be the offer's own.
+	Hold(offer FlowOffer, now time.Time) (evicted FlowKey, full bool)
+	// Release returns the held flows that are admitted or refused now; these are no
+	// longer held. The caller reports each admitted flow through Taken.
+	Release(now time.Time) []HeldDecision
+	// Unhold records that a flow is no longer held, for a cause outside the gate.
+	Unhold(key FlowKey)
+	// FlowOpened and FlowClosed record the flows of the server, including those that the
+	// gate has not admitted.
+	FlowOpened(key FlowKey, now time.Time)
+	FlowClosed(key FlowKey)
+	// RequestBegan and RequestEnded record the requests that the server works on. A
+	// request that the server refused without running it was shed.
+	RequestBegan(key FlowKey, now time.Time)
+	RequestEnded(key FlowKey, now time.Time)
+	RequestShed(key FlowKey, now time.Time)
+	// State returns what the decisions are based on.
+	State(now time.Time) AdmissionState
+}
+
+// AdmissionState is what an admission gate knows of its server.
+type AdmissionState struct {
+	// Wait is the expected wait of a new request for a slot.
+	Wait time.Duration
+	// InProgress counts the requests at the server, Expected the admitted flows whose
+	// first request has not come, and Held the flows held.
+	InProgress, Expected, Held int
+	// OpenLoad is the share of the slots that requests on open flows are expected to need.
+	OpenLoad float64
+}
+
+// HeldDecision is a gate's decision on a flow that it held: GateAdmit or GatePassOn.
+type HeldDecision struct {
+	Key      FlowKey
+	Decision GateDecision
+}
+
 // WorkEstimator estimates the work of one backend server.
 type WorkEstimator interface {
 	// Wait returns the expected time until a request that arrives now gets a slot.
--- a/log_event.go
+++ b/log_event.go
@@ -57,6 +57,8 @@
 	EventPacketDropped    LogEvent = "packet-dropped"
 	EventFlowTaken        LogEvent = "flow-taken"
 	EventFlowPassedOn     LogEvent = "flow-passed-on"
+	EventFlowHeld         LogEvent = "flow-held"
+	EventFlowRefused      LogEvent = "flow-refused"
 	EventFlowTried        LogEvent = "flow-tried"
 	EventFlowNotHeld      LogEvent = "flow-not-held"
 	EventFlowLearned      LogEvent = "flow-learned"
@@ -82,7 +84,7 @@
 	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
 	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
-	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowTried,
+	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowHeld, EventFlowRefused, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
 	EventServerFailing, EventPacketMalformed, EventMessageMalformed,
 	EventReceiveFailed, EventSendFailed, EventServeFailed, EventEncodeFailed, EventLinesDropped, EventMetricsNotServed,
--- a/logs_page_test.go
+++ b/logs_page_test.go
@@ -32,7 +32,7 @@
 		}
 	}
 	reason := regexp.MustCompile(`(?:Reason = |resetLost\()"([a-z-]+)"`)
-	for _, pattern := range []string{"coordination/steerer/*.go", "coordination/deliverer/*.go", "runner/*.go"} {
+	for _, pattern := range []string{"coordination/steerer/*.go", "coordination/deliverer/*.go", "coordination/regulator/*.go", "runner/*.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -90,6 +90,11 @@
 	serverKnown     chan struct{}
 	serverKnownOnce sync.Once
 
+	// admission is the last result of the rule for admission; trackerMu guards it.
+	admission admissionRule
+	// releaseScheduled is set while the timer that releases held packets runs.
+	releaseScheduled atomic.Bool
+
 	// lastCheck is when the server was last checked for failure.
 	lastCheck time.Time
 
@@ -112,6 +117,7 @@
 	}
 	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
 	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.startAdmission()
 	a.load = a.flowLoad
 	a.served, a.restore = a.currentServed, a.restoreServed
 	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
@@ -174,6 +180,7 @@
 	began := a.Timer.Now()
 	a.stopping.Store(true)
 	a.deliverer.Leave()
+	a.releaseHeld(began)
 	status := a.serverState(began).Status
 	if status == tracker.Unknown || status == tracker.Silent {
 		// Peers wait for the return of an agent that leaves, unless its server is gone.
@@ -246,7 +253,7 @@
 }
 
 // recordOutcome updates the server's assessment with the outcome of a request.
-func (a *Agent) recordOutcome(step deliverer.Step, packet []byte, now time.Time) {
+func (a *Agent) recordOutcome(step deliverer.Step, key gooseberrymast.FlowKey, packet []byte, now time.Time) {
 	if !step.Answered && step.Event != deliverer.RequestCut && step.Event != deliverer.RequestAbandoned {
 		return
 	}
@@ -262,6 +269,9 @@
 		if status := a.Codec.AnswerStatus(packet); status != 0 {
 			a.assessor.AddAnswer(status, full, now)
 			a.metrics.countStatus(status)
+			if status == shedStatus {
+				a.deliverer.HandleShed(key, now)
+			}
 		}
 		return
 	}
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -28,8 +28,14 @@
 		a.deliverer.SetRequestID(header.FromCaller(), a.Codec.RequestID(packet))
 	}
 	step := a.deliverer.FromPeer(header, hop, a.serverState(now), routes, now)
-	a.recordOutcome(step, packet, now)
+	a.recordOutcome(step, header.FromCaller(), packet, now)
 	a.execute(step, header.FromCaller(), packet)
+	if step.Action == deliverer.Hold {
+		a.hold(header, step, packet, routes, now)
+	}
+	if step.Event == deliverer.RequestAbandoned {
+		a.releaseHeld(now)
+	}
 }
 
 // receiveFromServer processes the packets of the backend server until the socket
@@ -57,8 +63,11 @@
 			continue
 		}
 		step := a.deliverer.FromServer(header, now)
-		a.recordOutcome(step, packet[:n], now)
+		a.recordOutcome(step, header.FromServer(), packet[:n], now)
 		a.execute(step, header.FromServer(), packet[:n])
+		if step.Answered || step.Event == deliverer.RequestCut {
+			a.releaseHeld(now)
+		}
 	}
 }
 
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -14,11 +14,14 @@
 
 // serverState returns the state of the backend server for the deliverer.
 func (a *Agent) serverState(now time.Time) deliverer.Server {
+	routes := a.currentRoutes()
 	a.trackerMu.Lock()
 	defer a.trackerMu.Unlock()
 	last, _ := a.tracker.Last()
+	service := a.tracker.Service()
 	return deliverer.Server{
-		Status: a.tracker.Status(now), Service: a.tracker.Service(), Slots: last.Slots, Complete: a.tracker.Complete(),
+		Status: a.tracker.Status(now), Service: service, Slots: last.Slots, Complete: a.tracker.Complete(),
+		Admission: a.admissionActive(last.Slots, service, routes),
 	}
 }
 
--- a/runner/member.go
+++ b/runner/member.go
@@ -62,6 +62,9 @@
 	// MetricsPort is the port of the metrics endpoint on the instance's address;
 	// zero disables it.
 	MetricsPort int
+	// AdmissionRule states for which servers an agent holds and refuses new flows. The zero
+	// value is for none.
+	AdmissionRule gooseberrymast.WorkRule
 	// Log receives the process's log lines.
 	Log *journaler.Journaler
 }
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -21,6 +21,7 @@
 	storeCalls  *prometheus.CounterVec
 	summaries   *prometheus.CounterVec
 	serviceTime prometheus.Histogram
+	holdTime    *prometheus.HistogramVec
 	answers     [answerClasses]prometheus.Counter
 }
 
@@ -35,6 +36,10 @@
 // short download to the longest deadline.
 var serviceBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5}
 
+// holdBuckets are the histogram buckets of holds in seconds: from one end of a request to
+// the next one, to the longest hold.
+var holdBuckets = []float64{0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.15}
+
 func newMetrics(m *member) *metrics {
 	created := &metrics{
 		registry: prometheus.NewRegistry(),
@@ -51,6 +56,10 @@
 			Name: "gooseberrymast_service_seconds", Help: "Time from a request's first packet to its answer's, at the agent.",
 			Buckets: serviceBuckets,
 		}),
+		holdTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gooseberrymast_flow_hold_seconds", Help: "Time for which opening packets were held, by whether the server got the flow.",
+			Buckets: holdBuckets,
+		}, []string{"outcome"}),
 	}
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gooseberrymast_flow_packets_total", Help: "Packets decided on, by action and mode of the hop.",
@@ -70,7 +79,7 @@
 			created.packets[action][mode] = packets.WithLabelValues(name, gooseberrymast.HopMode(mode).String())
 		}
 	}
-	created.registry.MustRegister(packets, answers, created.refusals, created.storeCalls, created.summaries, created.serviceTime, &gauges{member: m})
+	created.registry.MustRegister(packets, answers, created.refusals, created.storeCalls, created.summaries, created.serviceTime, created.holdTime, &gauges{member: m})
 	return created
 }
 
@@ -86,6 +95,15 @@
 	m.serviceTime.Observe(elapsed.Seconds())
 }
 
+// observeHold records for how long an opening packet was held and its outcome.
+func (m *metrics) observeHold(admitted bool, held time.Duration) {
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	m.holdTime.WithLabelValues(outcome).Observe(held.Seconds())
+}
+
 // countStatus counts an answer of the backend server by its HTTP status.
 func (m *metrics) countStatus(status int) {
 	const statusesPerClass = 100
--- a/runner/setup_test.go
+++ b/runner/setup_test.go
@@ -115,6 +115,8 @@
 	mu       sync.Mutex
 	flows    map[gooseberrymast.FlowKey]bool
 	opened   int
+	// stalled is set while the server answers no requests.
+	stalled bool
 }
 
 func startServer(t *testing.T, number byte) *echoServer {
@@ -159,6 +161,9 @@
 			}
 			s.flows[key] = true
 			answer = newPacket(header.Destination, header.Source, gooseberrymast.PacketHeader{Opens: true, Acknowledges: true}, nil)
+		case s.flows[key] && s.stalled:
+			s.mu.Unlock()
+			continue
 		case s.flows[key]:
 			answer = newPacket(header.Destination, header.Source, gooseberrymast.PacketHeader{Acknowledges: true}, platform.Codec{}.Payload(packet[:n]))
 		default:
