--- a/coordination/regulator/regulator_test.go
+++ b/coordination/regulator/regulator_test.go
@@ -223,3 +223,24 @@
 	r.counts.slots = 1
 	is.Equal(r.work().Wait(epoch).Round(time.Millisecond), 60*time.Millisecond)
 }
+
+// BenchmarkDecide measures a decision on a flow at a full server, with as many callers and
+// routes as have state of their own.
+func BenchmarkDecide(b *testing.B) {
+	r := &Regulator{}
+	for i := range maxSources {
+		offer := offerOf(flow(i, 1))
+		offer.Key.Service.Port = uint16(1 + i%maxRoutes)
+		r.Decide(offer, epoch)
+		r.Taken(offer, epoch)
+	}
+	fill(r, 10)
+	now := epoch
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		offer := offerOf(flow(i%(2*maxSources), 1))
+		offer.Last = false
+		r.Decide(offer, now)
+	}
+}
