Admission: pass flows on as before while candidates are left

A candidate that takes a flow into its server's queue while the next one has a free slot makes it wait for nothing. As without the gate, it passes the flow on from twice as many requests as slots.

--- a/coordination/regulator/regulator.go
+++ b/coordination/regulator/regulator.go
@@ -24,6 +24,9 @@
 const (
 	// ReasonQueueFull: the server would shed the request, or one on an open flow.
 	ReasonQueueFull Reason = "admission-queue-full"
+	// ReasonQueueing: the request would wait for a whole service time, and another
+	// candidate may have a free slot.
+	ReasonQueueing Reason = "admission-queueing"
 	// ReasonTooLate: the answer would be later than the route's objective.
 	ReasonTooLate Reason = "admission-too-late"
 	// ReasonReserved: the server's capacity is needed for requests on open flows.
@@ -41,6 +44,9 @@
 	// shedRecovery is the time in which a bound that was lowered because the server shed
 	// rises by one.
 	shedRecovery = 500 * time.Millisecond
+	// passOnPerSlot is the number of requests for each slot from which a flow is passed on
+	// while candidates are left, as without the gate.
+	passOnPerSlot = 2
 	// answerMargin is the time between the arrival of an opening packet and that of its
 	// request, plus the way of the answer: two round trips between distant zones.
 	answerMargin = 15 * time.Millisecond
@@ -149,9 +155,13 @@
 			return ReasonReserved
 		}
 	}
-	if len(r.counts.requests)+len(r.expected) >= r.bound(rank, open, now) {
+	requests := len(r.counts.requests) + len(r.expected)
+	if requests >= r.bound(rank, open, now) {
 		return ReasonQueueFull
 	}
+	if !offer.Last && requests >= passOnPerSlot*r.counts.slots {
+		return ReasonQueueing
+	}
 	if objective := offer.Route.Objective; objective > 0 {
 		if r.wait(now)+work.Cost(address)+answerMargin > objective {
 			return ReasonTooLate
