--- a/coordination/regulator/regulator_test.go
+++ b/coordination/regulator/regulator_test.go
@@ -45,6 +45,7 @@
 	}{
 		{"a free slot", 1, nil, gooseberrymast.GateAdmit, ""},
 		{"a server's own queue is used", 4, nil, gooseberrymast.GateAdmit, ""},
+		{"a queue, and others may have a free slot", 4, func(_ *Regulator, o *gooseberrymast.FlowOffer) { o.Last = false }, gooseberrymast.GatePassOn, ReasonQueueing},
 		{"a full queue", 10, nil, gooseberrymast.GateHold, ReasonQueueFull},
 		{"other candidates are left", 10, func(_ *Regulator, o *gooseberrymast.FlowOffer) { o.Last = false }, gooseberrymast.GatePassOn, ReasonQueueFull},
 		{"a caller's copy is not held", 10, func(_ *Regulator, o *gooseberrymast.FlowOffer) { o.Copy = 1 }, gooseberrymast.GatePassOn, ReasonQueueFull},
--- a/coordination/regulator/simulation_test.go
+++ b/coordination/regulator/simulation_test.go
@@ -395,7 +395,9 @@
 	case step.Action == deliverer.Forward && step.Hop.Mode == gooseberrymast.HopPlace:
 		s.schedule(passDelay, func() { s.offer(s.agents[step.To.IP[3]], tried, step.Hop, copies) })
 	case step.Action == deliverer.Forward && s.now-tried.sentSYN < resetWithin:
-		s.result.resets++
+		if s.now >= surgeBegins {
+			s.result.resets++
+		}
 		s.schedule(tried.delay, func() { s.fail(tried) })
 	}
 }
--- a/coordination/regulator/surge_test.go
+++ b/coordination/regulator/surge_test.go
@@ -152,3 +152,38 @@
 	r.verify(t)
 	r.verifyKinds(t)
 }
+
+// TestBelowCapacity guards against a gate that refuses flows, or makes requests late, where
+// the slots can serve all requests.
+func TestBelowCapacity(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		kinds func() []*kind
+	}{
+		{"one-request flows and long ones", func() []*kind {
+			kinds := surgeKinds()
+			for _, k := range kinds {
+				k.surge = k.before
+			}
+			return kinds
+		}},
+		{"long flows only", func() []*kind {
+			kinds := surgeKinds()
+			kinds[0].before, kinds[1].before, kinds[1].long = 0.57, 0.21, true
+			for _, k := range kinds {
+				k.surge = k.before
+			}
+			return kinds
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := runSurges(t, test.kinds, newRegulator, nil)
+			if r.others.lost > 0 || float64(r.others.late) > 0.01*float64(r.others.requests) {
+				t.Errorf("%d requests lost and %d late of %d, want none and under 0.01", r.others.lost, r.others.late, r.others.requests)
+			}
+			if float64(r.resets) > 0.01*float64(r.others.requests) {
+				t.Errorf("%d refusals for %d requests, want under 0.01", r.resets, r.others.requests)
+			}
+		})
+	}
+}
