--- a/coordination/regulator/shares.go
+++ b/coordination/regulator/shares.go
@@ -1,7 +1,7 @@
 package regulator
 
 import (
-	"cmp"
+	"container/list"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -33,49 +33,44 @@
 // exceeds its fair share once it has more than the level at which the admitted flows
 // are divided evenly among the sources, none of which gets more than it asked for
 // (max-min fairness).
-type shares[K cmp.Ordered] struct {
-	sources map[K]*sourceCounts
+type shares[K comparable] struct {
+	sources map[K]*list.Element
+	// recent holds the sources' counts, the one that was offered last at the back.
+	recent *list.List
 	// level is the fair level at levelAt; zero while there is no contention.
 	level   float64
 	levelAt time.Time
 }
 
-type sourceCounts struct {
+type sourceCounts[K comparable] struct {
+	key              K
 	offers, admitted decayed
 }
 
-func (s *shares[K]) source(key K, now time.Time) *sourceCounts {
+// source returns a source's counts and creates them if necessary.
+func (s *shares[K]) source(key K) *sourceCounts[K] {
 	if found := s.sources[key]; found != nil {
-		return found
+		return found.Value.(*sourceCounts[K])
 	}
 	if s.sources == nil {
-		s.sources = map[K]*sourceCounts{}
+		s.sources, s.recent = map[K]*list.Element{}, list.New()
 	}
 	if len(s.sources) >= maxSources {
-		s.evict()
+		oldest := s.recent.Remove(s.recent.Front()).(*sourceCounts[K])
+		delete(s.sources, oldest.key)
 	}
-	created := &sourceCounts{}
-	s.sources[key] = created
+	created := &sourceCounts[K]{key: key}
+	s.sources[key] = s.recent.PushBack(created)
 	return created
 }
 
-func (s *shares[K]) evict() {
-	var oldest K
-	var at time.Time
-	for key, counts := range s.sources {
-		if offered := counts.offers.at; at.IsZero() || offered.Before(at) || offered.Equal(at) && key < oldest {
-			oldest, at = key, offered
-		}
-	}
-	delete(s.sources, oldest)
-}
-
 func (s *shares[K]) offer(key K, now time.Time) {
-	s.source(key, now).offers.add(1, now, sharePeriod)
+	s.source(key).offers.add(1, now, sharePeriod)
+	s.recent.MoveToBack(s.sources[key])
 }
 
 func (s *shares[K]) admit(key K, now time.Time) {
-	s.source(key, now).admitted.add(1, now, sharePeriod)
+	s.source(key).admitted.add(1, now, sharePeriod)
 }
 
 // exceeds reports whether a source has more than its fair share.
@@ -83,24 +78,28 @@
 	if s.levelAt.IsZero() || now.Sub(s.levelAt) >= levelInterval {
 		s.level, s.levelAt = s.fairLevel(now), now
 	}
-	found := s.sources[key]
-	if s.level == 0 || found == nil {
+	if s.level == 0 {
 		return false
 	}
-	return found.admitted.value(now, sharePeriod) > max(minAdmitted, shareTolerance*s.level)
+	return s.source(key).admitted.value(now, sharePeriod) > max(minAdmitted, shareTolerance*s.level)
 }
 
 // fairLevel returns the level at which the admitted flows are divided evenly, or zero if
 // nearly all offers were admitted or there is one source only.
 func (s *shares[K]) fairLevel(now time.Time) float64 {
 	const uncontended = 0.95
+	if s.recent == nil {
+		return 0
+	}
 	offers := make([]float64, 0, len(s.sources))
-	admissions := make([]float64, 0, len(s.sources))
-	for _, counts := range s.sources {
-		offers = append(offers, counts.offers.value(now, sharePeriod))
-		admissions = append(admissions, counts.admitted.value(now, sharePeriod))
+	offered, admitted := 0.0, 0.0
+	for element := s.recent.Front(); element != nil; element = element.Next() {
+		counts := element.Value.(*sourceCounts[K])
+		offer := counts.offers.value(now, sharePeriod)
+		offers = append(offers, offer)
+		offered += offer
+		admitted += counts.admitted.value(now, sharePeriod)
 	}
-	offered, admitted := sum(offers), sum(admissions)
 	if len(offers) < 2 || admitted >= uncontended*offered {
 		return 0
 	}
@@ -120,17 +119,6 @@
 	return high
 }
 
-// sum adds up terms in the order of their size, so that the sum doesn't depend on the
-// order in which a map returns them.
-func sum(terms []float64) float64 {
-	slices.Sort(terms)
-	total := 0.0
-	for _, term := range terms {
-		total += term
-	}
-	return total
-}
-
 func callerNumber(offer gooseberrymast.FlowOffer) uint32 {
 	return binary.BigEndian.Uint32(offer.Key.Caller.IP[:])
 }
--- a/coordination/regulator/surge_test.go
+++ b/coordination/regulator/surge_test.go
@@ -14,6 +14,7 @@
 // runSurges returns the sum of the runs with seeds from 0 on.
 func runSurges(t *testing.T, kinds func() []*kind, gate func() gooseberrymast.AdmissionGate, adapt func(*simulation)) *result {
 	t.Helper()
+	t.Parallel()
 	var total *result
 	for seed := range uint64(seeds) {
 		s := newSimulation(seed, kinds(), gate)
