Admission: a hold needs the admission gate, test of the setting

A gate of Deliverer.Gates that held a flow would have made the deliverer call an admission gate that isn't there; its verdict now passes the flow on.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -140,11 +140,11 @@
 			d.unhold(key)
 		}
 		decision := d.askGates(offer, server, now)
-		switch decision.Verdict {
-		case gooseberrymast.GatePassOn:
-			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
-		case gooseberrymast.GateHold:
+		switch {
+		case decision.Verdict == gooseberrymast.GateHold && d.admits(server):
 			return Step{Action: Hold, Hop: hop, Reason: Reason(decision.Reason)}
+		case decision.Verdict != gooseberrymast.GateAdmit:
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
 		}
 		return d.take(offer, header, hop, server, now)
 	}
--- a/coordination/deliverer/held_test.go
+++ b/coordination/deliverer/held_test.go
@@ -200,6 +200,15 @@
 	is.Equal(d.HeldCount(), 1)
 }
 
+// A gate that can't hold packets must not make the deliverer keep one.
+func TestHoldWithoutAdmission(t *testing.T) {
+	is := is.New(t)
+	d := &Deliverer{Gates: []gooseberrymast.FlowGate{&recordingGate{decision: gooseberrymast.GateDecision{Verdict: gooseberrymast.GateHold}}}}
+	step := d.FromPeer(opening(), placeHop(next), crowded, routes, epoch)
+	is.Equal(step.Action, Forward)
+	is.Equal(step.To, next)
+}
+
 // The gate must know each flow and request of the server, also those that it has not
 // admitted, or it counts requests that have ended.
 func TestGateLearnsOfRequests(t *testing.T) {
--- a/work_rule_test.go
+++ b/work_rule_test.go
@@ -67,3 +67,22 @@
 	wrong.SetDefaults()
 	is.Equal(len(wrong.Validate()), 3)
 }
+
+// TestAdmissionModes guards against an admission setting that selects another rule than the
+// one that it names, and against one that is not reported as unknown.
+func TestAdmissionModes(t *testing.T) {
+	for _, mode := range []RuleMode{RuleOn, RuleOff, RuleAuto, "by-work"} {
+		t.Run(string(mode), func(t *testing.T) {
+			is := is.New(t)
+			settings := ForwardingSettings{Admission: mode}
+			settings.SetDefaults()
+			is.Equal(settings.AdmissionRule(), WorkRule{Mode: mode, FewSlots: DefaultFewSlots, TightObjective: DefaultTightObjective.Std()})
+			is.Equal(len(settings.Validate()) > 0, mode == "by-work")
+		})
+	}
+	settings := ForwardingSettings{}
+	settings.SetDefaults()
+	if settings.Admission != RuleAuto {
+		t.Errorf("the default is %q, want %q", settings.Admission, RuleAuto)
+	}
+}
