--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -12,6 +12,9 @@
 
 var epoch = time.Unix(1000, 0)
 
+// idempotent is a route whose requests may run twice.
+var idempotent = gooseberrymast.Route{Idempotent: true}
+
 func candidate(number byte, load gooseberrymast.FlowLoad) Candidate {
 	load.Slots = 4
 	return Candidate{
@@ -40,7 +43,7 @@
 			for seed := range uint64(20) {
 				chooser := Chooser{Zone: "a"}
 				free := candidate(1, gooseberrymast.FlowLoad{})
-				chosen := chooser.Choose([]Candidate{test.other, free}, 2, false, rand.New(rand.NewPCG(seed, 1)))
+				chosen := chooser.Choose([]Candidate{test.other, free}, 2, idempotent, rand.New(rand.NewPCG(seed, 1)))
 				is.Equal(chosen[0], free.Endpoint)
 				is.Equal(chosen[1], test.other.Endpoint)
 			}
@@ -73,7 +76,7 @@
 					candidates = append(candidates, candidate(byte(number), gooseberrymast.FlowLoad{Failing: share}))
 				}
 				chooser := Chooser{Zone: "a"}
-				for _, endpoint := range chooser.Choose(candidates, 4, true, rand.New(rand.NewPCG(seed, 1))) {
+				for _, endpoint := range chooser.Choose(candidates, 4, gooseberrymast.Route{}, rand.New(rand.NewPCG(seed, 1))) {
 					chosen[endpoint] = true
 				}
 			}
@@ -85,7 +88,7 @@
 func TestNoCandidates(t *testing.T) {
 	is := is.New(t)
 	var chooser Chooser
-	is.Equal(len(chooser.Choose(nil, 3, false, rand.New(rand.NewPCG(1, 1)))), 0)
+	is.Equal(len(chooser.Choose(nil, 3, idempotent, rand.New(rand.NewPCG(1, 1)))), 0)
 }
 
 // 40 new flows arrive between two reports. The flows placed since the last report
@@ -101,7 +104,7 @@
 		for number := range byte(agents) {
 			candidates = append(candidates, candidate(number, gooseberrymast.FlowLoad{}))
 		}
-		counts[chooser.Choose(candidates, 1, false, random)[0]]++
+		counts[chooser.Choose(candidates, 1, idempotent, random)[0]]++
 	}
 	for _, count := range counts {
 		is.True(count <= flows/agents+2)
@@ -124,8 +127,58 @@
 			}
 			candidates = append(candidates, candidate(number, load))
 		}
-		counts[chooser.Choose(candidates, 1, false, rand.New(rand.NewPCG(seed, 7)))[0]]++
+		counts[chooser.Choose(candidates, 1, idempotent, rand.New(rand.NewPCG(seed, 7)))[0]]++
 	}
 	idle := candidate(0, gooseberrymast.FlowLoad{}).Endpoint
 	is.True(counts[idle] < balancers/3)
 }
+
+// Balancers must not send a cold server more than it takes, but its share; and where all
+// servers are cold their agents decide.
+func TestLimitedServerGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	limited := func(number byte, room float64) Candidate {
+		return Candidate{
+			Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 0, number}, Port: 7000}, Zone: "a", Room: room,
+			Load: gooseberrymast.FlowLoad{Slots: 2, Limited: true},
+		}
+	}
+	warm := limited(9, 0)
+	warm.Load = gooseberrymast.FlowLoad{Slots: 2, InProgress: 3}
+	counts := map[byte]int{}
+	const rounds = 400
+	for round := range rounds {
+		c := Chooser{Zone: "a"}
+		for range 10 {
+			candidates := []Candidate{limited(1, 2.5), limited(2, 0), warm}
+			for i := range candidates {
+				candidates[i].Reported = time.Unix(int64(round), 0)
+			}
+			counts[c.Choose(candidates, 4, gooseberrymast.Route{Idempotent: true}, random)[0].IP[3]]++
+		}
+	}
+	is.True(counts[1] > 9*rounds/4 && counts[1] < 11*rounds/4) // 2.5 between two reports
+	is.Equal(counts[2], 0)
+	c := Chooser{Zone: "a"}
+	is.Equal(len(c.Choose([]Candidate{limited(1, 0), limited(2, 0)}, 4, gooseberrymast.Route{Idempotent: true}, random)), 2)
+}
+
+// The last candidate takes a flow even if its server is full. A cold one would not.
+func TestLastCandidateIsNotLimited(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		var candidates []Candidate
+		for number := range byte(4) {
+			candidates = append(candidates, Candidate{
+				Endpoint: gooseberrymast.Endpoint{IP: [4]byte{10, 0, 0, number}, Port: 7000}, Zone: "a", Room: 9,
+				Load: gooseberrymast.FlowLoad{Slots: 2, InProgress: 4 - int(number), Limited: number < 2},
+			})
+		}
+		c := Chooser{Zone: "a"}
+		chosen := c.Choose(candidates, 4, gooseberrymast.Route{Idempotent: true}, random)
+		is.Equal(len(chosen), 4)
+		is.True(chosen[3].IP[3] >= 2)
+	}
+}
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/predictor"
 	"gooseberrymast/coordination/tracker"
 )
 
@@ -26,11 +27,9 @@
 	// maxPending is the number of packets that are recorded until the server may
 	// have returned them; it returns a packet within a millisecond.
 	maxPending = 4096
-	// closedFlowTimeout is how long a closed flow is kept: both ends may
-	// retransmit their last packets, at intervals of 1.6 s at most.
+	// closedFlowTimeout is how long a flow that both ends have closed is kept: they
+	// may retransmit their last packets, at intervals of 1.6 s at most.
 	closedFlowTimeout = 4 * time.Second
-	// idleFlowTimeout is how long an unused flow is kept.
-	idleFlowTimeout = 30 * time.Second
 )
 
 // Deliverer holds the state of one agent's decisions. The zero value is ready.
@@ -43,6 +42,18 @@
 	Admission gooseberrymast.AdmissionGate
 	// ZoneOf returns the availability zone of a balancer, or "". Nil knows none.
 	ZoneOf func(balancer gooseberrymast.Endpoint) string
+	// Work is told of the flows and requests, under the deliverer's lock; nil if nothing
+	// needs it. It is set before use.
+	Work *predictor.Predictor
+	// MaxFlowAge is the age from which a server may discard a flow; zero means
+	// gooseberrymast.DefaultMaxFlowAge. It is set before use.
+	MaxFlowAge time.Duration
+	// MaxFlows bounds the flows that are kept; zero means defaultMaxFlows. It is set
+	// before use.
+	MaxFlows int
+	// RefuseFullDefinitely lets the caller of a flow be reset if all candidates are full
+	// or refuse it otherwise, instead of being left to retransmit. It is set before use.
+	RefuseFullDefinitely bool
 
 	mu        sync.Mutex
 	held      []heldPacket
@@ -53,6 +64,10 @@
 	lastTag   uint32
 	openFlows int
 	busyFlows int
+	// idleTimeout is that of the document in force; zero while it is unknown.
+	idleTimeout time.Duration
+	// incompleteUntil is until when the server may hold a flow that was evicted.
+	incompleteUntil time.Time
 	// answers counts the flows that the server has accepted. Those up to ownAnswers
 	// were accepted by the incarnation that announced itself last, or before it;
 	// announcedAnswers is the count at its last announcement.
@@ -66,6 +81,12 @@
 	// of served that it lacked, and the calls of ClearServed.
 	recorded      map[gooseberrymast.Endpoint]struct{}
 	servedChanges int
+	// stored holds the addresses that the entry is certain to name, once entryKnown is
+	// set: the agent has read or written it. wanted holds those of refused flows.
+	stored, wanted map[gooseberrymast.Endpoint]struct{}
+	entryKnown     bool
+	// refused holds new flows that could be taken a moment later.
+	refused refusals
 }
 
 // pendingPacket holds the tag and the hop of a packet that was sent to the server.
@@ -84,8 +105,12 @@
 	// Admission is set while the deliverer's admission gate is in force at the server.
 	Admission bool
 	// Complete is set when the agent has seen every packet of the server's
-	// incarnation, so that it holds all of its flows.
+	// incarnation, so that it holds all of its flows, except those evicted.
 	Complete bool
+	// Evacuated is set while the agent's zone is evacuated, and EvacuationUnknown while
+	// an agent that has just started doesn't know whether it is.
+	Evacuated         bool
+	EvacuationUnknown bool
 }
 
 // Leave makes the agent refuse new flows.
@@ -139,19 +164,25 @@
 			// The caller has waited for longer than a packet is held.
 			d.unhold(key)
 		}
-		decision := d.askGates(offer, server, now)
+		if header.Copy == 0 && d.refused.has(key, now) {
+			return d.passOn(hop, ReasonRefusedBefore, true)
+		}
+		if !d.admits(server) && d.full(hop, server) {
+			return d.passOn(hop, ReasonServerFull, d.RefuseFullDefinitely && d.refused.add(key, now))
+		}
+		decision := askGates(d.gates(server), offer, now)
 		switch {
 		case decision.Verdict == gooseberrymast.GateHold && d.admits(server):
 			return Step{Action: Hold, Hop: hop, Reason: Reason(decision.Reason)}
 		case decision.Verdict != gooseberrymast.GateAdmit:
-			return d.passOn(hop, Reason(decision.Reason), decision.Definite)
+			return d.passOn(hop, Reason(decision.Reason), decision.Definite && d.refused.add(key, now))
 		}
 		return d.take(offer, header, hop, server, now)
 	}
 	if server.Status == tracker.Gone {
 		return d.answerNotHeld(header, hop, ReasonServerGone, true)
 	}
-	if hop.Mode == gooseberrymast.HopWalk && server.Complete {
+	if hop.Mode == gooseberrymast.HopWalk && server.Complete && !now.Before(d.incompleteUntil) {
 		return d.answerNotHeld(header, hop, ReasonNotHeld, true)
 	}
 	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
@@ -167,6 +198,7 @@
 		gate.Taken(offer, now)
 	}
 	f := d.addFlow(offer.Key, now)
+	f.first = true
 	if hop.NotifyOrigin {
 		f.notify = hop.Origin
 	}
@@ -190,9 +222,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := header.FromCaller()
+	forgotten := false
 	if f := d.flows[key]; f != nil && (!header.Opens || !f.answered) {
+		forgotten = f.opened && f.answered && !f.closed && !f.ended
 		d.dropFlow(key, f)
 	}
+	step := d.passOnReturned(header)
+	step.Forgotten = forgotten
+	return step
+}
+
+// passOnReturned decides where a packet goes that the server has returned.
+func (d *Deliverer) passOnReturned(header gooseberrymast.PacketHeader) Step {
 	found := d.pending[header.Tag%maxPending]
 	if found.tag != header.Tag || found.tag == 0 {
 		return Step{Action: Drop, Reason: ReasonNoTry}
@@ -227,7 +268,7 @@
 		step.Notify = f.notify
 	}
 	if f.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
-		step.Request = d.endRequest(key, f, now)
+		step.Request = d.endRequest(key, f, true, now)
 		// The end of a flow may overtake the answer before it; then its sequence
 		// number is beyond what the server has sent.
 		step.Answered = header.Payload > 0 || !header.Resets && int32(header.Sequence-f.serverEnd) > 0
@@ -243,12 +284,14 @@
 		}
 		f.serverBegan = true
 	}
+	f.ended = f.ended || header.Resets
 	if (header.Resets || header.Finishes) && !f.closed {
-		f.closed, f.closedAt = true, now
+		f.closed = true
 		d.openFlows--
 		if d.Admission != nil {
 			d.Admission.FlowClosed(key)
 		}
+		d.Work.Close(&f.work, now)
 	}
 	return step
 }
@@ -267,6 +310,7 @@
 // deliver decides on a packet of a known flow: it goes to the server.
 func (d *Deliverer) deliver(f *flow, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, now time.Time) Step {
 	f.lastUsed = now
+	f.ended = f.ended || header.Resets || header.Finishes
 	if !header.Opens {
 		f.lastAck = header.Acknowledgement
 		f.opened = f.opened || f.acknowledges(header)
@@ -282,6 +326,8 @@
 				if d.Admission != nil {
 					d.Admission.RequestBegan(header.FromCaller(), now)
 				}
+				d.Work.Begin(&f.work, now)
+				d.observeRequest(f, now)
 			}
 		}
 	}
@@ -290,18 +336,19 @@
 		step.Notify = hop.Origin
 	}
 	if f.busy && (header.Resets || header.Finishes) {
-		step.Event, step.Request = RequestAbandoned, d.endRequest(header.FromCaller(), f, now)
+		step.Event, step.Request = RequestAbandoned, d.endRequest(header.FromCaller(), f, false, now)
 	}
 	return step
 }
 
-// endRequest ends the request in progress of a flow and returns it.
-func (d *Deliverer) endRequest(key gooseberrymast.FlowKey, f *flow, now time.Time) Request {
+// endRequest ends the request in progress of a flow and returns it. finished is false if
+// the server may still work on it.
+func (d *Deliverer) endRequest(key gooseberrymast.FlowKey, f *flow, finished bool, now time.Time) Request {
 	d.setBusy(f, false)
 	if d.Admission != nil {
 		d.Admission.RequestEnded(key, now)
 	}
-	ended := Request{ID: f.requestID, Duration: now.Sub(f.busySince)}
+	ended := Request{ID: f.requestID, Duration: now.Sub(f.busySince), SlotTime: d.Work.End(&f.work, finished, now)}
 	f.requestID = ""
 	return ended
 }
@@ -321,6 +368,10 @@
 func (d *Deliverer) refusal(hop gooseberrymast.Hop, key gooseberrymast.FlowKey, server Server,
 	routes *gooseberrymast.Routes) (reason Reason, definite bool) {
 	switch {
+	case server.Evacuated:
+		return ReasonZoneEvacuated, true
+	case server.EvacuationUnknown:
+		return ReasonEvacuationUnknown, false
 	case server.Status == tracker.Unknown:
 		return ReasonServerUnknown, false
 	case server.Status == tracker.Introduced:
@@ -339,8 +390,8 @@
 	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
-	if !d.admits(server) && len(hop.Candidates) > 0 && Full(d.busyFlows, server.Slots) {
-		return ReasonServerFull, false
+	if !d.isRecorded(key.Service) {
+		return ReasonNotRecorded, false
 	}
 	return "", true
 }
@@ -350,7 +401,7 @@
 	key := header.FromCaller()
 	route, ok := routes.Lookup(key.Service)
 	offer := gooseberrymast.FlowOffer{
-		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, Slots: server.Slots,
+		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, Slots: server.Slots, OpenFlows: d.openFlows,
 	}
 	if d.ZoneOf != nil {
 		offer.Zone = d.ZoneOf(hop.Origin)
@@ -373,8 +424,8 @@
 
 // askGates returns the decision of the first gate that doesn't admit an offer, or the
 // zero GateDecision.
-func (d *Deliverer) askGates(offer gooseberrymast.FlowOffer, server Server, now time.Time) gooseberrymast.GateDecision {
-	for _, gate := range d.gates(server) {
+func askGates(gates []gooseberrymast.FlowGate, offer gooseberrymast.FlowOffer, now time.Time) gooseberrymast.GateDecision {
+	for _, gate := range gates {
 		if decision := gate.Decide(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
 			return decision
 		}
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/predictor"
 )
 
 type flow struct {
 	openedAt time.Time
 	lastUsed time.Time
-	closedAt time.Time
 	// lastAck is the caller's last acknowledgement number.
 	lastAck uint32
 	// callerEnd is the sequence number after the last byte from the caller.
@@ -29,11 +29,18 @@
 	opened bool
 	// busy is set while a request of the flow is in progress.
 	busy bool
-	// closed is set once the server has ended the flow.
-	closed bool
+	// closed is set once the server has ended its side of the flow, and ended once
+	// the caller has ended its own or either has reset the flow.
+	closed, ended bool
+	// idleTimeout is the longest that any document in force since the flow was opened
+	// has allowed; zero while none is known.
+	idleTimeout time.Duration
+	// first is set until the first request of a flow that was taken.
+	first bool
 	// requestID and busySince belong to the request in progress.
 	requestID string
 	busySince time.Time
+	work      predictor.Flow
 	// notify is a balancer to notify of the owner once the server has answered.
 	notify gooseberrymast.Endpoint
 	// announced are the lookup balancers that the flow was announced to.
@@ -67,7 +74,8 @@
 		d.flows = map[gooseberrymast.FlowKey]*flow{}
 	}
 	d.addServed(key.Service)
-	f := &flow{openedAt: now, lastUsed: now}
+	d.makeRoom(now)
+	f := &flow{openedAt: now, lastUsed: now, idleTimeout: d.idleTimeout, work: d.Work.Open(key.Service, now)}
 	d.flows[key] = f
 	d.openFlows++
 	if d.Admission != nil {
@@ -78,6 +86,7 @@
 
 func (d *Deliverer) dropFlow(key gooseberrymast.FlowKey, f *flow) {
 	d.setBusy(f, false)
+	d.Work.Drop(&f.work)
 	if !f.closed {
 		d.openFlows--
 		if d.Admission != nil {
--- a/coordination/deliverer/held.go
+++ b/coordination/deliverer/held.go
@@ -92,7 +92,13 @@
 				released = append(released, d.refuseHeld(entry, Reason(decision.Decision.Reason), decision.Decision.Definite, now))
 				continue
 			}
-			step := d.take(d.flowOffer(entry.header, entry.hop, server, routes), entry.header, entry.hop, server, now)
+			offer := d.flowOffer(entry.header, entry.hop, server, routes)
+			// The gates before it admitted the flow when it came; their limits may be used up.
+			if refused := askGates(d.Gates, offer, now); refused.Verdict != gooseberrymast.GateAdmit {
+				released = append(released, d.refuseHeld(entry, Reason(refused.Reason), refused.Definite, now))
+				continue
+			}
+			step := d.take(offer, entry.header, entry.hop, server, now)
 			released = append(released, Released{step, decision.Key, entry.packet, now.Sub(entry.at)})
 		}
 	}
@@ -123,6 +129,7 @@
 }
 
 func (d *Deliverer) refuseHeld(entry heldPacket, reason Reason, definite bool, now time.Time) Released {
+	definite = definite && d.refused.add(entry.header.FromCaller(), now)
 	return Released{d.passOn(entry.hop, reason, definite), entry.header.FromCaller(), entry.packet, now.Sub(entry.at)}
 }
 
--- a/coordination/deliverer/held_test.go
+++ b/coordination/deliverer/held_test.go
@@ -110,6 +110,8 @@
 			placeHop(next), Forward, next, ReasonServerLeaving},
 		{"the server is silent and may yet take a copy", Server{Status: tracker.Silent, Service: "ledger", Slots: 2, Admission: true}, false,
 			time.Millisecond, placeHop(), Drop, gooseberrymast.Endpoint{}, ReasonServerSilent},
+		{"the zone is evacuated", Server{Status: tracker.Ready, Service: "ledger", Slots: 2, Admission: true, Evacuated: true}, false,
+			time.Millisecond, placeHop(next), Forward, next, ReasonZoneEvacuated},
 		{"admission no longer applies", ledger, false, time.Millisecond, placeHop(next), Forward, next, ReasonServerFull},
 	}
 	for _, test := range tests {
@@ -142,6 +144,33 @@
 	is.True(released[0].Step.Hop.Definite)
 }
 
+// A limit of another gate that was used up meanwhile must hold for held packets, too.
+func TestHeldPacketIsOfferedToOtherGatesAgain(t *testing.T) {
+	is := is.New(t)
+	d, gate := newHolding(t, placeHop(next))
+	d.Gates = []gooseberrymast.FlowGate{&recordingGate{decision: gooseberrymast.GateDecision{
+		Verdict: gooseberrymast.GatePassOn, Reason: "some-limit", Definite: true,
+	}}}
+	gate.releases = true
+	released := d.Release(crowded, routes, epoch.Add(time.Millisecond))
+	is.Equal(len(released), 1)
+	is.Equal(released[0].Step.To, next)
+	is.Equal(released[0].Step.Reason, Reason("some-limit"))
+	is.Equal(gate.taken, 0)
+}
+
+// A duplicate of a packet that was held and refused must not open the flow while its
+// balancer may reset it.
+func TestDuplicateOfRefusedHeldPacket(t *testing.T) {
+	is := is.New(t)
+	d, gate := newHolding(t, placeHop())
+	gate.releases, gate.release = true, gooseberrymast.GatePassOn
+	d.Release(crowded, routes, epoch.Add(80*time.Millisecond))
+	gate.decision = gooseberrymast.GateDecision{}
+	step := d.FromPeer(opening(), placeHop(next), crowded, routes, epoch.Add(81*time.Millisecond))
+	is.Equal(step.Reason, ReasonRefusedBefore)
+}
+
 // A copy that the network made must not be held twice; one that the caller sent after its
 // timeout is decided on anew, since the flow may be open elsewhere.
 func TestCopyOfHeldPacket(t *testing.T) {
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -34,6 +34,9 @@
 	ReasonWrongService Reason = "wrong-service"
 	// ReasonNeverServed: the server has not taken any flow of the address.
 	ReasonNeverServed Reason = "never-served"
+	// ReasonNotRecorded: the agent's entry in the store doesn't name the flow's address
+	// yet.
+	ReasonNotRecorded Reason = "not-recorded"
 	// ReasonServerUnknown: the server has not announced itself yet.
 	ReasonServerUnknown Reason = "server-unknown"
 	// ReasonServerIntroduced: not all balancers know the server's instance yet.
@@ -54,8 +57,16 @@
 	// ReasonHeldTooLong: the agent was paused and held the packet until the caller may
 	// have sent a copy.
 	ReasonHeldTooLong Reason = "held-too-long"
+	// ReasonRefusedBefore: a duplicate of an opening packet that the agent has just
+	// refused definitely.
+	ReasonRefusedBefore Reason = "refused-before"
 	// ReasonAgentLeaving: the agent is being stopped.
 	ReasonAgentLeaving Reason = "agent-leaving"
+	// ReasonZoneEvacuated: the agent's zone takes no new flows.
+	ReasonZoneEvacuated Reason = "zone-evacuated"
+	// ReasonEvacuationUnknown: the agent has just started and doesn't know yet whether
+	// its zone is evacuated.
+	ReasonEvacuationUnknown Reason = "evacuation-unknown"
 	// ReasonServerRefused: the server returned an opening packet.
 	ReasonServerRefused Reason = "server-refused"
 	// ReasonNotHeld: the server returned a packet of a flow that it doesn't
@@ -82,6 +93,9 @@
 	// Answered is set on the first packet of an answer, with the request.
 	Answered bool
 	Request  Request
+	// Forgotten is set if the server returned a packet of a flow that was open at it: it
+	// has started again.
+	Forgotten bool
 }
 
 // Event is a change of a flow.
@@ -110,4 +124,7 @@
 	ID string
 	// Duration is the time from the request's first packet to its answer's.
 	Duration time.Duration
+	// SlotTime is the part of it for which the request had a slot of the server; zero
+	// while that is unknown.
+	SlotTime time.Duration
 }
--- a/coordination/regulator/regulator.go
+++ b/coordination/regulator/regulator.go
@@ -14,8 +14,8 @@
 	"gooseberrymast/coordination/retrier"
 )
 
-// ReasonPrefix is the prefix of every reason.
-const ReasonPrefix = "admission-"
+// AdmissionPrefix is the prefix of every reason.
+const AdmissionPrefix = "admission-"
 
 // Reason says why a flow is not admitted at once.
 type Reason string
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -95,6 +95,8 @@
 	Owners *locator.Locator
 	// Random breaks ties.
 	Random *rand.Rand
+	// PlacesByWork is set if new flows are placed by the expected work that agents report.
+	PlacesByWork bool
 
 	mu      sync.Mutex
 	chooser chooser.Chooser
@@ -113,6 +115,8 @@
 	// allowed holds, for each address, every service that its route has allowed
 	// since the process started.
 	allowed map[gooseberrymast.Endpoint][]string
+	// evacuated are the zones that take no new flows.
+	evacuated []string
 }
 
 // walk is the search for a flow's holder, along several chains of candidates, or the
@@ -264,14 +268,16 @@
 	complete := s.Roster.IsComplete()
 	s.mu.Lock()
 	service, candidates := s.candidates(route, now)
-	chosen := s.chooser.Choose(candidates, placeCandidates, !route.Idempotent, s.Random)
+	chosen := s.chooser.Choose(candidates, placeCandidates, route, s.Random)
 	s.mu.Unlock()
-	if owner, found := s.Owners.Find(key, now); found && s.mayReuseOwner(owner, header.Copy, now) {
+	owner, owned := s.Owners.Find(key, now)
+	if owned && s.mayReuseOwner(owner, header.Copy, now) {
 		chosen = moveFirst(chosen, owner)
 	}
 	if len(chosen) == 0 {
-		// An agent may be missing from an incomplete list of peers.
-		if !complete {
+		// An agent may be missing from an incomplete list of peers. A recorded owner in an
+		// evacuated zone may hold the flow, so that the packet may be a duplicate.
+		if !complete || owned && s.inEvacuatedZone(owner) {
 			return Step{Action: Drop, Reason: ReasonNoAgent}
 		}
 		return refuseOpening(header, ReasonNoAgent)
@@ -310,29 +316,52 @@
 	rerouteFromCopy = 2
 )
 
+// Placed returns the numbers of flows that were placed by the expected work of agents and
+// by their counts.
+func (s *Steerer) Placed() (byWork, byCount uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.PlacedByWork, s.chooser.PlacedByCount
+}
+
 // mayReuseOwner reports whether a retransmitted opening packet goes to the agent
 // of the first one. An agent answers within milliseconds, so a retransmission
 // suggests that it failed. If both agents answer after all, the flow opens at
 // the one whose answer the caller acknowledges, and a walk finds it.
+//
+// An agent of an evacuated zone gets no opening packet, since it may not have taken the
+// flow before. If it has, a walk finds it.
 func (s *Steerer) mayReuseOwner(owner gooseberrymast.Endpoint, copyNumber int, now time.Time) bool {
+	if s.inEvacuatedZone(owner) {
+		return false
+	}
 	if copyNumber == 0 {
 		return !s.gone(owner, now)
 	}
 	entry, known := s.Roster.Get(owner)
-	return copyNumber < rerouteFromCopy && known && entry.ReportAge(now) <= lateReportAge
+	return copyNumber < rerouteFromCopy && known && entry.Reporting(now) && entry.ReportAge(now) <= lateReportAge
 }
 
 // candidates returns the agents that may take a new flow of a route, all of one
 // service: the one drawn by weight, or the next one that has any. Agents
-// without a recent report are used only when none has one.
+// without a recent report are used only when none has one, those of evacuated zones
+// never.
 func (s *Steerer) candidates(route gooseberrymast.Route, now time.Time) (string, []chooser.Candidate) {
-	s.chooser.Zone = s.Zone
+	s.chooser.Zone, s.chooser.ByWork = s.Zone, s.PlacesByWork
 	first := s.drawService(route)
+	evacuated := s.evacuatedZones()
 	for i := range route.Backends {
 		service := route.Backends[(first+i)%len(route.Backends)].Service
 		reporting, silent := s.reporting[:0], s.silent[:0]
+		balancers, ownBalancers := 1, 1
 		s.Roster.Each(func(entry roster.Entry) {
-			if entry.Role != gooseberrymast.RoleAgent || entry.Service != service {
+			if entry.Role == gooseberrymast.RoleBalancer && entry.State == gooseberrymast.StateReady && entry.Reporting(now) {
+				balancers++
+				if entry.Zone == s.Zone {
+					ownBalancers++
+				}
+			}
+			if entry.Role != gooseberrymast.RoleAgent || entry.Service != service || slices.Contains(evacuated, entry.Zone) {
 				return
 			}
 			candidate := chooser.Candidate{Endpoint: entry.Endpoint, Zone: entry.Zone, Load: entry.Load, Reported: entry.ReportedAt}
@@ -344,6 +373,7 @@
 			}
 		})
 		s.reporting, s.silent = reporting, silent
+		shareRoom(reporting, s.Zone, balancers, ownBalancers)
 		if len(reporting) > 0 {
 			return service, reporting
 		}
@@ -354,6 +384,19 @@
 	return "", nil
 }
 
+// shareRoom sets the balancer's shares of what limited servers may get. Most flows come
+// from the balancers of an agent's own zone, which share it; a balancer of another
+// zone has as much as if all had.
+func shareRoom(candidates []chooser.Candidate, zone string, balancers, ownBalancers int) {
+	for i := range candidates {
+		shared := balancers
+		if candidates[i].Zone == zone {
+			shared = ownBalancers
+		}
+		candidates[i].Room = float64(candidates[i].Load.Room) / float64(shared)
+	}
+}
+
 func (s *Steerer) drawService(route gooseberrymast.Route) int {
 	var total uint32
 	for _, backend := range route.Backends {
--- a/gate.go
+++ b/gate.go
@@ -20,6 +20,8 @@
 	// Slots is the number of requests that the server runs at once; zero while it is
 	// unknown.
 	Slots int
+	// OpenFlows is the number of flows that are open at the server.
+	OpenFlows int
 }
 
 // GateVerdict is what a gate decides on a new flow.
@@ -98,6 +100,14 @@
 	Decision GateDecision
 }
 
+// RequestObserver is a FlowGate that also counts requests on open flows, which no gate
+// can refuse.
+type RequestObserver interface {
+	// HandleRequest records that a request begins on an open flow; the first one of a
+	// flow that was taken is not reported. openFlows is the number of open flows.
+	HandleRequest(openFlows int, now time.Time)
+}
+
 // WorkEstimator estimates the work of one backend server.
 type WorkEstimator interface {
 	// Wait returns the expected time until a request that arrives now gets a slot.
--- a/log_event.go
+++ b/log_event.go
@@ -27,6 +27,7 @@
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
 	EventZoneIsolated       LogEvent = "zone-isolated"
+	EventZoneUnheard        LogEvent = "zone-unheard"
 	EventRelayChanged       LogEvent = "relay-changed"
 	EventListeningResumed   LogEvent = "listening-resumed"
 	EventStateChanged       LogEvent = "state-changed"
@@ -36,6 +37,10 @@
 	EventDocumentOlder      LogEvent = "document-older"
 	EventDocumentConflict   LogEvent = "document-conflict"
 	EventDocumentUnreadable LogEvent = "document-unreadable"
+
+	EventEvacuationInForce    LogEvent = "evacuation-in-force"
+	EventEvacuationEnded      LogEvent = "evacuation-ended"
+	EventEvacuationUnreadable LogEvent = "evacuation-unreadable"
 )
 
 // The events of a backend server, as its agent sees it.
@@ -46,6 +51,7 @@
 	EventServerProbed        LogEvent = "server-probed"
 	EventServerDead          LogEvent = "server-dead"
 	EventAnnouncementIgnored LogEvent = "announcement-ignored"
+	EventPlacementChanged    LogEvent = "placement-changed"
 )
 
 // The events of flows and requests.
@@ -81,9 +87,10 @@
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
 	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
-	EventIncarnationRaised, EventZoneIsolated, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
-	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventServerChanged, EventServerRestarted, EventServerDeparted,
-	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventFlowPlaced, EventFlowLookedUp,
+	EventIncarnationRaised, EventZoneIsolated, EventZoneUnheard, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
+	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventEvacuationInForce, EventEvacuationEnded, EventEvacuationUnreadable,
+	EventServerChanged, EventServerRestarted, EventServerDeparted,
+	EventServerProbed, EventServerDead, EventAnnouncementIgnored, EventPlacementChanged, EventFlowPlaced, EventFlowLookedUp,
 	EventFlowWalked, EventFlowReset, EventPacketDropped, EventFlowTaken, EventFlowPassedOn, EventFlowHeld, EventFlowRefused, EventFlowTried,
 	EventFlowNotHeld, EventFlowLearned, EventRequestSlow, EventRequestCut, EventRequestAbandoned,
 	EventServerFailing, EventPacketMalformed, EventMessageMalformed,
--- a/protocol/interpreter/interpreter_test.go
+++ b/protocol/interpreter/interpreter_test.go
@@ -48,20 +48,62 @@
 	return read
 }
 
+func testEvacuations() gooseberrymast.EvacuationStatus {
+	return gooseberrymast.EvacuationStatus{
+		Evacuations: gooseberrymast.Evacuations{
+			Version: gooseberrymast.EvacuationsVersion{Era: 3, Revision: 1 << 41}, Zones: []string{"cairo-a", "cairo-b"},
+		},
+		Known: true, Age: 2 * time.Second, Read: true,
+		Held: []gooseberrymast.HeldZone{{Zone: "cairo-c", Left: 9 * time.Second}},
+	}
+}
+
 func TestReportRoundTrip(t *testing.T) {
 	is := is.New(t)
 	report := gooseberrymast.Report{
 		Peer: testAgent(1),
-		Load: gooseberrymast.FlowLoad{Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25},
+		Load: gooseberrymast.FlowLoad{
+			Slots: 4, InProgress: 3, Flows: 50, WarmUpLeft: 1500 * time.Millisecond, Failing: 0.25, Limited: true, Room: 7,
+		},
 		Document: gooseberrymast.DocumentStatus{
 			Version: gooseberrymast.DocumentVersion{Number: 19, Revision: 1 << 33, Digest: 1 << 63}, Age: 250 * time.Millisecond, Confirmed: true,
 			StoreEra: 2, SettledEra: 1, ReadAge: 125 * time.Millisecond, Read: true,
 		},
-		Digests: gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
+		Digests:     gooseberrymast.RosterDigests{Balancers: 1 << 60, Agents: 7},
+		Evacuations: testEvacuations(),
 	}
 	is.Equal(ReadReport(roundTrip(t, Report(report)).GetReport()), report)
 }
 
+// testWork returns expected work with values of the greatest length.
+func testWork() gooseberrymast.WorkLoad {
+	work := gooseberrymast.WorkLoad{Cost: 3 * time.Minute, Outstanding: 40 * time.Minute, FlowShare: 999.5}
+	for i := range work.RouteCosts {
+		work.RouteCosts[i] = gooseberrymast.RouteCost{Tag: 1<<31 + uint32(i), Cost: time.Hour + time.Duration(i)*time.Microsecond}
+	}
+	return work
+}
+
+// Expected work must arrive as it was sent, and a load without it must be encoded as by
+// earlier builds.
+func TestWorkRoundTrip(t *testing.T) {
+	is := is.New(t)
+	load := gooseberrymast.FlowLoad{Slots: 2, InProgress: 3, Flows: 50, Work: testWork()}
+	read := roundTrip(t, Report(gooseberrymast.Report{Peer: testAgent(1), Load: load})).GetReport()
+	is.Equal(ReadReport(read).Load, load)
+	load.Work = gooseberrymast.WorkLoad{}
+	is.True(proto.Equal(encodeLoad(load), &peer.Load{Slots: 2, InProgress: 3, Flows: 50}))
+	// Lists of unequal or greater length are of a build to come.
+	many := &peer.Load{CostUs: 1, RouteTags: make([]uint32, 9), RouteCostsUs: []uint32{7, 8}}
+	work := decodeLoad(many).Work
+	is.Equal(work.RouteCosts[1].Cost, 8*time.Microsecond)
+	is.Equal(work.RouteCosts[2], gooseberrymast.RouteCost{})
+	many.RouteCostsUs = make([]uint32, 9)
+	is.Equal(len(decodeLoad(many).Work.RouteCosts), gooseberrymast.MaxRouteCosts)
+	// Without a cost there is no work, whatever else is sent.
+	is.Equal(decodeLoad(&peer.Load{OutstandingUs: 5, FlowPermille: 5}).Work, gooseberrymast.WorkLoad{})
+}
+
 // Earlier builds order documents by the store's revision. It must not be read as the
 // operators' number, nor the number sent in its place.
 func TestEarlierBuildsExchangeRevisionsOnly(t *testing.T) {
@@ -116,6 +158,7 @@
 	routes := &gooseberrymast.Routes{
 		Version: gooseberrymast.DocumentVersion{Number: 12, Revision: 40, Digest: 1 << 62}, ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}, IdleTimeout: 15 * time.Second,
 		HealthPaths: map[string]string{"ledger": "/healthz", "receipts": "/ok"},
+		WarmUps:     map[string]gooseberrymast.WarmUp{"receipts": {Duration: 1500 * time.Millisecond, PerSecond: 20.5}},
 	}
 	for i := range count {
 		route := gooseberrymast.Route{
@@ -153,6 +196,19 @@
 	}
 }
 
+// Where no service is limited the message must stay what earlier builds send, so that
+// parts of both can be put together.
+func TestDocumentWithoutWarmUpsIsUnchanged(t *testing.T) {
+	is := is.New(t)
+	routes := testRoutes(3)
+	routes.WarmUps = nil
+	message := encodeDocument(routes)
+	is.Equal(len(message.GetWarmUpMs())+len(message.GetWarmUpPerSecond()), 0)
+	read, err := decodeDocument(message)
+	is.NoErr(err)
+	is.Equal(read, routes)
+}
+
 func TestPartsOfOlderVersionAreIgnored(t *testing.T) {
 	is := is.New(t)
 	older, newer := testRoutes(100), testRoutes(101)
--- a/protocol/interpreter/summary.go
+++ b/protocol/interpreter/summary.go
@@ -7,15 +7,40 @@
 	"gooseberrymast/protocol/messages/peer"
 )
 
-// maxSummaryPeers is the maximum number of peers in one datagram. A peer with its
-// load takes about 50 bytes, so that all take less than 1,200 bytes.
-const maxSummaryPeers = 22
+const (
+	// maxSummaryPeers is the maximum number of peers in one datagram. A peer with its
+	// load takes about 50 bytes, so that all take less than 1,200 bytes.
+	maxSummaryPeers = 22
+	// summaryPeerBytes is the size of one of them.
+	summaryPeerBytes = 50
+)
+
+// workPeers is the number of peers that one with its expected work counts for: the work
+// takes up to 45 bytes.
+const workPeers = 2
+
+// cutSummary returns the number of peers, one at least, that fit into the room for a
+// number of peers without work.
+func cutSummary(peers []gooseberrymast.PeerSummary, room int) int {
+	for i := range peers {
+		if room--; peers[i].Load.Work.Cost > 0 {
+			room -= workPeers - 1
+		}
+		if room < 0 && i > 0 {
+			return i
+		}
+	}
+	return len(peers)
+}
 
-// Summaries returns the messages of a summary, up to maxSummaryPeers peers in each.
+// Summaries returns the messages of a summary, up to maxSummaryPeers peers in each and
+// fewer beside a long list of evacuations.
 func Summaries(summary gooseberrymast.Summary) []*peer.Message {
 	var messages []*peer.Message
+	evacuations := encodeEvacuations(summary.Evacuations)
+	maxPeers := max(1, maxSummaryPeers-encodedBytes(evacuations)/summaryPeerBytes)
 	for rest := summary.Peers; len(rest) > 0; {
-		part := rest[:min(maxSummaryPeers, len(rest))]
+		part := rest[:cutSummary(rest, maxPeers)]
 		rest = rest[len(part):]
 		message := &peer.Summary{
 			Zone:              summary.Zone,
@@ -29,6 +54,7 @@
 			DocumentRead:      summary.Document.Read,
 			StoreEra:          summary.Document.StoreEra,
 			SettledEra:        summary.Document.SettledEra,
+			Evacuations:       evacuations,
 		}
 		for _, p := range part {
 			member := encodeMember(p.Peer)
@@ -51,6 +77,8 @@
 		Zone:      message.GetZone(),
 		Forwarded: message.GetForwarded(),
 		Document:  readDocumentStatus(message),
+
+		Evacuations: decodeEvacuations(message.GetEvacuations()),
 	}
 	for _, p := range message.GetPeers() {
 		decoded := gooseberrymast.PeerSummary{
--- a/protocol/interpreter/summary_test.go
+++ b/protocol/interpreter/summary_test.go
@@ -1,6 +1,7 @@
 package interpreter
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,6 +38,48 @@
 	is.Equal(peers, summary.Peers)
 }
 
+// Each datagram of a summary must have the evacuations, since any may be lost, and a long
+// list must not make a datagram too large. A missing list is not an empty one.
+func TestSummariesCarryEvacuations(t *testing.T) {
+	is := is.New(t)
+	summary := gooseberrymast.Summary{Zone: "cairo-a", Evacuations: testEvacuations()}
+	for number := range maxSummaryPeers {
+		summary.Peers = append(summary.Peers, gooseberrymast.PeerSummary{Peer: testAgent(number), Heard: true})
+	}
+	for number := range 25 {
+		summary.Evacuations.Zones = append(summary.Evacuations.Zones, fmt.Sprintf("another-availability-zone-%d", number))
+	}
+	peers := 0
+	for _, message := range Summaries(summary) {
+		read := ReadSummary(roundTrip(t, message).GetSummary())
+		is.Equal(read.Evacuations, summary.Evacuations)
+		peers += len(read.Peers)
+	}
+	is.Equal(peers, maxSummaryPeers)
+	summary.Evacuations = gooseberrymast.EvacuationStatus{}
+	is.True(!ReadSummary(roundTrip(t, Summaries(summary)[0]).GetSummary()).Evacuations.Known)
+	summary.Evacuations.Known = true // no zone is evacuated
+	is.True(ReadSummary(roundTrip(t, Summaries(summary)[0]).GetSummary()).Evacuations.Known)
+}
+
+// A summary whose peers report work must neither exceed a datagram nor lose anything.
+func TestSummariesWithWorkRoundTrip(t *testing.T) {
+	is := is.New(t)
+	summary := gooseberrymast.Summary{Zone: "cairo-a"}
+	for number := range 2 * maxSummaryPeers {
+		viewed := gooseberrymast.PeerSummary{Peer: testAgent(number), Load: gooseberrymast.FlowLoad{Slots: 2}, Heard: true}
+		if number%3 > 0 {
+			viewed.Load.Work = testWork()
+		}
+		summary.Peers = append(summary.Peers, viewed)
+	}
+	var peers []gooseberrymast.PeerSummary
+	for _, message := range Summaries(summary) {
+		peers = append(peers, ReadSummary(roundTrip(t, message).GetSummary()).Peers...)
+	}
+	is.Equal(peers, summary.Peers)
+}
+
 // A member that is missing must not make the process fail.
 func TestSummaryWithoutMembersIsRead(t *testing.T) {
 	is := is.New(t)
--- a/runner/admission.go
+++ b/runner/admission.go
@@ -52,8 +52,9 @@
 }
 
 // hold keeps an opening packet that the admission gate holds, and sees to its release.
-func (a *Agent) hold(header gooseberrymast.PacketHeader, step deliverer.Step, packet []byte, routes *gooseberrymast.Routes, now time.Time) {
-	a.carryOut(a.deliverer.Hold(header, step.Hop, packet, a.serverState(now), routes, now))
+func (a *Agent) hold(header gooseberrymast.PacketHeader, step deliverer.Step, packet []byte, server deliverer.Server,
+	routes *gooseberrymast.Routes, now time.Time) {
+	a.carryOut(a.deliverer.Hold(header, step.Hop, packet, server, routes, now))
 	a.scheduleRelease()
 }
 
@@ -73,7 +74,7 @@
 // releaseHeld carries out what is due for the held packets.
 func (a *Agent) releaseHeld(now time.Time) {
 	if a.deliverer.HeldCount() > 0 {
-		a.carryOut(a.deliverer.Release(a.serverState(now), a.currentRoutes(), now))
+		a.carryOut(a.deliverer.Release(a.serverForNewFlows(now), a.currentRoutes(), now))
 	}
 }
 
@@ -88,5 +89,5 @@
 // agent gets it.
 func isRefusal(step deliverer.Step) bool {
 	ends := step.Action == deliverer.Drop || step.Action == deliverer.Forward && step.Hop.Mode == gooseberrymast.HopAbsent
-	return ends && (strings.HasPrefix(string(step.Reason), regulator.ReasonPrefix) || step.Reason == deliverer.ReasonHeldTooLong)
+	return ends && (strings.HasPrefix(string(step.Reason), regulator.AdmissionPrefix) || step.Reason == deliverer.ReasonHeldTooLong)
 }
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -13,6 +13,8 @@
 	"gooseberrymast/coordination/assessor"
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/deliverer"
+	"gooseberrymast/coordination/predictor"
+	"gooseberrymast/coordination/throttler"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/protocol/interpreter"
 	"gooseberrymast/state/roster"
@@ -48,8 +50,8 @@
 	stopPollInterval = 50 * time.Millisecond
 )
 
-// HealthCheck queries a backend server and reports whether it is healthy and not leaving.
-type HealthCheck func(ctx context.Context, server gooseberrymast.Endpoint, path string) (bool, error)
+// HealthCheck queries a backend server.
+type HealthCheck func(ctx context.Context, server gooseberrymast.Endpoint, path string) (gooseberrymast.HealthReport, error)
 
 // AnnouncementHandlerFunc returns the HTTP handler that receives a server's
 // announcements and passes them to the given functions.
@@ -59,12 +61,16 @@
 // Agent delivers packets to the backend server of its instance.
 type Agent struct {
 	member
-	// Health checks the server once when the agent starts; nil skips the check.
+	// Health checks the server when the agent starts, and when an announcement names
+	// another server than the one that is known; nil skips the check.
 	Health HealthCheck
 	// AnnouncementHandler creates the handler of the server's announcements.
 	AnnouncementHandler AnnouncementHandlerFunc
 
 	deliverer deliverer.Deliverer
+	predictor predictor.Predictor
+	// throttler is a gate of the deliverer if Settings.Places is active.
+	throttler throttler.Throttler
 	outbound  *net.UDPConn
 	stopping  atomic.Bool
 
@@ -74,6 +80,9 @@
 	// earlier agents have served. It is guarded by trackerMu.
 	servedProven bool
 
+	// reportsWork is set while the agent reports the expected work of its server.
+	reportsWork atomic.Bool
+
 	assessorMu sync.Mutex
 	assessor   assessor.Assessor
 	// failing is set while the server's share of failed requests is so high that
@@ -84,6 +93,9 @@
 	// the earliest time of the next write.
 	storedState    entryState
 	nextEntryWrite time.Time
+	// documentWriteAt is when the entry is to be written for a document that allows new
+	// addresses, in Unix nanoseconds; zero if it isn't.
+	documentWriteAt atomic.Int64
 
 	// serverKnown is closed once the server has announced itself or passed the health
 	// check at the agent's start.
@@ -95,6 +107,12 @@
 	// releaseScheduled is set while the timer that releases held packets runs.
 	releaseScheduled atomic.Bool
 
+	// suspectEnded is set by a departure that may have been late, until the server
+	// announces itself.
+	suspectEnded atomic.Bool
+	// lastProbe is when the server's health was last checked; it is guarded by trackerMu.
+	lastProbe time.Time
+
 	// lastCheck is when the server was last checked for failure.
 	lastCheck time.Time
 
@@ -115,15 +133,15 @@
 	if err := a.start(a.Timer.Now()); err != nil {
 		return err
 	}
-	a.tracker = tracker.Tracker{Address: a.Settings.Server, Interval: a.Settings.AnnounceInterval}
-	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.prepare()
 	a.startAdmission()
-	a.load = a.flowLoad
-	a.served, a.restore = a.currentServed, a.restoreServed
-	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
-	a.serverKnown = make(chan struct{})
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
+		if a.deliverer.HandleDocument(a.ownPeer().Service, routes) {
+			// The service's other agents write theirs, too.
+			a.documentWriteAt.Store(a.Timer.Now().Add(time.Duration(a.verifier.Offset * float64(entryWriteInterval))).UnixNano())
+		}
+		a.setWarmUp(routes, a.ownPeer().Service)
 		select {
 		case healthPaths <- routes.HealthPaths[a.Settings.Service]:
 		default:
@@ -153,6 +171,7 @@
 	go a.reportPeriodically(workCtx, agentReportInterval)
 	stops := []func(){
 		a.Timer.Every(documentPollInterval, func(time.Time) { a.confirmDocument(workCtx) }),
+		a.Timer.Every(documentPollInterval, func(time.Time) { a.pollEvacuations(workCtx) }),
 		a.Timer.Every(ownersInterval, a.announceOwners),
 		a.Timer.Every(ownersInterval, a.checkServer),
 		a.Timer.Every(verifyInterval, func(time.Time) { _ = a.verifyEntry(workCtx) }),
@@ -174,6 +193,19 @@
 	return errors.Join(a.outbound.Close(), a.conn.Close())
 }
 
+// prepare sets what the agent's decisions depend on.
+func (a *Agent) prepare() {
+	a.tracker = tracker.Tracker{Address: a.Settings.Server, Service: a.Settings.Service, Interval: a.Settings.AnnounceInterval}
+	a.deliverer.MaxFlowAge = a.Settings.MaxFlowAge
+	a.deliverer.Work = &a.predictor
+	a.limitWarmUp()
+	a.incarnations = map[gooseberrymast.Endpoint]uint64{}
+	a.load = a.flowLoad
+	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
+	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
+	a.serverKnown = make(chan struct{})
+}
+
 // drain refuses new flows and waits for the end of work in progress. If the server
 // has ended, it removes the agent's entry from the store.
 func (a *Agent) drain() {
@@ -182,7 +214,7 @@
 	a.deliverer.Leave()
 	a.releaseHeld(began)
 	status := a.serverState(began).Status
-	if status == tracker.Unknown || status == tracker.Silent {
+	if status == tracker.Unknown || status == tracker.Silent || a.suspectEnded.Load() {
 		// Peers wait for the return of an agent that leaves, unless its server is gone.
 		a.connectToServer(began, status)
 		status = a.serverState(began).Status
@@ -206,10 +238,7 @@
 		a.resetLost("server-ended", a.deliverer.DropFlows())
 		ctx, cancel := context.WithTimeout(context.Background(), a.Settings.StopWithin-stopReserve)
 		defer cancel()
-		err := a.callStore(ctx, "remove the entry", func(ctx context.Context) error {
-			return a.Store.Delete(ctx, entryKey(a.Settings.Peers), 0)
-		})
-		if err != nil {
+		if err := a.callStore(ctx, "remove the entry", a.removeEntry); err != nil {
 			a.Log.Warn(gooseberrymast.EventEntryNotRemoved).Err(err).Msg("")
 		}
 		return
@@ -227,15 +256,54 @@
 	last, receivedAt := a.tracker.Last()
 	a.trackerMu.Unlock()
 	flows, busy := a.deliverer.Load()
-	return gooseberrymast.FlowLoad{
+	load := gooseberrymast.FlowLoad{
 		Slots:      last.Slots,
 		InProgress: busy,
 		Flows:      flows,
 		WarmUpLeft: max(0, last.WarmUpLeft-now.Sub(receivedAt)),
 		Failing:    a.failingShare(now),
+		Work:       a.expectedWork(last, now),
+	}
+	if room, limited := a.throttler.Room(flows, now); limited {
+		load.Limited, load.Room, load.WarmUpLeft = true, room, a.throttler.ColdLeft(now)
+	}
+	return load
+}
+
+// setWarmUp sets how the servers of the agent's service warm up.
+func (a *Agent) setWarmUp(routes *gooseberrymast.Routes, service string) {
+	if a.Settings.Places.Active() {
+		a.throttler.SetWarmUp(routes.WarmUp(service))
 	}
 }
 
+// limitWarmUp limits what the server gets while it is cold, if the platform does.
+func (a *Agent) limitWarmUp() {
+	places := a.Settings.Places
+	if !places.Active() {
+		return
+	}
+	a.throttler.Overage, a.throttler.Slack = places.WarmUpOverage, places.WarmUpSlack
+	a.deliverer.Gates = append(a.deliverer.Gates, &a.throttler)
+	a.deliverer.RefuseFullDefinitely = true
+	a.onReturned = a.throttler.HandleUnknown
+	a.throttler.Begin(a.began)
+}
+
+// expectedWork returns the expected work of the server if flows are placed by it, and logs
+// when that changes.
+func (a *Agent) expectedWork(last gooseberrymast.Announcement, now time.Time) gooseberrymast.WorkLoad {
+	var work gooseberrymast.WorkLoad
+	if a.Placement.Active(last.Slots, last.Service, a.currentRoutes()) {
+		work = a.predictor.Load(now)
+	}
+	if known := work.Cost > 0; a.reportsWork.Swap(known) != known {
+		a.Log.Info(gooseberrymast.EventPlacementChanged).Bool("by-work", known).Int("slots", last.Slots).
+			Int64("cost-us", work.Cost.Microseconds()).Msg("")
+	}
+	return work
+}
+
 // failingShare returns the share of requests that the server fails, and logs when
 // it crosses the limit at which balancers leave the server out.
 func (a *Agent) failingShare(now time.Time) float64 {
@@ -252,7 +320,14 @@
 	return share
 }
 
-// recordOutcome updates the server's assessment with the outcome of a request.
+// ranRequest reports whether the server ran the whole request that it answered with a
+// status. Refusals and failures come fast and would make the server look fast.
+func ranRequest(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusMisdirectedRequest && status != http.StatusTooManyRequests
+}
+
+// recordOutcome updates the server's assessment and costs with the outcome of a request
+// of a flow.
 func (a *Agent) recordOutcome(step deliverer.Step, key gooseberrymast.FlowKey, packet []byte, now time.Time) {
 	if !step.Answered && step.Event != deliverer.RequestCut && step.Event != deliverer.RequestAbandoned {
 		return
@@ -269,6 +344,9 @@
 		if status := a.Codec.AnswerStatus(packet); status != 0 {
 			a.assessor.AddAnswer(status, full, now)
 			a.metrics.countStatus(status)
+			if ranRequest(status) {
+				a.predictor.AddSample(key.Service, step.Request.SlotTime, now)
+			}
 			if status == shedStatus {
 				a.deliverer.HandleShed(key, now)
 			}
@@ -324,9 +402,9 @@
 func (a *Agent) currentServed() interpreter.Served {
 	incarnation := a.serverIncarnation()
 	var routes *gooseberrymast.Routes
-	// While the incarnation is unknown, the entry names only what the server has
-	// served: a later agent queries its server for each address that it names.
-	if incarnation != "" {
+	// While the server is unknown, the entry names only what it has served: a later
+	// agent queries its server for each address that it names.
+	if a.serverState(a.Timer.Now()).Status != tracker.Unknown {
 		routes = a.currentRoutes()
 	}
 	return interpreter.Served{
@@ -334,15 +412,44 @@
 	}
 }
 
+// handleEntry lets the server take flows of the addresses that the agent's entry names.
+// An entry that was lost is written again at once; until then the server takes flows of
+// those that it named.
+func (a *Agent) handleEntry(entry gooseberrymast.Object) {
+	if entry.Version == 0 {
+		return
+	}
+	_, served, err := interpreter.DecodeRecord(entry.Value)
+	if err != nil {
+		// An unreadable entry names nothing.
+		served = interpreter.Served{}
+	}
+	a.deliverer.HandleStored(served.Addresses)
+}
+
 // restoreServed restores what an earlier agent of the instance stored.
 func (a *Agent) restoreServed(earlier predecessor) {
 	a.trackerMu.Lock()
+	a.tracker.RestoreIncarnation(earlier.served.Server)
+	a.servedProven = a.servedProven || earlier.proven && earlier.found
 	if earlier.proven && !earlier.found {
 		a.tracker.SetNoPredecessor()
 	}
-	a.servedProven = a.servedProven || earlier.proven
 	a.trackerMu.Unlock()
-	a.deliverer.Restore(earlier.served.Addresses, earlier.proven)
+	a.deliverer.Restore(earlier.served.Addresses, earlier.proven && earlier.found)
+	a.concludeAbsence()
+}
+
+// concludeAbsence makes use of the absence of an entry of an earlier agent, which the
+// server's first announcement must confirm.
+func (a *Agent) concludeAbsence() {
+	a.trackerMu.Lock()
+	concluded := !a.servedProven && a.tracker.NoPredecessor()
+	a.servedProven = a.servedProven || concluded
+	a.trackerMu.Unlock()
+	if concluded {
+		a.deliverer.Restore(nil, true)
+	}
 }
 
 // verifiedEra returns the store's era if the agent knows every address whose flows its
@@ -359,12 +466,14 @@
 	return a.verifier.Era()
 }
 
-// recordServed updates the agent's entry when its server has served an address
-// that the entry lacks, or when the server is another incarnation, which may have
-// served none of them.
+// recordServed updates the agent's entry when its server has served or is to serve an
+// address that the entry lacks, or when the server is another incarnation, which may
+// have served none of them.
 func (a *Agent) recordServed(ctx context.Context, now time.Time) {
 	state := entryState{servedChanges: a.deliverer.ServedChanges(), incarnation: a.serverIncarnation()}
-	if state == a.storedState || now.Before(a.nextEntryWrite) || !a.registered.Load() {
+	documentWriteAt := a.documentWriteAt.Load()
+	due := state != a.storedState || documentWriteAt != 0 && now.UnixNano() >= documentWriteAt
+	if !due || now.Before(a.nextEntryWrite) || !a.registered.Load() {
 		return
 	}
 	a.nextEntryWrite = now.Add(entryWriteInterval)
@@ -373,4 +482,5 @@
 		return
 	}
 	a.storedState = state
+	a.documentWriteAt.CompareAndSwap(documentWriteAt, 0)
 }
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -27,11 +27,15 @@
 	if header.Payload > 0 {
 		a.deliverer.SetRequestID(header.FromCaller(), a.Codec.RequestID(packet))
 	}
-	step := a.deliverer.FromPeer(header, hop, a.serverState(now), routes, now)
+	server := a.serverState(now)
+	if header.Opens {
+		server = a.serverForNewFlows(now)
+	}
+	step := a.deliverer.FromPeer(header, hop, server, routes, now)
 	a.recordOutcome(step, header.FromCaller(), packet, now)
 	a.execute(step, header.FromCaller(), packet)
 	if step.Action == deliverer.Hold {
-		a.hold(header, step, packet, routes, now)
+		a.hold(header, step, packet, server, routes, now)
 	}
 	if step.Event == deliverer.RequestAbandoned {
 		a.releaseHeld(now)
@@ -59,7 +63,11 @@
 		now := a.Timer.Now()
 		if header.Returned {
 			a.Codec.ClearReturned(packet[:n])
-			a.execute(a.deliverer.HandleReturned(header, now), header.FromCaller(), packet[:n])
+			step := a.deliverer.HandleReturned(header, now)
+			if step.Forgotten {
+				a.throttler.HandleStart(now)
+			}
+			a.execute(step, header.FromCaller(), packet[:n])
 			continue
 		}
 		step := a.deliverer.FromServer(header, now)
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -53,6 +53,8 @@
 	// documentUsable is set once hasUsableDocument has been true. It is guarded by
 	// member.mu.
 	documentUsable bool
+	// asking is what was last logged of the relayer's questions; relayerMu guards it.
+	asking bool
 	// recordedEra is the settled era that the balancer's entry in the store names, and
 	// settledRetryAt is when a failed call for a settled era may be repeated. Only
 	// handleSettledEra uses them.
@@ -75,8 +77,10 @@
 	random := rand.New(rand.NewPCG(uint64(b.started.UnixNano()), gooseberrymast.RendezvousScore(0, b.Settings.Peers)))
 	b.steerer = steerer.Steerer{
 		Self: b.Settings.Peers, Zone: b.Settings.Zone, Roster: &b.roster, Owners: &b.owners, Random: random,
+		PlacesByWork: b.Placement.Mode == gooseberrymast.RuleOn || b.Placement.Mode == gooseberrymast.RuleAuto,
 	}
 	b.onRoutes = func(routes *gooseberrymast.Routes) { b.steerer.SetRoutes(routes) }
+	b.onEvacuated = b.steerer.SetEvacuated
 	b.onFlowOwners = func(owner gooseberrymast.Endpoint, keys []gooseberrymast.FlowKey, now time.Time) {
 		for _, key := range keys {
 			b.owners.Record(key, owner, now)
@@ -92,6 +96,7 @@
 	}
 	defer stopReadiness()
 	b.countOwners = b.owners.Len
+	b.countPlaced = b.steerer.Placed
 	b.served = b.settledEra
 	defer b.serveMetrics()()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -101,6 +106,7 @@
 	go b.register(workCtx)
 	stops := []func(){
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
+		b.Timer.Every(documentPollInterval, func(time.Time) { b.pollEvacuations(workCtx) }),
 		b.Timer.Every(expireInterval, func(now time.Time) { b.expire(workCtx, now) }),
 		b.Timer.Every(relayer.TickInterval, b.sendSummary),
 		b.Timer.Every(roster.MarkerInterval, b.sendMarker),
@@ -120,7 +126,8 @@
 }
 
 // Ready reports whether the fabric may send packets to the balancer: it has a
-// usable document, receives reports of agents and isn't leaving.
+// usable document, knows which zones are evacuated, receives reports of agents and
+// isn't leaving.
 func (b *Balancer) Ready() bool {
 	agents := 0
 	now := b.Timer.Now()
@@ -130,7 +137,7 @@
 		}
 	})
 	routes := b.steerer.Routes()
-	ready := !b.leaving.Load() && routes != nil && agents > 0 && b.hasUsableDocument(now)
+	ready := !b.leaving.Load() && routes != nil && agents > 0 && b.hasUsableDocument(now) && b.hasUsableEvacuations(now)
 	if b.ready.Swap(ready) != ready {
 		b.Log.Info(gooseberrymast.EventReadinessChanged).Bool("ready", ready).Bool("leaving", b.leaving.Load()).
 			Uint64("version", routesVersion(routes)).Int("agents-heard", agents).Msg("")
--- a/runner/member.go
+++ b/runner/member.go
@@ -15,6 +15,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/confirmer"
+	"gooseberrymast/coordination/evacuator"
 	"gooseberrymast/coordination/relayer"
 	"gooseberrymast/coordination/verifier"
 	"gooseberrymast/protocol/interpreter"
@@ -56,6 +57,9 @@
 	DocumentKey string
 	// ReadRoutes decodes the stored document.
 	ReadRoutes func(gooseberrymast.Object) (*gooseberrymast.Routes, error)
+	// ReadEvacuations reads the operators' list of evacuated zones and reports entries
+	// that can't be read. It is used only if Settings.Places is active.
+	ReadEvacuations func(context.Context) (evacuations gooseberrymast.Evacuations, unreadable, err error)
 	// PeersListen is the endpoint to listen on for peers if it differs from the
 	// one that peers send to; zero if they are the same.
 	PeersListen gooseberrymast.Endpoint
@@ -65,6 +69,10 @@
 	// AdmissionRule states for which servers an agent holds and refuses new flows. The zero
 	// value is for none.
 	AdmissionRule gooseberrymast.WorkRule
+	// Placement is the rule for the servers whose flows are placed by expected work. An
+	// agent reports the work where it is active; a balancer uses such reports unless the
+	// rule is off.
+	Placement gooseberrymast.WorkRule
 	// Log receives the process's log lines.
 	Log *journaler.Journaler
 }
@@ -80,6 +88,11 @@
 	began time.Time
 	// onRoutes is called with routes that replace those in force.
 	onRoutes func(*gooseberrymast.Routes)
+	// onEvacuated is called with the evacuated zones when they change; nil at an agent.
+	onEvacuated func(zones []string)
+	// onReturned is called when the process's own zone is no longer evacuated; nil at a
+	// balancer.
+	onReturned func(now time.Time)
 	// load returns the load of the backend server; nil at a balancer.
 	load func(now time.Time) gooseberrymast.FlowLoad
 	// onFlowOwners is called with the flows that an agent owns; nil at an agent.
@@ -87,6 +100,9 @@
 	// countOwners returns the number of flow owners that a balancer has stored;
 	// nil at an agent.
 	countOwners func() int
+	// countPlaced returns the numbers of flows that a balancer placed by the expected work
+	// of agents and by their counts; nil at an agent.
+	countPlaced func() (byWork, byCount uint64)
 	// served returns what the process's entry says besides its description, and restore
 	// receives what an earlier agent stored there; restore is nil at a balancer.
 	served  func() interpreter.Served
@@ -108,9 +124,15 @@
 	collector interpreter.Collector
 	routes    *gooseberrymast.Routes
 	verifier  verifier.Verifier
+	evacuator evacuator.Evacuator
+	// evacuationsUsable is set once hasUsableEvacuations has been true.
+	evacuationsUsable bool
 	// lastDocument is the document that the last read of the store has found. Only
 	// confirmDocument uses it.
 	lastDocument decodedDocument
+	// lastUnreadable is the last logged text about unreadable evacuations. Only
+	// readEvacuations uses it.
+	lastUnreadable string
 	// documentParts are the datagrams of routes, or nil until a peer requests them.
 	documentParts [][]byte
 	lastFetch     time.Time
@@ -121,6 +143,11 @@
 	storeFailed  bool
 	// entry is the process's entry in the store as last written or read.
 	entry gooseberrymast.Object
+	// ownVersion is the version of the entry that the process wrote last; zero if it
+	// hasn't written any, or if a later write got no response.
+	ownVersion uint64
+	// onEntry is called after a change of entry; nil at a balancer.
+	onEntry func(gooseberrymast.Object)
 
 	// awaitServer waits until an agent's server is known, unless an earlier agent has
 	// left an entry in the store; nil at a balancer.
@@ -146,6 +173,7 @@
 	}
 	m.roster.Zone = m.Settings.Zone
 	m.verifier.Offset = rand.Float64()
+	m.evacuator.Within = m.Settings.Places.EvacuateWithin
 	m.relayer = relayer.Relayer{Self: m.Settings.Peers, Role: m.Settings.Role, Zone: m.Settings.Zone, Started: now}
 	m.rosterSent = map[gooseberrymast.Endpoint]time.Time{}
 	m.differsSince = map[gooseberrymast.Endpoint]time.Time{}
@@ -292,6 +320,7 @@
 		}
 	}
 	m.handleDocumentStatus(report.Document, report.Peer.Endpoint, now)
+	m.handleEvacuationStatus(report.Evacuations, now)
 	m.sendDepartures(report.Peer)
 	m.mu.Lock()
 	self := m.self
--- a/runner/report.go
+++ b/runner/report.go
@@ -45,12 +45,20 @@
 	if changed {
 		m.Log.Warn(gooseberrymast.EventZoneIsolated).Bool("isolated", isolated).Int("recipients", len(recipients)).Msg("")
 	}
+	m.sendReport(recipients, relayed, now)
+}
+
+// sendReport sends the process's report. relayed is set if the recipients in other zones
+// learn of the process from summaries.
+func (m *member) sendReport(recipients []gooseberrymast.Endpoint, relayed bool, now time.Time) {
 	m.mu.Lock()
 	report := gooseberrymast.Report{
 		Peer:     m.self,
 		Document: m.documentStatus(now),
 		Digests:  m.roster.Digests(m.self),
 		Relayed:  relayed,
+
+		Evacuations: m.evacuator.Status(now),
 	}
 	m.mu.Unlock()
 	if m.load != nil {
@@ -86,11 +94,24 @@
 		return
 	}
 	b.zoneChanged.Store(false)
-	summary, recipients := b.relayer.Summary(b.relayEntries(), b.ownPeer(), b.roster.Listening(), now)
+	entries, self, listening := b.relayEntries(), b.ownPeer(), b.roster.Listening()
+	summary, recipients := b.relayer.Summary(entries, self, listening, now)
+	asked := b.relayer.Questions(entries, self, listening, now)
+	substitutes, balancers := b.relayer.Substitutes(entries, self, listening, now)
 	relaying := b.relayer.Relaying()
 	changed := relaying != b.relaying
 	b.relaying = relaying
+	asking := b.relayer.Asking()
+	askingChanged := asking != b.asking
+	b.asking = asking
 	b.relayerMu.Unlock()
+	if askingChanged {
+		b.Log.Warn(gooseberrymast.EventZoneUnheard).Bool("unheard", asking).Int("agents", len(asked)).Msg("")
+	}
+	b.ask(asked, now)
+	for _, substitute := range substitutes {
+		b.writeSummary(substitute, balancers)
+	}
 	if changed {
 		b.Log.Info(gooseberrymast.EventRelayChanged).Bool("relay", relaying).Int("recipients", len(recipients)).Msg("")
 	}
@@ -98,12 +119,23 @@
 		return
 	}
 	b.mu.Lock()
-	summary.Document = b.documentStatus(now)
+	summary.Document, summary.Evacuations = b.documentStatus(now), b.evacuator.Status(now)
 	b.mu.Unlock()
 	b.writeSummary(summary, recipients)
 	b.metrics.countSummaries("sent", len(recipients))
 }
 
+// ask asks agents of other zones for reports, by reporting to them as to a process of
+// which they learn from nobody else.
+func (b *Balancer) ask(agents []gooseberrymast.Endpoint, now time.Time) {
+	if len(agents) == 0 {
+		return
+	}
+	b.roster.MarkAsked(agents, now)
+	b.sendReport(agents, false, now)
+	b.metrics.countSummaries("asked", len(agents))
+}
+
 // handleSummary processes a summary of another zone. The one of its zone that
 // received it from there passes it on.
 func (m *member) handleSummary(summary gooseberrymast.Summary, sender gooseberrymast.Endpoint, now time.Time) {
@@ -115,6 +147,7 @@
 	}
 	m.metrics.countSummaries("received", 1)
 	m.handleDocumentStatus(summary.Document, sender, now)
+	m.handleEvacuationStatus(summary.Evacuations, now)
 	for _, viewed := range summary.Peers {
 		m.sendDepartures(viewed.Peer)
 	}
@@ -125,6 +158,7 @@
 		return
 	}
 	summary.Forwarded, summary.Document = true, gooseberrymast.DocumentStatus{}
+	summary.Evacuations = gooseberrymast.EvacuationStatus{}
 	m.writeSummary(summary, recipients)
 	m.metrics.countSummaries("forwarded", len(recipients))
 }
