--- a/cmd/gooseberrymastd/process.go
+++ b/cmd/gooseberrymastd/process.go
@@ -67,6 +67,7 @@
 				MetricsPort:     forwarding.MetricsPort,
 				Placement:       forwarding.PlacementRule(),
 				FlowRecords:     forwarding.FlowRecords,
+				AdmissionRule:   forwarding.AdmissionRule(),
 				Log:             journal,
 			})
 		},
--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -14,6 +14,7 @@
 package deliverer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,11 @@
 	// Gates restrict which new flows are taken, in the order in which they are asked.
 	// They are set before use and called under the deliverer's lock.
 	Gates []gooseberrymast.FlowGate
+	// Admission is asked after Gates while Server.Admission is set, and then decides when
+	// a server is full. Nil: no flow is held, and the last candidate takes every flow.
+	Admission gooseberrymast.AdmissionGate
+	// ZoneOf returns the availability zone of a balancer, or "". Nil knows none.
+	ZoneOf func(balancer gooseberrymast.Endpoint) string
 	// Work is told of the flows and requests, under the deliverer's lock; nil if nothing
 	// needs it. It is set before use.
 	Work *predictor.Predictor
@@ -50,6 +56,8 @@
 	RefuseFullDefinitely bool
 
 	mu        sync.Mutex
+	held      []heldPacket
+	heldBytes int
 	leaving   bool
 	flows     map[gooseberrymast.FlowKey]*flow
 	pending   [maxPending]pendingPacket
@@ -94,6 +102,8 @@
 	// Slots is the number of requests that the server runs at once; zero while
 	// it is unknown.
 	Slots int
+	// Admission is set while the deliverer's admission gate is in force at the server.
+	Admission bool
 	// Complete is set when the agent has seen every packet of the server's
 	// incarnation, so that it holds all of its flows, except those evicted.
 	Complete bool
@@ -146,27 +156,28 @@
 		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
+		offer := d.flowOffer(header, hop, server, routes)
+		if d.isHeld(key) {
+			if header.Copy == 0 {
+				return Step{Action: Drop, Reason: ReasonHeld}
+			}
+			// The caller has waited for longer than a packet is held.
+			d.unhold(key)
+		}
 		if header.Copy == 0 && d.refused.has(key, now) {
 			return d.passOn(hop, ReasonRefusedBefore, true)
 		}
-		if d.full(hop, server) {
+		if !d.admits(server) && d.full(hop, server) {
 			return d.passOn(hop, ReasonServerFull, d.RefuseFullDefinitely && d.refused.add(key, now))
 		}
-		offer := d.flowOffer(header, hop, routes)
-		if decision := d.askGates(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
+		decision := askGates(d.gates(server), offer, now)
+		switch {
+		case decision.Verdict == gooseberrymast.GateHold && d.admits(server):
+			return Step{Action: Hold, Hop: hop, Reason: Reason(decision.Reason)}
+		case decision.Verdict != gooseberrymast.GateAdmit:
 			return d.passOn(hop, Reason(decision.Reason), decision.Definite && d.refused.add(key, now))
 		}
-		for _, gate := range d.Gates {
-			gate.Taken(offer, now)
-		}
-		f = d.addFlow(key, now)
-		f.first = true
-		if hop.NotifyOrigin {
-			f.notify = hop.Origin
-		}
-		step := d.deliver(f, header, hop, now)
-		step.Event = FlowTaken
-		return step
+		return d.take(offer, header, hop, server, now)
 	}
 	if server.Status == tracker.Gone {
 		return d.answerNotHeld(header, hop, ReasonServerGone, true)
@@ -180,6 +191,22 @@
 	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
 }
 
+// take sends a new flow to the server.
+func (d *Deliverer) take(offer gooseberrymast.FlowOffer, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
+	server Server, now time.Time) Step {
+	for _, gate := range d.gates(server) {
+		gate.Taken(offer, now)
+	}
+	f := d.addFlow(offer.Key, now)
+	f.first = true
+	if hop.NotifyOrigin {
+		f.notify = hop.Origin
+	}
+	step := d.deliver(f, header, hop, now)
+	step.Event = FlowTaken
+	return step
+}
+
 // SetRequestID sets the id of the request that a caller's packet begins. It is called
 // before FromPeer decides on the packet.
 func (d *Deliverer) SetRequestID(key gooseberrymast.FlowKey, request string) {
@@ -241,7 +268,7 @@
 		step.Notify = f.notify
 	}
 	if f.busy && (header.Payload > 0 || header.Finishes || header.Resets) {
-		step.Request = d.endRequest(f, true, now)
+		step.Request = d.endRequest(key, f, true, now)
 		// The end of a flow may overtake the answer before it; then its sequence
 		// number is beyond what the server has sent.
 		step.Answered = header.Payload > 0 || !header.Resets && int32(header.Sequence-f.serverEnd) > 0
@@ -261,6 +288,9 @@
 	if (header.Resets || header.Finishes) && !f.closed {
 		f.closed = true
 		d.openFlows--
+		if d.Admission != nil {
+			d.Admission.FlowClosed(key)
+		}
 		d.Work.Close(&f.work, now)
 	}
 	return step
@@ -293,6 +323,9 @@
 			if !f.busy && !f.closed {
 				f.busySince = now
 				d.setBusy(f, true)
+				if d.Admission != nil {
+					d.Admission.RequestBegan(header.FromCaller(), now)
+				}
 				d.Work.Begin(&f.work, now)
 				d.observeRequest(f, now)
 			}
@@ -303,15 +336,18 @@
 		step.Notify = hop.Origin
 	}
 	if f.busy && (header.Resets || header.Finishes) {
-		step.Event, step.Request = RequestAbandoned, d.endRequest(f, false, now)
+		step.Event, step.Request = RequestAbandoned, d.endRequest(header.FromCaller(), f, false, now)
 	}
 	return step
 }
 
 // endRequest ends the request in progress of a flow and returns it. finished is false if
 // the server may still work on it.
-func (d *Deliverer) endRequest(f *flow, finished bool, now time.Time) Request {
+func (d *Deliverer) endRequest(key gooseberrymast.FlowKey, f *flow, finished bool, now time.Time) Request {
 	d.setBusy(f, false)
+	if d.Admission != nil {
+		d.Admission.RequestEnded(key, now)
+	}
 	ended := Request{ID: f.requestID, Duration: now.Sub(f.busySince), SlotTime: d.Work.End(&f.work, finished, now)}
 	f.requestID = ""
 	return ended
@@ -360,18 +396,36 @@
 	return "", true
 }
 
-func (d *Deliverer) flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
+func (d *Deliverer) flowOffer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, server Server,
+	routes *gooseberrymast.Routes) gooseberrymast.FlowOffer {
 	key := header.FromCaller()
 	route, ok := routes.Lookup(key.Service)
-	return gooseberrymast.FlowOffer{
-		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, OpenFlows: d.openFlows,
+	offer := gooseberrymast.FlowOffer{
+		Key: key, Route: route, HasRoute: ok, Copy: header.Copy, Last: len(hop.Candidates) == 0, Slots: server.Slots, OpenFlows: d.openFlows,
+	}
+	if d.ZoneOf != nil {
+		offer.Zone = d.ZoneOf(hop.Origin)
+	}
+	return offer
+}
+
+// admits reports whether the admission gate is in force at the server.
+func (d *Deliverer) admits(server Server) bool {
+	return server.Admission && d.Admission != nil
+}
+
+// gates returns the gates in force at the server, in the order in which they are asked.
+func (d *Deliverer) gates(server Server) []gooseberrymast.FlowGate {
+	if !d.admits(server) {
+		return d.Gates
 	}
+	return append(slices.Clip(d.Gates), d.Admission)
 }
 
 // askGates returns the decision of the first gate that doesn't admit an offer, or the
 // zero GateDecision.
-func (d *Deliverer) askGates(offer gooseberrymast.FlowOffer, now time.Time) gooseberrymast.GateDecision {
-	for _, gate := range d.Gates {
+func askGates(gates []gooseberrymast.FlowGate, offer gooseberrymast.FlowOffer, now time.Time) gooseberrymast.GateDecision {
+	for _, gate := range gates {
 		if decision := gate.Decide(offer, now); decision.Verdict != gooseberrymast.GateAdmit {
 			return decision
 		}
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -80,6 +80,9 @@
 	f := &flow{openedAt: now, lastUsed: now, idleTimeout: d.idleTimeout, work: d.Work.Open(key.Service, now)}
 	d.flows[key] = f
 	d.openFlows++
+	if d.Admission != nil {
+		d.Admission.FlowOpened(key, now)
+	}
 	return f
 }
 
@@ -88,6 +91,9 @@
 	d.Work.Drop(&f.work)
 	if !f.closed {
 		d.openFlows--
+		if d.Admission != nil {
+			d.Admission.FlowClosed(key)
+		}
 	}
 	delete(d.flows, key)
 }
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -103,6 +103,11 @@
 	serverKnown     chan struct{}
 	serverKnownOnce sync.Once
 
+	// admission is the last result of the rule for admission; trackerMu guards it.
+	admission admissionRule
+	// releaseScheduled is set while the timer that releases held packets runs.
+	releaseScheduled atomic.Bool
+
 	// suspectEnded is set by a departure that may have been late, until the server
 	// announces itself.
 	suspectEnded atomic.Bool
@@ -133,6 +138,7 @@
 	}
 	a.prepare()
 	a.setUpFlowRecords()
+	a.startAdmission()
 	healthPaths := make(chan string, 1)
 	a.onRoutes = func(routes *gooseberrymast.Routes) {
 		if a.deliverer.HandleDocument(a.ownPeer().Service, routes) {
@@ -211,6 +217,7 @@
 	began := a.Timer.Now()
 	a.stopping.Store(true)
 	a.deliverer.Leave()
+	a.releaseHeld(began)
 	status := a.serverState(began).Status
 	if status == tracker.Unknown || status == tracker.Silent || a.suspectEnded.Load() {
 		// Peers wait for the return of an agent that leaves, unless its server is gone.
@@ -325,8 +332,8 @@
 }
 
 // recordOutcome updates the server's assessment and costs with the outcome of a request
-// to an address.
-func (a *Agent) recordOutcome(step deliverer.Step, address gooseberrymast.Endpoint, packet []byte, now time.Time) {
+// of a flow.
+func (a *Agent) recordOutcome(step deliverer.Step, key gooseberrymast.FlowKey, packet []byte, now time.Time) {
 	if !step.Answered && step.Event != deliverer.RequestCut && step.Event != deliverer.RequestAbandoned {
 		return
 	}
@@ -343,7 +350,10 @@
 			a.assessor.AddAnswer(status, full, now)
 			a.metrics.countStatus(status)
 			if ranRequest(status) {
-				a.predictor.AddSample(address, step.Request.SlotTime, now)
+				a.predictor.AddSample(key.Service, step.Request.SlotTime, now)
+			}
+			if status == shedStatus {
+				a.deliverer.HandleShed(key, now)
 			}
 		}
 		return
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -29,11 +29,17 @@
 	}
 	server := a.serverState(now)
 	if header.Opens {
-		server.Evacuated, server.EvacuationUnknown = a.ownZoneEvacuated(now), !a.hasUsableEvacuations(now)
+		server = a.serverForNewFlows(now)
 	}
 	step := a.deliverer.FromPeer(header, hop, server, routes, now)
-	a.recordOutcome(step, header.Destination, packet, now)
+	a.recordOutcome(step, header.FromCaller(), packet, now)
 	a.execute(step, header.FromCaller(), packet)
+	if step.Action == deliverer.Hold {
+		a.hold(header, step, packet, server, routes, now)
+	}
+	if step.Event == deliverer.RequestAbandoned {
+		a.releaseHeld(now)
+	}
 }
 
 // receiveFromServer processes the packets of the backend server until the socket
@@ -65,8 +71,11 @@
 			continue
 		}
 		step := a.deliverer.FromServer(header, now)
-		a.recordOutcome(step, header.Source, packet[:n], now)
+		a.recordOutcome(step, header.FromServer(), packet[:n], now)
 		a.execute(step, header.FromServer(), packet[:n])
+		if step.Answered || step.Event == deliverer.RequestCut {
+			a.releaseHeld(now)
+		}
 	}
 }
 
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -15,16 +15,26 @@
 
 // serverState returns the state of the backend server for the deliverer.
 func (a *Agent) serverState(now time.Time) deliverer.Server {
+	routes := a.currentRoutes()
 	a.trackerMu.Lock()
 	defer a.trackerMu.Unlock()
 	last, _ := a.tracker.Last()
+	service := a.tracker.ServiceName()
 	return deliverer.Server{
-		Status: a.tracker.Status(now), Service: a.tracker.ServiceName(), Slots: last.Slots, Complete: a.tracker.Complete(),
+		Status: a.tracker.Status(now), Service: service, Slots: last.Slots, Complete: a.tracker.Complete(),
+		Admission: a.admissionActive(last.Slots, service, routes),
 	}
 }
 
 // handleAnnouncement processes an announcement. If it names another server than the one
 // that is known, a health check decides which of them runs.
+// serverForNewFlows returns the state of the backend server for a decision on new flows.
+func (a *Agent) serverForNewFlows(now time.Time) deliverer.Server {
+	server := a.serverState(now)
+	server.Evacuated, server.EvacuationUnknown = a.ownZoneEvacuated(now), !a.hasUsableEvacuations(now)
+	return server
+}
+
 func (a *Agent) handleAnnouncement(announcement gooseberrymast.Announcement) error {
 	err := a.tryAnnouncement(announcement)
 	if errors.Is(err, tracker.ErrOtherInstance) && a.probeAgain() {
--- a/runner/member.go
+++ b/runner/member.go
@@ -66,6 +66,9 @@
 	// MetricsPort is the port of the metrics endpoint on the instance's address;
 	// zero disables it.
 	MetricsPort int
+	// AdmissionRule states for which servers an agent holds and refuses new flows. The zero
+	// value is for none.
+	AdmissionRule gooseberrymast.WorkRule
 	// Placement is the rule for the servers whose flows are placed by expected work. An
 	// agent reports the work where it is active; a balancer uses such reports unless the
 	// rule is off.
