Admission: the prefix of reasons is no reason itself

Cause: TestLogsPage takes each constant whose name begins with Reason for a reason, so ReasonPrefix needed a row in docs/LOGS.md. It was named AdmissionPrefix before. Change: AdmissionPrefix again; the test is unchanged.

--- a/coordination/regulator/regulator.go
+++ b/coordination/regulator/regulator.go
@@ -15,8 +15,8 @@
 	"gooseberrymast"
 )
 
-// ReasonPrefix is the prefix of every reason.
-const ReasonPrefix = "admission-"
+// AdmissionPrefix is the prefix of every reason.
+const AdmissionPrefix = "admission-"
 
 // Reason says why a flow is not admitted.
 type Reason string
--- a/runner/admission.go
+++ b/runner/admission.go
@@ -50,5 +50,5 @@
 // agent gets it.
 func isRefusal(step deliverer.Step) bool {
 	ends := step.Action == deliverer.Drop || step.Action == deliverer.Forward && step.Hop.Mode == gooseberrymast.HopAbsent
-	return ends && strings.HasPrefix(string(step.Reason), regulator.ReasonPrefix)
+	return ends && strings.HasPrefix(string(step.Reason), regulator.AdmissionPrefix)
 }
