Proofs: a recorded owner of another service is not tried

Cause: a balancer's record of a flow's owner outlives the instance. When its address belongs to a server of another service, the agent handed the packet to that server; only for walks did it check whether the server may hold the flow. Change: an agent that knows all addresses that its server may have served returns such a packet to the balancer, which searches for the flow elsewhere. Result: the new test fails without the change; go test -race of deliverer and steerer passes.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -154,8 +154,10 @@
 	if hop.Mode == gooseberrymast.HopWalk && server.Complete && !now.Before(d.incompleteUntil) {
 		return d.answerNotHeld(header, hop, ReasonNotHeld, true)
 	}
-	if hop.Mode == gooseberrymast.HopWalk && !d.mayHold(key, server.Service, routes) {
-		return d.answerNotHeld(header, hop, ReasonNeverServed, d.restored && routes != nil)
+	// A balancer may have recorded the agent as the owner before its instance became one
+	// of another service.
+	if definite := d.restored && routes != nil; (hop.Mode == gooseberrymast.HopWalk || definite) && !d.mayHold(key, server.Service, routes) {
+		return d.answerNotHeld(header, hop, ReasonNeverServed, definite)
 	}
 	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
 }
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/tracker"
 )
 
 // routesTo returns routes that allow one service at count addresses.
@@ -140,3 +141,18 @@
 	is.Equal(d.FromPeer(opening(), placeHop(), ledger, routes, epoch).Action, ToServer)
 	is.Equal(d.ServedChanges(), 1)
 }
+
+// Guards against a packet of an open flow that reaches a server of another service: its
+// recorded owner's address was given to another instance meanwhile (soak seed 9103).
+func TestRecordedOwnerOfAnotherServiceIsNotTried(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
+	receipts := Server{Status: tracker.Ready, Service: "receipts"}
+	is.Equal(d.FromPeer(request(1), hop, receipts, routes, epoch).Action, ToServer) // it may have served the address before
+	d.Restore(nil, true)
+	step := d.FromPeer(request(1), hop, receipts, routes, epoch)
+	is.Equal(step.Action, Forward)
+	is.Equal(step.Hop.Mode, gooseberrymast.HopReturn)
+	is.Equal(d.FromPeer(request(1), hop, ledger, routes, epoch).Action, ToServer)
+}
