Proofs: an agent that saw its server start returns packets of other services

The agent had no proof from the store, since the era had not settled, but had seen its server fail and start, so that it knows all of its flows. Change: that counts as well. Result: the case added to TestRecordedOwnerOfAnotherServiceIsNotTried fails without the change; go test -race of deliverer passes.

--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -156,7 +156,7 @@
 	}
 	// A balancer may have recorded the agent as the owner before its instance became one
 	// of another service.
-	if definite := d.restored && routes != nil; (hop.Mode == gooseberrymast.HopWalk || definite) && !d.mayHold(key, server.Service, routes) {
+	if definite := (d.restored || server.Complete) && routes != nil; (hop.Mode == gooseberrymast.HopWalk || definite) && !d.mayHold(key, server.Service, routes) {
 		return d.answerNotHeld(header, hop, ReasonNeverServed, definite)
 	}
 	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -150,6 +150,9 @@
 	hop := gooseberrymast.Hop{Mode: gooseberrymast.HopDeliver, Origin: balancer}
 	receipts := Server{Status: tracker.Ready, Service: "receipts"}
 	is.Equal(d.FromPeer(request(1), hop, receipts, routes, epoch).Action, ToServer) // it may have served the address before
+	complete := receipts
+	complete.Complete = true
+	is.Equal(d.FromPeer(request(1), hop, complete, routes, epoch).Hop.Mode, gooseberrymast.HopReturn) // it has seen all of the server's flows
 	d.Restore(nil, true)
 	step := d.FromPeer(request(1), hop, receipts, routes, epoch)
 	is.Equal(step.Action, Forward)
