Emulator pattern zone-returns; the soak evacuates zones and has cold servers

Cause: neither the emulator nor the soak had zones that are evacuated or servers with a limit while they are cold.

Change: the pattern zone-returns and the policy unlimited (the product without the limit); results count refused flows and the most requests that a cold server got in a second. The emulator's agents ask the same gate as the product's. The soak gets the fault "evacuation" and the promises flow-in-evacuated-zone and cold-server-overloaded, with tests that each is seen. The share of a cold server's room moves to chooser.ShareRoom, which both use.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -132,6 +132,19 @@
 	return candidates[:kept]
 }
 
+// ShareRoom sets the balancer's shares of what limited servers may get. Most flows come
+// from the balancers of an agent's own zone, which share it; a balancer of another
+// zone has as much as if all had.
+func ShareRoom(candidates []Candidate, zone string, balancers, ownBalancers int) {
+	for i := range candidates {
+		shared := balancers
+		if candidates[i].Zone == zone {
+			shared = ownBalancers
+		}
+		candidates[i].Room = float64(candidates[i].Load.Room) / float64(shared)
+	}
+}
+
 // withRoom excludes the candidates whose servers are cold and have had this balancer's
 // share of their limit, unless these are all. A share of less than one flow is drawn once
 // for each report.
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -179,3 +179,16 @@
 		is.True(chosen[3].IP[3] >= 2)
 	}
 }
+
+// A server that its agent limits must get its share from each balancer, be it of the own
+// zone or another, and not all of it from each.
+func TestRoomIsSharedByBalancers(t *testing.T) {
+	is := is.New(t)
+	candidates := []Candidate{
+		{Zone: "a", Load: gooseberrymast.FlowLoad{Limited: true, Room: 6}},
+		{Zone: "b", Load: gooseberrymast.FlowLoad{Limited: true, Room: 6}},
+	}
+	ShareRoom(candidates, "a", 12, 3)
+	is.Equal(candidates[0].Room, 2.0)
+	is.Equal(candidates[1].Room, 0.5)
+}
--- a/coordination/steerer/evacuated_test.go
+++ b/coordination/steerer/evacuated_test.go
@@ -7,7 +7,6 @@
 	"github.com/matryer/is"
 
 	"gooseberrymast"
-	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/state/roster"
 )
 
@@ -111,19 +110,6 @@
 	is.Equal(f.steerer.FromCaller(nil, openingFrom(1, 0), later)[0].Action, Reset)
 }
 
-// A server that its agent limits must get its share from each balancer, be it of the own
-// zone or another, and not all of it from each.
-func TestRoomIsSharedByBalancers(t *testing.T) {
-	is := is.New(t)
-	candidates := []chooser.Candidate{
-		{Zone: "a", Load: gooseberrymast.FlowLoad{Limited: true, Room: 6}},
-		{Zone: "b", Load: gooseberrymast.FlowLoad{Limited: true, Room: 6}},
-	}
-	shareRoom(candidates, "a", 12, 3)
-	is.Equal(candidates[0].Room, 2.0)
-	is.Equal(candidates[1].Room, 0.5)
-}
-
 // A balancer must send a cold server as many flows as its agent takes between two reports,
 // and the others elsewhere.
 func TestColdServerGetsItsShare(t *testing.T) {
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -363,7 +363,7 @@
 			}
 		})
 		s.reporting, s.silent = reporting, silent
-		shareRoom(reporting, s.Zone, balancers, ownBalancers)
+		chooser.ShareRoom(reporting, s.Zone, balancers, ownBalancers)
 		if len(reporting) > 0 {
 			return service, reporting
 		}
@@ -374,19 +374,6 @@
 	return "", nil
 }
 
-// shareRoom sets the balancer's shares of what limited servers may get. Most flows come
-// from the balancers of an agent's own zone, which share it; a balancer of another
-// zone has as much as if all had.
-func shareRoom(candidates []chooser.Candidate, zone string, balancers, ownBalancers int) {
-	for i := range candidates {
-		shared := balancers
-		if candidates[i].Zone == zone {
-			shared = ownBalancers
-		}
-		candidates[i].Room = float64(candidates[i].Load.Room) / float64(shared)
-	}
-}
-
 func (s *Steerer) drawService(route gooseberrymast.Route) int {
 	var total uint32
 	for _, backend := range route.Backends {
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -10,6 +10,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/chooser"
+	"gooseberrymast/coordination/throttler"
 )
 
 // emulation is the state of one run of a pattern under a policy.
@@ -35,7 +36,10 @@
 		result: Result{Pattern: pattern.Name, Policy: policy, Seed: seed},
 	}
 	for i := range pattern.Servers {
-		e.servers = append(e.servers, &server{zone: i % pattern.Zones, slots: pattern.Slots, queueLimit: pattern.Queue})
+		e.servers = append(e.servers, &server{
+			zone: i % pattern.Zones, slots: pattern.Slots, queueLimit: pattern.Queue,
+			throttler: throttler.Throttler{Overage: warmUpOverage, Slack: warmUpSlack},
+		})
 	}
 	for i := range pattern.Balancers {
 		placer, err := newPlacer(policy, zoneName(i%pattern.Zones), func() time.Duration { return e.now })
@@ -59,6 +63,9 @@
 func (e *emulation) scheduleInitial() {
 	e.takeReports()
 	e.arrive()
+	if e.pattern.EvacuateFor > 0 {
+		e.schedule(e.pattern.EvacuateAt+e.pattern.EvacuateFor, e.returnZone)
+	}
 	for i := range e.pattern.ReplacedServers {
 		index := i * len(e.servers) / e.pattern.ReplacedServers
 		e.schedule(e.pattern.ReplaceAt+time.Duration(i)*time.Second, func() { e.replace(index) })
@@ -82,15 +89,17 @@
 func (e *emulation) takeReports() {
 	e.reports = e.reports[:0]
 	for i, server := range e.servers {
-		if server.leaving {
+		if server.leaving || e.pattern.evacuated(server.zone, e.now) {
 			continue
 		}
+		room, limited := server.throttler.Room(server.flows, e.clock())
 		e.reports = append(e.reports, chooser.Candidate{
 			Endpoint: endpointOf(i), Zone: zoneName(server.zone), Reported: e.clock(),
 			Load: gooseberrymast.FlowLoad{
 				Slots: server.slots, InProgress: server.running + len(server.waiting), Flows: server.flows,
 				WarmUpLeft: max(0, server.coldUntil-e.now),
 				Failing:    server.assessor.FailingShare(e.clock()),
+				Limited:    limited, Room: room,
 			},
 		})
 	}
@@ -144,12 +153,22 @@
 		balancer := e.drawBalancer(zone)
 		candidates := append([]chooser.Candidate(nil), e.reports...)
 		var passes int
+		chooser.ShareRoom(candidates, zoneName(zone), e.pattern.Balancers, e.countBalancers(zone))
 		r.flow = &flow{}
 		r.flow.server, passes = e.placers[balancer].place(candidates, e.servers, r.class.NonIdempotent, e.random)
 		e.result.Passed += passes
+		if r.flow.server == noServer {
+			e.result.Refused++
+			e.schedule(e.now+2*callerDelay+retryDelay, func() { e.retry(r) })
+			return
+		}
+		e.servers[r.flow.server].throttler.Taken(e.servers[r.flow.server].offer(), e.clock())
 		e.servers[r.flow.server].flows++
 		// Opening a flow takes a round trip before the request is sent.
 		delay += 2*callerDelay + e.serverDelay(zone, r.flow.server)
+	} else {
+		server := e.servers[r.flow.server]
+		server.throttler.HandleRequest(server.flows, e.clock())
 	}
 	r.server = r.flow.server
 	if e.servers[r.server].zone != r.caller%e.pattern.Zones {
@@ -177,8 +196,32 @@
 
 // drawBalancer draws one of the balancers of a zone.
 func (e *emulation) drawBalancer(zone int) int {
-	count := (e.pattern.Balancers - zone + e.pattern.Zones - 1) / e.pattern.Zones
-	return zone + e.random.IntN(count)*e.pattern.Zones
+	return zone + e.random.IntN(e.countBalancers(zone))*e.pattern.Zones
+}
+
+func (e *emulation) countBalancers(zone int) int {
+	return (e.pattern.Balancers - zone + e.pattern.Zones - 1) / e.pattern.Zones
+}
+
+// returnZone returns the first zone to service: its servers are cold, and its callers
+// begin anew.
+func (e *emulation) returnZone() {
+	for _, server := range e.servers {
+		if server.zone != 0 {
+			continue
+		}
+		server.coldUntil = e.now + coldPeriod
+		if e.result.Policy != PolicyUnlimited {
+			server.throttler.SetWarmUp(e.pattern.WarmUp)
+		}
+		server.throttler.HandleAnnouncement(coldPeriod, true, e.clock())
+	}
+	for caller := 0; caller < e.pattern.Callers; caller += e.pattern.Zones {
+		for _, idle := range e.idleFlows[caller] {
+			e.servers[idle.server].flows--
+		}
+		delete(e.idleFlows, caller)
+	}
 }
 
 // serverDelay returns the one-way delay between a zone and a server.
@@ -193,6 +236,7 @@
 // runs it, queues it, or refuses it if the queue is full.
 func (e *emulation) receive(r *request) {
 	server := e.servers[r.server]
+	e.result.ColdPeak = max(e.result.ColdPeak, server.countArrival(e.now))
 	switch {
 	case server.fails(e.now, e.random):
 		e.fail(r)
@@ -283,7 +327,7 @@
 
 // clock returns the virtual time as a time.Time, as the product's code expects it.
 func (e *emulation) clock() time.Time {
-	return time.Unix(0, int64(e.now))
+	return clockOf(e.now)
 }
 
 func (e *emulation) schedule(when time.Duration, do func()) {
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -6,13 +6,15 @@
 	"github.com/matryer/is"
 )
 
+// tolerance is the share of worth by which runs of equal policies differ.
+const tolerance = 0.005
+
 // TestProductOutperformsRandomOnEveryPattern checks on every load pattern
 // that the product's policy yields more worth, sheds less and sends less to other
 // availability zones than random placement, and never yields less worth than
 // without the assessment of failing servers. It may exceed the ideal policy only
 // within the tolerance.
 func TestProductOutperformsRandomOnEveryPattern(t *testing.T) {
-	const tolerance = 0.005
 	for _, pattern := range Patterns() {
 		t.Run(pattern.Name, func(t *testing.T) {
 			is := is.New(t)
@@ -72,6 +74,29 @@
 	}
 }
 
+// TestReturningZoneIsNotOverloaded guards against a zone that returns cold while its
+// callers come back together: without the limit its servers get more than they may. The
+// limit must leave them a share, and must not cost more than the tolerance.
+func TestReturningZoneIsNotOverloaded(t *testing.T) {
+	is := is.New(t)
+	pattern, err := PatternByName("zone-returns")
+	is.NoErr(err)
+	limit := pattern.WarmUp.PerSecond*warmUpOverage + warmUpSlack
+	for seed := range uint64(3) {
+		product, err := Run(pattern, PolicyProduct, seed)
+		is.NoErr(err)
+		unlimited, err := Run(pattern, PolicyUnlimited, seed)
+		is.NoErr(err)
+		t.Logf("cold peak %d against %d, shed %d against %d, late %d against %d, refused %d, passed on %d of %d, worth %.4f against %.4f",
+			product.ColdPeak, unlimited.ColdPeak, product.Shed, unlimited.Shed, product.Late, unlimited.Late, product.Refused, product.Passed,
+			product.Requests, product.Worth, unlimited.Worth)
+		is.True(float64(product.ColdPeak) <= limit)
+		is.True(float64(unlimited.ColdPeak) > limit)
+		is.True(product.ColdPeak > int(limit)/2) // the zone takes its share
+		is.True(product.Worth > unlimited.Worth-tolerance)
+	}
+}
+
 func TestSameSeedRepeatsRun(t *testing.T) {
 	is := is.New(t)
 	first, err := Run(Magnolia(), PolicyProduct, 3)
--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"gooseberrymast"
 )
 
 // Pattern describes a deployment, its load and the changes during a run.
@@ -52,6 +54,11 @@
 	FailingShare    float64
 	FailRate        float64
 	FailAt, FailFor time.Duration
+	// The first zone's servers get no new flows from EvacuateAt for EvacuateFor. When it
+	// returns they are cold, and its callers begin anew with new flows.
+	EvacuateAt, EvacuateFor time.Duration
+	// WarmUp limits the cold servers of a zone that returns.
+	WarmUp gooseberrymast.WarmUp
 	// Classes are the kinds of requests.
 	Classes []Class
 	// Length is the time for which requests are sent.
@@ -109,6 +116,9 @@
 	reportInterval  = 200 * time.Millisecond
 	retryDelay      = 5 * time.Millisecond
 	candidateAgents = 4
+	// warmUpOverage and warmUpSlack allow a cold server more than its service's rate.
+	warmUpOverage = 1.5
+	warmUpSlack   = 5
 )
 
 // Magnolia returns the load of Magnolia's grown deployment on its busiest day:
@@ -157,7 +167,26 @@
 	failing := Magnolia()
 	failing.Name = "failing-servers"
 	failing.FailingShare, failing.FailRate, failing.FailAt, failing.FailFor = 0.15, 0.5, 6*time.Second, 10*time.Second
-	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing}
+	return []Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing, zoneReturns()}
+}
+
+// zoneReturns returns the load of Magnolia's grown deployment, reduced so that four zones
+// carry it, with a rush of callers when the first zone is back from an evacuation.
+func zoneReturns() Pattern {
+	pattern := Magnolia()
+	pattern.Name = "zone-returns"
+	pattern.Rate *= 0.6
+	pattern.EvacuateAt, pattern.EvacuateFor = 2*time.Second, 8*time.Second
+	pattern.Bursts = []Burst{{At: pattern.EvacuateAt + pattern.EvacuateFor, For: 2 * time.Second, Factor: 1.6}}
+	// A cold server's two slots run 34 requests a second of the mean work. The limit lies
+	// below what least work alone sends it in the rush.
+	pattern.WarmUp = gooseberrymast.WarmUp{Duration: coldPeriod, PerSecond: 15}
+	return pattern
+}
+
+// evacuated reports whether a zone gets no new flows at a time.
+func (p Pattern) evacuated(zone int, at time.Duration) bool {
+	return zone == 0 && at >= p.EvacuateAt && at < p.EvacuateAt+p.EvacuateFor
 }
 
 // PatternByName returns the pattern with the given name.
--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -20,6 +20,8 @@
 	PolicyIgnoreFailing Policy = "trusting"
 	// PolicyNoPassing is PolicyProduct with agents that never pass flows on.
 	PolicyNoPassing Policy = "keeping"
+	// PolicyUnlimited is PolicyProduct without the limit of cold servers.
+	PolicyUnlimited Policy = "unlimited"
 	// PolicyRandom places each flow at a random agent. It is the baseline.
 	PolicyRandom Policy = "random"
 	// PolicyIdeal places flows by the current work at every server instead of
@@ -28,21 +30,21 @@
 )
 
 // Policies lists every policy.
-var Policies = []Policy{PolicyProduct, PolicyIgnoreFailing, PolicyNoPassing, PolicyRandom, PolicyIdeal}
+var Policies = []Policy{PolicyProduct, PolicyIgnoreFailing, PolicyNoPassing, PolicyUnlimited, PolicyRandom, PolicyIdeal}
 
 // placer decides where the new flows of one balancer go.
 type placer interface {
-	// place returns the server that takes a new flow and the number of agents
-	// that passed it on; once is set if the flow's request isn't idempotent.
+	// place returns the server that takes a new flow, or noServer, and the number of
+	// agents that passed it on; once is set if the flow's request isn't idempotent.
 	place(candidates []chooser.Candidate, servers []*server, once bool, random *rand.Rand) (server, passes int)
 }
 
 func newPlacer(policy Policy, zone string, now func() time.Duration) (placer, error) {
 	switch policy {
-	case PolicyProduct:
-		return &productPlacer{chooser: chooser.Chooser{Zone: zone}}, nil
+	case PolicyProduct, PolicyUnlimited:
+		return &productPlacer{chooser: chooser.Chooser{Zone: zone}, now: now}, nil
 	case PolicyIgnoreFailing:
-		return &ignoreFailingPlacer{productPlacer{chooser: chooser.Chooser{Zone: zone}}}, nil
+		return &ignoreFailingPlacer{productPlacer{chooser: chooser.Chooser{Zone: zone}, now: now}}, nil
 	case PolicyNoPassing:
 		return &productPlacer{chooser: chooser.Chooser{Zone: zone}, noPassing: true}, nil
 	case PolicyRandom:
@@ -57,16 +59,22 @@
 	chooser chooser.Chooser
 	// noPassing makes the first agent take every flow, even if its server is full.
 	noPassing bool
+	now       func() time.Duration
 }
 
+// noServer is the result for a flow that all candidates refuse.
+const noServer = -1
+
 func (p *productPlacer) place(candidates []chooser.Candidate, servers []*server, once bool, random *rand.Rand) (server, passes int) {
 	offered := p.chooser.Choose(candidates, candidateAgents, once, random)
-	for ; !p.noPassing && passes < len(offered)-1; passes++ {
-		if candidate := servers[indexOf(offered[passes])]; !deliverer.Full(candidate.running+len(candidate.waiting), candidate.slots) {
-			break
+	for i, endpoint := range offered {
+		candidate, last := servers[indexOf(endpoint)], i == len(offered)-1
+		full := !last && deliverer.Full(candidate.running+len(candidate.waiting), candidate.slots)
+		if p.noPassing || !full && candidate.admits(p.now()) {
+			return indexOf(endpoint), i
 		}
 	}
-	return indexOf(offered[passes]), passes
+	return noServer, len(offered)
 }
 
 // ignoreFailingPlacer removes the failing share from the reports.
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -21,6 +21,10 @@
 	Errors int `json:"errors"`
 	// Lost counts non-idempotent requests that a server answered with an error.
 	Lost int `json:"lost"`
+	// Refused counts attempts whose flow no agent took.
+	Refused int `json:"refused"`
+	// ColdPeak is the largest number of requests that a cold server got in a second.
+	ColdPeak int `json:"cold-peak"`
 	// Passed counts the times that an agent passed a new flow on to another.
 	Passed int `json:"passed"`
 	// Crossed counts the requests that were sent to another availability zone.
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -4,7 +4,9 @@
 	"math/rand/v2"
 	"time"
 
+	"gooseberrymast"
 	"gooseberrymast/coordination/assessor"
+	"gooseberrymast/coordination/throttler"
 )
 
 // server is a backend server with its agent.
@@ -25,6 +27,40 @@
 	failUntil  time.Duration
 	failRate   float64
 	assessor   assessor.Assessor
+	// throttler limits what the server gets while it is cold. arrivals holds the times of
+	// the requests of the last second while it is.
+	throttler throttler.Throttler
+	arrivals  []time.Duration
+}
+
+// admits reports whether the server's agent admits a new flow.
+func (s *server) admits(now time.Duration) bool {
+	return s.throttler.Decide(s.offer(), clockOf(now)).Verdict == gooseberrymast.GateAdmit
+}
+
+// offer describes a new flow. Callers of the emulator don't retransmit, so that its key
+// doesn't matter.
+func (s *server) offer() gooseberrymast.FlowOffer {
+	return gooseberrymast.FlowOffer{OpenFlows: s.flows}
+}
+
+// countArrival records a request that arrives and returns the number in the last second
+// while the server is cold, otherwise zero.
+func (s *server) countArrival(now time.Duration) int {
+	if now >= s.coldUntil {
+		s.arrivals = s.arrivals[:0]
+		return 0
+	}
+	s.arrivals = append(s.arrivals, now)
+	for now-s.arrivals[0] >= time.Second {
+		s.arrivals = s.arrivals[1:]
+	}
+	return len(s.arrivals)
+}
+
+// clockOf returns a virtual time as a time.Time, as the product's code expects it.
+func clockOf(now time.Duration) time.Time {
+	return time.Unix(0, int64(now))
 }
 
 // fails reports whether the server fails a request. While the server is failing,
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -1,12 +1,14 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"gooseberrymast"
+	"gooseberrymast/coordination/evacuator"
 	"gooseberrymast/platform"
 )
 
@@ -174,3 +176,39 @@
 	is.True(!limited())
 	c.waitFor("the agent has read the document again", limited)
 }
+
+// A balancer that the store rejects must not be ready before a peer has told it which
+// zones are evacuated, or 3 s have passed without anybody who knows.
+func TestBalancerIsReadyOnceItKnowsEvacuations(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		agentRead bool
+	}{{"an agent knows", true}, {"nobody knows", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c, store := newEvacuatingCluster(t)
+			base := c.adapt
+			c.adapt = func(environment *Environment) {
+				base(environment)
+				if environment.Settings.Role == gooseberrymast.RoleBalancer || !test.agentRead {
+					environment.ReadEvacuations = func(context.Context) (gooseberrymast.Evacuations, error, error) {
+						return gooseberrymast.Evacuations{}, nil, gooseberrymast.ErrStoreUnavailable
+					}
+				}
+			}
+			store.Set(platform.EvacuationsPrefix+"b", []byte(`{}`))
+			startServer(t, 1)
+			c.startAgent(1, 1)
+			balancer, _ := c.startBalancer(1)
+			waited := time.Since(balancer.began) >= evacuator.MaxJoinWait
+			balancer.mu.Lock()
+			zones := balancer.evacuator.Zones(time.Now())
+			balancer.mu.Unlock()
+			if test.agentRead {
+				is.Equal(zones, []string{"b"})
+			} else {
+				is.True(waited)
+			}
+		})
+	}
+}
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -84,6 +84,7 @@
 	flows       map[gooseberrymast.FlowKey]*flowState
 	disturbed   map[string][]*disturbance
 	versions    map[string]uint64
+	evacuations []*evacuation
 	violations  []Violation
 }
 
@@ -199,6 +200,8 @@
 	Copy int
 	// Server is the server's incarnation, Agent its machine.
 	Server, Agent, Service string
+	// Zone is the server's availability zone.
+	Zone string
 	// LeavingSince is when the agent acknowledged that the server is leaving. It
 	// is zero while the server isn't leaving.
 	LeavingSince time.Time
@@ -213,6 +216,7 @@
 		c.addViolation(PromiseDelivery, at, "flow %s opened at %s of %s", opening.Key, opening.Server, opening.Service)
 		return
 	}
+	c.checkEvacuated(opening, at)
 	flow := c.flow(opening.Key)
 	sent := at
 	if opening.Copy < len(flow.sent) {
--- a/soaker/checker_test.go
+++ b/soaker/checker_test.go
@@ -16,6 +16,13 @@
 	opening = Opening{Key: key, Server: "agent-1/1", Agent: "agent-1", Service: "ledger"}
 )
 
+// openingAt returns a new flow's opening packet at a server of a zone.
+func openingAt(zone string) Opening {
+	opened := opening
+	opened.Zone = zone
+	return opened
+}
+
 func after(seconds float64) time.Time {
 	return epoch.Add(time.Duration(seconds * float64(time.Second)))
 }
@@ -53,6 +60,34 @@
 			c.CheckRun("a", false, "agent-1/1", after(1))
 			c.CheckRun("a", false, "agent-2/1", after(1))
 		}, ""},
+		{"a new flow in a zone that is evacuated", func(c *Checker) {
+			c.RecordEvacuation("a", after(0))
+			c.CheckOpening(openingAt("a"), after(5.1))
+		}, PromiseEvacuated},
+		{"a new flow in a zone that is not yet evacuated", func(c *Checker) {
+			c.RecordEvacuation("a", after(0))
+			c.CheckOpening(openingAt("a"), after(5))
+		}, ""},
+		{"a new flow in another zone", func(c *Checker) {
+			c.RecordEvacuation("b", after(0))
+			c.CheckOpening(openingAt("a"), after(6))
+		}, ""},
+		{"a new flow in a zone that has returned", func(c *Checker) {
+			c.RecordEvacuation("a", after(0))(after(7))
+			c.CheckOpening(openingAt("a"), after(7.1))
+		}, ""},
+		{"a new flow of a balancer that is cut off in an evacuated zone", func(c *Checker) {
+			c.RecordEvacuation("a", after(0))
+			c.BeginDisturbance("balancer-1", false, after(0))
+			c.CheckOpening(openingAt("a"), after(6))
+		}, PromiseEvacuated},
+		{"a new flow in an evacuated zone while its agent is cut off", func(c *Checker) {
+			c.RecordEvacuation("a", after(0))
+			c.BeginDisturbance("agent-1", false, after(0))
+			c.CheckOpening(openingAt("a"), after(6))
+		}, ""},
+		{"a cold server gets too many requests", func(c *Checker) { c.CheckWarmUp("agent-1/1", "agent-1", warmUpLimit+1, after(1)) }, PromiseWarmUp},
+		{"a cold server gets its limit", func(c *Checker) { c.CheckWarmUp("agent-1/1", "agent-1", warmUpLimit, after(1)) }, ""},
 		{"an open flow is reset", func(c *Checker) { c.CheckReset(key, "balancer-1", after(1)) }, PromiseFlowKept},
 		{"an open flow is reset in planned work", func(c *Checker) {
 			c.BeginDisturbance("balancer-1", true, after(0.5))
--- a/soaker/document.go
+++ b/soaker/document.go
@@ -63,7 +63,7 @@
 	s.documentMu.Lock()
 	defer s.documentMu.Unlock()
 	s.documentNumber++
-	text, err := platform.FormatDocument(s.documentNumber, s.routes, services, nil)
+	text, err := platform.FormatDocument(s.documentNumber, s.routes, services, warmUps())
 	if err != nil {
 		return err
 	}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -50,6 +50,7 @@
 		{"store-limits-some", 1, injectStoreFault(storeFault{rateLimited: true}, false)},
 		{"store-connections-silent", 1, (*soak).silenceStoreConnections},
 		{"store-restored", 2, (*soak).restoreStore},
+		{"evacuation", 3, (*soak).evacuateZone},
 		{"document", 3, (*soak).changeDocument},
 		{"document-storm", 1, (*soak).changeDocumentRepeatedly},
 		{"hangup", 1, (*soak).sendHangup},
--- a/soaker/instance.go
+++ b/soaker/instance.go
@@ -62,7 +62,7 @@
 			Peers: at(octetAdvertised, peersPort), Packets: at(octetListen, packetsPort), Outbound: at(octetListen, outboundPort),
 			Readiness: at(octetListen, readinessPort), Announcements: at(octetListen, announcementsPort),
 			Server: at(octetListen, serverPort), Store: at(octetListen, storePort),
-			AnnounceInterval: announceInterval, StopWithin: stopGrace,
+			AnnounceInterval: announceInterval, StopWithin: stopGrace, Places: placesSettings(),
 		},
 	}
 	name := i.settings.Name
--- a/soaker/server.go
+++ b/soaker/server.go
@@ -50,6 +50,10 @@
 	leaving      bool
 	leavingSince time.Time
 	stopped      bool
+	// coldUntil is until when the server is cold, and recent holds the times of the
+	// requests of the last second.
+	coldUntil time.Time
+	recent    []time.Time
 }
 
 // serverFlow is a flow held by a server.
@@ -80,6 +84,7 @@
 		sabotage: sabotage, checker: checker, startedAt: time.Now(), drawWorkTime: drawWorkTime, flows: map[gooseberrymast.FlowKey]*serverFlow{},
 		client: http.Client{Timeout: announceTimeout},
 	}
+	s.coldUntil = s.startedAt.Add(warmUpTime)
 	var err error
 	if s.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(settings.Server.AddrPort())); err != nil {
 		return nil, fmt.Errorf("server %s: %w", s.name, err)
@@ -165,6 +170,7 @@
 	return gooseberrymast.Announcement{
 		ID: strings.ReplaceAll(s.name, "/", "-"), StartUnixMs: s.startedAt.UnixMilli(), Sequence: s.sequence, Service: s.service,
 		Address: s.settings.Server, Slots: serverSlots, Leaving: s.leaving,
+		WarmUpLeft: max(0, time.Until(s.coldUntil)),
 	}
 }
 
@@ -179,8 +185,10 @@
 	case header.Opens:
 		if flow == nil {
 			s.checker.CheckOpening(Opening{
-				Key: key, Copy: header.Copy, Server: s.name, Agent: s.agent, Service: s.service, LeavingSince: s.leavingSince,
+				Key: key, Copy: header.Copy, Server: s.name, Agent: s.agent, Service: s.service, Zone: s.settings.Zone,
+				LeavingSince: s.leavingSince,
 			}, now)
+			s.checkWarmUp(now)
 			// If two servers answer the opening, the caller distinguishes them by
 			// this number.
 			first := rand.Uint32()
@@ -219,6 +227,10 @@
 			s.send(key, gooseberrymast.PacketHeader{Acknowledges: true, Sequence: flow.answerSequence}, flow.answer)
 		}
 	case header.Payload > 0:
+		if flow.hasRequest {
+			// The first one was counted with the opening packet.
+			s.countRequest(now)
+		}
 		flow.hasRequest, flow.requestSequence, flow.answer = true, header.Sequence, nil
 		id, once := parseRequestName(string(platform.Codec{}.Payload(packet)))
 		s.checker.CheckRun(id, once, s.name, now)
