--- a/emulator/pattern.go
+++ b/emulator/pattern.go
@@ -64,6 +64,11 @@
 	// OwnFlows is set if the requests of a class use flows of their own: each class is
 	// a route with an address of its own.
 	OwnFlows bool
+	// The first zone's servers get no new flows from EvacuateAt for EvacuateFor. When it
+	// returns they are cold, and its callers begin anew with new flows.
+	EvacuateAt, EvacuateFor time.Duration
+	// WarmUp limits the cold servers of a zone that returns.
+	WarmUp gooseberrymast.WarmUp
 	// Classes are the kinds of requests.
 	Classes []Class
 	// Length is the time for which requests are sent.
@@ -120,6 +125,9 @@
 	reportInterval  = 200 * time.Millisecond
 	retryDelay      = 5 * time.Millisecond
 	candidateAgents = 4
+	// warmUpOverage and warmUpSlack allow a cold server more than its service's rate.
+	warmUpOverage = 1.5
+	warmUpSlack   = 5
 )
 
 // Magnolia returns the load of Magnolia's grown deployment on its busiest day:
@@ -217,7 +225,26 @@
 	failing := Magnolia()
 	failing.Name = "failing-servers"
 	failing.FailingShare, failing.FailRate, failing.FailAt, failing.FailFor = 0.15, 0.5, 6*time.Second, 10*time.Second
-	return append([]Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing}, unevenPatterns()...)
+	return append([]Pattern{Magnolia(), Nilebridge(), burst, release, slow, shift, failing, zoneReturns()}, unevenPatterns()...)
+}
+
+// zoneReturns returns the load of Magnolia's grown deployment, reduced so that four zones
+// carry it, with a rush of callers when the first zone is back from an evacuation.
+func zoneReturns() Pattern {
+	pattern := Magnolia()
+	pattern.Name = "zone-returns"
+	pattern.Rate *= 0.6
+	pattern.EvacuateAt, pattern.EvacuateFor = 2*time.Second, 8*time.Second
+	pattern.Bursts = []Burst{{At: pattern.EvacuateAt + pattern.EvacuateFor, For: 2 * time.Second, Factor: 1.6}}
+	// A cold server's two slots run 34 requests a second of the mean work. The limit lies
+	// below what least work alone sends it in the rush.
+	pattern.WarmUp = gooseberrymast.WarmUp{Duration: coldPeriod, PerSecond: 15}
+	return pattern
+}
+
+// evacuated reports whether a zone gets no new flows at a time.
+func (p Pattern) evacuated(zone int, at time.Duration) bool {
+	return zone == 0 && at >= p.EvacuateAt && at < p.EvacuateAt+p.EvacuateFor
 }
 
 // PatternByName returns the pattern with the given name.
