--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -10,6 +10,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/chooser"
+	"gooseberrymast/coordination/throttler"
 )
 
 // emulation is the state of one run of a pattern under a policy.
@@ -60,6 +61,9 @@
 func (e *emulation) scheduleInitial() {
 	e.takeReports()
 	e.arrive()
+	if e.pattern.EvacuateFor > 0 {
+		e.schedule(e.pattern.EvacuateAt+e.pattern.EvacuateFor, e.returnZone)
+	}
 	for i := range e.pattern.ReplacedServers {
 		index := i * len(e.servers) / e.pattern.ReplacedServers
 		e.schedule(e.pattern.ReplaceAt+time.Duration(i)*time.Second, func() { e.replace(index) })
@@ -83,9 +87,10 @@
 func (e *emulation) takeReports() {
 	e.reports = e.reports[:0]
 	for i, server := range e.servers {
-		if server.leaving {
+		if server.leaving || e.pattern.evacuated(server.zone, e.now) {
 			continue
 		}
+		room, limited := server.throttler.Room(server.flows, e.clock())
 		e.reports = append(e.reports, chooser.Candidate{
 			Endpoint: endpointOf(i), Zone: zoneName(server.zone), Reported: e.clock(),
 			Load: gooseberrymast.FlowLoad{
@@ -93,6 +98,7 @@
 				WarmUpLeft: max(0, server.coldUntil-e.now),
 				Failing:    server.assessor.FailingShare(e.clock()),
 				Work:       server.predictor.Load(e.clock()),
+				Limited:    limited, Room: room,
 			},
 		})
 	}
@@ -151,13 +157,23 @@
 		balancer := e.drawBalancer(zone)
 		candidates := append([]chooser.Candidate(nil), e.reports...)
 		var passes int
+		chooser.ShareRoom(candidates, zoneName(zone), e.pattern.Balancers, e.countBalancers(zone))
 		r.flow = &flow{}
 		r.flow.server, passes = e.placers[balancer].place(candidates, e.servers, r.route, e.random)
 		e.result.Passed += passes
+		if r.flow.server == noServer {
+			e.result.Refused++
+			e.schedule(e.now+2*callerDelay+retryDelay, func() { e.retry(r) })
+			return
+		}
+		e.servers[r.flow.server].throttler.Taken(e.servers[r.flow.server].offer(), e.clock())
 		e.servers[r.flow.server].flows++
 		r.flow.work = e.servers[r.flow.server].predictor.Open(r.route.Address, e.clock())
 		// Opening a flow takes a round trip before the request is sent.
 		delay += 2*callerDelay + e.serverDelay(zone, r.flow.server)
+	} else {
+		server := e.servers[r.flow.server]
+		server.throttler.HandleRequest(server.flows, e.clock())
 	}
 	r.server = r.flow.server
 	if e.servers[r.server].zone != r.caller%e.pattern.Zones {
@@ -204,8 +220,36 @@
 
 // drawBalancer draws one of the balancers of a zone.
 func (e *emulation) drawBalancer(zone int) int {
-	count := (e.pattern.Balancers - zone + e.pattern.Zones - 1) / e.pattern.Zones
-	return zone + e.random.IntN(count)*e.pattern.Zones
+	return zone + e.random.IntN(e.countBalancers(zone))*e.pattern.Zones
+}
+
+func (e *emulation) countBalancers(zone int) int {
+	return (e.pattern.Balancers - zone + e.pattern.Zones - 1) / e.pattern.Zones
+}
+
+// returnZone returns the first zone to service: its servers are cold, and its callers
+// begin anew.
+func (e *emulation) returnZone() {
+	for _, server := range e.servers {
+		if server.zone != 0 {
+			continue
+		}
+		server.coldUntil = e.now + coldPeriod
+		server.predictor.HandleServer(server.slots, coldPeriod, false, e.clock())
+		if e.result.Policy != PolicyUnlimited {
+			server.throttler.SetWarmUp(e.pattern.WarmUp)
+		}
+		server.throttler.HandleAnnouncement(coldPeriod, true, e.clock())
+	}
+	for caller := 0; caller < e.pattern.Callers; caller += e.pattern.Zones {
+		for i := range e.pattern.Classes {
+			key := e.flowsOf(&request{caller: caller, route: e.pattern.Classes[i].route(i)})
+			for _, idle := range e.idleFlows[key] {
+				e.closeFlow(idle)
+			}
+			delete(e.idleFlows, key)
+		}
+	}
 }
 
 // serverDelay returns the one-way delay between a zone and a server.
@@ -222,6 +266,7 @@
 	server := e.servers[r.server]
 	server.arrivals++
 	server.predictor.Begin(&r.flow.work, e.clock())
+	e.result.ColdPeak = max(e.result.ColdPeak, server.countArrival(e.now))
 	switch {
 	case server.fails(e.now, e.random):
 		e.fail(r)
@@ -312,7 +357,10 @@
 }
 
 func (e *emulation) addServer(zone int, speed float64, cold time.Duration) {
-	added := &server{zone: zone, slots: e.pattern.Slots, queueLimit: e.pattern.Queue, speed: speed, coldUntil: e.now + cold}
+	added := &server{
+		zone: zone, slots: e.pattern.Slots, queueLimit: e.pattern.Queue, speed: speed, coldUntil: e.now + cold,
+		throttler: throttler.Throttler{Overage: warmUpOverage, Slack: warmUpSlack},
+	}
 	added.predictor.HandleServer(added.slots, cold, false, e.clock())
 	e.servers = append(e.servers, added)
 }
@@ -350,7 +398,7 @@
 
 // clock returns the virtual time as a time.Time, as the product's code expects it.
 func (e *emulation) clock() time.Time {
-	return time.Unix(0, int64(e.now))
+	return clockOf(e.now)
 }
 
 func (e *emulation) schedule(when time.Duration, do func()) {
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -7,6 +7,7 @@
 	"gooseberrymast"
 	"gooseberrymast/coordination/assessor"
 	"gooseberrymast/coordination/predictor"
+	"gooseberrymast/coordination/throttler"
 )
 
 // server is a backend server with its agent.
@@ -31,6 +32,40 @@
 	failRate   float64
 	assessor   assessor.Assessor
 	predictor  predictor.Predictor
+	// throttler limits what the server gets while it is cold. recentArrivals holds the times of
+	// the requests of the last second while it is.
+	throttler      throttler.Throttler
+	recentArrivals []time.Duration
+}
+
+// admits reports whether the server's agent admits a new flow.
+func (s *server) admits(now time.Duration) bool {
+	return s.throttler.Decide(s.offer(), clockOf(now)).Verdict == gooseberrymast.GateAdmit
+}
+
+// offer describes a new flow. Callers of the emulator don't retransmit, so that its key
+// doesn't matter.
+func (s *server) offer() gooseberrymast.FlowOffer {
+	return gooseberrymast.FlowOffer{OpenFlows: s.flows}
+}
+
+// countArrival records a request that arrives and returns the number in the last second
+// while the server is cold, otherwise zero.
+func (s *server) countArrival(now time.Duration) int {
+	if now >= s.coldUntil {
+		s.recentArrivals = s.recentArrivals[:0]
+		return 0
+	}
+	s.recentArrivals = append(s.recentArrivals, now)
+	for now-s.recentArrivals[0] >= time.Second {
+		s.recentArrivals = s.recentArrivals[1:]
+	}
+	return len(s.recentArrivals)
+}
+
+// clockOf returns a virtual time as a time.Time, as the product's code expects it.
+func clockOf(now time.Duration) time.Time {
+	return time.Unix(0, int64(now))
 }
 
 // fails reports whether the server fails a request. While the server is failing,
