--- a/coordination/archiver/archiver.go
+++ b/coordination/archiver/archiver.go
@@ -24,10 +24,12 @@
 	// calls to the store; with the interval of updates it is the largest part of the age
 	// of the records.
 	WriteInterval = 2 * time.Second
-	// MaxAgents and MaxFlows bound the object. A flow takes at most 28 bytes, an agent
-	// 270 besides, so that they fit into the store's limit of 1 MiB.
+	// MaxAgents bounds the agents of the object. An agent takes at most 270 bytes besides
+	// its flows.
 	MaxAgents = 600
-	MaxFlows  = 24_000
+	// MaxFlows bounds the flows of the object. A flow takes at most 28 bytes, so that all
+	// fit into the store's limit of 1 MiB.
+	MaxFlows = 24_000
 	// maxFlowsPerAgent is a bound on what one agent may claim, above the number that
 	// agents send.
 	maxFlowsPerAgent = 1024
--- a/coordination/archiver/fleet_test.go
+++ b/coordination/archiver/fleet_test.go
@@ -59,7 +59,6 @@
 	endpoint gooseberrymast.Endpoint
 	informer *informer.Informer // nil while the process is down
 	resetter *resetter.Resetter
-	held     map[gooseberrymast.FlowKey]bool
 	server   gooseberrymast.ServerIncarnation // zero while it is down
 	// flows are those that the server holds.
 	flows []testFlow
--- a/coordination/predictor/predictor_test.go
+++ b/coordination/predictor/predictor_test.go
@@ -169,7 +169,7 @@
 		now := s.run(epoch, 20*time.Second, 60, mean, nil)
 		before := s.Cost(address(1))
 		s.speed = 0.55
-		now = s.run(now, 3*time.Second, 60, mean, nil)
+		s.run(now, 3*time.Second, 60, mean, nil)
 		is.True(ratio(s.Cost(address(1)), before) > 1.5)
 	}
 }
--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -18,9 +18,10 @@
 	// PolicyProduct places flows as the balancers and agents do by default: by work where
 	// the rule of the settings calls for it, else by count.
 	PolicyProduct Policy = "product"
-	// PolicyByCount and PolicyByWork are PolicyProduct with one kind of placement.
+	// PolicyByCount is PolicyProduct with placement by count.
 	PolicyByCount Policy = "by-count"
-	PolicyByWork  Policy = "by-work"
+	// PolicyByWork is PolicyProduct with placement by work.
+	PolicyByWork Policy = "by-work"
 	// PolicyLeastRequests takes, of as many agents as the product compares, the one with
 	// the fewest requests in progress.
 	PolicyLeastRequests Policy = "least-requests"
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -37,10 +37,6 @@
 // short download to the longest deadline.
 var serviceBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5}
 
-// holdBuckets are the histogram buckets of holds in seconds: from one end of a request to
-// the next one, to the longest hold.
-var holdBuckets = []float64{0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.15}
-
 func newMetrics(m *member) *metrics {
 	created := &metrics{
 		registry: prometheus.NewRegistry(),
