--- a/coordination/deliverer/retention_test.go
+++ b/coordination/deliverer/retention_test.go
@@ -76,7 +76,7 @@
 	reset := answer(0)
 	reset.Destination.Port, reset.Resets = 2, true
 	d.FromServer(reset, epoch)
-	openedFlow(&d, 3, epoch)
+	openedFlow(&d, 3, epoch.Add(time.Millisecond)) // flow 1 is the least recently used one
 	is.Equal(len(d.flows), 2)
 	is.True(denies(&d, 4, epoch)) // only the flow that had ended was evicted
 	later := epoch.Add(time.Second)
