--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -227,31 +227,6 @@
 	return (e.pattern.Balancers - zone + e.pattern.Zones - 1) / e.pattern.Zones
 }
 
-// returnZone returns the first zone to service: its servers are cold, and its callers
-// begin anew.
-func (e *emulation) returnZone() {
-	for _, server := range e.servers {
-		if server.zone != 0 {
-			continue
-		}
-		server.coldUntil = e.now + coldPeriod
-		server.predictor.HandleServer(server.slots, coldPeriod, false, e.clock())
-		if e.result.Policy != PolicyUnlimited {
-			server.throttler.SetWarmUp(e.pattern.WarmUp)
-		}
-		server.throttler.HandleAnnouncement(coldPeriod, true, e.clock())
-	}
-	for caller := 0; caller < e.pattern.Callers; caller += e.pattern.Zones {
-		for i := range e.pattern.Classes {
-			key := e.flowsOf(&request{caller: caller, route: e.pattern.Classes[i].route(i)})
-			for _, idle := range e.idleFlows[key] {
-				e.closeFlow(idle)
-			}
-			delete(e.idleFlows, key)
-		}
-	}
-}
-
 // serverDelay returns the one-way delay between a zone and a server.
 func (e *emulation) serverDelay(zone, server int) time.Duration {
 	if e.servers[server].zone == zone {
@@ -409,33 +384,3 @@
 func zoneName(zone int) string {
 	return fmt.Sprint("zone-", zone)
 }
-
-// event is an action at a point in virtual time. Events of the same time run in
-// the order in which they were scheduled.
-type event struct {
-	at     time.Duration
-	serial int
-	do     func()
-}
-
-// eventQueue is a heap of events, ordered by time.
-type eventQueue []*event
-
-func (e eventQueue) Len() int { return len(e) }
-
-func (e eventQueue) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].serial < e[j].serial
-}
-
-func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-func (e *eventQueue) Push(x any) { *e = append(*e, x.(*event)) }
-
-func (e *eventQueue) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
