--- /dev/null
+++ b/review/stand2/newserver.go
@@ -0,0 +1,123 @@
+//go:build review
+
+package main
+
+import (
+	"time"
+
+	"gooseberrymast"
+	"gooseberrymast/platform"
+)
+
+func init() { cases["new-server"] = playNewServer }
+
+const (
+	feedPort   = 8443
+	letterDesk = "letter-desk"
+)
+
+// startFleet starts a small deployment: a balancer in each of four zones, and hosts of
+// the service letter-desk. It returns the balancer of each zone and the address of the
+// service's route.
+func (w *world) startFleet(hosts []string) (balancers map[string]*machine, route gooseberrymast.Endpoint, err error) {
+	route = gooseberrymast.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: feedPort}
+	document, err := platform.FormatDocument(1, []gooseberrymast.Route{
+		{Address: route, Idempotent: true, Timeout: deadline, Backends: []gooseberrymast.WeightedService{{Service: letterDesk, Weight: 1}}},
+	}, []string{letterDesk}, nil)
+	if err != nil {
+		return nil, route, err
+	}
+	w.store.set(platform.DocumentKey, document)
+	balancers = map[string]*machine{}
+	var started []*machine
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		m, err := w.add(gooseberrymast.RoleBalancer, zone, "")
+		if err != nil {
+			return nil, route, err
+		}
+		balancers[zone] = m
+		started = append(started, m)
+	}
+	for _, zone := range hosts {
+		m, err := w.add(gooseberrymast.RoleAgent, zone, letterDesk)
+		if err != nil {
+			return nil, route, err
+		}
+		started = append(started, m)
+	}
+	for _, m := range started {
+		if err := w.start(m); err != nil {
+			return nil, route, err
+		}
+		if m.settings.Role == gooseberrymast.RoleAgent {
+			if _, err := w.startHost(m); err != nil {
+				return nil, route, err
+			}
+			continue
+		}
+		go w.watch(m)
+	}
+	return balancers, route, nil
+}
+
+// startCallers starts callers in zones, each with flows of a length.
+func (w *world) startCallers(route gooseberrymast.Endpoint, perZone map[string]int, flows int, length time.Duration) error {
+	number := byte(0)
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		for range perZone[zone] {
+			number++
+			c, err := w.newCaller(number, zone)
+			if err != nil {
+				return err
+			}
+			for i := range flows {
+				go func() {
+					time.Sleep(time.Duration(i) * length / time.Duration(flows))
+					for {
+						c.use(route, length, longThink)
+						time.Sleep(50 * time.Millisecond)
+					}
+				}()
+			}
+		}
+	}
+	return nil
+}
+
+// playNewServer: a host is added in a zone whose only balancer is cut off from the store
+// and from the machines of other zones for 5.5 s; the balancer is restarted as planned.
+func playNewServer(w *world, trouble bool) error {
+	balancers, route, err := w.startFleet([]string{"a", "b", "b", "c", "d"})
+	if err != nil {
+		return err
+	}
+	time.Sleep(6 * time.Second)
+	if err := w.startCallers(route, map[string]int{"a": 10, "b": 3, "c": 3, "d": 3}, 4, 5*time.Second); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	w.log("planned: a host is added in zone a")
+	added, err := w.add(gooseberrymast.RoleAgent, "a", letterDesk)
+	if err != nil {
+		return err
+	}
+	if err := w.start(added); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		w.cut(balancers["a"], true)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if _, err := w.startHost(added); err != nil {
+		return err
+	}
+	time.Sleep(3400 * time.Millisecond)
+	w.terminate(balancers["a"])
+	time.Sleep(1800 * time.Millisecond)
+	if trouble {
+		w.cut(balancers["a"], false)
+	}
+	time.Sleep(4 * time.Second)
+	return nil
+}
