--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -157,6 +157,7 @@
 	c.world.mu.Lock()
 	c.world.sent++
 	c.world.mu.Unlock()
+	c.world.log("send    %s", id)
 	end := time.Now().Add(deadline)
 	retransmit := 200 * time.Millisecond
 	for time.Now().Before(end) {
@@ -178,6 +179,7 @@
 					c.world.mu.Lock()
 					c.world.answered++
 					c.world.mu.Unlock()
+					c.world.log("answer  %s", id)
 					return got.header.Sequence + uint32(got.header.Payload), true
 				}
 			case <-timer:
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -43,7 +43,7 @@
 	// stableWindow is the bound stableWindowMs.
 	stableWindow = 4 * time.Second
 	// restartDelay is the time until the platform starts an ended process again.
-	restartDelay = 500 * time.Millisecond
+	restartDelay = 600 * time.Millisecond
 	grace        = 6 * time.Second
 )
 
--- a/review/stand2/newserver.go
+++ b/review/stand2/newserver.go
@@ -85,14 +85,15 @@
 }
 
 // playNewServer: a host is added in a zone whose only balancer is cut off from the store
-// and from the machines of other zones for 5.5 s; the balancer is restarted as planned.
+// and from the machines of other zones for 5.5 s, while two other balancers are stopped and
+// started in turn.
 func playNewServer(w *world, trouble bool) error {
 	balancers, route, err := w.startFleet([]string{"a", "b", "b", "c", "d"})
 	if err != nil {
 		return err
 	}
 	time.Sleep(6 * time.Second)
-	if err := w.startCallers(route, map[string]int{"a": 10, "b": 3, "c": 3, "d": 3}, 4, 5*time.Second); err != nil {
+	if err := w.startCallers(route, map[string]int{"a": 4, "b": 4, "c": 16, "d": 16}, 8, 2*time.Second); err != nil {
 		return err
 	}
 	time.Sleep(4 * time.Second)
@@ -108,16 +109,25 @@
 	if trouble {
 		w.cut(balancers["a"], true)
 	}
-	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	time.Sleep(100 * time.Millisecond)
 	if _, err := w.startHost(added); err != nil {
 		return err
 	}
-	time.Sleep(3400 * time.Millisecond)
-	w.terminate(balancers["a"])
-	time.Sleep(1800 * time.Millisecond)
+	for i, zone := range []string{"d", "c"} {
+		time.Sleep(time.Until(began.Add(2500*time.Millisecond + time.Duration(i)*rollGap)))
+		w.terminate(balancers[zone])
+	}
+	time.Sleep(time.Until(began.Add(cutLength)))
 	if trouble {
 		w.cut(balancers["a"], false)
 	}
 	time.Sleep(4 * time.Second)
 	return nil
 }
+
+const (
+	// cutLength is that of core_cut in the site file, and rollGap that of roll_term.
+	cutLength = 5500 * time.Millisecond
+	rollGap   = 1000 * time.Millisecond
+)
