--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -40,7 +40,7 @@
 const (
 	// crossZone is the delay of a packet between zones, as in the site file.
 	crossZone = 3900 * time.Microsecond
-	// stableWindow is the bound stableWindowMs.
+	// stableWindow is the time without a disturbance after which a machine is in touch.
 	stableWindow = 4 * time.Second
 	// restartDelay is the time until the platform starts an ended process again.
 	restartDelay = 600 * time.Millisecond
--- a/review/stand2/host.go
+++ b/review/stand2/host.go
@@ -138,7 +138,7 @@
 		h.send(key, gooseberrymast.PacketHeader{Opens: true, Acknowledges: true, Sequence: flow.first, Acknowledgement: header.Sequence + 1}, nil)
 	case flow == nil || !flow.opened && header.Acknowledgement != flow.first+1:
 		// A packet of a flow that the host doesn't hold goes back with its echo.
-		packet[offsetFlags] |= flagBounced
+		packet[offsetFlags] |= flagReturned
 		h.write(packet)
 	case header.Resets:
 		delete(h.flows, key)
--- a/review/stand2/packet.go
+++ b/review/stand2/packet.go
@@ -15,17 +15,17 @@
 	offsetFlags = 0
 	offsetEcho  = 9
 	offsetSum   = 15
-	flagBounced = 4
+	flagReturned = 4
 )
 
 var codec platform.Codec
 
-// sumOf returns the keyed sum over a packet, without echo and BOUNCED. Only callers and
+// sumOf returns the keyed sum over a packet, without the tag and the returned flag. Only callers and
 // hosts know the key.
 func sumOf(packet []byte) uint32 {
 	copied := append([]byte("review key"), packet...)
 	header := copied[len("review key"):]
-	header[offsetFlags] &^= flagBounced
+	header[offsetFlags] &^= flagReturned
 	clear(header[offsetEcho : offsetEcho+4])
 	clear(header[offsetSum : offsetSum+4])
 	return crc32.ChecksumIEEE(copied) | 1
