--- a/review/stand2/packet.go
+++ b/review/stand2/packet.go
@@ -12,9 +12,9 @@
 
 // Offsets of the header fields that this program reads or writes itself.
 const (
-	offsetFlags = 0
-	offsetEcho  = 9
-	offsetSum   = 15
+	offsetFlags  = 0
+	offsetEcho   = 9
+	offsetSum    = 15
 	flagReturned = 4
 )
 
