--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -127,6 +127,32 @@
 	c.send(key, gooseberrymast.PacketHeader{Acknowledges: true, Finishes: true, Sequence: sequence, Acknowledgement: acknowledgement}, nil)
 }
 
+// idle opens a flow, sends a request on it, leaves it idle until a time and sends another.
+func (c *caller) idle(service gooseberrymast.Endpoint, until time.Time) {
+	c.mu.Lock()
+	c.port++
+	key := gooseberrymast.FlowKey{Caller: gooseberrymast.Endpoint{IP: c.ip, Port: c.port}, Service: service}
+	inbox := make(chan received, 64)
+	c.flows[key] = inbox
+	c.mu.Unlock()
+	sequence := rand.Uint32()
+	acknowledgement, open := c.open(key, inbox, sequence)
+	if !open {
+		return
+	}
+	sequence++
+	for n := range 2 {
+		id := fmt.Sprintf("%s/%d", key.Caller, n)
+		request := platform.FormatRequest("GET", "/feed", id)
+		next, ok := c.exchange(key, inbox, sequence, acknowledgement, id, request)
+		if !ok {
+			return
+		}
+		sequence, acknowledgement = sequence+uint32(len(request)), next
+		time.Sleep(time.Until(until))
+	}
+}
+
 // open opens a flow: a SYN, and copies after 200 and 600 ms.
 func (c *caller) open(key gooseberrymast.FlowKey, inbox chan received, sequence uint32) (acknowledgement uint32, ok bool) {
 	began := time.Now()
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -61,7 +61,9 @@
 	// cutNear is set while the machine is cut off from the store and from all machines of
 	// other zones.
 	cutNear bool
-	// disturbed is when the machine was last started, stopped or cut off.
+	// refused is set while the store turns the machine away.
+	refused bool
+	// disturbed is when the machine was last started, stopped, cut off or turned away.
 	disturbed time.Time
 }
 
@@ -157,7 +159,7 @@
 	if m.link, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(m.settings.Peers.AddrPort())); err != nil {
 		return nil, err
 	}
-	if err := w.store.listen(m.settings.Store.String(), m.isCut); err != nil {
+	if err := w.store.listen(m.settings.Store.String(), m.isCut, m.isRefused); err != nil {
 		return nil, err
 	}
 	w.mu.Lock()
@@ -203,6 +205,20 @@
 	return m.cutNear
 }
 
+func (m *machine) isRefused() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refused
+}
+
+// refuse lets the store turn a machine away, or serve it again.
+func (w *world) refuse(m *machine, on bool) {
+	m.mu.Lock()
+	m.refused, m.disturbed = on, time.Now()
+	m.mu.Unlock()
+	w.log("TROUBLE the store answers %s with 503: %t", m.settings.Name, on)
+}
+
 func (m *machine) disturb() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -213,7 +229,7 @@
 func (m *machine) inTouch(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.cutNear && now.Sub(m.disturbed) > stableWindow
+	return !m.cutNear && !m.refused && now.Sub(m.disturbed) > stableWindow
 }
 
 // cut cuts a machine off from the store and from all machines of other zones.
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -68,8 +68,8 @@
 }
 
 // listen serves the store at an address of its own for one machine. While cut reports
-// true, calls get no answer.
-func (s *store) listen(address string, cut func() bool) error {
+// true, calls get no answer, and while refused does, they get 503.
+func (s *store) listen(address string, cut, refused func() bool) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
@@ -82,6 +82,10 @@
 			panic(http.ErrAbortHandler)
 		}
 		time.Sleep(storeDelay)
+		if refused() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		s.serve(w, r)
 	})}
 	s.servers = append(s.servers, server)
