--- a/review/stand2/caller.go
+++ b/review/6/stand/caller.go
@@ -23,6 +23,13 @@
 	longThink = 250 * time.Millisecond
 )
 
+// resetWindow is the distance from its last acknowledgement in which a caller takes a reset.
+const resetWindow = 76_800
+
+func distance(a, b uint32) uint32 {
+	return min(a-b, b-a)
+}
+
 // received is a packet that a caller got, and the address that sent it.
 type received struct {
 	header gooseberrymast.PacketHeader
@@ -195,6 +202,8 @@
 			select {
 			case got := <-inbox:
 				switch {
+				case got.header.Resets && distance(got.header.Sequence, acknowledgement) > resetWindow:
+					c.world.log("request %s: a reset beyond the window is ignored", id)
 				case got.header.Resets:
 					c.world.log("request %s ends with a reset", id)
 					return 0, false
--- a/review/stand2/fleet.go
+++ b/review/6/stand/fleet.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	_ "embed" // For the forms of the platform's texts.
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -47,6 +48,11 @@
 	grace        = 6 * time.Second
 )
 
+// nodeSettings are the settings of a small deployment beside those of the machine itself.
+//
+//go:embed node.conf
+var nodeSettings string
+
 // machine is a machine with one process of the load balancer and, for an agent, a host.
 type machine struct {
 	settings gooseberrymast.InstanceSettings
@@ -153,7 +159,7 @@
 	if err := os.WriteFile(filepath.Join(m.folder, "own.toml"), own, 0o644); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(filepath.Join(m.folder, "node.conf"), platform.FormatSettings(m.settings), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(m.folder, "node.conf"), append(platform.FormatSettings(m.settings), nodeSettings...), 0o644); err != nil {
 		return nil, err
 	}
 	if m.link, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(m.settings.Peers.AddrPort())); err != nil {
--- a/review/stand2/host.go
+++ b/review/6/stand/host.go
@@ -5,10 +5,12 @@
 import (
 	"bytes"
 	"context"
+	_ "embed" // For the forms of the platform's texts.
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,11 @@
 	workTime = 30 * time.Millisecond
 )
 
+// pingFormat is the body of a ping, with all fields of the page.
+//
+//go:embed ping.json
+var pingFormat string
+
 // host is one boot of a backend server beside an agent.
 type host struct {
 	machine  *machine
@@ -96,13 +103,20 @@
 func (h *host) ping(ctx context.Context) {
 	h.mu.Lock()
 	h.sequence++
-	announcement := gooseberrymast.Announcement{
-		ID: h.id, StartUnixMs: h.born.UnixMilli(), Sequence: h.sequence, Service: h.machine.settings.Service,
-		Address: h.machine.settings.Server, Slots: hostSlots,
-	}
+	sequence := h.sequence
 	h.mu.Unlock()
+	settings := h.machine.settings
+	body := fmt.Sprintf(pingFormat, settings.Service, settings.Server, settings.Zone, hostSlots, sequence, h.born.UnixMilli())
+	url := fmt.Sprintf("http://%s/%s/%s", settings.Announcements, "instances", h.id)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
 	// A ping that fails is followed by the next one.
-	_ = platform.SendAnnouncement(ctx, &h.client, h.machine.settings.Announcements, announcement)
+	if response, err := h.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
 }
 
 func (h *host) receive() {
--- a/review/stand2/main.go
+++ b/review/6/stand/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command stand2 plays the scripted cases of the second review: the programs of the load
+// Command stand plays the scripted cases of the second review: the programs of the load
 // balancer as separate processes on loopback, with stand-ins of callers, hosts, routers
 // and the platform's store.
 package main
@@ -24,7 +24,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand2 CASE RECORD, in the repository's root")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD, in the repository's root")
 		os.Exit(exitNotRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
--- a/review/stand2/newserver.go
+++ b/review/6/stand/newserver.go
@@ -129,5 +129,5 @@
 const (
 	// cutLength is that of core_cut in the site file, and rollGap that of roll_term.
 	cutLength = 5500 * time.Millisecond
-	rollGap   = 1000 * time.Millisecond
+	rollGap   = 1200 * time.Millisecond
 )
--- a/review/stand2/twice.go
+++ b/review/6/stand/twice.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	_ "embed" // For the forms of the platform's texts.
 	"encoding/json"
 	"time"
 
@@ -12,6 +13,11 @@
 
 func init() { cases["restarted-twice"] = playRestartedTwice }
 
+// manifestLimits are the limits of the manifest.
+//
+//go:embed limits.json
+var manifestLimits string
+
 const receipts = "receipts"
 
 // writeManifest writes a manifest with the services of two routes.
@@ -34,7 +40,7 @@
 	if err := json.Unmarshal(text, &document); err != nil {
 		return nil, err
 	}
-	document["limits"] = map[string]any{"idle" + "TimeoutMs": 15000}
+	document["limits"] = json.RawMessage(manifestLimits)
 	if text, err = json.Marshal(document); err != nil {
 		return nil, err
 	}
