--- a/review/6/stand/cuts.go
+++ b/review/6/stand/cuts.go
@@ -22,8 +22,7 @@
 	if err := w.startCallers(route, map[string]int{"a": 4, "b": 16, "c": 4, "d": 4}, 6, 20*time.Second); err != nil {
 		return err
 	}
-	const overlap = 0.4
-	second := 8 + cutLength.Seconds() - overlap
+	second := 8 + cutLength.Seconds()
 	cut := func(seconds float64, zone string, on bool) {
 		at(seconds)
 		if trouble {
@@ -31,8 +30,8 @@
 		}
 	}
 	cut(8, "c", true)
+	cut(second, "c", false)
 	cut(second, "a", true)
-	cut(8+cutLength.Seconds(), "c", false)
 	at(second + 4)
 	w.terminate(balancers["b"])
 	cut(second+cutLength.Seconds(), "a", false)
