--- a/runner/agent.go
+++ b/runner/agent.go
@@ -184,7 +184,7 @@
 			a.roster.Expire(now)
 		}),
 	}
-	a.Log.Info(gooseberrymast.EventStarted).Str("role", "agent").Str("zone", a.Settings.Zone).
+	a.Log.Info(gooseberrymast.EventStarted).Str("role", "agent").Str("zone", a.Settings.Zone).Str("build", buildName()).
 		Str("service", a.Settings.Service).Msg("")
 	<-ctx.Done()
 	a.drain()
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -122,7 +122,7 @@
 		b.Timer.Every(eraCheckInterval, func(now time.Time) { b.handleSettledEra(workCtx, now) }),
 	}
 	go b.reportPeriodically(workCtx, balancerReportInterval)
-	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Msg("")
+	b.Log.Info(gooseberrymast.EventStarted).Str("role", "balancer").Str("zone", b.Settings.Zone).Str("build", buildName()).Msg("")
 	<-ctx.Done()
 	b.drain()
 	for _, stop := range stops {
