Store: an odd object costs nothing that stands beside it

What operators of similar systems saw: another writer left one odd entry among those of the hosts, and the machines that read the list ended again and again or stopped following it. Here no process ended, but a list with one entry that is nested 20,000 levels deep, or isn't valid JSON, read as nothing at all.

Cause: encoding/json checks a whole response before it decodes any of it, and refuses more than 10,000 levels. A page without a readable name ended the list, which passed for complete.

Change: responses are split by brackets and quotes only, and objects are decoded one by one; one whose value can't be decoded is returned with it, so that its reader sees the key.

No watch of the store is used here.

--- a/store.go
+++ b/store.go
@@ -12,6 +12,9 @@
 	ErrStoreNotFound    = errors.New("no such object")
 	ErrStoreUnavailable = errors.New("the store is unavailable")
 	ErrStoreUnknown     = errors.New("the write's outcome is unknown")
+	// ErrStoreListCut means that a list lacks the objects after those returned: it is no
+	// proof that others don't exist.
+	ErrStoreListCut = errors.New("the list was cut short")
 )
 
 // Object is one value in the platform's store.
@@ -33,7 +36,10 @@
 type ObjectStore interface {
 	// Get reads one object, or fails with ErrStoreNotFound.
 	Get(ctx context.Context, key string) (Object, error)
-	// List reads the objects whose keys start with prefix, sorted by key.
+	// List reads the objects whose keys start with prefix, sorted by key. An error may
+	// accompany objects: others could not be decoded, and, with ErrStoreListCut, those
+	// after them are missing. An object whose value can't be decoded is returned with a
+	// value that is no JSON if its key is known.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Put writes the object when the stored version equals expected (zero:
 	// the key is absent) and returns the new version. It fails with
