--- a/coordination/relayer/question.go
+++ b/coordination/relayer/question.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,6 +19,12 @@
 	// maxAsked bounds the agents that are asked at a time. The others have their turn
 	// once these have answered or were asked roster.MaxQuestions times.
 	maxAsked = 256
+	// askAgainAfter is the time between two questions to an agent that has left
+	// roster.MaxQuestions unanswered. The process may have been cut off meanwhile without
+	// knowing it; it is in touch again only after twice this time.
+	askAgainAfter = 2 * time.Second
+	// maxAskedAgain bounds the agents that are asked again at a time.
+	maxAskedAgain = 32
 	// claimDelay is the time for which a peer must have left questions unanswered before
 	// its silence begins to count for those that are told of it: questions may get lost.
 	claimDelay = time.Second
@@ -37,14 +44,26 @@
 		after = askAfter
 	}
 	var asked []gooseberrymast.Endpoint
+	var again []roster.Entry
 	for _, entry := range entries {
-		if r.isUnheard(entry, after, now) && (entry.Questions < roster.MaxQuestions || entry.AskedSince.Before(listening.Since)) {
+		switch {
+		case !r.isUnheard(entry, after, now):
+		case entry.Questions < roster.MaxQuestions || entry.AskedSince.Before(listening.Since):
 			asked = append(asked, entry.Endpoint)
+		case now.Sub(entry.AskedAt) >= askAgainAfter:
+			again = append(again, entry)
 		}
 	}
 	r.asking = len(asked) > 0
 	slices.SortFunc(asked, gooseberrymast.Endpoint.Compare)
-	return asked[:min(len(asked), maxAsked)]
+	asked = asked[:min(len(asked), maxAsked)]
+	slices.SortFunc(again, func(a, b roster.Entry) int {
+		return cmp.Or(a.AskedAt.Compare(b.AskedAt), a.Endpoint.Compare(b.Endpoint))
+	})
+	for _, entry := range again[:min(len(again), maxAskedAgain)] {
+		asked = append(asked, entry.Endpoint)
+	}
+	return asked
 }
 
 // Asking reports whether agents of other zones were to be asked when Questions last
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -65,7 +65,7 @@
 	var reporting []roster.Entry
 	mostReporting := s.HasMostReports(now)
 	allowed := s.everAllowed(address)
-	listening := s.Roster.Listening()
+	listening := s.Roster.Hearing()
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == excluded:
@@ -196,7 +196,7 @@
 	case entry.State == gooseberrymast.StateGone:
 		return true
 	}
-	return silentTooLong(entry, s.Roster.Listening()) && s.HasMostReports(now)
+	return silentTooLong(entry, s.Roster.Hearing()) && s.HasMostReports(now)
 }
 
 func silentTooLong(entry roster.Entry, listening roster.Listening) bool {
@@ -214,15 +214,5 @@
 
 // HasMostReports reports whether at least half of the agents have reported recently.
 func (s *Steerer) HasMostReports(now time.Time) bool {
-	reporting, total := 0, 0
-	s.Roster.Each(func(entry roster.Entry) {
-		if entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone {
-			return
-		}
-		total++
-		if entry.Reporting(now) {
-			reporting++
-		}
-	})
-	return reporting > 0 && 2*reporting >= total
+	return s.Roster.HearsMost(now)
 }
--- a/runner/report.go
+++ b/runner/report.go
@@ -94,7 +94,7 @@
 		return
 	}
 	b.zoneChanged.Store(false)
-	entries, self, listening := b.relayEntries(), b.ownPeer(), b.roster.Listening()
+	entries, self, listening := b.relayEntries(), b.ownPeer(), b.roster.Hearing()
 	summary, recipients := b.relayer.Summary(entries, self, listening, now)
 	asked := b.relayer.Questions(entries, self, listening, now)
 	substitutes, balancers := b.relayer.Substitutes(entries, self, listening, now)
--- a/state/roster/entry.go
+++ b/state/roster/entry.go
@@ -17,7 +17,7 @@
 	// become relays after the loss of all, plus one lost summary.
 	StaleViewAfter = 2 * time.Second
 	// MaxQuestions is the number of questions to a peer after which its silence counts,
-	// and no more are sent: at the interval of the balancers' reports, 0.4 s, they take
+	// and few more are sent: at the interval of the balancers' reports, 0.4 s, they take
 	// 3.6 s. A live peer answers each with four reports or more, so that a link which
 	// loses half of all messages hides one of 600 live peers.
 	MaxQuestions = 10
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -30,8 +30,8 @@
 	entries map[gooseberrymast.Endpoint]Entry
 	digests gooseberrymast.RosterDigests
 	// complete is set once the store's complete list was merged.
-	complete  bool
-	listening Listening
+	complete           bool
+	listening, hearing Listening
 }
 
 // HandleReport updates a peer from its own report. It returns whether the peer is
@@ -135,7 +135,8 @@
 		if !found {
 			continue
 		}
-		if now.Sub(entry.AskedAt) > maxQuestionGap || entry.AskedSince.Before(r.listening.Since) {
+		interrupted := entry.Questions < MaxQuestions && now.Sub(entry.AskedAt) > maxQuestionGap
+		if interrupted || entry.AskedSince.Before(r.hearing.Since) {
 			entry.AskedSince, entry.Questions = now, 0
 		}
 		entry.AskedAt = now
