--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -79,9 +79,11 @@
 	recorded      map[gooseberrymast.Endpoint]struct{}
 	servedChanges int
 	// stored holds the addresses that the entry is certain to name, once entryKnown is
-	// set: the agent has read or written it. wanted holds those of refused flows.
-	stored, wanted map[gooseberrymast.Endpoint]struct{}
-	entryKnown     bool
+	// set: the agent has read or written it, with the times from which flows of them may be
+	// taken. wanted holds those of refused flows that it lacks.
+	stored     map[gooseberrymast.Endpoint]time.Time
+	wanted     map[gooseberrymast.Endpoint]struct{}
+	entryKnown bool
 	// refused holds new flows that could be taken a moment later.
 	refused refusals
 }
@@ -150,7 +152,7 @@
 		return d.deliver(f, header, hop, now)
 	}
 	if header.Opens {
-		if reason, definite := d.refusal(hop, key, server, routes); reason != "" {
+		if reason, definite := d.refusal(hop, key, server, routes, now); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
 		offer := d.flowOffer(header, hop, server, routes)
@@ -270,8 +272,7 @@
 
 // mayHold reports whether the server may hold a flow that the agent doesn't: it has
 // taken flows of the address, under this incarnation of the agent or an earlier one, or
-// the routes allow it. An earlier agent may have been stopped before it could record an
-// address that was new.
+// the routes allow it.
 func (d *Deliverer) mayHold(key gooseberrymast.FlowKey, service string, routes *gooseberrymast.Routes) bool {
 	if _, served := d.served[key.Service]; served {
 		return true
--- a/coordination/deliverer/offer.go
+++ b/coordination/deliverer/offer.go
@@ -21,7 +21,7 @@
 // refusal returns the reason for which a new flow is not taken, or "". It is
 // definite if the server has not seen the flow and won't take it a moment later.
 func (d *Deliverer) refusal(hop gooseberrymast.Hop, key gooseberrymast.FlowKey, server Server,
-	routes *gooseberrymast.Routes) (reason Reason, definite bool) {
+	routes *gooseberrymast.Routes, now time.Time) (reason Reason, definite bool) {
 	switch {
 	case server.Evacuated:
 		return ReasonZoneEvacuated, true
@@ -45,7 +45,7 @@
 	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
-	if !d.isRecorded(key.Service) {
+	if !d.isRecorded(key.Service, now) {
 		return ReasonNotRecorded, false
 	}
 	return "", true
--- a/coordination/deliverer/served.go
+++ b/coordination/deliverer/served.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"gooseberrymast"
 )
@@ -92,38 +93,51 @@
 			d.setRecorded(address)
 		}
 	}
-	maps.DeleteFunc(d.stored, func(address gooseberrymast.Endpoint, _ struct{}) bool {
+	maps.DeleteFunc(d.stored, func(address gooseberrymast.Endpoint, _ time.Time) bool {
 		_, recorded := d.recorded[address]
 		return !recorded
 	})
 	return sortedEndpoints(d.recorded)
 }
 
+// RecordedBefore is how long an agent's entry must have named an address before the agent
+// takes its first flow of it: a list of entries that a balancer began to read somewhat
+// later (steerer.EntriesFresh) then names every agent that may hold a flow.
+const RecordedBefore = 350 * time.Millisecond
+
 // HandleStored processes the addresses that the agent's entry names, as it was read from
-// the store or written to it. From then on a new flow is taken only if the entry names
-// its address: a later agent and balancers that start must not conclude from it that the
-// server holds no flow of the address. Before, the agent doesn't know what an earlier one
-// recorded, and takes flows without.
-func (d *Deliverer) HandleStored(addresses []gooseberrymast.Endpoint) {
+// the store or written to it, and the time from which flows of new ones may be taken. From
+// then on a new flow is taken only if the entry names its address: a later agent and
+// balancers must not conclude from it that the server holds no flow of the address. Before,
+// the agent doesn't know what an earlier one recorded, and takes flows without.
+func (d *Deliverer) HandleStored(addresses []gooseberrymast.Endpoint, usableAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entryKnown, d.stored = true, map[gooseberrymast.Endpoint]struct{}{}
+	before := d.stored
+	d.entryKnown, d.stored = true, map[gooseberrymast.Endpoint]time.Time{}
 	for _, address := range addresses {
-		if _, recorded := d.recorded[address]; recorded {
-			d.stored[address] = struct{}{}
-			delete(d.wanted, address)
+		if _, recorded := d.recorded[address]; !recorded {
+			continue
+		}
+		d.stored[address] = usableAt
+		if since, known := before[address]; known && since.Before(usableAt) {
+			d.stored[address] = since
 		}
+		delete(d.wanted, address)
 	}
 }
 
-// isRecorded reports whether the entry names an address. If it doesn't, its next write
-// will.
-func (d *Deliverer) isRecorded(address gooseberrymast.Endpoint) bool {
-	if _, stored := d.stored[address]; stored || !d.entryKnown {
+// isRecorded reports whether the entry has named a flow's address for long enough. If it
+// doesn't name it, its next write will.
+func (d *Deliverer) isRecorded(address gooseberrymast.Endpoint, now time.Time) bool {
+	if !d.entryKnown {
 		return true
 	}
-	d.want(address)
-	return false
+	usableAt, stored := d.stored[address]
+	if !stored {
+		d.want(address)
+	}
+	return stored && !now.Before(usableAt)
 }
 
 func (d *Deliverer) want(address gooseberrymast.Endpoint) {
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -96,7 +96,7 @@
 func TestFlowIsTakenOnlyOnceItsAddressIsRecorded(t *testing.T) {
 	is := is.New(t)
 	var d Deliverer
-	d.HandleStored(d.Record("ledger", routes))
+	d.HandleStored(d.Record("ledger", routes), epoch)
 	takes := func(at gooseberrymast.Endpoint) Step {
 		header, hop := opening(), placeHop()
 		header.Destination, hop.Version.Number = at, 6
@@ -114,7 +114,7 @@
 	is.Equal(d.ServedChanges(), before+1)
 	recorded := d.Record("ledger", routes)
 	is.Equal(takes(at).Reason, ReasonNotRecorded) // the store may refuse the write
-	d.HandleStored(recorded)
+	d.HandleStored(recorded, epoch)
 	is.Equal(takes(at).Action, ToServer)
 	is.True(!d.HandleDocument("ledger", later))
 	is.Equal(takes(address).Action, ToServer)
@@ -125,14 +125,27 @@
 	is := is.New(t)
 	var d Deliverer
 	before := d.Record("ledger", routes)
-	d.HandleStored(before)
+	d.HandleStored(before, epoch)
 	d.Record("ledger", nil)
 	hop := placeHop()
 	is.Equal(d.FromPeer(opening(), hop, ledger, routes, epoch).Reason, ReasonNotRecorded)
-	d.HandleStored(before) // of an earlier write
+	d.HandleStored(before, epoch) // of an earlier write
 	is.Equal(d.FromPeer(opening(), hop, ledger, routes, epoch).Reason, ReasonNotRecorded)
 }
 
+// Guards against flows of an address that a list of the store's entries lacks although a
+// balancer takes it for fresh: the entry names the address a moment before the first flow.
+func TestFlowIsTakenOnlySomeTimeAfterItsAddressIsRecorded(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	d.HandleStored(nil, epoch)
+	d.HandleStored(d.Record("ledger", routes), epoch.Add(RecordedBefore))
+	early := epoch.Add(RecordedBefore - 1)
+	is.Equal(d.FromPeer(opening(), placeHop(), ledger, routes, early).Reason, ReasonNotRecorded)
+	d.HandleStored(d.Record("ledger", routes), early.Add(RecordedBefore)) // a later write changes nothing
+	is.Equal(d.FromPeer(opening(), placeHop(), ledger, routes, epoch.Add(RecordedBefore)).Action, ToServer)
+}
+
 // A restarted agent that can't read its entry must not leave its server without flows.
 func TestFlowsAreTakenWhileTheEntryIsUnknown(t *testing.T) {
 	is := is.New(t)
--- a/coordination/steerer/newcomer_test.go
+++ b/coordination/steerer/newcomer_test.go
@@ -124,6 +124,7 @@
 	for len(m.packets) > 0 {
 		m.deliver(0)
 	}
+	m.concludeWalks()
 }
 
 func openFlow(m *model, b *balancerModel, port uint16) {
--- a/coordination/steerer/owner_test.go
+++ b/coordination/steerer/owner_test.go
@@ -78,7 +78,7 @@
 	f.owners.Record(packet(false).FromCaller(), agent(1), epoch)
 	at := epoch.Add(GoneAfter + time.Millisecond)
 	f.report(agent(2), "receipts", gooseberrymast.StateReady, at)
-	step := f.steerer.FromCaller(nil, packet(false), at)[0]
+	step := f.readEntries(f.steerer.FromCaller(nil, packet(false), at))[0]
 	is.Equal(step.Action, Reset)
 	is.Equal(step.Reason, ReasonNoHolder)
 }
--- a/coordination/steerer/proof_class_test.go
+++ b/coordination/steerer/proof_class_test.go
@@ -1,6 +1,9 @@
 package steerer_test
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // holdsEach fails unless no flow that its server holds was reset and the servers hold some.
 func (o *order) holdsEach(t *testing.T) {
@@ -18,6 +21,28 @@
 	}
 }
 
+// Guards against the reset of flows of a new agent that the asked balancer was never told
+// of, since the only balancer of the agent's zone is cut off.
+func TestFlowOfNewAgentBehindCutBalancerSurvives(t *testing.T) {
+	o := newOrder(1)
+	o.cutBalancers("c", cutTime)
+	o.addAgentOf("ledger", "c")
+	added := o.agents[len(o.agents)-1]
+	o.announce(added)
+	o.rest(2 * time.Second)
+	for len(added.server.opened) == 0 && o.ports < 100 {
+		o.ports++
+		openFlow(o.model, o.balancers[2], o.ports)
+	}
+	if len(added.server.opened) == 0 {
+		t.Fatal("the new agent has taken no flow")
+	}
+	for by := range o.balancers {
+		o.useFlows(by)
+	}
+	o.holdsEach(t)
+}
+
 // Guards against the reset of flows of a zone whose only balancer is cut off, by a balancer
 // whose questions to that zone's agents were lost in its own cut, which has ended.
 func TestFlowsSurviveQuestionsThatWereLostInOwnCut(t *testing.T) {
@@ -30,3 +55,32 @@
 	o.useFlows(2)
 	o.holdsEach(t)
 }
+
+// Guards against the reset of flows of a service that was allowed only by a document which
+// the asked balancer missed.
+func TestFlowOfMissedDocumentSurvives(t *testing.T) {
+	o := newOrder(1)
+	asked := o.balancers[1]
+	o.pause(asked, pauseTime, 0)
+	o.changeDocument("ledger", "receipts")
+	o.rest(time.Second)
+	o.openFlows(40)
+	o.changeDocument("ledger")
+	o.rest(pauseTime)
+	for _, a := range o.agents {
+		if a.self.Service == "receipts" {
+			o.restartAgent(a)
+		}
+	}
+	for _, b := range o.balancers {
+		if b != asked {
+			o.rest(balancerDrain)
+			o.startBalancer(b)
+		}
+	}
+	o.rest(stableWindow + tick)
+	for by := range o.balancers {
+		o.useFlows(by)
+	}
+	o.holdsEach(t)
+}
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -73,6 +73,9 @@
 	// says.
 	stored bool
 	served []gooseberrymast.Endpoint
+	// writer is the incarnation of the process that wrote the entry, and version counts
+	// the writes.
+	writer, version uint64
 	// refusedUntil is until when the store refuses the agent's calls, and registered is
 	// set once the agent has read its entry.
 	refusedUntil time.Time
@@ -261,12 +264,12 @@
 	a.registered = true
 	if !a.stored || !a.lostAt.IsZero() {
 		a.tracker.SetNoPredecessor()
-		a.deliverer.HandleStored(nil)
+		a.deliverer.HandleStored(nil, m.now)
 		return
 	}
 	a.tracker.RestoreIncarnation(a.recorded)
 	a.deliverer.Restore(a.served, true)
-	a.deliverer.HandleStored(a.served)
+	a.deliverer.HandleStored(a.served, m.now)
 }
 
 // loseEntry lets a late call of an earlier agent at the address, of an earlier build,
@@ -308,20 +311,40 @@
 		Self: b.self.Endpoint, Zone: b.self.Zone, Roster: b.roster, Owners: b.owners, Random: m.random,
 	}
 	b.steerer.SetRoutes(m.routes())
+	m.readEntries(b)
+	for _, other := range m.balancers {
+		if other != b {
+			b.roster.Merge([]gooseberrymast.Peer{other.self}, m.now)
+		}
+	}
+	b.roster.MarkComplete()
+}
+
+// readEntries lets a balancer read the store's list.
+func (m *model) readEntries(b *balancerModel) {
+	var list []roster.Stored
 	for _, a := range m.agents {
 		if a.stored {
 			listed := a.self
 			listed.Incarnation, listed.Sequence, listed.State = 0, 0, gooseberrymast.StateStarting
-			b.roster.Merge([]gooseberrymast.Peer{listed}, m.now)
-			b.roster.SetStored(listed.Endpoint, a.served, 1)
+			list = append(list, roster.Stored{Peer: listed, Incarnation: a.writer, Served: a.served, Version: a.version})
 		}
 	}
-	for _, other := range m.balancers {
-		if other != b {
-			b.roster.Merge([]gooseberrymast.Peer{other.self}, m.now)
+	b.roster.HandleStored(list, m.now)
+}
+
+// concludeWalks lets balancers read the store's list for the walks that wait for it.
+func (m *model) concludeWalks() {
+	for _, b := range m.balancers {
+		cut := m.now.Before(m.cutUntil[b.self.Zone])
+		if cut || m.now.Before(b.pausedUntil) || !b.steerer.AwaitsEntries(m.now) {
+			continue
+		}
+		m.readEntries(b)
+		for _, step := range b.steerer.HandleEntries(nil, m.now, true, m.now) {
+			m.executeBalancer(b, []steerer.Step{step}, step.CallerHeader)
 		}
 	}
-	b.roster.MarkComplete()
 }
 
 // announce lets an agent's server announce itself.
@@ -381,7 +404,13 @@
 		return
 	}
 	a.stored, a.served, a.lostAt, a.recorded = true, served, time.Time{}, a.tracker.Incarnation()
-	a.deliverer.HandleStored(served)
+	a.writer = a.self.Incarnation
+	a.version++
+	usableAt := m.now.Add(deliverer.RecordedBefore)
+	if m.now.Equal(time.Unix(1000, 0)) {
+		usableAt = m.now
+	}
+	a.deliverer.HandleStored(served, usableAt)
 }
 
 func (m *model) send(p packet) {
--- a/coordination/steerer/proof_orders_test.go
+++ b/coordination/steerer/proof_orders_test.go
@@ -20,8 +20,20 @@
 	return o
 }
 
-// cutTime is the length of a cut.
-const cutTime = 5600 * time.Millisecond
+// cutTime is the length of a cut, and pauseTime that of a pause.
+const (
+	cutTime   = 5600 * time.Millisecond
+	pauseTime = 4 * time.Second
+)
+
+// restartAgent restarts an agent as planned, unless it is away.
+func (o *order) restartAgent(a *agentModel) {
+	if !o.now.Before(a.downUntil) {
+		o.restartAsPlanned(a, 2*tick)
+		o.rest(3 * tick)
+		o.announce(a)
+	}
+}
 
 // openFlows opens flows by the balancers in turn.
 func (o *order) openFlows(count int) {
--- a/coordination/steerer/proof_reports_test.go
+++ b/coordination/steerer/proof_reports_test.go
@@ -45,6 +45,7 @@
 		}
 	}
 	m.read()
+	m.concludeWalks()
 }
 
 // rest lets time pass without a packet of a caller.
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -4,7 +4,8 @@
 // balancers may lose their state at once while servers and callers keep their
 // flows. A flow whose owner is not recorded is searched for by a walk over every
 // agent that may hold it. It is reset only after each of these agents has
-// answered definitely that it doesn't hold it; the reset lets the caller fail
+// answered definitely that it doesn't hold it, and the store's entries, read after
+// the packet arrived, name no other agent that may; the reset lets the caller fail
 // at once instead of at its deadline.
 package steerer
 
@@ -31,6 +32,9 @@
 	Forward
 	// Reset sends the caller a reset of the flow.
 	Reset
+	// ReadEntries reads the entries of all instances in the store and passes the outcome
+	// to HandleEntries: a search has found no holder.
+	ReadEntries
 )
 
 // Reason says why a packet is not forwarded.
@@ -56,6 +60,14 @@
 	// ReasonHolderUnknown: the walk found no holder, but not every agent has
 	// answered definitely.
 	ReasonHolderUnknown Reason = "holder-unknown"
+	// ReasonEntriesAwaited: the walk found no holder, and the store's entries are read to
+	// see whether all agents that may hold the flow were asked.
+	ReasonEntriesAwaited Reason = "entries-awaited"
+	// ReasonHolderNotAsked: the store's entries name an agent that may hold the flow and
+	// was not asked.
+	ReasonHolderNotAsked Reason = "holder-not-asked"
+	// ReasonEntriesIncomplete: the list of entries that was read may lack some.
+	ReasonEntriesIncomplete Reason = "entries-incomplete"
 )
 
 // Step is a decision on one packet.
@@ -104,6 +116,10 @@
 	// id.
 	walks      map[uint32]*walk
 	lastWalkID uint32
+	// denied holds the walks that have found no holder and wait for the store's entries.
+	denied []*walk
+	// entriesAt is when the last complete read of the store's entries began.
+	entriesAt time.Time
 	// reporting and silent are reused buffers of candidates.
 	reporting, silent []chooser.Candidate
 
@@ -124,10 +140,11 @@
 type walk struct {
 	header        gooseberrymast.PacketHeader
 	pendingChains int
-	// definite is set while all agents that may hold the flow were queried and
-	// each that has answered did so definitely.
+	// definite is set while each agent that has answered did so definitely.
 	definite bool
 	started  time.Time
+	// asked are the agents that were queried, with one that had returned the packet.
+	asked []gooseberrymast.Endpoint
 }
 
 // SetRoutes applies routes unless those in force are newer, and reports whether it did.
@@ -201,7 +218,7 @@
 			return append(steps, Step{Action: Forward, To: lookup, Hop: hop})
 		}
 	}
-	return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, now)
+	return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, false, now)
 }
 
 // FromPeer decides on a packet that a peer sent and appends the steps to take.
@@ -214,10 +231,10 @@
 			hop.Mode, hop.NotifyOrigin = gooseberrymast.HopDeliver, true
 			return s.deliver(steps, header, owner, hop, now)
 		}
-		return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, now)
+		return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, false, now)
 	case gooseberrymast.HopReturn:
 		s.Owners.Forget(key, sender)
-		return s.walk(steps, header, hop, sender, now)
+		return s.walk(steps, header, hop, sender, hop.Definite, now)
 	case gooseberrymast.HopAbsent:
 		return s.handleAbsent(steps, hop, now)
 	}
@@ -234,7 +251,7 @@
 	}
 	s.Owners.Forget(header.FromCaller(), owner)
 	first := len(steps)
-	steps = s.walk(steps, header, hop, owner, now)
+	steps = s.walk(steps, header, hop, owner, false, now)
 	for i := first; i < len(steps); i++ {
 		if steps[i].Action == Forward {
 			steps[i].Reason = ReasonOwnerGone
@@ -292,7 +309,7 @@
 		Candidates: chosen[1:],
 	}
 	if header.Copy == 0 {
-		hop.Initiator, hop.Walk = s.Self, s.beginWalk(header, 1, true, now)
+		hop.Initiator, hop.Walk = s.Self, s.beginWalk(&walk{header: header, pendingChains: 1, definite: true, started: now}, now)
 	}
 	return Step{Action: Forward, To: chosen[0], Hop: hop}
 }
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -120,11 +120,25 @@
 	for _, step := range steps {
 		hop := step.Hop
 		hop.Mode, hop.Definite, hop.Candidates = gooseberrymast.HopAbsent, definite, nil
-		last = f.steerer.FromPeer(nil, packet(false), hop, step.To, epoch)
+		last = f.readEntries(f.steerer.FromPeer(nil, packet(false), hop, step.To, epoch))
 	}
 	return last
 }
 
+// readEntries replaces each step that reads the store's entries by those that follow if
+// they name no other agents.
+func (f *fixture) readEntries(steps []Step) (all []Step) {
+	for _, step := range steps {
+		if step.Action != ReadEntries {
+			all = append(all, step)
+			continue
+		}
+		now := f.roster.Listening().Until
+		all = f.steerer.HandleEntries(all, now, f.roster.IsComplete(), now)
+	}
+	return all
+}
+
 func TestRetransmittedOpeningPacketsKeepTheirAgent(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(5)
@@ -285,7 +299,9 @@
 	step := f.steerer.FromCaller(nil, packet(false), epoch)[0]
 	is.Equal(1+len(step.Hop.Candidates), 2) // ledger and receipts
 
-	f.roster.SetStored(agent(3), []gooseberrymast.Endpoint{address}, 1)
+	f.roster.HandleStored([]roster.Stored{{
+		Peer: gooseberrymast.Peer{Endpoint: agent(3), Role: gooseberrymast.RoleAgent}, Served: []gooseberrymast.Endpoint{address}, Version: 1,
+	}}, epoch)
 	step = f.steerer.FromCaller(nil, packet(false), epoch)[0]
 	is.Equal(1+len(step.Hop.Candidates), 3) // agent 3 is stored as having served the address
 }
@@ -367,24 +383,60 @@
 	is.Equal(f.steerer.FromCaller(nil, packet(false), at)[0].Action, Forward) // it receives reports from one of four
 }
 
-// A restarted balancer receives reports and begins a walk before it has read
-// from the store which other agents may hold the flow. The answers to this walk
-// must not reset the flow, although they arrive after the list was read.
-func TestWalkBegunBeforePeerListIsReadResetsNothing(t *testing.T) {
+// A balancer knows too few agents when it begins a walk: it has just started, or has missed
+// messages. That all of them deny the flow must not reset it: only a list of the store's
+// entries that was read after the packet arrived shows whether there are others.
+func TestWalkOverTooFewAgentsResetsNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(3)
-	f.roster = roster.Roster{}
-	f.roster.StartListening(epoch)
-	for number := 1; number <= 3; number++ {
-		f.report(agent(number), "ledger", gooseberrymast.StateReady, epoch)
+	begin := func() []Step { return f.steerer.FromCaller(nil, packet(false), epoch) }
+	deny := func(steps []Step) (last []Step) {
+		for _, step := range steps {
+			hop := step.Hop
+			hop.Mode, hop.Candidates = gooseberrymast.HopAbsent, nil
+			last = f.steerer.FromPeer(nil, packet(false), hop, step.To, epoch)
+		}
+		return last
 	}
-	begun := f.steerer.FromCaller(nil, packet(false), epoch)
-	f.roster.MarkComplete()
-	steps := f.answerWalk(begun, true)
+	last := deny(begin())
+	is.Equal(len(last), 1)
+	is.Equal(last[0].Action, ReadEntries)
+	is.Equal(len(f.steerer.HandleEntries(nil, epoch.Add(-EntriesFresh-1), true, epoch)), 0) // this list is too old
+	is.True(f.steerer.AwaitsEntries(epoch))
+	steps := f.steerer.HandleEntries(nil, epoch, false, epoch)
+	is.Equal(len(steps), 1)
+	is.Equal(steps[0].Action, Drop)
+	is.Equal(steps[0].Reason, ReasonEntriesIncomplete)
+	is.True(!f.steerer.AwaitsEntries(epoch))
+
+	deny(begin())
+	f.roster.HandleStored([]roster.Stored{{
+		Peer:   gooseberrymast.Peer{Endpoint: agent(4), Role: gooseberrymast.RoleAgent, Service: "receipts", Zone: "a"},
+		Served: []gooseberrymast.Endpoint{address}, Version: 7,
+	}}, epoch)
+	steps = f.steerer.HandleEntries(nil, epoch, true, epoch)
 	is.Equal(len(steps), 1)
 	is.Equal(steps[0].Action, Drop)
-	is.Equal(steps[0].Reason, ReasonHolderUnknown)
+	is.Equal(steps[0].Reason, ReasonHolderNotAsked)
+
+	begun := begin() // the next packet's walk queries all agents
+	is.True(slices.Contains(slices.Concat(walkChains(begun)...), agent(4)))
+	last = deny(begun) // the last list is fresh
+	is.Equal(len(last), 1)
+	is.Equal(last[0].Action, Reset)
+	is.Equal(last[0].Reason, ReasonNoHolder)
+}
 
-	steps = f.answerWalk(f.steerer.FromCaller(nil, packet(false), epoch), true)
-	is.Equal(steps[0].Action, Reset) // the next packet's walk queries all agents
+// Nobody holds a flow, and the store can't be read: the search ends without a reset, and
+// the balancer keeps no state of it.
+func TestSearchEndsWhileStoreCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	hop := f.steerer.FromCaller(nil, packet(false), epoch)[0].Hop
+	hop.Mode = gooseberrymast.HopAbsent
+	is.Equal(f.steerer.FromPeer(nil, packet(false), hop, agent(1), epoch)[0].Action, ReadEntries)
+	is.True(f.steerer.AwaitsEntries(epoch.Add(walkTimeout - 1)))
+	late := epoch.Add(walkTimeout)
+	is.True(!f.steerer.AwaitsEntries(late))
+	is.Equal(len(f.steerer.HandleEntries(nil, late, true, late)), 0)
 }
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -9,23 +9,30 @@
 	"gooseberrymast/state/roster"
 )
 
-// walk searches for the holder of a flow at every agent that may hold it, except
-// for one that has just returned the packet.
+// walk searches for the holder of a flow at every agent that may hold it. owner is the
+// agent that was known to hold it, if any; denied is set if that agent has just answered
+// definitely that it doesn't.
 func (s *Steerer) walk(steps []Step, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
-	excluded gooseberrymast.Endpoint, now time.Time) []Step {
-	// Read before the agents are listed: the stored list of peers may complete
-	// at any moment, and agents listed before that may be too few.
-	complete := s.Roster.IsComplete()
-	answering, doubtful := s.possibleHolders(header.Destination, excluded, now)
+	owner gooseberrymast.Endpoint, denied bool, now time.Time) []Step {
+	w := &walk{header: header, definite: true, started: now}
+	if denied {
+		w.asked = append(w.asked, owner)
+	}
+	answering, doubtful := s.possibleHolders(header.Destination, w.asked, now)
+	w.asked = slices.Concat(w.asked, answering, doubtful)
 	chains := appendChains(nil, answering, gooseberrymast.MaxCandidates+1)
 	chains = appendChains(chains, doubtful, min(gooseberrymast.MaxCandidates+1, (len(doubtful)+maxDoubtfulChains-1)/maxDoubtfulChains))
 	if len(chains) == 0 {
-		if complete && !excluded.IsZero() {
-			return append(steps, Step{Action: Reset, CallerHeader: header, Reason: ReasonNoHolder})
+		if owner.IsZero() {
+			// The balancer may have just started.
+			return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
 		}
-		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return append(steps, s.awaitEntries(w, now))
 	}
-	first := s.beginWalk(header, len(chains), complete, now)
+	w.pendingChains = len(chains)
+	first := s.beginWalk(w, now)
 	for i, chain := range chains {
 		steps = append(steps, Step{Action: Forward, To: chain[0], Hop: gooseberrymast.Hop{
 			Mode:         gooseberrymast.HopWalk,
@@ -41,6 +48,73 @@
 	return steps
 }
 
+// EntriesFresh is the time for which a list of the store's entries names every agent that
+// may hold a flow of which a packet arrives: an agent takes a flow only once its entry has
+// named the flow's address for longer (deliverer.RecordedBefore).
+const EntriesFresh = 250 * time.Millisecond
+
+// awaitEntries keeps a walk that has found no holder until the store's entries have been
+// read, and concludes it at once if this was done a moment ago. The list names every agent
+// that may hold the flow, whatever this balancer has missed. The caller must hold mu.
+func (s *Steerer) awaitEntries(w *walk, now time.Time) Step {
+	if !s.entriesAt.IsZero() && w.started.Sub(s.entriesAt) <= EntriesFresh {
+		return s.conclude(w, true, now)
+	}
+	if len(s.denied) == maxWalks {
+		s.denied = s.denied[1:]
+	}
+	s.denied = append(s.denied, w)
+	return Step{Action: ReadEntries, Reason: ReasonEntriesAwaited}
+}
+
+// conclude returns the step for a flow that all agents which were asked have denied, with
+// a list of entries that was fresh when its packet arrived.
+func (s *Steerer) conclude(w *walk, complete bool, now time.Time) Step {
+	answering, doubtful := s.possibleHolders(w.header.Destination, w.asked, now)
+	switch {
+	case !complete:
+		return Step{Action: Drop, CallerHeader: w.header, Reason: ReasonEntriesIncomplete}
+	case len(answering)+len(doubtful) > 0:
+		// It is asked when the caller retransmits the packet.
+		return Step{Action: Drop, CallerHeader: w.header, Reason: ReasonHolderNotAsked}
+	}
+	return Step{Action: Reset, CallerHeader: w.header, Reason: ReasonNoHolder}
+}
+
+// AwaitsEntries reports whether a walk waits for the store's entries.
+func (s *Steerer) AwaitsEntries(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpired(now)
+	return len(s.denied) > 0
+}
+
+// HandleEntries concludes the walks for which a list of the store's entries is fresh, whose
+// read began at a time and which is in the roster now, and appends the steps to take.
+// complete is set if the list is sure to have the entries of all instances.
+func (s *Steerer) HandleEntries(steps []Step, began time.Time, complete bool, now time.Time) []Step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if complete {
+		s.entriesAt = began
+	}
+	s.dropExpired(now)
+	s.denied = slices.DeleteFunc(s.denied, func(w *walk) bool {
+		fresh := w.started.Sub(began) <= EntriesFresh
+		if fresh {
+			steps = append(steps, s.conclude(w, complete, now))
+		}
+		return fresh
+	})
+	return steps
+}
+
+// dropExpired drops the walks that have waited too long for the store's entries. The
+// caller must hold mu.
+func (s *Steerer) dropExpired(now time.Time) {
+	s.denied = slices.DeleteFunc(s.denied, func(w *walk) bool { return now.Sub(w.started) >= walkTimeout })
+}
+
 // maxDoubtfulChains is the number of chains over the agents that may not answer. Up to
 // this number each of them has a chain of its own; a balancer's work for one packet
 // stays bounded when all agents are silent.
@@ -57,19 +131,19 @@
 }
 
 // possibleHolders returns the agents that may hold a flow of an address: those
-// of the services that the address's route allows or did allow, and those that
-// are stored as having served the address. Agents that are being stopped or whose
+// of the services that the address's route allows or did allow, and those whose entries
+// in the store name the address or can't be decoded. Agents that are being stopped or whose
 // report is late are doubtful: one that doesn't answer ends its chain, and the
-// packet would not reach those behind it.
-func (s *Steerer) possibleHolders(address, excluded gooseberrymast.Endpoint, now time.Time) (answering, doubtful []gooseberrymast.Endpoint) {
+// packet would not reach those behind it. Those that were asked before are left out.
+func (s *Steerer) possibleHolders(address gooseberrymast.Endpoint, asked []gooseberrymast.Endpoint, now time.Time) (answering, doubtful []gooseberrymast.Endpoint) {
 	var reporting []roster.Entry
 	mostReporting := s.HasMostReports(now)
 	allowed := s.everAllowed(address)
 	listening := s.Roster.Hearing()
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
-		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || entry.Endpoint == excluded:
-		case !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
+		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || slices.Contains(asked, entry.Endpoint):
+		case !entry.Unreadable && !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
 		case mostReporting && silentTooLong(entry, listening):
 		case entry.Reporting(now) && entry.ReportAge(now) <= lateReportAge && entry.State != gooseberrymast.StateLeaving:
 			reporting = append(reporting, entry)
@@ -95,8 +169,7 @@
 }
 
 // beginWalk records a walk and returns the id of its first chain; the others follow.
-// complete is set when the walk queries all agents that may hold the flow.
-func (s *Steerer) beginWalk(header gooseberrymast.PacketHeader, chains int, complete bool, now time.Time) uint32 {
+func (s *Steerer) beginWalk(w *walk, now time.Time) uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.walks == nil {
@@ -107,16 +180,15 @@
 	}
 	// Chains are dropped in the map's random order, up to the first one that has
 	// not timed out and leaves room for the new ones.
-	for id, w := range s.walks {
-		if len(s.walks)+chains <= maxWalks && now.Sub(w.started) < walkTimeout {
+	for id, other := range s.walks {
+		if len(s.walks)+w.pendingChains <= maxWalks && now.Sub(other.started) < walkTimeout {
 			break
 		}
 		delete(s.walks, id)
 	}
 	first := s.lastWalkID + 1
-	s.lastWalkID += uint32(chains)
-	w := &walk{header: header, pendingChains: chains, definite: complete, started: now}
-	for i := range uint32(chains) {
+	s.lastWalkID += uint32(w.pendingChains)
+	for i := range uint32(w.pendingChains) {
 		s.walks[first+i] = w
 	}
 	return first
@@ -145,7 +217,7 @@
 	case !w.definite:
 		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
 	case !w.header.Opens:
-		return append(steps, Step{Action: Reset, CallerHeader: w.header, Reason: ReasonNoHolder})
+		return append(steps, s.awaitEntries(w, now))
 	case now.Sub(w.started) >= firstRetransmission:
 		return append(steps, Step{Action: Drop, Reason: ReasonNoAgent})
 	}
@@ -156,6 +228,7 @@
 func (s *Steerer) Expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropExpired(now)
 	for id, w := range s.walks {
 		if now.Sub(w.started) >= walkTimeout {
 			delete(s.walks, id)
--- a/log_event.go
+++ b/log_event.go
@@ -23,6 +23,7 @@
 	EventEntryLost          LogEvent = "entry-lost"
 	EventPeersLoaded        LogEvent = "peers-loaded"
 	EventPeersNotLoaded     LogEvent = "peers-not-loaded"
+	EventEntriesRead        LogEvent = "entries-read"
 	EventPeerChanged        LogEvent = "peer-changed"
 	EventPeerForgotten      LogEvent = "peer-forgotten"
 	EventIncarnationRaised  LogEvent = "incarnation-raised"
@@ -90,7 +91,7 @@
 var LogEvents = []LogEvent{
 	EventStarted, EventStopping, EventStopped, EventSettingsReloaded, EventSettingsInvalid, EventStoreLost,
 	EventStoreRegained, EventStoreRestored, EventStoreUnreadable, EventRegistered, EventRegisterFailed, EventEntryNotUpdated,
-	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventPeerChanged, EventPeerForgotten,
+	EventEntryNotRemoved, EventEntryRemoved, EventEntryLost, EventPeersLoaded, EventPeersNotLoaded, EventEntriesRead, EventPeerChanged, EventPeerForgotten,
 	EventIncarnationRaised, EventZoneIsolated, EventZoneUnheard, EventRelayChanged, EventListeningResumed, EventStateChanged, EventReadinessChanged, EventDocumentInForce, EventDocumentAbsent,
 	EventDocumentOlder, EventDocumentConflict, EventDocumentUnreadable, EventEvacuationInForce, EventEvacuationEnded, EventEvacuationUnreadable,
 	EventServerChanged, EventServerRestarted, EventServerDeparted,
--- a/protocol/interpreter/record.go
+++ b/protocol/interpreter/record.go
@@ -22,8 +22,9 @@
 	// VerifiedEra and SettledEra are as in Served.
 	VerifiedEra uint64 `json:"verified-era,omitempty"`
 	SettledEra  uint64 `json:"settled-era,omitempty"`
-	// FlowRecords is as in Served.
-	FlowRecords bool `json:"flow-records,omitempty"`
+	// FlowRecords and Incarnation are as in Served.
+	FlowRecords bool   `json:"flow-records,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
 // Served holds what a process's entry in the store says about an agent's server, and
@@ -43,6 +44,9 @@
 	SettledEra uint64
 	// FlowRecords is set if the writer, a balancer, has written its zone's flow records.
 	FlowRecords bool
+	// Incarnation is that of the agent which wrote the entry; zero from a balancer or an
+	// earlier build.
+	Incarnation uint64
 }
 
 // EncodeRecord encodes a peer's value in the store.
@@ -57,6 +61,7 @@
 		VerifiedEra: served.VerifiedEra,
 		SettledEra:  served.SettledEra,
 		FlowRecords: served.FlowRecords,
+		Incarnation: served.Incarnation,
 	}
 	for _, address := range served.Addresses {
 		stored.Served = append(stored.Served, address.String())
@@ -76,7 +81,10 @@
 	if err := json.Unmarshal(value, &decoded); err != nil {
 		return gooseberrymast.Peer{}, Served{}, fmt.Errorf("interpreter.DecodeRecord: %w", err)
 	}
-	served := Served{Server: decoded.Server, VerifiedEra: decoded.VerifiedEra, SettledEra: decoded.SettledEra, FlowRecords: decoded.FlowRecords}
+	served := Served{
+		Server: decoded.Server, VerifiedEra: decoded.VerifiedEra, SettledEra: decoded.SettledEra, FlowRecords: decoded.FlowRecords,
+		Incarnation: decoded.Incarnation,
+	}
 	for _, text := range decoded.Served {
 		address, err := gooseberrymast.ParseEndpoint(text)
 		if err != nil {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -302,10 +302,12 @@
 	}
 	return interpreter.Served{
 		Addresses: a.deliverer.Record(a.ownPeer().Service, routes), Server: incarnation, VerifiedEra: a.verifiedEra(),
+		Incarnation: a.ownPeer().Incarnation,
 	}
 }
 
-// handleEntry lets the server take flows of the addresses that the agent's entry names.
+// handleEntry lets the server take flows of the addresses that the agent's entry names. One
+// that an earlier process wrote has named them for long enough: this one has started since.
 // An entry that was lost is written again at once; until then the server takes flows of
 // those that it named.
 func (a *Agent) handleEntry(entry gooseberrymast.Object) {
@@ -317,7 +319,14 @@
 		// An unreadable entry names nothing.
 		served = interpreter.Served{}
 	}
-	a.deliverer.HandleStored(served.Addresses)
+	a.mu.Lock()
+	written := entry.Version == a.ownVersion
+	a.mu.Unlock()
+	usableAt := a.Timer.Now()
+	if written {
+		usableAt = usableAt.Add(deliverer.RecordedBefore)
+	}
+	a.deliverer.HandleStored(served.Addresses, usableAt)
 }
 
 // restoreServed restores what an earlier agent of the instance stored.
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -65,6 +65,9 @@
 	// entryNamesFlowRecords is set once the balancer's entry says that there are flow
 	// records. Only storeFlowRecords uses it.
 	entryNamesFlowRecords bool
+
+	// entriesWanted holds a value while a search waits for the store's entries.
+	entriesWanted chan struct{}
 }
 
 // NewBalancer returns a balancer; Run starts it.
@@ -91,6 +94,7 @@
 			b.owners.Record(key, owner, now)
 		}
 	}
+	b.entriesWanted = make(chan struct{}, 1)
 	var err error
 	if b.ingress, err = listenUDP(b.Settings.Packets); err != nil {
 		return err
@@ -110,6 +114,7 @@
 	go b.receiveFromPeers(b.handlePeerPacket)
 	go b.receiveFromFabric()
 	go b.register(workCtx)
+	go b.concludeWalks(workCtx)
 	stops := []func(){
 		b.startFlowArchive(workCtx),
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
@@ -238,6 +243,11 @@
 		case steerer.Reset:
 			buffer = b.Codec.AppendReset(buffer[:0], step.CallerHeader)
 			b.write(b.conn, buffer, callerEndpoint(step.CallerHeader.Source, b.Settings))
+		case steerer.ReadEntries:
+			select {
+			case b.entriesWanted <- struct{}{}:
+			default:
+			}
 		}
 		b.recordStep(step, header)
 	}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -5,6 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"net/netip"
+	"strings"
 	"time"
 
 	"gooseberrymast"
@@ -134,60 +137,143 @@
 	m.hidden.Store(false)
 }
 
-// loadPeers merges the entries of all instances into the roster, restores what an
-// earlier agent of this instance and service stored, and returns the process's own
-// entry. created is set if the process has just created that.
-func (m *member) loadPeers(ctx context.Context, created bool) (own gooseberrymast.Object, err error) {
+// entryList is what a list of all entries says.
+type entryList struct {
+	// own is the process's own entry, and ownServed what it says; readable is set if it
+	// could be decoded, and then it is of an instance of ownService.
+	own        gooseberrymast.Object
+	ownServed  interpreter.Served
+	ownService string
+	readable   bool
+	// flowRecords is set if a balancer of the own zone has written flow records.
+	flowRecords bool
+	// era is the store's, and complete is set if the list is sure to have the entries of
+	// all running instances.
+	era      uint64
+	complete bool
+}
+
+// readEntries reads the entries of all instances into the roster. An entry that can't be
+// decoded costs nothing that stands beside it.
+func (m *member) readEntries(ctx context.Context) (found entryList, err error) {
 	before := m.eraState()
 	objects, err := m.Store.List(ctx, peersPrefix)
 	if err != nil && objects == nil {
-		return own, err
+		return found, err
 	}
+	whole := !errors.Is(err, gooseberrymast.ErrStoreListCut)
 	if err != nil {
-		m.Log.Warn(gooseberrymast.EventStoreUnreadable).Err(err).Msg("")
+		m.Log.Warn(gooseberrymast.EventStoreUnreadable).Bool("list-cut", !whole).Err(err).Msg("")
 	}
 	m.handleEra(m.storeEra(), "store")
 	self := m.ownPeer()
 	now := m.Timer.Now()
-	var served, ownServed interpreter.Served
 	var settled uint64
-	flowRecords := false
+	var stored []roster.Stored
 	for _, object := range objects {
-		peer, peerServed, err := interpreter.DecodeRecord(object.Value)
-		if err != nil {
-			m.Log.Warn(gooseberrymast.EventStoreUnreadable).Str("key", object.Key).Err(err).Msg("")
-		}
-		settled = max(settled, peerServed.SettledEra)
-		flowRecords = flowRecords || peerServed.FlowRecords && peer.Zone == self.Zone
+		decoded := m.decodeEntry(object)
+		entry, served := decoded.stored, decoded.served
+		settled = max(settled, served.SettledEra)
+		found.flowRecords = found.flowRecords || served.FlowRecords && entry.Zone == self.Zone
 		switch {
 		case object.Key == entryKey(self.Endpoint):
-			own, ownServed = object, peerServed
-			if err == nil && peer.Service == self.Service {
-				served = peerServed
-			}
-		case err == nil:
-			m.roster.Merge([]gooseberrymast.Peer{peer}, now)
-			m.roster.SetStored(peer.Endpoint, peerServed.Addresses, object.Version)
+			found.own, found.ownServed, found.ownService, found.readable = object, served, entry.Service, !entry.Unreadable
+		case !entry.Endpoint.IsZero():
+			stored = append(stored, entry)
 		}
 	}
-	era, complete := m.handleList(before, settled)
-	if complete {
+	m.forgetEntries(objects)
+	m.roster.HandleStored(stored, now)
+	found.era, found.complete = m.handleList(before, settled)
+	found.complete = found.complete && whole
+	if found.ownServed.FlowRecords {
+		m.hasFlowRecords.Store(true)
+	}
+	return found, nil
+}
+
+// decodedEntry is an instance's entry.
+type decodedEntry struct {
+	stored roster.Stored
+	served interpreter.Served
+}
+
+// decodeEntry decodes an instance's entry, unless this version of it was decoded before: a
+// small instance would need a tenth of a second for those of a hundred others.
+func (m *member) decodeEntry(object gooseberrymast.Object) decodedEntry {
+	m.mu.Lock()
+	decoded, known := m.decodedEntries[object.Key]
+	m.mu.Unlock()
+	if known && decoded.stored.Version == object.Version && object.Version != 0 {
+		return decoded
+	}
+	peer, served, err := interpreter.DecodeRecord(object.Value)
+	if err == nil && entryKey(peer.Endpoint) != object.Key {
+		err = fmt.Errorf("the entry names %s: %w", peer.Endpoint, interpreter.ErrMalformed)
+	}
+	if err == nil {
+		stored := roster.Stored{Peer: peer, Incarnation: served.Incarnation, Served: served.Addresses, Version: object.Version}
+		decoded = decodedEntry{stored: stored, served: served}
+	} else {
+		m.Log.Warn(gooseberrymast.EventStoreUnreadable).Str("key", object.Key).Err(err).Msg("")
+		decoded = decodedEntry{stored: unreadableEntry(object, m.Settings.Peers.Port)}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.decodedEntries == nil {
+		m.decodedEntries = map[string]decodedEntry{}
+	}
+	m.decodedEntries[object.Key] = decoded
+	return decoded
+}
+
+// unreadableEntry returns what the key of an entry says that can't be decoded: the
+// instance's address, or nothing if the key is none of an instance.
+func unreadableEntry(object gooseberrymast.Object, peersPort uint16) roster.Stored {
+	stored := roster.Stored{Version: object.Version, Unreadable: true}
+	if at, err := netip.ParseAddr(strings.TrimPrefix(object.Key, peersPrefix)); err == nil && at.Is4() {
+		stored.Endpoint = gooseberrymast.Endpoint{IP: at.As4(), Port: peersPort}
+	}
+	return stored
+}
+
+// forgetEntries forgets the decoded entries that a list of all no longer has.
+func (m *member) forgetEntries(objects []gooseberrymast.Object) {
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		listed[object.Key] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.decodedEntries, func(key string, _ decodedEntry) bool { return !listed[key] })
+}
+
+// loadPeers reads the entries of all instances into the roster, restores what an earlier
+// agent of this instance and service stored, and returns the process's own entry. created
+// is set if the process has just created that.
+func (m *member) loadPeers(ctx context.Context, created bool) (own gooseberrymast.Object, err error) {
+	found, err := m.readEntries(ctx)
+	if err != nil {
+		return own, err
+	}
+	if found.complete {
 		m.roster.MarkComplete()
 	}
-	if ownServed.FlowRecords {
-		m.hasFlowRecords.Store(true)
+	var served interpreter.Served
+	if found.readable && found.ownService == m.ownPeer().Service {
+		served = found.ownServed
 	}
 	switch {
 	case m.restore == nil:
 	case created:
-		m.restore(predecessor{proven: complete})
-	case own.Key != "":
+		m.restore(predecessor{proven: found.complete})
+	case found.own.Key != "":
 		m.restore(predecessor{
-			found: true, served: served, proven: era == 0 || ownServed.VerifiedEra == era,
-			server: ownServed.Server, flowRecords: flowRecords,
+			found: true, served: served, proven: found.readable && (found.era == 0 || found.ownServed.VerifiedEra == found.era),
+			server: found.ownServed.Server, flowRecords: found.flowRecords,
 		})
 	}
-	return own, nil
+	return found.own, nil
 }
 
 // updateEntry writes the process's entry if it differs from the stored one.
--- a/runner/era.go
+++ b/runner/era.go
@@ -124,6 +124,9 @@
 			b.settledRetryAt = now.Add(verifier.RetryAfter)
 			return
 		}
+		if !b.roster.IsComplete() {
+			b.settledRetryAt = now.Add(verifier.RetryAfter)
+		}
 		b.Log.Info(gooseberrymast.EventPeersLoaded).Int("peers", b.countInstances()-1).Bool("complete", b.roster.IsComplete()).Msg("")
 	}
 	b.mu.Lock()
--- a/runner/member.go
+++ b/runner/member.go
@@ -153,6 +153,8 @@
 	// ownVersion is the version of the entry that the process wrote last; zero if it
 	// hasn't written any, or if a later write got no response.
 	ownVersion uint64
+	// decodedEntries holds the entries of all instances as last read, by key.
+	decodedEntries map[string]decodedEntry
 	// onEntry is called after a change of entry; nil at a balancer.
 	onEntry func(gooseberrymast.Object)
 
--- a/runner/record.go
+++ b/runner/record.go
@@ -43,7 +43,7 @@
 	line.Msg("")
 }
 
-var balancerActionNames = [...]string{steerer.Drop: "drop", steerer.Forward: "forward", steerer.Reset: "reset"}
+var balancerActionNames = [...]string{steerer.Drop: "drop", steerer.Forward: "forward", steerer.Reset: "reset", steerer.ReadEntries: "read-entries"}
 
 // recordStep logs and counts an agent's decision on a packet. Packets of open
 // flows are only counted.
--- a/state/roster/entry.go
+++ b/state/roster/entry.go
@@ -59,6 +59,9 @@
 	// StoreVersion is the version of the peer's entry in the store as last read; zero
 	// when it was not read.
 	StoreVersion uint64
+	// Unreadable is set if the entry could not be decoded when it was last read, so that
+	// Served may lack addresses.
+	Unreadable bool
 }
 
 // Reporting reports whether the peer itself reported within SilentAfter, as far as
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -19,6 +19,10 @@
 // hold one.
 const ForgetAfter = gooseberrymast.DefaultMaxFlowAge
 
+// forgottenSilence is the silence of a removed peer from which its entry in the store is no
+// sign of life: more than an agent that restarts as planned may take.
+const forgottenSilence = 5 * time.Second
+
 // Roster holds the peers of one process, without the process itself. The zero
 // value is empty.
 type Roster struct {
@@ -32,6 +36,11 @@
 	// complete is set once the store's complete list was merged.
 	complete           bool
 	listening, hearing Listening
+	// unreadable holds the stored entries that can't be decoded and whose instances are
+	// not known, and forgotten the incarnations of the agents that were silent until they
+	// were removed and whose entries are still stored.
+	unreadable map[gooseberrymast.Endpoint]unreadable
+	forgotten  map[gooseberrymast.Endpoint]uint64
 }
 
 // HandleReport updates a peer from its own report. It returns whether the peer is
@@ -145,16 +154,6 @@
 	}
 }
 
-// SetStored sets the fields of a peer that come only from its entry in the store.
-func (r *Roster) SetStored(peer gooseberrymast.Endpoint, served []gooseberrymast.Endpoint, version uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if entry, found := r.entries[peer]; found {
-		entry.Served, entry.StoreVersion = served, version
-		r.put(entry)
-	}
-}
-
 // MarkComplete records that the store's complete list was merged.
 func (r *Roster) MarkComplete() {
 	r.mu.Lock()
@@ -179,11 +178,21 @@
 			toggleDigest(&r.digests, entry.Peer)
 			delete(r.entries, endpoint)
 			dropped = append(dropped, entry)
+			if entry.Incarnation != 0 && max(entry.Silence(r.hearing), entry.AskedSilence(r.hearing)) > forgottenSilence {
+				r.forget(entry.Peer)
+			}
 		}
 	}
 	return dropped
 }
 
+func (r *Roster) forget(peer gooseberrymast.Peer) {
+	if r.forgotten == nil {
+		r.forgotten = map[gooseberrymast.Endpoint]uint64{}
+	}
+	r.forgotten[peer.Endpoint] = peer.Incarnation
+}
+
 // Digests returns hashes over the endpoints of all peers and of the process
 // itself. Two processes with equal digests hold the same peers, but possibly
 // different versions of their entries.
