--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -84,6 +84,8 @@
 	stored     map[gooseberrymast.Endpoint]time.Time
 	wanted     map[gooseberrymast.Endpoint]struct{}
 	entryKnown bool
+	// firstRoutes are the first ones that the agent has put in force.
+	firstRoutes *gooseberrymast.Routes
 	// refused holds new flows that could be taken a moment later.
 	refused refusals
 }
@@ -112,6 +114,12 @@
 	EvacuationUnknown bool
 }
 
+// answers reports whether the server is known to run, so that it returns packets of flows
+// that it doesn't hold.
+func (s Server) answers() bool {
+	return s.Status == tracker.Ready || s.Status == tracker.Leaving || s.Status == tracker.Introduced
+}
+
 // Leave makes the agent refuse new flows.
 func (d *Deliverer) Leave() {
 	d.mu.Lock()
@@ -170,13 +178,21 @@
 	if server.Status == tracker.Gone {
 		return d.answerNotHeld(header, hop, ReasonServerGone, true)
 	}
-	if hop.Mode == gooseberrymast.HopWalk && server.Complete && !now.Before(d.incompleteUntil) {
+	complete := server.Complete && !now.Before(d.incompleteUntil)
+	if hop.Mode == gooseberrymast.HopWalk && complete {
 		return d.answerNotHeld(header, hop, ReasonNotHeld, true)
 	}
-	// A balancer may have recorded the agent as the owner before its instance became one
-	// of another service.
-	if definite := (d.restored || server.Complete) && routes != nil; (hop.Mode == gooseberrymast.HopWalk || definite) && !d.mayHold(key, server.Service, routes) {
-		return d.answerNotHeld(header, hop, ReasonNeverServed, definite)
+	if !d.mayHold(key, server.Service, routes) {
+		// An earlier agent may have taken flows that it couldn't record, so that the lack
+		// of a record is no proof, and the server is asked.
+		if hop.Mode == gooseberrymast.HopWalk && !server.answers() {
+			return d.answerNotHeld(header, hop, ReasonNeverServed, false)
+		}
+		// A balancer may have recorded the agent as the owner before its instance became
+		// one of another service.
+		if hop.Mode != gooseberrymast.HopWalk && (d.restored || server.Complete) && routes != nil {
+			return d.answerNotHeld(header, hop, ReasonNeverServed, complete)
+		}
 	}
 	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
 }
--- a/coordination/deliverer/offer.go
+++ b/coordination/deliverer/offer.go
@@ -45,7 +45,7 @@
 	if routes != nil && routes.Version.AtLeast(hop.Version) && !routeAllows(routes, key, server.Service) {
 		return ReasonWrongService, true
 	}
-	if !d.isRecorded(key.Service, now) {
+	if !d.isRecorded(key, server.Service, now) {
 		return ReasonNotRecorded, false
 	}
 	return "", true
--- a/coordination/deliverer/retention.go
+++ b/coordination/deliverer/retention.go
@@ -26,6 +26,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.setIdleTimeout(routes.IdleTimeout)
+	if d.firstRoutes == nil {
+		d.firstRoutes = routes
+	}
 	return d.lacksAllowed(service, routes)
 }
 
--- a/coordination/deliverer/served.go
+++ b/coordination/deliverer/served.go
@@ -109,7 +109,8 @@
 // the store or written to it, and the time from which flows of new ones may be taken. From
 // then on a new flow is taken only if the entry names its address: a later agent and
 // balancers must not conclude from it that the server holds no flow of the address. Before,
-// the agent doesn't know what an earlier one recorded, and takes flows without.
+// the agent doesn't know what an earlier one recorded, and takes flows of the addresses
+// that the first routes allow: the earlier one had the time to record these.
 func (d *Deliverer) HandleStored(addresses []gooseberrymast.Endpoint, usableAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -129,13 +130,17 @@
 
 // isRecorded reports whether the entry has named a flow's address for long enough. If it
 // doesn't name it, its next write will.
-func (d *Deliverer) isRecorded(address gooseberrymast.Endpoint, now time.Time) bool {
+func (d *Deliverer) isRecorded(key gooseberrymast.FlowKey, service string, now time.Time) bool {
 	if !d.entryKnown {
-		return true
+		if d.firstRoutes == nil || routeAllows(d.firstRoutes, key, service) {
+			return true
+		}
+		d.want(key.Service)
+		return false
 	}
-	usableAt, stored := d.stored[address]
+	usableAt, stored := d.stored[key.Service]
 	if !stored {
-		d.want(address)
+		d.want(key.Service)
 	}
 	return stored && !now.Before(usableAt)
 }
--- a/coordination/deliverer/served_test.go
+++ b/coordination/deliverer/served_test.go
@@ -146,6 +146,18 @@
 	is.Equal(d.FromPeer(opening(), placeHop(), ledger, routes, epoch.Add(RecordedBefore)).Action, ToServer)
 }
 
+// Guards against flows that no entry names: an agent which can't read its entry doesn't know
+// whether an earlier one has recorded an address that a document has added since.
+func TestAddressAddedWhileTheEntryIsUnknownIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	var d Deliverer
+	first := &gooseberrymast.Routes{ByAddress: map[gooseberrymast.Endpoint]gooseberrymast.Route{}}
+	d.HandleDocument("ledger", first)
+	d.HandleDocument("ledger", routes)
+	is.Equal(d.FromPeer(opening(), placeHop(), ledger, routes, epoch).Reason, ReasonNotRecorded)
+	is.Equal(d.ServedChanges(), 1) // the next write names it
+}
+
 // A restarted agent that can't read its entry must not leave its server without flows.
 func TestFlowsAreTakenWhileTheEntryIsUnknown(t *testing.T) {
 	is := is.New(t)
--- a/coordination/steerer/proof_class_test.go
+++ b/coordination/steerer/proof_class_test.go
@@ -84,3 +84,32 @@
 	}
 	o.holdsEach(t)
 }
+
+// Guards against the reset of flows that an agent took while it couldn't read its entry:
+// the next agent finds an entry that doesn't name their address.
+func TestFlowThatCouldNotBeRecordedSurvivesNextRestart(t *testing.T) {
+	for _, addedBefore := range []bool{false, true} {
+		o := newOrder(1)
+		refused := o.agents[3] // of receipts
+		o.refuseStore(refused, 9*time.Second)
+		if addedBefore {
+			o.changeDocument("ledger", "receipts")
+		}
+		o.restartAgent(refused)
+		if !addedBefore {
+			o.changeDocument("ledger", "receipts")
+		}
+		o.rest(3 * tick)
+		o.openFlows(40)
+		if taken := len(refused.server.opened) > 0; taken != addedBefore {
+			t.Errorf("added before the agent's start %v, flows taken %v", addedBefore, taken)
+		}
+		o.restartAgent(refused)
+		o.changeDocument("ledger")
+		o.rest(9 * time.Second)
+		for by := range o.balancers {
+			o.useFlows(by)
+		}
+		o.holdsEach(t)
+	}
+}
