Roster: a late message of an address' last process doesn't undo its entry

Cause: found on reading the change again. Where the entry of a later process replaces a peer whose clock had been ahead, the lower incarnation was kept, and a late report of the process before could supersede it. No test covered what a list of entries does to the roster.

Change: the higher incarnation is kept.

--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -4,8 +4,8 @@
 // balancers may lose their state at once while servers and callers keep their
 // flows. A flow whose owner is not recorded is searched for by a walk over every
 // agent that may hold it. It is reset only after each of these agents has
-// answered definitely that it doesn't hold it, and the store's entries, read after
-// the packet arrived, name no other agent that may; the reset lets the caller fail
+// answered definitely that it doesn't hold it, and the store's entries, which are
+// read anew for this, name no other agent that may; the reset lets the caller fail
 // at once instead of at its deadline.
 package steerer
 
--- a/state/roster/stored.go
+++ b/state/roster/stored.go
@@ -55,8 +55,10 @@
 			continue
 		case !found || isLaterProcess(stored, entry):
 			r.updateDigests(entry.Peer, stored.Peer, found)
+			last := entry.Incarnation
 			entry = Entry{Peer: stored.Peer, UpdatedAt: now, Relayed: r.inOtherZone(stored.Peer)}
-			entry.Incarnation = max(stored.Incarnation, entry.Incarnation)
+			// A late message of the last process must not supersede the entry.
+			entry.Incarnation = max(stored.Incarnation, last)
 			changed = true
 		}
 		entry.Served, entry.StoreVersion, entry.Unreadable = stored.Served, stored.Version, false
