--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -198,6 +198,15 @@
 	m.fleet.record.add("%s ended: %s", m.name, m.command.ProcessState)
 }
 
+// restart stops the process as planned and starts it again.
+func (m *machine) restart() error {
+	if err := m.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	m.wait()
+	return m.start()
+}
+
 // begin starts the store, all machines and all hosts.
 func (f *fleet) begin() error {
 	for _, m := range append(append([]*machine(nil), f.fronts...), f.sides...) {
--- a/review/stand-3/host.go
+++ b/review/stand-3/host.go
@@ -35,6 +35,10 @@
 	// resets holds the flows to which the host itself has sent an RST.
 	resets map[string]bool
 	ran    map[string]int
+	// arrived holds when packets of each flow reached the host.
+	arrived map[string][]time.Time
+	// pinged is when the last ping was acknowledged.
+	pinged time.Time
 }
 
 type hostFlow struct {
@@ -51,6 +55,7 @@
 func (h *host) start() error {
 	h.born, h.sequence = time.Now().UnixMilli(), 0
 	h.flows, h.resets, h.ran = map[string]*hostFlow{}, map[string]bool{}, map[string]int{}
+	h.arrived = map[string][]time.Time{}
 	h.running, h.stopped, h.dead = make(chan struct{}, h.slots), make(chan struct{}), false
 	var err error
 	if h.conn, err = listenUDP(h.app); err != nil {
@@ -115,6 +120,11 @@
 	}
 	h.mu.Unlock()
 	status, err := putJSON(client, fmt.Sprintf("http://%s/instances/%s", h.control, h.id), body)
+	if status == http.StatusOK {
+		h.mu.Lock()
+		h.pinged = time.Now()
+		h.mu.Unlock()
+	}
 	h.record.add("ping %s sequence %d state %s -> %d %v", h.id, body["sequence"], state, status, err)
 }
 
@@ -156,6 +166,7 @@
 
 func (h *host) handle(p packet) {
 	name := flowName(p.src, p.dst)
+	h.arrived[name] = append(h.arrived[name], time.Now())
 	f := h.flows[name]
 	switch {
 	case p.flags&flagSyn != 0 && p.flags&flagAck == 0:
@@ -235,3 +246,23 @@
 	f := h.flows[name]
 	return !h.dead && f != nil && f.open && !h.resets[name]
 }
+
+// lastPing returns when the last ping was acknowledged.
+func (h *host) lastPing() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pinged
+}
+
+// arrivals returns when packets of a flow reached the host after a time.
+func (h *host) arrivals(name string, after time.Time) []time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var found []time.Time
+	for _, at := range h.arrived[name] {
+		if at.After(after) {
+			found = append(found, at)
+		}
+	}
+	return found
+}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]func(setting) (broken bool, err error){
 	"incomplete-ping": incompletePing,
+	"crashed-host":    crashedHost,
 }
 
 func main() {
