--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -207,9 +207,13 @@
 	return m.start()
 }
 
+func (f *fleet) machines() []*machine {
+	return append(append([]*machine(nil), f.fronts...), f.sides...)
+}
+
 // begin starts the store, all machines and all hosts.
 func (f *fleet) begin() error {
-	for _, m := range append(append([]*machine(nil), f.fronts...), f.sides...) {
+	for _, m := range f.machines() {
 		if err := m.listenStore(); err != nil {
 			return err
 		}
@@ -230,7 +234,7 @@
 
 // end kills all processes and removes the folder. keep names a folder that gets the logs.
 func (f *fleet) end(keep string) {
-	for _, m := range append(append([]*machine(nil), f.fronts...), f.sides...) {
+	for _, m := range f.machines() {
 		if m.command != nil && m.command.ProcessState == nil {
 			_ = m.command.Process.Kill()
 			m.wait()
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(setting) (broken bool, err error){
 	"incomplete-ping": incompletePing,
 	"crashed-host":    crashedHost,
+	"foreign-entries": foreignEntries,
 }
 
 func main() {
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // store is a stand-in of the platform's metadata store. Each machine has its own address
@@ -19,6 +20,8 @@
 	objects  map[string]map[string]*object
 	// turned holds the machines that the store answers with 503.
 	turned map[string]bool
+	// delay is the time that an answer takes.
+	delay time.Duration
 }
 
 type object struct {
@@ -51,6 +54,8 @@
 	if err != nil {
 		return
 	}
+	time.Sleep(s.delay / 2)
+	defer time.Sleep(s.delay / 2)
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	defer s.mu.Unlock()
