--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -44,6 +44,8 @@
 	daemon   string
 	settings string
 	interval time.Duration
+	// startGap is the time between the starts of two processes.
+	startGap time.Duration
 	zones    []string
 	fronts   []*machine
 	sides    []*machine
@@ -223,6 +225,7 @@
 		if err := m.start(); err != nil {
 			return err
 		}
+		time.Sleep(f.startGap)
 	}
 	for _, h := range f.hosts {
 		if err := h.start(); err != nil {
--- a/review/stand-3/foreign_entries.go
+++ b/review/stand-3/foreign_entries.go
@@ -5,8 +5,18 @@
 	"time"
 )
 
-// foreignEntries starts a deployment whose store has an entry of another writer at each
-// name that the deployment itself uses. They name nothing, and must not matter.
+const (
+	// usualAnswer is the time that the store takes for an answer, and slowAnswer that of a
+	// slow store.
+	usualAnswer = 4 * time.Millisecond
+	slowAnswer  = 60 * usualAnswer
+	// slowFor is how long the store is slow.
+	slowFor = 4500 * time.Millisecond
+)
+
+// foreignEntries starts a deployment while the store is slow and has an entry of another
+// writer at each name that the deployment itself uses. They name nothing, and must not
+// matter.
 func foreignEntries(s setting) (broken bool, err error) {
 	f, err := newFleet(s.record, s.daemon, s.toml)
 	if err != nil {
@@ -19,10 +29,17 @@
 	for _, zone := range []string{"cairo-a", "cairo-b", "cairo-a"} {
 		f.addSide(zone, "ledger")
 	}
-	f.store.delay = 4 * time.Millisecond
+	f.startGap = 40 * time.Millisecond
+	f.store.setDelay(usualAnswer)
 	one := routeOf{at: netip.AddrPortFrom(f.address(9, 1), 443), service: "ledger", kind: "non_idempotent"}
 	f.writeManifest(7, []routeOf{one}, "ledger")
 	if s.trouble {
+		s.record.add("the store takes %s for an answer", slowAnswer)
+		f.store.setDelay(slowAnswer)
+		time.AfterFunc(slowFor, func() {
+			s.record.add("the store takes %s for an answer", usualAnswer)
+			f.store.setDelay(usualAnswer)
+		})
 		for _, m := range f.machines() {
 			f.store.write("peers", m.ip.String(), map[string]any{"endpoint": 5})
 			s.record.add("foreign entry peers/%s", m.ip)
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -24,6 +24,18 @@
 	delay time.Duration
 }
 
+func (s *store) setDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+func (s *store) currentDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delay
+}
+
 type object struct {
 	Meta struct {
 		Name     string `json:"name"`
@@ -54,8 +66,9 @@
 	if err != nil {
 		return
 	}
-	time.Sleep(s.delay / 2)
-	defer time.Sleep(s.delay / 2)
+	delay := s.currentDelay()
+	time.Sleep(delay / 2)
+	defer time.Sleep(delay / 2)
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	defer s.mu.Unlock()
