--- a/review/stand-3/caller.go
+++ b/review/stand-3/caller.go
@@ -266,6 +266,9 @@
 		case <-f.changed:
 		case <-deadline:
 			c.record.add("no answer in time: %s on %s", id, f.name)
+			c.mu.Lock()
+			f.closed = true
+			c.mu.Unlock()
 			return id, errTimeout
 		}
 	}
--- a/review/stand-3/crashed_host.go
+++ b/review/stand-3/crashed_host.go
@@ -12,6 +12,8 @@
 	flowReorder = 2 * time.Second
 	// stableWindow is the bound stableWindowMs of the settings.
 	stableWindow = 4 * time.Second
+	// timeBudget is that of the callers' requests.
+	timeBudget = 3 * time.Second
 )
 
 // crashedHost lets one host crash after all processes were restarted as planned. Callers
@@ -61,7 +63,7 @@
 	resumed := time.Now()
 	var clients sync.WaitGroup
 	for _, flow := range flows {
-		clients.Go(func() { _, _ = flow.request("POST", 2*time.Second) })
+		clients.Go(func() { _, _ = flow.request("POST", timeBudget) })
 	}
 	clients.Wait()
 	time.Sleep(2 * time.Second)
