--- a/review/stand-3/crashed_host.go
+++ b/review/stand-3/crashed_host.go
@@ -10,10 +10,8 @@
 const (
 	// flowReorder is the bound flowReorderMs of the settings.
 	flowReorder = 2 * time.Second
-	// stableWindow is the bound stableWindowMs of the settings.
-	stableWindow = 4 * time.Second
 	// timeBudget is that of the callers' requests.
-	timeBudget = 3 * time.Second
+	timeBudget = 2500 * time.Millisecond
 )
 
 // crashedHost lets one host crash after all processes were restarted as planned. Callers
@@ -24,6 +22,7 @@
 		return false, err
 	}
 	defer f.end(s.keep)
+	f.stableWindow = 5 * time.Second
 	f.zones = []string{"cairo-a", "cairo-b"}
 	f.addFront("cairo-a")
 	f.addFront("cairo-b")
@@ -49,7 +48,7 @@
 		return false, err
 	}
 	// All machines are in touch again.
-	time.Sleep(stableWindow + 200*time.Millisecond)
+	time.Sleep(f.stableWindow + 200*time.Millisecond)
 	if len(router.inRotation()) != len(f.fronts) {
 		return false, errors.New("not all balancers are in rotation after the restarts")
 	}
@@ -74,7 +73,7 @@
 func (f *fleet) roll() error {
 	done := make(chan error, 1)
 	go func() {
-		time.Sleep(2300 * time.Millisecond)
+		time.Sleep(2000 * time.Millisecond)
 		for _, m := range f.fronts {
 			if err := m.restart(); err != nil {
 				done <- err
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -44,6 +44,8 @@
 	daemon   string
 	settings string
 	interval time.Duration
+	// stableWindow is the bound stableWindowMs of the settings.
+	stableWindow time.Duration
 	// startGap is the time between the starts of two processes.
 	startGap time.Duration
 	zones    []string
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: record, store: newStore(), folder: folder, daemon: daemon, settings: settings, interval: 770 * time.Millisecond}
+	f := &fleet{record: record, store: newStore(), folder: folder, daemon: daemon, settings: settings, interval: 770 * time.Millisecond, stableWindow: 4 * time.Second}
 	f.net = byte(30 + rand.IntN(200))
 	var used []uint16
 	free := func(span uint16) uint16 {
@@ -146,7 +148,7 @@
 		fmt.Sprintf("portRange=%d,%d", m.ports.inner, m.ports.inner+15),
 		"bootstrap=true", "lossCounts=false", "discovery=local", "entry=advertise", "heartbeatMs=770",
 		"contracts=base,drain,config,cost,recover,flows,platform",
-		"bounds.stableWindowMs=4000", "bounds.ackMs=5000", "bounds.drainMs=3000", "bounds.graceS=6",
+		fmt.Sprintf("bounds.stableWindowMs=%d", m.fleet.stableWindow.Milliseconds()), "bounds.ackMs=5000", "bounds.drainMs=3000", "bounds.graceS=6",
 		"bounds.configApplyMs=3000", "bounds.recoverS=12", "bounds.flowReorderMs=2000", "bounds.flowMaxS=60",
 		"hash=mod", "deploymentMode=agent", "platform.address=" + m.storeAddress().String(),
 		"platform.deploymentMode=objects", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
@@ -259,7 +261,7 @@
 }
 
 func (f *fleet) writeManifest(version uint64, routes []routeOf, services ...string) {
-	manifest := map[string]any{"version": version, "limits": map[string]any{"idleTimeoutMs": 12000}}
+	manifest := map[string]any{"version": version, "limits": map[string]any{"idleTimeoutMs": 15000}}
 	var listed []map[string]any
 	for _, r := range routes {
 		listed = append(listed, map[string]any{
