--- a/review/stand-3/crashed_host.go
+++ b/review/stand-3/crashed_host.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// flowReorder is the bound flowReorderMs of the settings.
+	// flowReorder is the time of the rule FLOW (b).
 	flowReorder = 2 * time.Second
 	// timeBudget is that of the callers' requests.
 	timeBudget = 2500 * time.Millisecond
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -8,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -44,7 +44,7 @@
 	daemon   string
 	settings string
 	interval time.Duration
-	// stableWindow is the bound stableWindowMs of the settings.
+	// stableWindow is the time after which a machine is in touch again.
 	stableWindow time.Duration
 	// startGap is the time between the starts of two processes.
 	startGap time.Duration
@@ -141,29 +141,16 @@
 }
 
 func (m *machine) writeSettings() error {
-	lines := []string{
-		"node=" + m.name, "role=" + m.role, "zone=" + m.zone, "region=cairo", "ip=" + m.ip.String(),
-		"listen.datagramAddr=" + m.at(m.ports.packets).String(),
-		"listen.readinessAddr=" + m.at(m.ports.readiness).String(),
-		fmt.Sprintf("portRange=%d,%d", m.ports.inner, m.ports.inner+15),
-		"bootstrap=true", "lossCounts=false", "discovery=local", "entry=advertise", "heartbeatMs=770",
-		"contracts=base,drain,config,cost,recover,flows,platform",
-		fmt.Sprintf("bounds.stableWindowMs=%d", m.fleet.stableWindow.Milliseconds()), "bounds.ackMs=5000", "bounds.drainMs=3000", "bounds.graceS=6",
-		"bounds.configApplyMs=3000", "bounds.recoverS=12", "bounds.flowReorderMs=2000", "bounds.flowMaxS=60",
-		"hash=mod", "deploymentMode=agent", "platform.address=" + m.storeAddress().String(),
-		"platform.deploymentMode=objects", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
-		"platform.valueBytes=1048576",
+	values := settingsValues{
+		Name: m.name, Role: m.role, Zone: m.zone, Zones: m.fleet.zones, IP: m.ip.String(),
+		Packets: m.at(m.ports.packets).String(), Readiness: m.at(m.ports.readiness).String(), Store: m.storeAddress().String(),
+		FirstInner: m.ports.inner, LastInner: m.ports.inner + 15, StableWindowMs: m.fleet.stableWindow.Milliseconds(),
 	}
-	for _, zone := range m.fleet.zones {
-		lines = append(lines, "zones."+zone+"=cairo")
+	if m.service != "" {
+		values.Service, values.App = m.service, m.at(m.ports.app).String()
+		values.Outbound, values.Control = m.at(m.ports.outbound).String(), m.at(m.ports.control).String()
 	}
-	if m.role == "agent" {
-		lines = append(lines, "instanceClass=side", "serves=side", "service="+m.service, "app="+m.at(m.ports.app).String(),
-			"listen.outbound="+m.at(m.ports.outbound).String(), "listen.control="+m.at(m.ports.control).String())
-	} else {
-		lines = append(lines, "instanceClass=front", "serves=front")
-	}
-	return os.WriteFile(m.settingsFile(), []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+	return os.WriteFile(m.settingsFile(), append(format("settings.conf", values), '\n'), 0o600)
 }
 
 // start starts the machine's process with the command of the deploy file.
@@ -175,7 +162,7 @@
 		return err
 	}
 	command := exec.Command(m.fleet.daemon, m.role, "--settings", m.fleet.settings)
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "GOOSEBERRYMAST_NODE_FILE=" + m.settingsFile()}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), settingsVariable() + "=" + m.settingsFile()}
 	command.Stdout, command.Stderr = log, log
 	// The process ends with the stand-in, however that ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -261,19 +248,10 @@
 }
 
 func (f *fleet) writeManifest(version uint64, routes []routeOf, services ...string) {
-	manifest := map[string]any{"version": version, "limits": map[string]any{"idleTimeoutMs": 15000}}
-	var listed []map[string]any
+	values := manifestValues{Version: version, Services: services}
 	for _, r := range routes {
-		listed = append(listed, map[string]any{
-			"host": r.at.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", r.at.Port()), "type": r.kind, "service": r.service,
-			"timeoutMs": 2000, "targetLatencyMs": 250, "priority": 1, "attempts": 1,
-		})
-	}
-	var named []map[string]any
-	for _, service := range services {
-		named = append(named, map[string]any{"name": service, "healthCheck": "/healthz"})
+		values.Routes = append(values.Routes, routeValues{Host: r.at.Addr().String(), Port: r.at.Port(), Service: r.service, Kind: r.kind})
 	}
-	manifest["routes"], manifest["services"] = listed, named
-	f.store.write("config", "main", manifest)
+	f.store.write("config", "main", json.RawMessage(format("manifest.json", values)))
 	f.record.add("manifest %d with %d routes", version, len(routes))
 }
--- a/review/stand-3/host.go
+++ b/review/stand-3/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -114,26 +113,22 @@
 	if h.draining {
 		state = "draining"
 	}
-	body := map[string]any{
-		"service": h.service, "address": h.app.String(), "zone": h.zone, "version": "v1", "concurrencyLimit": h.slots,
-		"state": state, "warmupLeftMs": 0, "sequence": h.sequence, "born": h.born,
+	sent := ping{
+		Service: h.service, Address: h.app.String(), Zone: h.zone, State: state, Slots: h.slots, Sequence: h.sequence, Born: h.born,
 	}
 	h.mu.Unlock()
-	status, err := putJSON(client, fmt.Sprintf("http://%s/instances/%s", h.control, h.id), body)
+	status, err := sendPing(client, h.control, h.id, format("ping.json", sent))
 	if status == http.StatusOK {
 		h.mu.Lock()
 		h.pinged = time.Now()
 		h.mu.Unlock()
 	}
-	h.record.add("ping %s sequence %d state %s -> %d %v", h.id, body["sequence"], state, status, err)
+	h.record.add("ping %s sequence %d state %s -> %d %v", h.id, sent.Sequence, state, status, err)
 }
 
-func putJSON(client *http.Client, url string, body map[string]any) (int, error) {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return 0, err
-	}
-	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(text))
+// sendPing sends a ping to the control address of a machine.
+func sendPing(client *http.Client, control netip.AddrPort, id string, body []byte) (status int, err error) {
+	request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/instances/%s", control, id), bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
--- a/review/stand-3/incomplete_ping.go
+++ b/review/stand-3/incomplete_ping.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -46,9 +45,9 @@
 	time.Sleep(6 * time.Second)
 	target := f.hosts[0]
 	if s.trouble {
-		status, err := putJSON(&http.Client{Timeout: time.Second}, fmt.Sprintf("http://%s/instances/%s", target.control, target.id), map[string]any{
-			"service": target.service, "address": target.app.String(), "state": "ready", "sequence": 1, "born": time.Now().UnixMilli(),
-		})
+		status, err := sendPing(&http.Client{Timeout: time.Second}, target.control, target.id, format("incomplete-ping.json", ping{
+			Service: target.service, Address: target.app.String(), State: "ready", Sequence: 1, Born: time.Now().UnixMilli(),
+		}))
 		s.record.add("incomplete ping to the agent of %s -> %d %v", target.id, status, err)
 	}
 	time.Sleep(6 * time.Second)
