--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -11,6 +11,9 @@
 // same age. Only the agent has the number of requests that its server works on
 // at the moment, so an agent whose server is full passes a new flow on to the
 // next candidate. The last candidate takes it.
+//
+// Load pattern: servers that crash, hang or are cut off while packets are on their way
+// through their agents. A packet that the server neither returns nor answers is passed on.
 package deliverer
 
 import (
@@ -19,6 +22,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/predictor"
+	"gooseberrymast/coordination/retainer"
 	"gooseberrymast/coordination/tracker"
 )
 
@@ -88,6 +92,12 @@
 	firstRoutes *gooseberrymast.Routes
 	// refused holds new flows that could be taken a moment later.
 	refused refusals
+	// heard counts the packets that the server has sent. silent is set while it has sent
+	// none since it left one unanswered.
+	heard  uint64
+	silent bool
+	// kept holds the packets that the server may return.
+	kept retainer.Retainer[handed]
 }
 
 // pendingPacket holds the tag and the hop of a packet that was sent to the server.
@@ -127,23 +137,6 @@
 	d.leaving = true
 }
 
-// unansweredAfter is the time after which a server that has not answered an
-// opening packet may have failed: it answers within a few milliseconds.
-const unansweredAfter = 100 * time.Millisecond
-
-// HasUnansweredOpening reports whether the server has not answered an opening
-// packet for longer than unansweredAfter.
-func (d *Deliverer) HasUnansweredOpening(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, f := range d.flows {
-		if !f.answered && now.Sub(f.openedAt) > unansweredAfter {
-			return true
-		}
-	}
-	return false
-}
-
 // FromPeer decides on a packet that a peer sent.
 func (d *Deliverer) FromPeer(header gooseberrymast.PacketHeader, hop gooseberrymast.Hop, server Server,
 	routes *gooseberrymast.Routes, now time.Time) Step {
@@ -157,12 +150,18 @@
 		f = nil
 	}
 	if f != nil && server.Status != tracker.Gone {
+		if d.unresponsive(f, header, hop, now) {
+			return d.passOn(hop, ReasonServerUnresponsive, false)
+		}
 		return d.deliver(f, header, hop, now)
 	}
 	if header.Opens {
 		if reason, definite := d.refusal(hop, key, server, routes, now); reason != "" {
 			return d.passOn(hop, reason, definite)
 		}
+		if d.unresponsive(nil, header, hop, now) {
+			return d.passOn(hop, ReasonServerUnresponsive, false)
+		}
 		offer := d.flowOffer(header, hop, server, routes)
 		if header.Copy == 0 && d.refused.has(key, now) {
 			return d.passOn(hop, ReasonRefusedBefore, true)
@@ -194,7 +193,7 @@
 			return d.answerNotHeld(header, hop, ReasonNeverServed, complete)
 		}
 	}
-	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried}
+	return Step{Action: ToServer, Tag: d.recordPending(hop), Event: FlowTried, Keep: true}
 }
 
 // SetRequestID sets the id of the request that a caller's packet begins. It is called
@@ -211,6 +210,7 @@
 func (d *Deliverer) HandleReturned(header gooseberrymast.PacketHeader, now time.Time) Step {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.hear()
 	key := header.FromCaller()
 	forgotten := false
 	if f := d.flows[key]; f != nil && (!header.Opens || !f.answered) {
@@ -239,6 +239,7 @@
 func (d *Deliverer) FromServer(header gooseberrymast.PacketHeader, now time.Time) Step {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.hear()
 	key := header.FromServer()
 	f := d.flows[key]
 	var event Event
@@ -248,6 +249,8 @@
 		}
 		f = d.addFlow(key, now)
 		event = FlowLearned
+		tried, _ := d.kept.Find(func(value handed) bool { return value.header.FromCaller() == key })
+		f.notify = tried.origin
 	}
 	f.lastUsed = now
 	d.attribute(f, header)
@@ -320,8 +323,10 @@
 			}
 		}
 	}
-	step := Step{Action: ToServer, Tag: d.recordPending(hop)}
-	if hop.NotifyOrigin && f.answered {
+	// A server that has only answered the opening may not hold the flow: another one may
+	// have answered a copy.
+	step := Step{Action: ToServer, Tag: d.recordPending(hop), Keep: !header.Opens && !f.opened}
+	if hop.NotifyOrigin && f.answered && (f.opened || header.Opens) {
 		step.Notify = hop.Origin
 	}
 	if f.busy && (header.Resets || header.Finishes) {
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -20,6 +20,8 @@
 	serverBegan bool
 	// answered is set when the server has sent anything.
 	answered bool
+	// heard is the number of the server's packets when the flow was added.
+	heard uint64
 	// answer is the position of the server's last answer to the flow's opening among
 	// those of all flows; zero while there is none.
 	answer uint64
@@ -77,7 +79,7 @@
 	}
 	d.addServed(key.Service)
 	d.makeRoom(now)
-	f := &flow{openedAt: now, lastUsed: now, idleTimeout: d.idleTimeout, work: d.Work.Open(key.Service, now)}
+	f := &flow{openedAt: now, lastUsed: now, idleTimeout: d.idleTimeout, heard: d.heard, work: d.Work.Open(key.Service, now)}
 	d.flows[key] = f
 	d.openFlows++
 	return f
--- a/coordination/deliverer/restart.go
+++ b/coordination/deliverer/restart.go
@@ -15,6 +15,7 @@
 func (d *Deliverer) HandleAnnouncement(restarted bool) []gooseberrymast.PacketHeader {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.silent = false
 	var resets []gooseberrymast.PacketHeader
 	if restarted {
 		resets = d.drop(func(f *flow) bool { return f.answer <= d.ownAnswers })
--- a/coordination/deliverer/step.go
+++ b/coordination/deliverer/step.go
@@ -42,6 +42,9 @@
 	ReasonServerLeaving Reason = "server-leaving"
 	// ReasonServerSilent: the server's announcements have stopped.
 	ReasonServerSilent Reason = "server-silent"
+	// ReasonServerUnresponsive: the server has sent nothing since it got a packet that it
+	// had to answer or return.
+	ReasonServerUnresponsive Reason = "server-unresponsive"
 	// ReasonServerGone: the server has ended.
 	ReasonServerGone Reason = "server-gone"
 	// ReasonServerFull: the server is at its limit of requests in progress, and
@@ -71,6 +74,9 @@
 	Action Action
 	// Tag is written into a packet for the server.
 	Tag uint32
+	// Keep is set for ToServer if the packet is to be kept (Deliverer.Keep): the server may
+	// not hold the flow.
+	Keep bool
 	// To and Hop are set for Forward.
 	To  gooseberrymast.Endpoint
 	Hop gooseberrymast.Hop
--- a/coordination/locator/locator.go
+++ b/coordination/locator/locator.go
@@ -52,6 +52,11 @@
 	lastUsed time.Time
 	// epoch is the one in which the agent was recorded first.
 	epoch uint64
+	// offered is set while nothing shows that the agent has taken the flow. Only then
+	// sequence is that of the caller's last packet, and firstSeen when that first came.
+	offered   bool
+	sequence  uint32
+	firstSeen time.Time
 }
 
 // BeginEpoch begins a new epoch and returns its number.
@@ -84,6 +89,34 @@
 
 // Record records a flow's owner.
 func (l *Locator) Record(key gooseberrymast.FlowKey, agent gooseberrymast.Endpoint, now time.Time) {
+	l.record(key, owner{agent: agent, lastUsed: now})
+}
+
+// Offer records the agent that a new flow is offered to as its owner. Another one may have
+// taken it from a copy of the opening packet.
+func (l *Locator) Offer(key gooseberrymast.FlowKey, agent gooseberrymast.Endpoint, now time.Time) {
+	l.record(key, owner{agent: agent, lastUsed: now, offered: true})
+}
+
+// Repeats reports whether a caller's packet repeats the last one of its flow, and when that
+// was first seen. It does so only while nothing shows that the flow's owner has taken it.
+func (l *Locator) Repeats(key gooseberrymast.FlowKey, sequence uint32, now time.Time) (firstSeen time.Time, repeats bool) {
+	s := l.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.owners[key]
+	if !ok || !found.offered {
+		return time.Time{}, false
+	}
+	if found.sequence == sequence && !found.firstSeen.IsZero() {
+		return found.firstSeen, true
+	}
+	found.sequence, found.firstSeen = sequence, now
+	s.owners[key] = found
+	return now, false
+}
+
+func (l *Locator) record(key gooseberrymast.FlowKey, recorded owner) {
 	s := l.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,11 +126,12 @@
 	if len(s.owners) >= maxOwnersPerShard {
 		s.evict()
 	}
-	epoch := l.epoch.Load()
-	if before, ok := s.owners[key]; ok && before.agent == agent {
-		epoch = before.epoch
+	recorded.epoch = l.epoch.Load()
+	if before, ok := s.owners[key]; ok && before.agent == recorded.agent {
+		recorded.epoch = before.epoch
+		recorded.offered = recorded.offered && before.offered
 	}
-	s.owners[key] = owner{agent: agent, lastUsed: now, epoch: epoch}
+	s.owners[key] = recorded
 }
 
 // Forget drops a flow's owner if it is the given agent.
--- a/coordination/steerer/newcomer_test.go
+++ b/coordination/steerer/newcomer_test.go
@@ -136,8 +136,6 @@
 
 func sendRequest(m *model, b *balancerModel, port uint16) {
 	key := flowOf(port)
-	m.fromCaller(b, gooseberrymast.PacketHeader{
-		Source: key.Caller, Destination: key.Service, Acknowledges: true, Acknowledgement: m.callers[key], Payload: 10,
-	})
+	m.fromCaller(b, m.request(key))
 	deliverAll(m)
 }
--- a/coordination/steerer/proof_model_test.go
+++ b/coordination/steerer/proof_model_test.go
@@ -53,6 +53,8 @@
 	// announced is set once the agent has received an announcement, and leaving when
 	// the server says that it leaves.
 	announced, leaving bool
+	// silent is set while the server takes no notice of what it is sent.
+	silent bool
 }
 
 // agentModel is an agent with its server and its entry in the store.
@@ -476,6 +478,9 @@
 	for _, step := range steps {
 		m.log(header.FromCaller(), "balancer %s: %v to %s %s, candidates %v, definite %v %s", b.self.Endpoint, step.Action, step.To,
 			step.Hop.Mode, step.Hop.Candidates, step.Hop.Definite, step.Reason)
+		if step.Search != 0 {
+			b.steerer.Keep(step.Search, nil)
+		}
 		switch step.Action {
 		case steerer.Forward:
 			m.send(packet{to: step.To, from: b.self.Endpoint, header: header, hop: step.Hop})
@@ -493,6 +498,9 @@
 	if a.deliverer.ServedChanges() > 0 {
 		m.record(a)
 	}
+	if step.Keep {
+		a.deliverer.Keep(step, header, nil)
+	}
 	switch step.Action {
 	case deliverer.ToServer:
 		header.Tag = step.Tag
@@ -507,6 +515,9 @@
 
 // toServer gives a packet to the server, which accepts, answers or returns it.
 func (m *model) toServer(a *agentModel, header gooseberrymast.PacketHeader) {
+	if a.server.silent {
+		return
+	}
 	key := header.FromCaller()
 	number, accepted := a.server.flows[key]
 	a.server.usedAt[key] = m.now
--- a/coordination/steerer/proof_reports_test.go
+++ b/coordination/steerer/proof_reports_test.go
@@ -7,6 +7,7 @@
 
 	"gooseberrymast"
 	"gooseberrymast/coordination/relayer"
+	"gooseberrymast/coordination/retainer"
 	"gooseberrymast/coordination/tracker"
 	"gooseberrymast/state/roster"
 )
@@ -26,13 +27,22 @@
 // step moves the time and lets the reports arrive.
 func (m *model) step() {
 	m.now = m.now.Add(tick)
+	m.report()
+	for range tick / retainer.TickInterval {
+		m.tickKept()
+	}
+}
+
+// report lets all processes report.
+func (m *model) report() {
 	for _, a := range m.agents {
 		if m.now.Before(a.downUntil) || !a.stored {
 			continue
 		}
 		a.deliverer.Expire(m.now)
 		m.register(a)
-		if a.tracker.Status(m.now) != tracker.Unknown {
+		a.deliverer.HasUnansweredOpening(m.now)
+		if a.tracker.Status(m.now) != tracker.Unknown && !a.server.silent {
 			m.announce(a)
 		}
 		m.reportAgent(a)
--- a/coordination/steerer/proof_test.go
+++ b/coordination/steerer/proof_test.go
@@ -77,9 +77,7 @@
 // sendAll sends a packet of each flow to a balancer.
 func (m *model) sendAll(b *balancerModel) {
 	for _, key := range slices.SortedFunc(maps.Keys(m.callers), compareCallers) {
-		m.fromCaller(b, gooseberrymast.PacketHeader{
-			Source: key.Caller, Destination: key.Service, Acknowledges: true, Acknowledgement: m.callers[key], Payload: 10,
-		})
+		m.fromCaller(b, m.request(key))
 	}
 }
 
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -18,6 +18,7 @@
 	"gooseberrymast"
 	"gooseberrymast/coordination/chooser"
 	"gooseberrymast/coordination/locator"
+	"gooseberrymast/coordination/retainer"
 	"gooseberrymast/state/roster"
 )
 
@@ -57,6 +58,12 @@
 	// ReasonOwnerGone: the flow's recorded owner is gone, so that the flow is searched
 	// for.
 	ReasonOwnerGone Reason = "owner-gone"
+	// ReasonSearchUnanswered: neither the flow's owner nor a denial has come back from a
+	// lookup balancer or a chain of agents, so that others are asked.
+	ReasonSearchUnanswered Reason = "search-unanswered"
+	// ReasonOwnerSilent: nothing was heard of the agent that the flow was offered to since
+	// the packet came first, so that the flow is searched for.
+	ReasonOwnerSilent Reason = "owner-silent"
 	// ReasonHolderUnknown: the walk found no holder, but not every agent has
 	// answered definitely.
 	ReasonHolderUnknown Reason = "holder-unknown"
@@ -76,10 +83,13 @@
 	// To and Hop are set for Forward.
 	To  gooseberrymast.Endpoint
 	Hop gooseberrymast.Hop
+	// Search is set with the first step of a search for the flow of a caller's packet: the
+	// packet is to be kept (Steerer.Keep) until the search must have ended.
+	Search uint32
 	// CallerHeader is the caller's packet that Reset answers.
 	CallerHeader gooseberrymast.PacketHeader
 	// Reason is set for Drop and Reset, and for the walk of a flow whose recorded
-	// owner is gone.
+	// owner is gone, or of which an earlier search was not answered.
 	Reason Reason
 }
 
@@ -87,8 +97,9 @@
 	// placeCandidates is the number of agents that a new flow is offered to:
 	// enough that one of them takes it while the others leave or restart.
 	placeCandidates = 4
-	// maxWalks bounds the chains of walks in progress at one balancer.
-	maxWalks = 4096
+	// maxChains bounds the chains of walks in progress at one balancer, and the walks that
+	// wait for the store's entries.
+	maxChains = 4096
 	// walkTimeout is the time after which a walk is dropped: the longest
 	// retransmission interval of a caller.
 	walkTimeout = 1600 * time.Millisecond
@@ -112,10 +123,11 @@
 
 	mu      sync.Mutex
 	chooser chooser.Chooser
-	// walks holds the walk of each chain that has not been answered, by the chain's
-	// id.
-	walks      map[uint32]*walk
-	lastWalkID uint32
+	// chains holds each chain that has not been answered, by its id.
+	chains      map[uint32]chain
+	lastChainID uint32
+	// kept holds the packets whose searches have not ended.
+	kept retainer.Retainer[*walk]
 	// denied holds the walks that have found no holder and wait for the store's entries.
 	denied []*walk
 	// entriesAt is when the last complete read of the store's entries began.
@@ -135,8 +147,8 @@
 	evacuated []string
 }
 
-// walk is the search for a flow's holder, along several chains of candidates, or the
-// offer of a new flow to one chain.
+// walk is the search for a flow's holder, along several chains of candidates or by a lookup
+// balancer, or the offer of a new flow to one chain.
 type walk struct {
 	header        gooseberrymast.PacketHeader
 	pendingChains int
@@ -145,6 +157,20 @@
 	started  time.Time
 	// asked are the agents that were queried, with one that had returned the packet.
 	asked []gooseberrymast.Endpoint
+	// firstChain is the id of the first of chainCount chains; the others follow.
+	firstChain, chainCount uint32
+	// lookup is set if another balancer searches, which draws the conclusion.
+	lookup bool
+	// askedBy is the balancer that waits for the end of this search, and askedID the id of
+	// its own; zero if none does.
+	askedBy gooseberrymast.Endpoint
+	askedID uint32
+}
+
+// chain is one chain of a walk. Each of its agents passes the packet on to the next one.
+type chain struct {
+	walk   *walk
+	agents []gooseberrymast.Endpoint
 }
 
 // SetRoutes applies routes unless those in force are newer, and reports whether it did.
@@ -214,8 +240,9 @@
 	}
 	for _, lookup := range locator.LookupBalancers(key, s.readyBalancers(now)) {
 		if lookup != s.Self && !lookup.IsZero() {
-			hop.Mode = gooseberrymast.HopLookup
-			return append(steps, Step{Action: Forward, To: lookup, Hop: hop})
+			hop.Mode, hop.Initiator = gooseberrymast.HopLookup, s.Self
+			hop.Walk = s.beginWalk(&walk{header: header, lookup: true, started: now}, [][]gooseberrymast.Endpoint{nil}, now)
+			return append(steps, Step{Action: Forward, To: lookup, Hop: hop, Search: hop.Walk})
 		}
 	}
 	return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, false, now)
@@ -234,6 +261,7 @@
 		return s.walk(steps, header, hop, gooseberrymast.Endpoint{}, false, now)
 	case gooseberrymast.HopReturn:
 		s.Owners.Forget(key, sender)
+		s.endLookup(hop, key)
 		return s.walk(steps, header, hop, sender, hop.Definite, now)
 	case gooseberrymast.HopAbsent:
 		return s.handleAbsent(steps, hop, now)
@@ -243,23 +271,43 @@
 
 // deliver forwards a packet to the recorded owner of its flow. If that agent is
 // considered gone, the flow is searched for at the others: a copy of its opening
-// packet may have opened it at one of them.
+// packet may have opened it at one of them. It is searched for at all, the owner among
+// them, if that may be silent and is only the one that the flow was offered to.
 func (s *Steerer) deliver(steps []Step, header gooseberrymast.PacketHeader, owner gooseberrymast.Endpoint,
 	hop gooseberrymast.Hop, now time.Time) []Step {
-	if !s.gone(owner, now) {
+	reason, except := ReasonOwnerSilent, gooseberrymast.Endpoint{}
+	switch {
+	case s.gone(owner, now):
+		s.Owners.Forget(header.FromCaller(), owner)
+		reason, except = ReasonOwnerGone, owner
+	case !s.unanswered(header, owner, now):
 		return append(steps, Step{Action: Forward, To: owner, Hop: hop})
 	}
-	s.Owners.Forget(header.FromCaller(), owner)
 	first := len(steps)
-	steps = s.walk(steps, header, hop, owner, false, now)
+	steps = s.walk(steps, header, hop, except, false, now)
 	for i := first; i < len(steps); i++ {
 		if steps[i].Action == Forward {
-			steps[i].Reason = ReasonOwnerGone
+			steps[i].Reason = reason
 		}
 	}
 	return steps
 }
 
+// unanswered reports whether a packet is a retransmission and nothing was heard of the agent
+// that its flow was offered to since the packet came first. One that has reported that it
+// stops restarts as planned and keeps its flows.
+func (s *Steerer) unanswered(header gooseberrymast.PacketHeader, agent gooseberrymast.Endpoint, now time.Time) bool {
+	if header.Payload == 0 {
+		return false
+	}
+	firstSeen, repeats := s.Owners.Repeats(header.FromCaller(), header.Sequence, now)
+	if !repeats {
+		return false
+	}
+	entry, known := s.Roster.Get(agent)
+	return known && entry.State != gooseberrymast.StateLeaving && entry.ReportedAt.Before(firstSeen)
+}
+
 // handleUnrouted decides on a packet to an address that has no route. A flow that was
 // known before its route was removed is reset.
 func (s *Steerer) handleUnrouted(header gooseberrymast.PacketHeader, now time.Time) Step {
@@ -299,7 +347,7 @@
 		}
 		return refuseOpening(header, ReasonNoAgent)
 	}
-	s.Owners.Record(key, chosen[0], now)
+	s.Owners.Offer(key, chosen[0], now)
 	hop := gooseberrymast.Hop{
 		Mode:       gooseberrymast.HopPlace,
 		Definite:   true,
@@ -309,7 +357,8 @@
 		Candidates: chosen[1:],
 	}
 	if header.Copy == 0 {
-		hop.Initiator, hop.Walk = s.Self, s.beginWalk(&walk{header: header, pendingChains: 1, definite: true, started: now}, now)
+		hop.Initiator = s.Self
+		hop.Walk = s.beginWalk(&walk{header: header, definite: true, started: now}, [][]gooseberrymast.Endpoint{chosen}, now)
 	}
 	return Step{Action: Forward, To: chosen[0], Hop: hop}
 }
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -15,6 +15,9 @@
 func (s *Steerer) walk(steps []Step, header gooseberrymast.PacketHeader, hop gooseberrymast.Hop,
 	owner gooseberrymast.Endpoint, denied bool, now time.Time) []Step {
 	w := &walk{header: header, definite: true, started: now}
+	if hop.Origin != s.Self && hop.Initiator == hop.Origin {
+		w.askedBy, w.askedID = hop.Initiator, hop.Walk
+	}
 	if denied {
 		w.asked = append(w.asked, owner)
 	}
@@ -35,19 +38,22 @@
 		defer s.mu.Unlock()
 		return append(steps, s.awaitEntries(w, now))
 	}
-	w.pendingChains = len(chains)
-	first := s.beginWalk(w, now)
-	for i, chain := range chains {
-		steps = append(steps, Step{Action: Forward, To: chain[0], Hop: gooseberrymast.Hop{
-			Mode:         gooseberrymast.HopWalk,
-			Definite:     true,
-			NotifyOrigin: true,
-			Origin:       hop.Origin,
-			Initiator:    s.Self,
-			Walk:         first + uint32(i),
-			Version:      hop.Version,
-			Candidates:   chain[1:],
-		}})
+	first := len(steps)
+	steps = appendChainSteps(steps, s.beginWalk(w, chains, now), chains, gooseberrymast.Hop{
+		Origin: hop.Origin, Initiator: s.Self, Version: hop.Version,
+	})
+	if hop.Origin == s.Self && slices.ContainsFunc(chains, func(agents []gooseberrymast.Endpoint) bool { return len(agents) > 1 }) {
+		steps[first].Search = w.firstChain
+	}
+	return steps
+}
+
+// appendChainSteps appends the steps that send a packet along chains with successive ids.
+func appendChainSteps(steps []Step, firstChain uint32, chains [][]gooseberrymast.Endpoint, hop gooseberrymast.Hop) []Step {
+	hop.Mode, hop.Definite, hop.NotifyOrigin = gooseberrymast.HopWalk, true, true
+	for i, agents := range chains {
+		hop.Walk, hop.Candidates = firstChain+uint32(i), agents[1:]
+		steps = append(steps, Step{Action: Forward, To: agents[0], Hop: hop})
 	}
 	return steps
 }
@@ -64,7 +70,7 @@
 	if !s.entriesAt.IsZero() && w.started.Sub(s.entriesAt) <= EntriesFresh {
 		return s.conclude(w, true, now)
 	}
-	if len(s.denied) == maxWalks {
+	if len(s.denied) == maxChains {
 		s.denied = s.denied[1:]
 	}
 	s.denied = append(s.denied, w)
@@ -172,29 +178,37 @@
 	return answering, doubtful
 }
 
-// beginWalk records a walk and returns the id of its first chain; the others follow.
-func (s *Steerer) beginWalk(w *walk, now time.Time) uint32 {
+// beginWalk records a walk along chains and returns the id of the first one.
+func (s *Steerer) beginWalk(w *walk, chains [][]gooseberrymast.Endpoint, now time.Time) uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.walks == nil {
-		s.walks = map[uint32]*walk{}
+	w.firstChain, w.chainCount = s.addChains(w, chains, now), uint32(len(chains))
+	return w.firstChain
+}
+
+// addChains adds chains to a walk and returns the id of the first one; the others follow.
+// The caller must hold mu.
+func (s *Steerer) addChains(w *walk, chains [][]gooseberrymast.Endpoint, now time.Time) uint32 {
+	if s.chains == nil {
+		s.chains = map[uint32]chain{}
 		// A late answer to a walk of the balancer's last incarnation must not
 		// count for one of this.
-		s.lastWalkID = s.Random.Uint32()
+		s.lastChainID = s.Random.Uint32()
 	}
 	// Chains are dropped in the map's random order, up to the first one that has
 	// not timed out and leaves room for the new ones.
-	for id, other := range s.walks {
-		if len(s.walks)+w.pendingChains <= maxWalks && now.Sub(other.started) < walkTimeout {
+	for id, other := range s.chains {
+		if len(s.chains)+len(chains) <= maxChains && now.Sub(other.walk.started) < walkTimeout {
 			break
 		}
-		delete(s.walks, id)
+		delete(s.chains, id)
 	}
-	first := s.lastWalkID + 1
-	s.lastWalkID += uint32(w.pendingChains)
-	for i := range uint32(w.pendingChains) {
-		s.walks[first+i] = w
+	first := s.lastChainID + 1
+	s.lastChainID += uint32(len(chains))
+	for i, agents := range chains {
+		s.chains[first+uint32(i)] = chain{walk: w, agents: agents}
 	}
+	w.pendingChains += len(chains)
 	return first
 }
 
@@ -208,16 +222,23 @@
 func (s *Steerer) handleAbsent(steps []Step, hop gooseberrymast.Hop, now time.Time) []Step {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w, ok := s.walks[hop.Walk]
+	answered, ok := s.chains[hop.Walk]
 	if !ok {
 		return steps
 	}
-	delete(s.walks, hop.Walk)
+	delete(s.chains, hop.Walk)
+	w := answered.walk
 	w.pendingChains--
 	w.definite = w.definite && hop.Definite
-	switch {
-	case w.pendingChains > 0:
+	if w.pendingChains > 0 || w.lookup {
 		return steps
+	}
+	if !w.askedBy.IsZero() {
+		steps = append(steps, Step{Action: Forward, To: w.askedBy, Hop: gooseberrymast.Hop{
+			Mode: gooseberrymast.HopAbsent, Definite: w.definite, Origin: w.askedBy, Initiator: w.askedBy, Walk: w.askedID,
+		}})
+	}
+	switch {
 	case !w.definite:
 		return append(steps, Step{Action: Drop, Reason: ReasonHolderUnknown})
 	case !w.header.Opens:
@@ -233,9 +254,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropExpired(now)
-	for id, w := range s.walks {
-		if now.Sub(w.started) >= walkTimeout {
-			delete(s.walks, id)
+	for id, other := range s.chains {
+		if now.Sub(other.walk.started) >= walkTimeout {
+			delete(s.chains, id)
 		}
 	}
 }
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -73,6 +73,8 @@
 	throttler throttler.Throttler
 	outbound  *net.UDPConn
 	stopping  atomic.Bool
+	// kept holds a value after a packet was kept that the server may return.
+	kept chan struct{}
 
 	trackerMu sync.Mutex
 	tracker   tracker.Tracker
@@ -167,6 +169,7 @@
 	defer cancel()
 	go a.receiveFromPeers(a.handlePeerPacket)
 	go a.receiveFromServer()
+	go tickWhileKept(workCtx, a.Timer, a.kept, a.passOnUnanswered)
 	go a.register(workCtx)
 	go a.probeServer(workCtx, healthPaths)
 	go a.reportPeriodically(workCtx, agentReportInterval)
@@ -205,7 +208,7 @@
 	a.load = a.flowLoad
 	a.served, a.restore, a.onEntry = a.currentServed, a.restoreServed, a.handleEntry
 	a.awaitServer, a.onReveal = a.awaitKnownServer, a.beginIntroduction
-	a.serverKnown = make(chan struct{})
+	a.serverKnown, a.kept = make(chan struct{}), make(chan struct{}, 1)
 }
 
 // drain refuses new flows and waits for the end of work in progress. If the server
--- a/runner/agent_packets.go
+++ b/runner/agent_packets.go
@@ -33,6 +33,10 @@
 	}
 	step := a.deliverer.FromPeer(header, hop, server, routes, now)
 	a.recordOutcome(step, header.FromCaller(), packet, now)
+	if step.Keep {
+		a.deliverer.Keep(step, header, packet)
+		wake(a.kept)
+	}
 	a.execute(step, header.FromCaller(), packet)
 }
 
--- a/runner/balancer.go
+++ b/runner/balancer.go
@@ -68,6 +68,8 @@
 
 	// entriesWanted holds a value while a search waits for the store's entries.
 	entriesWanted chan struct{}
+	// kept holds a value after a packet was kept whose flow is searched for.
+	kept chan struct{}
 }
 
 // NewBalancer returns a balancer; Run starts it.
@@ -94,7 +96,7 @@
 			b.owners.Record(key, owner, now)
 		}
 	}
-	b.entriesWanted = make(chan struct{}, 1)
+	b.entriesWanted, b.kept = make(chan struct{}, 1), make(chan struct{}, 1)
 	var err error
 	if b.ingress, err = listenUDP(b.Settings.Packets); err != nil {
 		return err
@@ -115,6 +117,7 @@
 	go b.receiveFromFabric()
 	go b.register(workCtx)
 	go b.concludeWalks(workCtx)
+	go tickWhileKept(workCtx, b.Timer, b.kept, b.repeatSearches)
 	stops := []func(){
 		b.startFlowArchive(workCtx),
 		b.Timer.Every(documentPollInterval, func(time.Time) { b.confirmDocument(workCtx) }),
@@ -244,10 +247,10 @@
 			buffer = b.Codec.AppendReset(buffer[:0], step.CallerHeader)
 			b.write(b.conn, buffer, callerEndpoint(step.CallerHeader.Source, b.Settings))
 		case steerer.ReadEntries:
-			select {
-			case b.entriesWanted <- struct{}{}:
-			default:
-			}
+			wake(b.entriesWanted)
+		}
+		if step.Search != 0 && b.steerer.Keep(step.Search, packet) {
+			wake(b.kept)
 		}
 		b.recordStep(step, header)
 	}
