--- a/runner/entry.go
+++ b/runner/entry.go
@@ -59,7 +59,9 @@
 
 // registerOnce writes the process's entry and then reads the entries of all
 // others. With this order, when two instances start at the same time, the one
-// that reads last finds the other and reports to it.
+// that reads last finds the other and reports to it. If an entry of an earlier process is
+// in its place, the process is found by that one, and replaces it after it has read the
+// others. One that can't be decoded hides the process, so that they are read again.
 func (m *member) registerOnce(ctx context.Context) error {
 	value, err := m.encodeEntry()
 	if err != nil {
@@ -86,8 +88,8 @@
 		return err
 	}
 	switch {
-	case found.Key != "":
-		entry = canonicalEntry(found)
+	case found.own.Key != "":
+		entry = canonicalEntry(found.own)
 	case known:
 		// It was removed after it was read; the next attempt writes it anew.
 		m.mu.Lock()
@@ -96,7 +98,14 @@
 		return fmt.Errorf("register %s: the entry was removed meanwhile: %w", entry.Key, gooseberrymast.ErrStoreConflict)
 	}
 	m.setEntry(entry)
-	return m.updateEntry(ctx)
+	if err := m.updateEntry(ctx); err != nil || created || found.readable {
+		return err
+	}
+	found, err = m.readEntries(ctx)
+	if err == nil && found.complete {
+		m.roster.MarkComplete()
+	}
+	return err
 }
 
 // setOwnVersion records the outcome of a write of the entry.
@@ -249,12 +258,12 @@
 }
 
 // loadPeers reads the entries of all instances into the roster, restores what an earlier
-// agent of this instance and service stored, and returns the process's own entry. created
-// is set if the process has just created that.
-func (m *member) loadPeers(ctx context.Context, created bool) (own gooseberrymast.Object, err error) {
-	found, err := m.readEntries(ctx)
+// agent of this instance and service stored, and returns the list. created is set if the
+// process has just created its own entry.
+func (m *member) loadPeers(ctx context.Context, created bool) (found entryList, err error) {
+	found, err = m.readEntries(ctx)
 	if err != nil {
-		return own, err
+		return found, err
 	}
 	if found.complete {
 		m.roster.MarkComplete()
@@ -273,7 +282,7 @@
 			server: found.ownServed.Server, flowRecords: found.flowRecords,
 		})
 	}
-	return found.own, nil
+	return found, nil
 }
 
 // updateEntry writes the process's entry if it differs from the stored one.
