--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -73,8 +73,11 @@
 }
 
 type callerFlow struct {
-	key              gooseberrymast.FlowKey
-	packets          chan receivedPacket
+	key     gooseberrymast.FlowKey
+	packets chan receivedPacket
+	// initialSequence is drawn, so that a server can tell a flow from an earlier one of the
+	// same port.
+	initialSequence  uint32
 	nextSequence     uint32
 	expectedSequence uint32
 }
@@ -199,9 +202,10 @@
 			break
 		}
 	}
+	initial := random.Uint32()
 	flow := &callerFlow{
 		key:     gooseberrymast.FlowKey{Caller: gooseberrymast.Endpoint{IP: c.address, Port: c.lastPort}, Service: address},
-		packets: make(chan receivedPacket, 64), nextSequence: callerInitialSequence + 1,
+		packets: make(chan receivedPacket, 64), initialSequence: initial, nextSequence: initial + 1,
 	}
 	c.flows[c.lastPort] = flow
 	c.mu.Unlock()
@@ -227,7 +231,7 @@
 			if copies == len(openingDelays) {
 				return flow, errRefused
 			}
-			c.send(flow, gooseberrymast.PacketHeader{Opens: true, Sequence: callerInitialSequence, Copy: copies}, nil)
+			c.send(flow, gooseberrymast.PacketHeader{Opens: true, Sequence: flow.initialSequence, Copy: copies}, nil)
 			copies++
 		}
 	}
--- a/soaker/server.go
+++ b/soaker/server.go
@@ -59,6 +59,8 @@
 // serverFlow is a flow held by a server.
 type serverFlow struct {
 	opened bool
+	// callerSequence is the caller's initial sequence number.
+	callerSequence uint32
 	// initialSequence is the sequence number of the server's answer to the
 	// opening packet.
 	initialSequence uint32
@@ -74,9 +76,6 @@
 	ended           bool
 }
 
-// callerInitialSequence is the initial sequence number of every caller.
-const callerInitialSequence = 1000
-
 // startServer starts an incarnation of a server and its announcements.
 func startServer(settings gooseberrymast.InstanceSettings, number int, checker *Checker, drawWorkTime func() time.Duration, sabotage bool) (*server, error) {
 	s := &server{
@@ -186,7 +185,8 @@
 	switch {
 	case s.stopped:
 	case header.Opens:
-		if flow == nil {
+		if flow == nil || flow.callerSequence != header.Sequence {
+			// The caller has drawn the port of an earlier flow again.
 			s.checker.CheckOpening(Opening{
 				Key: key, Copy: header.Copy, Server: s.name, Agent: s.agent, Service: s.service, Zone: s.settings.Zone,
 				LeavingSince: s.leavingSince,
@@ -195,7 +195,7 @@
 			// If two servers answer the opening, the caller distinguishes them by
 			// this number.
 			first := rand.Uint32()
-			flow = &serverFlow{initialSequence: first, nextSequence: first + 1}
+			flow = &serverFlow{callerSequence: header.Sequence, initialSequence: first, nextSequence: first + 1}
 			s.flows[key] = flow
 		}
 		s.send(key, gooseberrymast.PacketHeader{Opens: true, Acknowledges: true, Sequence: flow.initialSequence}, nil)
