--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -182,6 +182,11 @@
 		return d.answerNotHeld(header, hop, ReasonNotHeld, true)
 	}
 	if !d.mayHold(key, server.Service, routes) {
+		// The balancer knows another service here: the instance was given to this one since,
+		// and its server holds no flow of the other's addresses.
+		if hop.Service != 0 && server.Service != "" && hop.Service != gooseberrymast.ServiceHash(server.Service) {
+			return d.answerNotHeld(header, hop, ReasonWrongService, false)
+		}
 		// An earlier agent may have taken flows that it couldn't record, so that the lack
 		// of a record is no proof, and the server is asked.
 		if hop.Mode == gooseberrymast.HopWalk && !server.answers() {
--- a/coordination/steerer/repeat.go
+++ b/coordination/steerer/repeat.go
@@ -114,12 +114,14 @@
 func (s *Steerer) splitChains(w *walk, hop gooseberrymast.Hop, now time.Time) (steps []Step) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var single [][]gooseberrymast.Endpoint
+	var single []chain
 	for i := range w.chainCount {
 		id := w.firstChain + i
 		if unanswered := s.chains[id]; unanswered.walk == w && len(unanswered.agents) > 1 {
 			s.endChain(id)
-			single = appendChains(single, unanswered.agents, 1)
+			for _, agent := range unanswered.agents {
+				single = append(single, chain{service: unanswered.service, agents: []gooseberrymast.Endpoint{agent}})
+			}
 		}
 	}
 	if len(single) == 0 {
--- a/coordination/steerer/steerer.go
+++ b/coordination/steerer/steerer.go
@@ -167,10 +167,12 @@
 	askedID uint32
 }
 
-// chain is one chain of a walk. Each of its agents passes the packet on to the next one.
+// chain is one chain of a walk. Each of its agents passes the packet on to the next one. As
+// far as the balancer knows, their servers are of one service.
 type chain struct {
-	walk   *walk
-	agents []gooseberrymast.Endpoint
+	walk    *walk
+	service string
+	agents  []gooseberrymast.Endpoint
 }
 
 // SetRoutes applies routes unless those in force are newer, and reports whether it did.
@@ -241,7 +243,7 @@
 	for _, lookup := range locator.LookupBalancers(key, s.readyBalancers(now)) {
 		if lookup != s.Self && !lookup.IsZero() {
 			hop.Mode, hop.Initiator = gooseberrymast.HopLookup, s.Self
-			hop.Walk = s.beginWalk(&walk{header: header, lookup: true, started: now}, [][]gooseberrymast.Endpoint{nil}, now)
+			hop.Walk = s.beginWalk(&walk{header: header, lookup: true, started: now}, []chain{{}}, now)
 			return append(steps, Step{Action: Forward, To: lookup, Hop: hop, Search: hop.Walk})
 		}
 	}
@@ -276,11 +278,18 @@
 func (s *Steerer) deliver(steps []Step, header gooseberrymast.PacketHeader, owner gooseberrymast.Endpoint,
 	hop gooseberrymast.Hop, now time.Time) []Step {
 	reason, except := ReasonOwnerSilent, gooseberrymast.Endpoint{}
+	entry, known := s.Roster.Get(owner)
 	switch {
 	case s.gone(owner, now):
 		s.Owners.Forget(header.FromCaller(), owner)
 		reason, except = ReasonOwnerGone, owner
 	case !s.unanswered(header, owner, now):
+		// An instance that was given to another service since is not to ask its server.
+		service := ""
+		if known && mayHold(entry, header.Destination, s.everAllowed(header.Destination)) {
+			service = entry.Service
+		}
+		hop.Service = gooseberrymast.ServiceHash(service)
 		return append(steps, Step{Action: Forward, To: owner, Hop: hop})
 	}
 	first := len(steps)
@@ -358,7 +367,7 @@
 	}
 	if header.Copy == 0 {
 		hop.Initiator = s.Self
-		hop.Walk = s.beginWalk(&walk{header: header, definite: true, started: now}, [][]gooseberrymast.Endpoint{chosen}, now)
+		hop.Walk = s.beginWalk(&walk{header: header, definite: true, started: now}, []chain{{agents: chosen}}, now)
 	}
 	return Step{Action: Forward, To: chosen[0], Hop: hop}
 }
--- a/coordination/steerer/steerer_test.go
+++ b/coordination/steerer/steerer_test.go
@@ -296,14 +296,13 @@
 	f.report(agent(3), "keepsakes", gooseberrymast.StateReady, epoch)
 	f.steerer.SetRoutes(routes(2, map[gooseberrymast.Endpoint][]string{address: {"ledger", "receipts"}}))
 	f.steerer.SetRoutes(routes(3, map[gooseberrymast.Endpoint][]string{address: {"ledger"}}))
-	step := f.steerer.FromCaller(nil, packet(false), epoch)[0]
-	is.Equal(1+len(step.Hop.Candidates), 2) // ledger and receipts
+	is.Equal(walkedAgents(f.steerer.FromCaller(nil, packet(false), epoch)), []gooseberrymast.Endpoint{agent(1), agent(2)}) // ledger and receipts
 
 	f.roster.HandleStored([]roster.Stored{{
 		Peer: gooseberrymast.Peer{Endpoint: agent(3), Role: gooseberrymast.RoleAgent}, Served: []gooseberrymast.Endpoint{address}, Version: 1,
 	}}, epoch)
-	step = f.steerer.FromCaller(nil, packet(false), epoch)[0]
-	is.Equal(1+len(step.Hop.Candidates), 3) // agent 3 is stored as having served the address
+	// Agent 3 is stored as having served the address.
+	is.Equal(walkedAgents(f.steerer.FromCaller(nil, packet(false), epoch)), []gooseberrymast.Endpoint{agent(1), agent(2), agent(3)})
 }
 
 func TestWalkOfReturnedPacketSkipsItsSender(t *testing.T) {
--- a/coordination/steerer/walk.go
+++ b/coordination/steerer/walk.go
@@ -22,7 +22,9 @@
 		w.asked = append(w.asked, owner)
 	}
 	answering, doubtful := s.possibleHolders(header.Destination, w.asked, now)
-	w.asked = slices.Concat(w.asked, answering, doubtful)
+	for _, entry := range slices.Concat(answering, doubtful) {
+		w.asked = append(w.asked, entry.Endpoint)
+	}
 	// Each retransmission has other agents in one chain.
 	s.mu.Lock()
 	s.Random.Shuffle(len(doubtful), func(i, j int) { doubtful[i], doubtful[j] = doubtful[j], doubtful[i] })
@@ -42,18 +44,18 @@
 	steps = appendChainSteps(steps, s.beginWalk(w, chains, now), chains, gooseberrymast.Hop{
 		Origin: hop.Origin, Initiator: s.Self, Version: hop.Version,
 	})
-	if hop.Origin == s.Self && slices.ContainsFunc(chains, func(agents []gooseberrymast.Endpoint) bool { return len(agents) > 1 }) {
+	if hop.Origin == s.Self && slices.ContainsFunc(chains, func(c chain) bool { return len(c.agents) > 1 }) {
 		steps[first].Search = w.firstChain
 	}
 	return steps
 }
 
 // appendChainSteps appends the steps that send a packet along chains with successive ids.
-func appendChainSteps(steps []Step, firstChain uint32, chains [][]gooseberrymast.Endpoint, hop gooseberrymast.Hop) []Step {
+func appendChainSteps(steps []Step, firstChain uint32, chains []chain, hop gooseberrymast.Hop) []Step {
 	hop.Mode, hop.Definite, hop.NotifyOrigin = gooseberrymast.HopWalk, true, true
-	for i, agents := range chains {
-		hop.Walk, hop.Candidates = firstChain+uint32(i), agents[1:]
-		steps = append(steps, Step{Action: Forward, To: agents[0], Hop: hop})
+	for i, c := range chains {
+		hop.Walk, hop.Service, hop.Candidates = firstChain+uint32(i), gooseberrymast.ServiceHash(c.service), c.agents[1:]
+		steps = append(steps, Step{Action: Forward, To: c.agents[0], Hop: hop})
 	}
 	return steps
 }
@@ -130,40 +132,49 @@
 // stays bounded when all agents are silent.
 const maxDoubtfulChains = 8
 
-// appendChains cuts agents into chains of a length.
-func appendChains(chains [][]gooseberrymast.Endpoint, agents []gooseberrymast.Endpoint, length int) [][]gooseberrymast.Endpoint {
-	for len(agents) > 0 {
-		chain := agents[:min(length, len(agents))]
-		agents = agents[len(chain):]
-		chains = append(chains, chain)
+// appendChains cuts agents into chains of a length, each of one service.
+func appendChains(chains []chain, agents []roster.Entry, length int) []chain {
+	first := len(chains)
+	for _, agent := range agents {
+		i := first + slices.IndexFunc(chains[first:], func(c chain) bool { return c.service == agent.Service && len(c.agents) < length })
+		if i < first {
+			i = len(chains)
+			chains = append(chains, chain{service: agent.Service})
+		}
+		chains[i].agents = append(chains[i].agents, agent.Endpoint)
 	}
 	return chains
 }
 
+// mayHold reports whether an agent's server may hold flows of an address that its route
+// allows, or has allowed, some services.
+func mayHold(agent roster.Entry, address gooseberrymast.Endpoint, allowed []string) bool {
+	return agent.Unreadable || slices.Contains(allowed, agent.Service) || slices.Contains(agent.Served, address)
+}
+
 // possibleHolders returns the agents that may hold a flow of an address: those
 // of the services that the address's route allows or did allow, and those whose entries
 // in the store name the address or can't be decoded. Agents that are being stopped or whose
 // report is late are doubtful: one that doesn't answer ends its chain, and the
 // packet would not reach those behind it. Those that were asked before are left out.
-func (s *Steerer) possibleHolders(address gooseberrymast.Endpoint, asked []gooseberrymast.Endpoint, now time.Time) (answering, doubtful []gooseberrymast.Endpoint) {
-	var reporting []roster.Entry
+func (s *Steerer) possibleHolders(address gooseberrymast.Endpoint, asked []gooseberrymast.Endpoint, now time.Time) (answering, doubtful []roster.Entry) {
 	mostReporting := s.HasMostReports(now)
 	allowed := s.everAllowed(address)
 	listening := s.Roster.Hearing()
 	s.Roster.Each(func(entry roster.Entry) {
 		switch {
 		case entry.Role != gooseberrymast.RoleAgent || entry.State == gooseberrymast.StateGone || slices.Contains(asked, entry.Endpoint):
-		case !entry.Unreadable && !slices.Contains(allowed, entry.Service) && !slices.Contains(entry.Served, address):
+		case !mayHold(entry, address, allowed):
 		case mostReporting && silentTooLong(entry, listening):
 		case entry.Reporting(now) && entry.ReportAge(now) <= lateReportAge && entry.State != gooseberrymast.StateLeaving:
-			reporting = append(reporting, entry)
+			answering = append(answering, entry)
 		default:
-			doubtful = append(doubtful, entry.Endpoint)
+			doubtful = append(doubtful, entry)
 		}
 	})
 	// A chain goes from zone to zone, beginning with this balancer's own, so that
 	// it crosses between zones as seldom as possible.
-	slices.SortFunc(reporting, func(a, b roster.Entry) int {
+	slices.SortFunc(answering, func(a, b roster.Entry) int {
 		if (a.Zone == s.Zone) != (b.Zone == s.Zone) {
 			if a.Zone == s.Zone {
 				return -1
@@ -172,14 +183,11 @@
 		}
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), a.Endpoint.Compare(b.Endpoint))
 	})
-	for _, entry := range reporting {
-		answering = append(answering, entry.Endpoint)
-	}
 	return answering, doubtful
 }
 
 // beginWalk records a walk along chains and returns the id of the first one.
-func (s *Steerer) beginWalk(w *walk, chains [][]gooseberrymast.Endpoint, now time.Time) uint32 {
+func (s *Steerer) beginWalk(w *walk, chains []chain, now time.Time) uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.firstChain, w.chainCount = s.addChains(w, chains, now), uint32(len(chains))
@@ -188,7 +196,7 @@
 
 // addChains adds chains to a walk and returns the id of the first one; the others follow.
 // The caller must hold mu.
-func (s *Steerer) addChains(w *walk, chains [][]gooseberrymast.Endpoint, now time.Time) uint32 {
+func (s *Steerer) addChains(w *walk, chains []chain, now time.Time) uint32 {
 	if s.chains == nil {
 		s.chains = map[uint32]chain{}
 		// A late answer to a walk of the balancer's last incarnation must not
@@ -205,8 +213,9 @@
 	}
 	first := s.lastChainID + 1
 	s.lastChainID += uint32(len(chains))
-	for i, agents := range chains {
-		s.chains[first+uint32(i)] = chain{walk: w, agents: agents}
+	for i, added := range chains {
+		added.walk = w
+		s.chains[first+uint32(i)] = added
 	}
 	w.pendingChains += len(chains)
 	return first
--- a/coordination/steerer/walk_test.go
+++ b/coordination/steerer/walk_test.go
@@ -21,6 +21,11 @@
 	return chains
 }
 
+// walkedAgents returns the agents that all chains of a walk go over, sorted.
+func walkedAgents(steps []Step) []gooseberrymast.Endpoint {
+	return slices.SortedFunc(slices.Values(slices.Concat(walkChains(steps)...)), gooseberrymast.Endpoint.Compare)
+}
+
 // An agent that is being restarted ends the chain that it is in: the packet never
 // reached the holder behind it, however often it was retransmitted.
 func TestWalkReachesHolderWhileOtherAgentsRestart(t *testing.T) {
--- a/runner/agent_server.go
+++ b/runner/agent_server.go
@@ -20,6 +20,9 @@
 	defer a.trackerMu.Unlock()
 	last, _ := a.tracker.Last()
 	service := a.tracker.ServiceName()
+	if service == "" {
+		service = a.Settings.Service
+	}
 	return deliverer.Server{
 		Status: a.tracker.Status(now), Service: service, Slots: last.Slots, Complete: a.tracker.Complete(),
 		Admission: a.admissionActive(last.Slots, service, routes),
@@ -169,9 +172,6 @@
 		state = gooseberrymast.StateLeaving
 	}
 	service := server.Service
-	if service == "" {
-		service = a.Settings.Service
-	}
 	if a.stopping.Load() {
 		return
 	}
--- a/state/roster/entry.go
+++ b/state/roster/entry.go
@@ -100,6 +100,15 @@
 	return now
 }
 
+// setPeer replaces the peer by a later version. An instance that was given to another
+// service has another server, which holds no flow of the addresses that the last one served.
+func (e *Entry) setPeer(peer gooseberrymast.Peer) {
+	if e.Service != peer.Service {
+		e.Served = nil
+	}
+	e.Peer = peer
+}
+
 func (e *Entry) clearQuestions() {
 	e.AskedSince, e.AskedAt, e.Questions = time.Time{}, time.Time{}, 0
 }
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -61,7 +61,7 @@
 		r.updateDigests(entry.Peer, report.Peer, found)
 		changed = true
 	}
-	entry.Peer = report.Peer
+	entry.setPeer(report.Peer)
 	entry.ReportedAt, entry.UpdatedAt, entry.ViewedAt = now, now, now
 	entry.clearQuestions()
 	entry.UsesRelays = report.Relayed
@@ -87,7 +87,7 @@
 		if !found {
 			entry.Relayed = r.inOtherZone(peer)
 		}
-		entry.Peer = peer
+		entry.setPeer(peer)
 		entry.UpdatedAt = now
 		r.put(entry)
 		changed = true
@@ -118,14 +118,15 @@
 		}
 		if found && !entry.Relayed && entry.Reporting(now) && entry.Incarnation == viewed.Peer.Incarnation {
 			// The peer's own reports say more than a relay.
-			entry.Peer = viewed.Peer
+			entry.setPeer(viewed.Peer)
 			r.put(entry)
 			continue
 		}
 		if entry.Incarnation != viewed.Peer.Incarnation {
 			entry.Load, entry.ReportedAt = gooseberrymast.FlowLoad{}, time.Time{}
 		}
-		entry.Peer, entry.Relayed, entry.ViewedAt, entry.SummarizedAt = viewed.Peer, true, now, now
+		entry.setPeer(viewed.Peer)
+		entry.Relayed, entry.ViewedAt, entry.SummarizedAt = true, now, now
 		entry.clearQuestions()
 		lastSign := now.Add(-viewed.Silence)
 		if lastSign.After(entry.UpdatedAt) {
--- a/state/roster/stored.go
+++ b/state/roster/stored.go
@@ -62,6 +62,10 @@
 			changed = true
 		}
 		entry.Served, entry.StoreVersion, entry.Unreadable = stored.Served, stored.Version, false
+		if stored.Service != entry.Service && stored.Incarnation != 0 && stored.Incarnation < entry.Incarnation {
+			// The instance was given to another service, whose agent has not written its entry.
+			entry.Served = nil
+		}
 		r.put(entry)
 	}
 	r.unreadable, r.forgotten = unknown, forgotten
