--- a/coordination/deliverer/deliverer.go
+++ b/coordination/deliverer/deliverer.go
@@ -260,6 +260,10 @@
 	f.lastUsed = now
 	d.attribute(f, header)
 	f.opened = f.opened || header.Payload > 0
+	if header.Acknowledges && header.Acknowledgement != 0 && f.precedes(header.Acknowledgement) {
+		// Caller's packets up to there are copies, though the agent may not have seen them.
+		f.callerEnd = header.Acknowledgement
+	}
 	step := Step{Action: ToCaller, Event: event}
 	if !f.answered {
 		f.answered = true
@@ -314,8 +318,7 @@
 	}
 	if header.Payload > 0 {
 		end := header.Sequence + uint32(header.Payload)
-		// Sequence numbers wrap, so their difference is compared.
-		if f.callerEnd == 0 || int32(end-f.callerEnd) > 0 {
+		if f.precedes(end) {
 			f.callerEnd = end
 			if !f.busy && !f.closed {
 				f.busySince = now
--- a/coordination/deliverer/flows.go
+++ b/coordination/deliverer/flows.go
@@ -62,6 +62,12 @@
 	return f.serverBegan && f.serverEnd-header.Acknowledgement <= maxInFlight
 }
 
+// precedes reports whether the bytes known from the caller end before a sequence number.
+// Sequence numbers wrap, so their difference is compared.
+func (f *flow) precedes(end uint32) bool {
+	return f.callerEnd == 0 || int32(end-f.callerEnd) > 0
+}
+
 // recordPending records the hop of a packet for the case that the server returns
 // it, and returns the packet's tag.
 func (d *Deliverer) recordPending(hop gooseberrymast.Hop) uint32 {
--- a/coordination/deliverer/unanswered_test.go
+++ b/coordination/deliverer/unanswered_test.go
@@ -119,6 +119,26 @@
 	is.Equal(step.Notify, balancer)
 }
 
+// A copy of a request that the server had got while the agent didn't hold the flow counted as
+// another request in progress, for good. After restarts agents refused new flows for it.
+func TestCopyOfTriedRequestIsNoRequestInProgress(t *testing.T) {
+	is := is.New(t)
+	d := &Deliverer{}
+	sent := request(5000)
+	step := d.FromPeer(sent, walkHop(next), ledger, routes, epoch)
+	d.Keep(step, sent, nil)
+	received := answer(10)
+	received.Acknowledgement = sent.Sequence + uint32(sent.Payload)
+	is.Equal(d.FromServer(received, epoch).Event, FlowLearned)
+	is.Equal(d.FromPeer(sent, walkHop(next), ledger, routes, epoch).Action, ToServer)
+	_, busy := d.Load()
+	is.Equal(busy, 0)
+	sent.Sequence += uint32(sent.Payload)
+	d.FromPeer(sent, walkHop(next), ledger, routes, epoch)
+	_, busy = d.Load()
+	is.Equal(busy, 1)
+}
+
 // The first two copies of an opening packet go to the same agent while it reports. With a
 // silent server the flow opened only by the third one, after 600 ms.
 func TestOpeningGoesOnPastSilentServer(t *testing.T) {
