--- a/coordination/steerer/repeat.go
+++ b/coordination/steerer/repeat.go
@@ -96,7 +96,7 @@
 	case found && !s.unanswered(w.header, owner, now):
 		// It may have announced the flow without having got the packet.
 		hop.Mode = gooseberrymast.HopDeliver
-		steps = []Step{{Action: Forward, To: owner, Hop: hop}}
+		steps = []Step{s.toOwner(w.header, owner, hop)}
 	case w.lookup:
 		steps = s.walk(nil, w.header, hop, gooseberrymast.Endpoint{}, false, now)
 	default:
--- a/hop.go
+++ b/hop.go
@@ -20,7 +20,8 @@
 	// to its origin.
 	HopReturn
 	// HopAbsent: the last candidate of a walk reports that none of them holds
-	// the flow, or that of a new flow that none takes it.
+	// the flow, or that of a new flow that none takes it. A lookup balancer reports the same
+	// of its search.
 	HopAbsent
 )
 
@@ -59,15 +60,18 @@
 	NotifyOrigin bool
 	// Origin is the balancer that received the packet from the caller.
 	Origin Endpoint
-	// Initiator is the balancer that started the walk or placed the new flow; Walk is
-	// the number of the chain at that balancer. For a new flow Initiator is Origin, or zero
-	// for a retransmitted opening packet, which is never answered by a reset.
+	// Initiator is the balancer that started the walk or the lookup, or placed the new flow;
+	// Walk is the number of the chain at that balancer. For a lookup and a new flow Initiator
+	// is Origin, or zero for a retransmitted opening packet, which is never answered by a
+	// reset.
 	Initiator Endpoint
 	Walk      uint32
 	// Version is the version of the routes that the balancer used. Its number is sent with
 	// new flows only, its digest never.
 	Version DocumentVersion
-	// Service is the ServiceHash of the service that a new flow is assigned to.
+	// Service is the ServiceHash of the service that a new flow is assigned to, or for which
+	// a recorded owner or the agents of a walk are asked: as far as the sender knows, the
+	// receiver's. Zero from earlier builds.
 	Service uint64
 	// Candidates are the agents to try after the receiver.
 	Candidates []Endpoint
